Lay the frame of the build and the typed configuration

Cause: the repository is empty; every later part needs one build, one formatter and linter, and the words of the configuration.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/model/Checks.java
@@ -0,0 +1,96 @@
+package org.apricotgauge.model;
+
+import java.util.regex.Pattern;
+
+/**
+ * Checks of arguments, with messages that name the field and the value.
+ *
+ * <pre>{@code
+ * Checks.inRange("slots", slots, 1, 10_000);
+ * }</pre>
+ */
+public final class Checks {
+    private static final Pattern ID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final int MAX_PORT = 65_535;
+
+    private Checks() {}
+
+    /**
+     * Returns the identifier if it is well formed.
+     *
+     * @throws IllegalArgumentException if it is null, empty, longer than 128 characters, or holds
+     *     anything but letters, digits, dot, underscore and hyphen
+     */
+    public static String id(String field, String value) {
+        if (value == null || !ID.matcher(value).matches()) {
+            throw new IllegalArgumentException(
+                    field
+                            + " must be 1 to 128 letters, digits, '.', '_' or '-', was "
+                            + quote(value));
+        }
+        return value;
+    }
+
+    /**
+     * Returns the text if it is neither null nor blank.
+     *
+     * @throws IllegalArgumentException otherwise
+     */
+    public static String notBlank(String field, String value) {
+        if (value == null || value.isBlank()) {
+            throw new IllegalArgumentException(field + " must not be blank, was " + quote(value));
+        }
+        return value;
+    }
+
+    /**
+     * Returns the object if it is not null.
+     *
+     * @throws IllegalArgumentException if it is null
+     */
+    public static <T> T notNull(String field, T value) {
+        if (value == null) {
+            throw new IllegalArgumentException(field + " must be given");
+        }
+        return value;
+    }
+
+    /**
+     * Returns the number if it lies in the closed range.
+     *
+     * @throws IllegalArgumentException otherwise
+     */
+    public static long inRange(String field, long value, long min, long max) {
+        if (value < min || value > max) {
+            throw new IllegalArgumentException(
+                    field + " must be from " + min + " to " + max + ", was " + value);
+        }
+        return value;
+    }
+
+    /**
+     * Returns the number if it is finite and lies in the closed range.
+     *
+     * @throws IllegalArgumentException otherwise
+     */
+    public static double inRange(String field, double value, double min, double max) {
+        if (!(value >= min && value <= max)) {
+            throw new IllegalArgumentException(
+                    field + " must be from " + min + " to " + max + ", was " + value);
+        }
+        return value;
+    }
+
+    /**
+     * Returns the TCP port if it is from 1 to 65,535.
+     *
+     * @throws IllegalArgumentException otherwise
+     */
+    public static int port(String field, int value) {
+        return (int) inRange(field, value, 1, MAX_PORT);
+    }
+
+    private static String quote(String value) {
+        return value == null ? "null" : '"' + value + '"';
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/model/Target.java
@@ -0,0 +1,34 @@
+package org.apricotgauge.model;
+
+/**
+ * One back end of a service.
+ *
+ * @param id name of the target, unique over all services
+ * @param service the service it belongs to
+ * @param vm the VM it runs on
+ * @param failureDomain the failure domain of that VM
+ * @param host IP number at which it serves HTTP
+ * @param port port at which it serves HTTP
+ * @param slots how many requests it runs at a time
+ */
+public record Target(
+        String id,
+        String service,
+        String vm,
+        String failureDomain,
+        String host,
+        int port,
+        int slots) {
+    private static final int MAX_SLOTS = 10_000;
+
+    /** Checks the parts. */
+    public Target {
+        Checks.id("target.id", id);
+        Checks.id("target.service", service);
+        Checks.id("target.vm", vm);
+        Checks.id("target.failureDomain", failureDomain);
+        Checks.notBlank("target.host", host);
+        Checks.port("target.port", port);
+        Checks.inRange("target.slots", slots, 1, MAX_SLOTS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/time/ManualTicker.java
@@ -0,0 +1,36 @@
+package org.apricotgauge.time;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A ticker that moves only when told to, for tests and for simulations of policies.
+ *
+ * <pre>{@code
+ * ManualTicker ticker = new ManualTicker();
+ * ticker.advanceMillis(250);
+ * }</pre>
+ *
+ * <p>Safe to share between threads.
+ */
+public final class ManualTicker implements Ticker {
+    private final AtomicLong mNowNanos = new AtomicLong();
+
+    @Override
+    public long nanos() {
+        return mNowNanos.get();
+    }
+
+    /**
+     * Moves the ticker forward.
+     *
+     * @param millis how far, in milliseconds; not negative
+     * @throws IllegalArgumentException if {@code millis} is negative
+     */
+    public void advanceMillis(long millis) {
+        if (millis < 0) {
+            throw new IllegalArgumentException("millis must not be negative, was " + millis);
+        }
+        mNowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/time/package-info.java
@@ -0,0 +1,2 @@
+/** Injected time: no decision reads a clock of its own, so that every test picks its own time. */
+package org.apricotgauge.time;
