--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/attempt/Attempt.java
@@ -0,0 +1,50 @@
+package org.apricotgauge.decision.attempt;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.apricotgauge.model.Checks;
+
+/**
+ * An attempt as addressed to one run of one guard: it can start there, before its time, or nowhere.
+ *
+ * <pre>{@code
+ * request.headers(fields -> fields.put(Attempt.HEADER, attempt.toString()));
+ * Optional<Attempt> attempt = Attempt.parse(headerValue);
+ * }</pre>
+ *
+ * @param id identifier of the attempt
+ * @param guardIncarnation the run of the guard that it is meant for
+ * @param latestStartMillis after this reading of that guard's clock it no longer starts
+ */
+public record Attempt(AttemptId id, long guardIncarnation, long latestStartMillis) {
+    /** Header that carries the attempt from the entry to the guard. */
+    public static final String HEADER = "Apricotgauge-Attempt";
+
+    private static final Pattern TEXT =
+            Pattern.compile("([^;]{1,180});([0-9a-f]{1,16});(-?[0-9]{1,18})");
+    private static final int HEX = 16;
+
+    /** Checks the identifier. */
+    public Attempt {
+        Checks.notNull("id", id);
+    }
+
+    /** Returns the attempt that the text gives, or nothing if the text is malformed. */
+    public static Optional<Attempt> parse(String text) {
+        Matcher matcher = TEXT.matcher(text);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        long incarnation = Long.parseUnsignedLong(matcher.group(2), HEX);
+        long latestStartMillis = Long.parseLong(matcher.group(3));
+        return AttemptId.parse(matcher.group(1))
+                .map(id -> new Attempt(id, incarnation, latestStartMillis));
+    }
+
+    /** Returns the text for the header: identifier, incarnation in hexadecimal, latest start. */
+    @Override
+    public String toString() {
+        return id.toString() + ';' + Long.toHexString(guardIncarnation) + ';' + latestStartMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/attempt/GuardSighting.java
@@ -0,0 +1,47 @@
+package org.apricotgauge.decision.attempt;
+
+import org.apricotgauge.model.Checks;
+
+/**
+ * The last stamp that an entry heard from a guard, and when; addresses attempts to that guard.
+ *
+ * <pre>{@code
+ * GuardSighting sighting = new GuardSighting(stamp, ticker.millis());
+ * Attempt attempt = sighting.address(ids.next(), ticker.millis(), deadlineMillis);
+ * }</pre>
+ *
+ * <p>The estimate of the guard's clock lags by at most the way of the stamp, so that an attempt
+ * expires at the guard a little early rather than late. Safety does not rest on it: the guard
+ * compares only its own clock with the number in the attempt.
+ *
+ * @param stamp what the guard said
+ * @param seenAtMillis the entry's own clock when the stamp arrived
+ */
+public record GuardSighting(GuardStamp stamp, long seenAtMillis) {
+
+    /** Checks the stamp. */
+    public GuardSighting {
+        Checks.notNull("stamp", stamp);
+    }
+
+    /**
+     * Returns the attempt addressed to the guard's present incarnation.
+     *
+     * @param id identifier of the attempt, used on one connection only
+     * @param nowMillis the entry's clock
+     * @param deadlineMillis the request's deadline by the entry's clock
+     */
+    public Attempt address(AttemptId id, long nowMillis, long deadlineMillis) {
+        long guardNowMillis = stamp.guardMillis() + (nowMillis - seenAtMillis);
+        long latestStartMillis = guardNowMillis + Math.max(0, deadlineMillis - nowMillis);
+        return new Attempt(id, stamp.incarnation(), latestStartMillis);
+    }
+
+    /** Returns the later of two sightings; a stamp that arrives out of order changes nothing. */
+    public GuardSighting merge(GuardSighting other) {
+        if (stamp.incarnation() == other.stamp.incarnation()) {
+            return other.stamp.guardMillis() > stamp.guardMillis() ? other : this;
+        }
+        return other.seenAtMillis >= seenAtMillis ? other : this;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/attempt/IdempotencyLedger.java
@@ -0,0 +1,171 @@
+package org.apricotgauge.decision.attempt;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.apricotgauge.model.Checks;
+
+/**
+ * A guard's memory of the Idempotency-Keys whose home is its target.
+ *
+ * <pre>{@code
+ * KeyVerdict verdict = ledger.begin(key, fingerprint, homeSinceMillis, now);
+ * if (verdict instanceof KeyVerdict.Run) {
+ *     // run it, then exactly one of completed(...), uncertain(...), notRun(...)
+ * }
+ * }</pre>
+ *
+ * <p>Promise: a key runs at most once from its first submission until the retention after its end,
+ * while this process lives and both submissions reach it. What restarts and partitions do to that
+ * is written in docs/design/at-most-once.md. One short lock; safe to share between threads.
+ */
+public final class IdempotencyLedger {
+
+    private enum State {
+        RUNNING,
+        DONE,
+        UNCERTAIN
+    }
+
+    private static final class Entry {
+        private final IdempotencyKey mKey;
+        private final long mFingerprint;
+        private State mState = State.RUNNING;
+        private StoredAnswer mAnswer;
+        private long mEndedAtMillis;
+
+        private Entry(IdempotencyKey key, long fingerprint) {
+            mKey = key;
+            mFingerprint = fingerprint;
+        }
+    }
+
+    private final KeyLimits mLimits;
+    private final long mStartedAtMillis;
+    private final Map<IdempotencyKey, Entry> mEntries = new HashMap<>();
+    private final Deque<Entry> mEnded = new ArrayDeque<>();
+    private final Deque<Entry> mWithBody = new ArrayDeque<>();
+    private long mKeptBytes;
+    private long mNowMillis;
+
+    /** Takes the bounds and the time at which the process began to remember. */
+    public IdempotencyLedger(KeyLimits limits, long startedAtMillis) {
+        mLimits = Checks.notNull("limits", limits);
+        mStartedAtMillis = startedAtMillis;
+        mNowMillis = startedAtMillis;
+    }
+
+    /**
+     * Decides on a submission; only {@link KeyVerdict.Run} may run.
+     *
+     * @param fingerprint hash of what makes the request the same: method, target URI, length
+     * @param homeSinceMillis when the configuration made this target the key's home, or any time
+     *     before the start of the process if it always was
+     */
+    public synchronized KeyVerdict begin(
+            IdempotencyKey key, long fingerprint, long homeSinceMillis, long nowMillis) {
+        advance(nowMillis);
+        Entry known = mEntries.get(key);
+        if (known != null) {
+            return verdictOnKnown(known, fingerprint);
+        }
+        // A fresh guard can't tell a first submission from one that its predecessor ran. Running
+        // it would book twice; refusing costs this key's share of traffic for the retention.
+        long knowsFromMillis =
+                Math.max(mStartedAtMillis, homeSinceMillis) + mLimits.retentionMillis();
+        if (mLimits.newHomePolicy() == KeyLimits.NewHomePolicy.REFUSE
+                && mNowMillis < knowsFromMillis) {
+            return new KeyVerdict.HistoryUnknown(knowsFromMillis - mNowMillis);
+        }
+        if (mEntries.size() >= mLimits.maxKeys()) {
+            return new KeyVerdict.Full(millisToOldestExpiry());
+        }
+        mEntries.put(key, new Entry(key, fingerprint));
+        return new KeyVerdict.Run();
+    }
+
+    /** Records the answer of the target; the key replays it until the retention has passed. */
+    public synchronized void completed(IdempotencyKey key, StoredAnswer answer, long nowMillis) {
+        Entry entry = running(key);
+        end(entry, State.DONE, nowMillis);
+        entry.mAnswer = answer;
+        if (answer.keptBytes() > 0) {
+            mKeptBytes += answer.keptBytes();
+            mWithBody.add(entry);
+        }
+        while (mKeptBytes > mLimits.maxBodyBytes()) {
+            dropBody(mWithBody.remove());
+        }
+    }
+
+    /** Records that it started and no whole answer came; the key never runs again. */
+    public synchronized void uncertain(IdempotencyKey key, long nowMillis) {
+        end(running(key), State.UNCERTAIN, nowMillis);
+    }
+
+    /** Records the proof that it did not run; the next submission of the key may. */
+    public synchronized void notRun(IdempotencyKey key) {
+        running(key);
+        mEntries.remove(key);
+    }
+
+    /** Returns how many keys are remembered. */
+    public synchronized int size() {
+        return mEntries.size();
+    }
+
+    private KeyVerdict verdictOnKnown(Entry entry, long fingerprint) {
+        if (entry.mFingerprint != fingerprint) {
+            return new KeyVerdict.Conflict();
+        }
+        return switch (entry.mState) {
+            case RUNNING -> new KeyVerdict.Running();
+            case DONE -> new KeyVerdict.Done(entry.mAnswer);
+            case UNCERTAIN -> new KeyVerdict.Uncertain();
+        };
+    }
+
+    private Entry running(IdempotencyKey key) {
+        Entry entry = mEntries.get(key);
+        if (entry == null || entry.mState != State.RUNNING) {
+            throw new IllegalStateException("key ended that was not running: " + key);
+        }
+        return entry;
+    }
+
+    private void end(Entry entry, State state, long nowMillis) {
+        advance(nowMillis);
+        entry.mState = state;
+        entry.mEndedAtMillis = mNowMillis;
+        mEnded.add(entry);
+    }
+
+    private void advance(long nowMillis) {
+        mNowMillis = Math.max(mNowMillis, nowMillis);
+        while (!mEnded.isEmpty() && expiryMillis(mEnded.peek()) < mNowMillis) {
+            Entry expired = mEnded.remove();
+            mEntries.remove(expired.mKey);
+            // Both queues are in the order of ending, so an expired body is always the first.
+            if (mWithBody.peek() == expired) {
+                dropBody(mWithBody.remove());
+            }
+        }
+    }
+
+    private void dropBody(Entry entry) {
+        mKeptBytes -= entry.mAnswer.keptBytes();
+        entry.mAnswer = entry.mAnswer.dropBody();
+    }
+
+    private long millisToOldestExpiry() {
+        if (mEnded.isEmpty()) {
+            return mLimits.retentionMillis();
+        }
+        return Math.max(1, expiryMillis(mEnded.peek()) - mNowMillis);
+    }
+
+    private long expiryMillis(Entry entry) {
+        return entry.mEndedAtMillis + mLimits.retentionMillis();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -0,0 +1,27 @@
+package org.apricotgauge.decision.attempt;
+
+/** The evidence that a request did not reach its target. */
+public enum NotRunReason {
+    /** No byte of it was written to any connection. */
+    NEVER_SENT,
+    /** The guard's queue was full, and others had a better claim to its places. */
+    QUEUE_FULL,
+    /** It could not have been served before its deadline. */
+    DEADLINE_TOO_SHORT,
+    /** Its deadline passed while it waited for a slot. */
+    DEADLINE_PASSED,
+    /** The caller cancelled it while it waited for a slot. */
+    CANCELLED,
+    /** The guard fenced it before the first byte went to the target. */
+    FENCED,
+    /** It was addressed to an earlier incarnation of the guard, and the present one refused it. */
+    GUARD_RESTARTED,
+    /** The guard could not connect to the target. */
+    TARGET_UNREACHABLE,
+    /** The target is leaving, or the guard is stopping, and takes no new work. */
+    LEAVING,
+    /** The guard of its Idempotency-Key restarted too lately to know whether the key was used. */
+    KEY_HISTORY_UNKNOWN,
+    /** The guard has no room to remember one more attempt or key. */
+    LEDGER_FULL
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
@@ -0,0 +1,94 @@
+package org.apricotgauge.decision.attempt;
+
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Repeatability;
+
+/**
+ * Decides whether a request may run more than once, and whether it is sent again.
+ *
+ * <pre>{@code
+ * boolean repeatable = RepeatPolicy.isRepeatable("POST", Repeatability.BY_METHOD, header);
+ * RetryDecision next = policy.decide(progress, leftMillis, budget::tryRetry);
+ * }</pre>
+ *
+ * <p>Idempotent methods are those of RFC 9110, section 9.2.2; methods are case-sensitive and an
+ * unknown one is not idempotent.
+ *
+ * @param maxAttempts attempts of one submission, the first included
+ * @param minLeftMillis with less time left to the deadline nothing is sent again
+ */
+public record RepeatPolicy(int maxAttempts, long minLeftMillis) {
+    /** Up to three attempts, the last with 20 ms to go at the least. */
+    public static final RepeatPolicy DEFAULT = new RepeatPolicy(3, 20);
+
+    private static final Set<String> IDEMPOTENT_METHODS =
+            Set.of("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE");
+    private static final Set<Integer> RETRYABLE_STATUSES = Set.of(502, 503, 504);
+
+    /** Checks the parts. */
+    public RepeatPolicy {
+        Checks.inRange("maxAttempts", maxAttempts, 1, 10);
+        Checks.inRange("minLeftMillis", minLeftMillis, 0, 60_000);
+    }
+
+    /**
+     * Tells whether the request may run more than once.
+     *
+     * <p>A "no" in the route or in the header always wins: a caller may narrow what the operator
+     * allows, and may widen it only where the operator left it to the method.
+     */
+    public static boolean isRepeatable(String method, Repeatability route, RepeatHeader header) {
+        if (route == Repeatability.NEVER || header == RepeatHeader.NO) {
+            return false;
+        }
+        return route == Repeatability.ALWAYS
+                || header == RepeatHeader.YES
+                || IDEMPOTENT_METHODS.contains(method);
+    }
+
+    /**
+     * Decides what follows an attempt that has ended.
+     *
+     * @param leftMillis time left to the caller's deadline; not positive once it has passed
+     * @param budget asked at most once, and only when everything else allows another attempt
+     */
+    public RetryDecision decide(Progress progress, long leftMillis, BooleanSupplier budget) {
+        Checks.notNull("progress.last", progress.last());
+        RetryDecision wish = wish(progress);
+        if (wish instanceof RetryDecision.Finish) {
+            return wish;
+        }
+        boolean mayGoOn =
+                progress.attempts() < maxAttempts
+                        && leftMillis >= minLeftMillis
+                        && budget.getAsBoolean();
+        return mayGoOn ? wish : finish(progress);
+    }
+
+    private static RetryDecision wish(Progress progress) {
+        Outcome last = progress.last();
+        if (last instanceof Outcome.Answered answered) {
+            boolean again = progress.repeatable() && RETRYABLE_STATUSES.contains(answered.status());
+            return again ? new RetryDecision.SendAgain() : finish(progress);
+        }
+        if (progress.repeatable()) {
+            return new RetryDecision.SendAgain();
+        }
+        // A request that must not repeat goes out again only if no attempt so far can have run, or
+        // if the guard that may have run it will recognise it by its key.
+        if (!progress.mayHaveRun()) {
+            return new RetryDecision.SendAgain();
+        }
+        return progress.hasKey() ? new RetryDecision.SendToSameGuard() : finish(progress);
+    }
+
+    private static RetryDecision finish(Progress progress) {
+        // "Not run" of the last attempt says nothing of an earlier one that may have run.
+        if (progress.last() instanceof Outcome.NotRun && progress.mayHaveRun()) {
+            return new RetryDecision.Finish(new Outcome.Unknown(UnknownReason.FORGOTTEN));
+        }
+        return new RetryDecision.Finish(progress.last());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
@@ -0,0 +1,68 @@
+package org.apricotgauge.decision.attempt;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.apricotgauge.model.Checks;
+
+/**
+ * Bounds retries of one service to a share of its traffic (token bucket).
+ *
+ * <pre>{@code
+ * RetryBudget budget = new RetryBudget(0.1, 10, 1);
+ * budget.onRequest(); // each first attempt
+ * if (budget.tryRetry(now)) { ... } // each further attempt
+ * }</pre>
+ *
+ * <p>A fixed count of retries alone multiplies the load of a service that fails as a whole, and
+ * keeps it down. With a share of 0.1 the load is at most 1.1 times the traffic, plus a trickle that
+ * lets a service with little traffic retry at all. Atomics only; safe to share.
+ */
+public final class RetryBudget {
+    private static final long TOKEN = 1_000_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final long mDeposit;
+    private final long mCapacity;
+    private final long mTricklePerMilli;
+    private final AtomicLong mTokens;
+    private final AtomicLong mTrickledAtMillis = new AtomicLong(Long.MIN_VALUE);
+
+    /**
+     * Takes the bounds.
+     *
+     * @param share retries per request, from 0 to 1
+     * @param burst retries that may come at once after a quiet time
+     * @param minPerSecond retries allowed each second whatever the traffic
+     */
+    public RetryBudget(double share, int burst, int minPerSecond) {
+        mDeposit = Math.round(Checks.inRange("share", share, 0, 1) * TOKEN);
+        mCapacity = Checks.inRange("burst", burst, 1, 100_000) * TOKEN;
+        mTricklePerMilli =
+                Checks.inRange("minPerSecond", minPerSecond, 0, 1_000) * TOKEN / MILLIS_PER_SECOND;
+        mTokens = new AtomicLong(mCapacity);
+    }
+
+    /** Counts a first attempt. */
+    public void onRequest() {
+        deposit(mDeposit);
+    }
+
+    /** Takes the budget of one retry if it is there. */
+    public boolean tryRetry(long nowMillis) {
+        trickle(nowMillis);
+        long before = mTokens.getAndUpdate(tokens -> tokens >= TOKEN ? tokens - TOKEN : tokens);
+        return before >= TOKEN;
+    }
+
+    private void trickle(long nowMillis) {
+        long beforeMillis = mTrickledAtMillis.getAndAccumulate(nowMillis, Math::max);
+        if (beforeMillis == Long.MIN_VALUE || nowMillis <= beforeMillis) {
+            return;
+        }
+        long elapsedMillis = Math.min(nowMillis - beforeMillis, mCapacity);
+        deposit(Math.min(mCapacity, elapsedMillis * mTricklePerMilli));
+    }
+
+    private void deposit(long amount) {
+        mTokens.updateAndGet(tokens -> Math.min(mCapacity, tokens + amount));
+    }
+}
