Add the admission queue of a target: adaptive limit, fair queueing, deadlines

Cause: the targets' slots are scarce, shared by members and classes, and used unseen by an older system; a plain FIFO spends them on requests whose callers have gone. Change: AdmissionQueue with start-time fair queueing by member, a constant lead for urgent classes, refusal at once of what can't make its deadline, and a limit that follows what the target sheds.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -0,0 +1,178 @@
+package org.apricotgauge.decision.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apricotgauge.model.Checks;
+
+/**
+ * The slots of one target and the short queue before them.
+ *
+ * <pre>{@code
+ * Offer offer = queue.offer(ticket, now);
+ * // Admitted: start it.  Queued: wait, and answer the displaced.  Refused: answer it at once.
+ * Changes changes = queue.release(ticket, Result.ANSWERED, serviceMicros, now);
+ * // start changes.admitted(), answer changes.refused()
+ * }</pre>
+ *
+ * <p>Every admitted ticket must be released exactly once. Call {@link #expire} every 10 ms or so
+ * while {@link #queued} is not zero. Times are readings of one monotonic clock in milliseconds.
+ * Thread-safe by one lock for each target, held for O(log n) steps and never during I/O.
+ */
+public final class AdmissionQueue {
+
+    private record Running(FairQueue.Charge charge, long admittedAtMillis) {}
+
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private final AdmissionConfig mConfig;
+    private final FairQueue mWaiting;
+    private final AdaptiveLimit mLimit;
+    private final ServiceTimes mServiceTimes;
+    private final Map<Long, Running> mRunning = new HashMap<>();
+
+    /** Makes an empty queue. */
+    public AdmissionQueue(AdmissionConfig config) {
+        mConfig = Checks.notNull("config", config);
+        mWaiting = new FairQueue(config.maxMembers(), config.initialServiceMicros());
+        mLimit = new AdaptiveLimit(config.slots());
+        mServiceTimes = new ServiceTimes(config.initialServiceMicros());
+    }
+
+    /**
+     * Takes in a request, or refuses it if it can't be served before its deadline.
+     *
+     * @throws IllegalStateException if a ticket of this identifier waits or runs already
+     */
+    public synchronized Offer offer(Ticket ticket, long nowMillis) {
+        if (mWaiting.contains(ticket) || mRunning.containsKey(ticket.id())) {
+            throw new IllegalStateException("ticket offered twice: " + ticket);
+        }
+        mLimit.onTick(nowMillis);
+        if (ticket.deadlineMillis() <= nowMillis) {
+            return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
+        }
+        if (mWaiting.size() == 0 && mRunning.size() < mLimit.get()) {
+            run(mWaiting.startNow(ticket), nowMillis);
+            return new Offer.Admitted();
+        }
+        double neededMillis = waitMillis(ticket) + serviceMillis();
+        if (nowMillis + neededMillis > ticket.deadlineMillis()) {
+            return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
+        }
+        if (mWaiting.size() < mConfig.maxQueued()) {
+            mWaiting.add(ticket);
+            return new Offer.Queued(List.of());
+        }
+        Ticket victim = mWaiting.victimFor(ticket);
+        if (victim == null) {
+            return refused(ticket, RefusalReason.QUEUE_FULL);
+        }
+        mWaiting.remove(victim);
+        mWaiting.add(ticket);
+        return new Offer.Queued(List.of(refusal(victim, RefusalReason.QUEUE_FULL)));
+    }
+
+    /**
+     * Gives back the slot of an admitted ticket.
+     *
+     * @param serviceMicros time from the first byte to the target until its answer ended
+     * @return tickets that got the slot, and tickets whose deadline came too near
+     * @throws IllegalStateException if the ticket has no slot
+     */
+    public synchronized Changes release(
+            Ticket ticket, Result result, long serviceMicros, long nowMillis) {
+        boolean limitReached = mRunning.size() >= mLimit.get();
+        Running running = mRunning.remove(ticket.id());
+        if (running == null) {
+            throw new IllegalStateException("ticket released that has no slot: " + ticket);
+        }
+        mWaiting.settle(running.charge(), serviceMicros);
+        if (result == Result.SHED) {
+            mLimit.onShed(running.admittedAtMillis(), nowMillis);
+        } else if (result == Result.ANSWERED) {
+            mServiceTimes.add(serviceMicros, nowMillis);
+            mWaiting.setMeanMicros(mServiceTimes.meanMicros());
+            mLimit.onAnswered(mServiceTimes.inflation(), limitReached, nowMillis);
+        }
+        return fill(nowMillis);
+    }
+
+    /** Takes out the waiting tickets that can't be served any more; answer them at once. */
+    public synchronized Changes expire(long nowMillis) {
+        mLimit.onTick(nowMillis);
+        return fill(nowMillis);
+    }
+
+    /** Takes out a waiting ticket whose caller has gone; false if it doesn't wait. */
+    public synchronized boolean cancel(Ticket ticket) {
+        return mWaiting.remove(ticket);
+    }
+
+    /** Returns how many tickets wait. */
+    public synchronized int queued() {
+        return mWaiting.size();
+    }
+
+    /** Returns how many tickets have a slot. */
+    public synchronized int inFlight() {
+        return mRunning.size();
+    }
+
+    /** Returns how many slots are used at most, at present. */
+    public synchronized int limit() {
+        return mLimit.get();
+    }
+
+    /** Returns how many members are told apart at present. */
+    public synchronized int members() {
+        return mWaiting.flows();
+    }
+
+    private Changes fill(long nowMillis) {
+        List<Ticket> admitted = new ArrayList<>();
+        List<Refusal> refused = new ArrayList<>();
+        dropLate(nowMillis, refused);
+        while (mRunning.size() < mLimit.get()) {
+            FairQueue.Charge next = mWaiting.poll();
+            if (next == null) {
+                break;
+            }
+            run(next, nowMillis);
+            admitted.add(next.ticket());
+        }
+        return new Changes(admitted, refused);
+    }
+
+    // A slot spent on a request whose caller stops waiting before the answer is a slot lost; under
+    // overload, served in the order of arrival, that becomes every slot.
+    private void dropLate(long nowMillis, List<Refusal> refused) {
+        Ticket first = mWaiting.earliestDeadline();
+        while (first != null && nowMillis + serviceMillis() > first.deadlineMillis()) {
+            mWaiting.remove(first);
+            refused.add(refusal(first, RefusalReason.DEADLINE_PASSED));
+            first = mWaiting.earliestDeadline();
+        }
+    }
+
+    private void run(FairQueue.Charge charge, long nowMillis) {
+        mRunning.put(charge.ticket().id(), new Running(charge, nowMillis));
+    }
+
+    private Offer refused(Ticket ticket, RefusalReason reason) {
+        return new Offer.Refused(refusal(ticket, reason));
+    }
+
+    private Refusal refusal(Ticket ticket, RefusalReason reason) {
+        return new Refusal(ticket, reason, (long) Math.ceil(Math.max(1, waitMillis(ticket))));
+    }
+
+    private double waitMillis(Ticket ticket) {
+        return mWaiting.servicesAhead(ticket) * serviceMillis() / Math.max(1, mLimit.get());
+    }
+
+    private double serviceMillis() {
+        return mServiceTimes.meanMicros() / MICROS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/admission/Flow.java
@@ -0,0 +1,136 @@
+package org.apricotgauge.decision.admission;
+
+import java.util.List;
+import java.util.TreeMap;
+import org.apricotgauge.model.Priority;
+
+/** One member's waiting tickets and its account of service. */
+final class Flow {
+    private static final List<Priority> CLASSES = List.of(Priority.values());
+
+    // A lower class that was passed over so often is served next, lest a member's urgent work
+    // starve its own patient work for ever.
+    private static final int MAX_PASSED = 8;
+
+    private final String mName;
+    private final long mSequence;
+    private final List<TreeMap<Long, Ticket>> mWaiting =
+            List.of(new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
+    private final int[] mPassed = new int[CLASSES.size()];
+    private int mWeight;
+    private int mQueued;
+    private int mInFlight;
+    private double mServedMicros;
+
+    Flow(String name, long sequence, double servedMicros) {
+        mName = name;
+        mSequence = sequence;
+        mServedMicros = servedMicros;
+    }
+
+    String name() {
+        return mName;
+    }
+
+    long sequence() {
+        return mSequence;
+    }
+
+    int weight() {
+        return mWeight;
+    }
+
+    void setWeight(int weight) {
+        mWeight = weight;
+    }
+
+    int queued() {
+        return mQueued;
+    }
+
+    int queued(Priority lowest) {
+        int count = 0;
+        for (int i = 0; i <= lowest.ordinal(); i++) {
+            count += mWaiting.get(i).size();
+        }
+        return count;
+    }
+
+    boolean isIdle() {
+        return mQueued == 0 && mInFlight == 0;
+    }
+
+    /** Returns the service received, divided by the weight: the flow's virtual time. */
+    double servedMicros() {
+        return mServedMicros;
+    }
+
+    void raiseServed(double virtualMicros) {
+        mServedMicros = Math.max(mServedMicros, virtualMicros);
+    }
+
+    void charge(double micros) {
+        mServedMicros += micros / mWeight;
+    }
+
+    double backlog() {
+        return (double) mQueued / mWeight;
+    }
+
+    void add(long sequence, Ticket ticket) {
+        mWaiting.get(ticket.priority().ordinal()).put(sequence, ticket);
+        mQueued++;
+    }
+
+    boolean remove(long sequence, Ticket ticket) {
+        boolean removed = mWaiting.get(ticket.priority().ordinal()).remove(sequence) != null;
+        if (removed) {
+            mQueued--;
+        }
+        return removed;
+    }
+
+    void onDispatched() {
+        mInFlight++;
+    }
+
+    void onReleased() {
+        mInFlight--;
+    }
+
+    /** Returns the most urgent class that waits; the flow must not be empty. */
+    Priority mostUrgent() {
+        for (Priority priority : CLASSES) {
+            if (!mWaiting.get(priority.ordinal()).isEmpty()) {
+                return priority;
+            }
+        }
+        throw new IllegalStateException("flow is empty: " + mName);
+    }
+
+    /** Returns the sequence of the newest ticket of the least urgent class that waits. */
+    long lastSequence() {
+        for (int i = CLASSES.size() - 1; i >= 0; i--) {
+            if (!mWaiting.get(i).isEmpty()) {
+                return mWaiting.get(i).lastKey();
+            }
+        }
+        throw new IllegalStateException("flow is empty: " + mName);
+    }
+
+    /** Picks the ticket to serve next and counts whom it passed over. */
+    long pickSequence() {
+        int chosen = mostUrgent().ordinal();
+        for (int i = CLASSES.size() - 1; i > chosen; i--) {
+            if (mPassed[i] >= MAX_PASSED && !mWaiting.get(i).isEmpty()) {
+                chosen = i;
+                break;
+            }
+        }
+        for (int i = chosen + 1; i < CLASSES.size(); i++) {
+            mPassed[i] = mWaiting.get(i).isEmpty() ? 0 : mPassed[i] + 1;
+        }
+        mPassed[chosen] = 0;
+        return mWaiting.get(chosen).firstKey();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/admission/RefusalReason.java
@@ -0,0 +1,11 @@
+package org.apricotgauge.decision.admission;
+
+/** Why a request gets no slot. */
+public enum RefusalReason {
+    /** It could not have been served before its deadline. */
+    DEADLINE_TOO_SHORT,
+    /** Its deadline came too near while it waited. */
+    DEADLINE_PASSED,
+    /** The queue was full, and others had a better claim to its places. */
+    QUEUE_FULL
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/admission/Ticket.java
@@ -0,0 +1,22 @@
+package org.apricotgauge.decision.admission;
+
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Member;
+import org.apricotgauge.model.Priority;
+
+/**
+ * One request's place in an {@link AdmissionQueue}.
+ *
+ * @param id unique among the tickets of the queue
+ * @param member customer whose share it counts against
+ * @param priority how long its caller can wait
+ * @param deadlineMillis by the clock that the queue is told
+ */
+public record Ticket(long id, Member member, Priority priority, long deadlineMillis) {
+
+    /** Checks the parts. */
+    public Ticket {
+        Checks.notNull("member", member);
+        Checks.notNull("priority", priority);
+    }
+}
