--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/routing/TargetLoad.java
@@ -0,0 +1,66 @@
+package org.apricotgauge.decision.routing;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The load of one target as one entry sees it; survives changes of the routing table.
+ *
+ * <pre>{@code
+ * load.begin();
+ * try { … } finally { load.end(); }
+ * }</pre>
+ *
+ * <p>Counts the entry's own requests in flight and remembers what the guard last reported. With
+ * thousands of entries each sees a sliver of the traffic; the guard sees all of it. Thread-safe.
+ */
+public final class TargetLoad {
+    /** A report says nothing any more after this long. */
+    private static final long REPORT_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final double PERMILLE = 1_000.0;
+
+    private final AtomicInteger mInFlight = new AtomicInteger();
+    private volatile Report mReport = new Report(0, Long.MIN_VALUE / 2);
+
+    private record Report(int loadPermille, long atNanos) {}
+
+    /** Counts a request that starts. */
+    public void begin() {
+        mInFlight.incrementAndGet();
+    }
+
+    /** Counts a request that ended; must follow exactly one {@link #begin}. */
+    public void end() {
+        mInFlight.decrementAndGet();
+    }
+
+    /** Returns the entry's own requests in flight. */
+    public int inFlight() {
+        return mInFlight.get();
+    }
+
+    /**
+     * Takes the load that the guard told with an answer.
+     *
+     * @param loadPermille requests running and waiting, in permille of the slots
+     * @param nowNanos time of the report
+     */
+    public void report(int loadPermille, long nowNanos) {
+        mReport = new Report(loadPermille, nowNanos);
+    }
+
+    /**
+     * Returns the load as a share of the slots; 1.0 is all slots busy.
+     *
+     * @param slots slots of the target
+     * @param nowNanos present time
+     */
+    public double perSlot(int slots, long nowNanos) {
+        Report report = mReport;
+        long ageNanos = Math.max(0, nowNanos - report.atNanos());
+        double freshness = Math.max(0.0, 1.0 - (double) ageNanos / REPORT_LIFE_NANOS);
+        double own = (double) mInFlight.get() / slots;
+        return Math.max(own, freshness * report.loadPermille() / PERMILLE);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/ForwardedHeaders.java
@@ -0,0 +1,86 @@
+package org.apricotgauge.http;
+
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+
+/**
+ * Copies the headers of a message from one hop to the next.
+ *
+ * <pre>{@code
+ * ForwardedHeaders.copyRequest(callerRequest.getHeaders(), upstreamHeaders);
+ * }</pre>
+ *
+ * <p>Removes what belongs to one connection only (RFC 9110 section 7.6.1, and whatever {@code
+ * Connection} names) and every header of the fleet's own, which each hop writes anew.
+ */
+public final class ForwardedHeaders {
+    /** What the fleet writes into {@code Via}. */
+    public static final String VIA_PSEUDONYM = "apricotgauge";
+
+    private static final String VIA = "1.1 " + VIA_PSEUDONYM;
+
+    /** Hop-by-hop headers; the length and the transfer coding are set by the next hop's codec. */
+    private static final Set<HttpHeader> PER_CONNECTION =
+            EnumSet.of(
+                    HttpHeader.CONNECTION,
+                    HttpHeader.KEEP_ALIVE,
+                    HttpHeader.PROXY_CONNECTION,
+                    HttpHeader.PROXY_AUTHENTICATE,
+                    HttpHeader.PROXY_AUTHORIZATION,
+                    HttpHeader.TE,
+                    HttpHeader.TRANSFER_ENCODING,
+                    HttpHeader.UPGRADE);
+
+    private ForwardedHeaders() {}
+
+    /**
+     * Copies a request's headers, adding {@code Via} (RFC 9110 section 7.6.3).
+     *
+     * <p>{@code Expect} ends here: this hop answers 100-continue itself once the next hop asks for
+     * the body. The length is taken from the body, not from the header.
+     */
+    public static void copyRequest(HttpFields from, HttpFields.Mutable to) {
+        copy(from, to, EnumSet.of(HttpHeader.EXPECT, HttpHeader.CONTENT_LENGTH));
+        to.add(HttpHeader.VIA, VIA);
+    }
+
+    /** Copies an answer's headers. */
+    public static void copyResponse(HttpFields from, HttpFields.Mutable to) {
+        copy(from, to, EnumSet.noneOf(HttpHeader.class));
+    }
+
+    private static void copy(HttpFields from, HttpFields.Mutable to, Set<HttpHeader> alsoDrop) {
+        Set<String> named = namedByConnection(from);
+        for (HttpField field : from) {
+            HttpHeader header = field.getHeader();
+            if (header != null && (PER_CONNECTION.contains(header) || alsoDrop.contains(header))) {
+                continue;
+            }
+            if (isOwn(field) || named.contains(field.getLowerCaseName())) {
+                continue;
+            }
+            to.add(field);
+        }
+    }
+
+    private static boolean isOwn(HttpField field) {
+        String prefix = HeaderNames.PREFIX;
+        return field.getName().regionMatches(true, 0, prefix, 0, prefix.length());
+    }
+
+    private static Set<String> namedByConnection(HttpFields from) {
+        if (!from.contains(HttpHeader.CONNECTION)) {
+            return Set.of();
+        }
+        Set<String> names = new HashSet<>();
+        for (String name : from.getCSV(HttpHeader.CONNECTION, false)) {
+            names.add(name.toLowerCase(Locale.ROOT));
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -0,0 +1,50 @@
+package org.apricotgauge.http;
+
+/**
+ * Names of the headers that the fleet reads from callers, writes to them, or uses between its hops.
+ *
+ * <p>All start with {@link #PREFIX}; whatever else starts with it is removed at the borders, so
+ * that neither a caller nor a target can speak for a node.
+ */
+public final class HeaderNames {
+    /** What every header of the fleet starts with. */
+    public static final String PREFIX = "Apricotgauge-";
+
+    /** Caller and hops: milliseconds left until the answer is of no more use. */
+    public static final String TIMEOUT_MILLIS = "Apricotgauge-Timeout-Millis";
+
+    /** Caller and hops: the member (customer) on whose behalf the request comes. */
+    public static final String MEMBER = "Apricotgauge-Member";
+
+    /** Caller and hops: {@code true} or {@code false}; overrides what the method says. */
+    public static final String REPEATABLE = "Apricotgauge-Repeatable";
+
+    /** Hops and answers: identifier of one attempt, echoed by the guard. */
+    public static final String ATTEMPT = "Apricotgauge-Attempt";
+
+    /** Hops: the target that the entry chose. */
+    public static final String TARGET = "Apricotgauge-Target";
+
+    /** Hops: priority of the request. */
+    public static final String PRIORITY = "Apricotgauge-Priority";
+
+    /** Hops: incarnation of the guard that the entry believes it talks to. */
+    public static final String GUARD_INCARNATION = "Apricotgauge-Guard-Incarnation";
+
+    /** Answers: {@code not-run} or {@code unknown}; absent on an answer of the target. */
+    public static final String OUTCOME = "Apricotgauge-Outcome";
+
+    /** Answers: why the outcome is what it is, one word. */
+    public static final String REASON = "Apricotgauge-Reason";
+
+    /** Hops: load of the target as the guard sees it, in permille of its slots. */
+    public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
+
+    /** Value of {@link #OUTCOME}: the request was proven not to have run. */
+    public static final String OUTCOME_NOT_RUN = "not-run";
+
+    /** Value of {@link #OUTCOME}: nobody can tell whether the request ran. */
+    public static final String OUTCOME_UNKNOWN = "unknown";
+
+    private HeaderNames() {}
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/HttpClientFactory.java
@@ -0,0 +1,84 @@
+package org.apricotgauge.http;
+
+import java.util.concurrent.Executor;
+import org.apricotgauge.model.Checks;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Makes HTTP clients that change nothing of what they carry.
+ *
+ * <pre>{@code
+ * HttpClient client = new HttpClientFactory(executor, scheduler).create("target", limits);
+ * client.start();
+ * }</pre>
+ *
+ * <p>No redirects, cookies, authentication, decoding or user agent of the client's own.
+ */
+public final class HttpClientFactory {
+    private static final int SELECTORS = 1;
+
+    private final Executor mExecutor;
+    private final Scheduler mScheduler;
+
+    /** Creates a factory whose clients share the executor and the scheduler. */
+    public HttpClientFactory(Executor executor, Scheduler scheduler) {
+        mExecutor = Checks.notNull("executor", executor);
+        mScheduler = Checks.notNull("scheduler", scheduler);
+    }
+
+    /**
+     * Bounds of one client.
+     *
+     * @param connectTimeoutMillis longest wait for a connection, in milliseconds
+     * @param idleTimeoutMillis how long an unused connection is kept, in milliseconds
+     * @param connectionsPerDestination most connections to one address
+     * @param queuedPerDestination most requests waiting for a connection to one address
+     */
+    public record Limits(
+            long connectTimeoutMillis,
+            long idleTimeoutMillis,
+            int connectionsPerDestination,
+            int queuedPerDestination) {
+
+        /** Checks the parts. */
+        public Limits {
+            Checks.inRange("connectTimeoutMillis", connectTimeoutMillis, 1, Integer.MAX_VALUE);
+            Checks.inRange("idleTimeoutMillis", idleTimeoutMillis, 1, Integer.MAX_VALUE);
+            Checks.inRange("connectionsPerDestination", connectionsPerDestination, 1, 65_535);
+            Checks.inRange("queuedPerDestination", queuedPerDestination, 1, Integer.MAX_VALUE);
+        }
+    }
+
+    /** Returns a new client, not yet started. */
+    public HttpClient create(String name, Limits limits) {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(SELECTORS);
+        connector.setExecutor(mExecutor);
+        connector.setScheduler(mScheduler);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setName(name);
+        client.setExecutor(mExecutor);
+        client.setScheduler(mScheduler);
+        client.setConnectTimeout(limits.connectTimeoutMillis());
+        client.setIdleTimeout(limits.idleTimeoutMillis());
+        client.setMaxConnectionsPerDestination(limits.connectionsPerDestination());
+        client.setMaxRequestsQueuedPerDestination(limits.queuedPerDestination());
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        client.setDefaultRequestContentType(null);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        return client;
+    }
+
+    /** Starts a client and removes the handlers that would change what it carries. */
+    public static void start(HttpClient client) throws Exception {
+        client.start();
+        client.getContentDecoderFactories().clear();
+        client.getProtocolHandlers().clear();
+        client.getProtocolHandlers().put(new InterimResponses());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/HttpServerFactory.java
@@ -0,0 +1,72 @@
+package org.apricotgauge.http;
+
+import org.apricotgauge.model.Checks;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.eclipse.jetty.util.thread.ThreadPool;
+
+/**
+ * Makes HTTP servers that add nothing of their own to an answer.
+ *
+ * <pre>{@code
+ * Server server = new HttpServerFactory(threads, scheduler).create("127.0.0.1", 8080, handler);
+ * server.start();
+ * }</pre>
+ *
+ * <p>Jetty's parser refuses what RFC 9112 forbids (two lengths, a length beside a transfer coding,
+ * folded headers), which is what request smuggling lives on.
+ */
+public final class HttpServerFactory {
+    /** Most bytes of the head of a request; a larger one is answered with 431. */
+    public static final int MAX_HEADER_BYTES = 16_384;
+
+    private static final long IDLE_TIMEOUT_MILLIS = 60_000;
+    private static final int ACCEPTORS = 1;
+    private static final int SELECTORS = 1;
+    private static final int ACCEPT_QUEUE = 1_024;
+
+    private final ThreadPool mThreads;
+    private final Scheduler mScheduler;
+
+    /** Creates a factory whose servers share the threads and the scheduler. */
+    public HttpServerFactory(ThreadPool threads, Scheduler scheduler) {
+        mThreads = Checks.notNull("threads", threads);
+        mScheduler = Checks.notNull("scheduler", scheduler);
+    }
+
+    /**
+     * Returns a server, not yet started.
+     *
+     * @param host IP number to listen at
+     * @param port port to listen at, or 0 for any free one
+     * @param handler answers the requests
+     */
+    public Server create(String host, int port, Handler handler) {
+        Server server = new Server(mThreads, mScheduler, null);
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setSendXPoweredBy(false);
+        configuration.setSendDateHeader(false);
+        configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
+        configuration.setResponseHeaderSize(MAX_HEADER_BYTES);
+        ServerConnector connector =
+                new ServerConnector(
+                        server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(configuration));
+        connector.setHost(host);
+        connector.setPort(port);
+        connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
+        server.addConnector(connector);
+        server.setHandler(handler);
+        return server;
+    }
+
+    /** Returns the port that a started server listens at. */
+    public static int portOf(Server server) {
+        return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/InterimResponses.java
@@ -0,0 +1,31 @@
+package org.apricotgauge.http;
+
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * Takes 1xx answers off an exchange and tells the sender of the request of a 102.
+ *
+ * <p>A guard answers 102 (RFC 2518 section 10.1) as soon as it has the request, so that the entry
+ * can tell a dead path (no 102) from a slow target (102, then nothing yet). Other interim answers
+ * are dropped, which RFC 9110 section 15.2 allows a proxy that asked for none.
+ */
+final class InterimResponses extends ProcessingProtocolHandler {
+
+    @Override
+    public boolean accept(Request request, Response response) {
+        return HttpStatus.isInformational(response.getStatus())
+                && response.getStatus() != HttpStatus.SWITCHING_PROTOCOLS_101;
+    }
+
+    @Override
+    protected void onProcessing(Request request, HttpFields fields) {
+        if (request.getAttributes().get(UpstreamExchange.ATTRIBUTE)
+                instanceof UpstreamExchange exchange) {
+            exchange.acknowledged(fields);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/UpstreamExchange.java
@@ -0,0 +1,111 @@
+package org.apricotgauge.http;
+
+import java.util.concurrent.atomic.AtomicReference;
+import org.apricotgauge.model.Checks;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Content;
+
+/**
+ * One request to the next hop, with exactly one ending.
+ *
+ * <pre>{@code
+ * UpstreamExchange exchange = UpstreamExchange.send(client.newRequest(host, port), listener);
+ * exchange.abort(new TimeoutException("no acknowledgement"));
+ * }</pre>
+ *
+ * <p>The listener hears either {@link Listener#onAnswer} or {@link Listener#onFailure}, once. What
+ * breaks after the head of the answer came shows as a failure of the body's source.
+ */
+public final class UpstreamExchange {
+    static final String ATTRIBUTE = UpstreamExchange.class.getName();
+
+    private final Request mRequest;
+    private final Listener mListener;
+    private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
+    private volatile boolean mBegun;
+
+    private enum Phase {
+        WAITING,
+        ANSWERED,
+        FAILED
+    }
+
+    /** How far a failed request may have come. */
+    public enum Progress {
+        /** No byte was written: proof that the request was not run. */
+        NOT_SENT,
+        /** Some bytes may have been written; nothing is known. */
+        MAYBE_SENT
+    }
+
+    /**
+     * Why an exchange ended without the head of an answer.
+     *
+     * @param cause what the plumbing reported
+     * @param progress how far the request may have come
+     */
+    public record Failure(Throwable cause, Progress progress) {}
+
+    /** Hears how the exchange goes, on the client's threads; must not block. */
+    public interface Listener {
+
+        /** Called when the next hop says, by an interim answer, that it has the request. */
+        default void onAcknowledged(HttpFields fields) {}
+
+        /**
+         * Called with the head of the answer; the body must be read to its end or failed.
+         *
+         * @param response status and headers
+         * @param body what follows, read with back pressure
+         */
+        void onAnswer(Response response, Content.Source body);
+
+        /** Called when no head of an answer will come. */
+        void onFailure(Failure failure);
+    }
+
+    private UpstreamExchange(Request request, Listener listener) {
+        mRequest = Checks.notNull("request", request);
+        mListener = Checks.notNull("listener", listener);
+    }
+
+    /** Sends the request and returns the handle that can abort it. */
+    public static UpstreamExchange send(Request request, Listener listener) {
+        UpstreamExchange exchange = new UpstreamExchange(request, listener);
+        request.attribute(ATTRIBUTE, exchange);
+        request.onRequestBegin(begun -> exchange.mBegun = true);
+        request.onResponseContentSource(exchange::answered);
+        request.send(exchange::completed);
+        return exchange;
+    }
+
+    /** Gives the exchange up; the listener hears of it unless the answer had begun. */
+    public void abort(Throwable cause) {
+        mRequest.abort(cause);
+    }
+
+    void acknowledged(HttpFields fields) {
+        if (mPhase.get() == Phase.WAITING) {
+            mListener.onAcknowledged(fields);
+        }
+    }
+
+    private void answered(Response response, Content.Source body) {
+        if (mPhase.compareAndSet(Phase.WAITING, Phase.ANSWERED)) {
+            mListener.onAnswer(response, body);
+        } else {
+            body.fail(new IllegalStateException("answer after the exchange ended"));
+        }
+    }
+
+    private void completed(Result result) {
+        if (result.isSucceeded() || !mPhase.compareAndSet(Phase.WAITING, Phase.FAILED)) {
+            return;
+        }
+        mListener.onFailure(
+                new Failure(result.getFailure(), mBegun ? Progress.MAYBE_SENT : Progress.NOT_SENT));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * What both HTTP hops share: header names, hop-by-hop headers, streamed exchanges and replay of
+ * small bodies.
+ */
+package org.apricotgauge.http;
--- a/src/main/java/org/apricotgauge/model/Configuration.java
+++ b/src/main/java/org/apricotgauge/model/Configuration.java
@@ -80,6 +80,16 @@
         return targets == null ? List.of() : targets.values();
     }
 
+    /** Returns whether the other configuration has the same targets of the service, unchanged. */
+    public boolean sharesTargets(Configuration other, String service) {
+        return mTargetsByService.get(service) == other.mTargetsByService.get(service);
+    }
+
+    /** Returns whether the other configuration has the same routes, unchanged. */
+    public boolean sharesRoutes(Configuration other) {
+        return mRoutes == other.mRoutes;
+    }
+
     /** Returns all routes, in no order. */
     public Collection<Route> routes() {
         return mRoutes.values();
