--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/LatencyScale.java
@@ -0,0 +1,25 @@
+package org.apricotgauge.decision.detection;
+
+/** The bins of service time: a factor of the square root of two each, from 250 us to 180 s. */
+final class LatencyScale {
+    /** Number of bins; the first and the last are open. */
+    static final int BINS = 40;
+
+    private static final double FIRST_EDGE_MICROS = 250;
+    private static final double BINS_PER_NAT = 2 / Math.log(2);
+
+    private LatencyScale() {}
+
+    static int bin(long micros) {
+        if (micros < FIRST_EDGE_MICROS) {
+            return 0;
+        }
+        int bin = 1 + (int) (BINS_PER_NAT * Math.log(micros / FIRST_EDGE_MICROS));
+        return Math.min(bin, BINS - 1);
+    }
+
+    /** Returns how many bins a service time moves when it is multiplied by the factor. */
+    static double shift(double factor) {
+        return BINS_PER_NAT * Math.log(factor);
+    }
+}
