Read settings from flags and variables, write logs as JSON lines

Cause: every program needs the same flags, variables, faults, exit codes and log lines; the node is built on them. SLF4J key-value pairs: JBoss Logging does not pass them on, so a change of state travels in the MDC for the one call. Change: packages cli and log, NodeSettings, bin/run-java and launchers. An unknown flag silences "must be given" faults, since a misspelt flag would be told of twice; values that are not allowed are still told. Conclusion: programs declare settings and get help, checks and logs.

--- /dev/null
+++ b/src/test/java/org/apricotgauge/log/LogsTest.java
@@ -0,0 +1,59 @@
+package org.apricotgauge.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.jboss.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+class LogsTest {
+    private record Ejected(String id, int failures) {}
+
+    private final ByteArrayOutputStream mStream = new ByteArrayOutputStream();
+
+    @AfterEach
+    void writeToStandardErrorAgain() {
+        Logs.configure(new LogSettings(LogFormat.TEXT, LogLevel.INFO));
+    }
+
+    @Test
+    void eachLineIsOneJsonObjectWithTheFieldsOfTheChange() throws IOException {
+        Logs.configure(new LogSettings(LogFormat.JSON, LogLevel.INFO), mStream);
+
+        new StateLog(Logger.getLogger("x")).info("target\nejected", new Ejected("t1", 3));
+        Logger.getLogger("x").errorf(new IllegalStateException("why"), "broken %s", "thing");
+        Logger.getLogger("x").debug("not shown");
+        LoggerFactory.getLogger("org.eclipse.jetty.server").info("not shown");
+
+        String[] lines = mStream.toString(StandardCharsets.UTF_8).split("\n");
+        assertThat(lines).hasSize(2);
+        JsonNode ejected = JsonMapper.builder().build().readTree(lines[0]);
+        assertThat(ejected.path("change").path("failures").intValue()).isEqualTo(3);
+        assertThat(ejected.path("message").textValue()).isEqualTo("target\nejected");
+        assertThat(ejected.path("time").textValue()).endsWith("Z");
+        JsonNode broken = JsonMapper.builder().build().readTree(lines[1]);
+        assertThat(broken.path("error").textValue()).contains("IllegalStateException: why");
+        assertThat(broken.has("change")).isFalse();
+    }
+
+    @Test
+    void textLinesEndWithTheFieldsOfTheChange() {
+        Logs.configure(new LogSettings(LogFormat.TEXT, LogLevel.INFO), mStream);
+
+        new StateLog(Logger.getLogger("x")).warn("target ejected", new Ejected("t1", 3));
+        Logger.getLogger("x").info("plain");
+
+        assertThat(mStream.toString(StandardCharsets.UTF_8).lines())
+                .satisfiesExactly(
+                        line ->
+                                assertThat(line)
+                                        .endsWith("target ejected {\"id\":\"t1\",\"failures\":3}"),
+                        line -> assertThat(line).endsWith("plain"));
+    }
+}
