Write and read outcomes over HTTP; ask before the first byte

Cause: an entry must tell a guard's word from a target's answer, and a fenced attempt must not reach its target. Ruled out: status codes alone (a target answers 503 and 504 too). Change: Outcomes; UpstreamExchange asks its listener before the first byte.

--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -16,21 +16,12 @@
     /** Caller and hops: the member (customer) on whose behalf the request comes. */
     public static final String MEMBER = "Apricotgauge-Member";
 
-    /** Caller and hops: {@code true} or {@code false}; overrides what the method says. */
-    public static final String REPEATABLE = "Apricotgauge-Repeatable";
-
-    /** Hops and answers: identifier of one attempt, echoed by the guard. */
-    public static final String ATTEMPT = "Apricotgauge-Attempt";
-
     /** Hops: the target that the entry chose. */
     public static final String TARGET = "Apricotgauge-Target";
 
     /** Hops: priority of the request. */
     public static final String PRIORITY = "Apricotgauge-Priority";
 
-    /** Hops: incarnation of the guard that the entry believes it talks to. */
-    public static final String GUARD_INCARNATION = "Apricotgauge-Guard-Incarnation";
-
     /** Answers: {@code not-run} or {@code unknown}; absent on an answer of the target. */
     public static final String OUTCOME = "Apricotgauge-Outcome";
 
@@ -40,6 +31,9 @@
     /** Hops: load of the target as the guard sees it, in permille of its slots. */
     public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
 
+    /** Hops: a question about the guard instead of a request for a target; see {@code peer.hop}. */
+    public static final String CONTROL = "Apricotgauge-Control";
+
     /** Value of {@link #OUTCOME}: the request was proven not to have run. */
     public static final String OUTCOME_NOT_RUN = "not-run";
 
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/Outcomes.java
@@ -0,0 +1,99 @@
+package org.apricotgauge.http;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.UnknownReason;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Writes an outcome that is no answer of a target as an HTTP answer, and reads it back.
+ *
+ * <pre>{@code
+ * Outcomes.write(response, callback, new Outcome.NotRun(NotRunReason.QUEUE_FULL, 250));
+ * Optional<Outcome> outcome = Outcomes.read(guardAnswer.getHeaders());
+ * }</pre>
+ *
+ * <p>Not run is 503 with {@code Retry-After} (RFC 9110 section 10.2.3); unknown is 504. The header
+ * {@link HeaderNames#OUTCOME} tells the two from a target's own 503 or 504, since it is removed
+ * from every answer of a target.
+ */
+public final class Outcomes {
+    private static final long MILLIS_PER_SECOND = 1_000;
+    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
+    private Outcomes() {}
+
+    /** Writes the outcome as the final answer. */
+    public static void write(Response response, Callback callback, Outcome.NotRun outcome) {
+        // Without a hint the caller would ask again at once, into the same overload.
+        long retryAfterMillis = Math.max(1, outcome.retryAfterMillis());
+        long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+        response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+        write(
+                response,
+                callback,
+                HttpStatus.SERVICE_UNAVAILABLE_503,
+                HeaderNames.OUTCOME_NOT_RUN,
+                wordOf(outcome.reason()));
+    }
+
+    /** Writes the outcome as the final answer. */
+    public static void write(Response response, Callback callback, Outcome.Unknown outcome) {
+        write(
+                response,
+                callback,
+                HttpStatus.GATEWAY_TIMEOUT_504,
+                HeaderNames.OUTCOME_UNKNOWN,
+                wordOf(outcome.reason()));
+    }
+
+    private static void write(
+            Response response, Callback callback, int status, String outcome, String reason) {
+        response.getHeaders().put(HeaderNames.OUTCOME, outcome);
+        response.getHeaders().put(HeaderNames.REASON, reason);
+        Bodies.writeText(response, callback, status, outcome + ": " + reason + '\n');
+    }
+
+    /** Reads the outcome that a guard wrote; nothing if the answer is the target's. */
+    public static Optional<Outcome> read(HttpFields headers) {
+        String outcome = headers.get(HeaderNames.OUTCOME);
+        if (outcome == null) {
+            return Optional.empty();
+        }
+        String reason = headers.get(HeaderNames.REASON);
+        if (!HeaderNames.OUTCOME_NOT_RUN.equals(outcome)) {
+            return Optional.of(
+                    new Outcome.Unknown(
+                            parse(UnknownReason.class, reason, UnknownReason.FORGOTTEN)));
+        }
+        long seconds = headers.getLongField(HttpHeader.RETRY_AFTER);
+        long retryAfterMillis =
+                seconds < 0 ? DEFAULT_RETRY_AFTER_MILLIS : seconds * MILLIS_PER_SECOND;
+        // A newer guard may give a reason that this release does not know; "not run" still holds.
+        return Optional.of(
+                new Outcome.NotRun(
+                        parse(NotRunReason.class, reason, NotRunReason.FENCED), retryAfterMillis));
+    }
+
+    private static String wordOf(Enum<?> reason) {
+        return reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static <E extends Enum<E>> E parse(Class<E> type, String word, E otherwise) {
+        if (word == null) {
+            return otherwise;
+        }
+        for (E constant : type.getEnumConstants()) {
+            if (wordOf(constant).equals(word)) {
+                return constant;
+            }
+        }
+        return otherwise;
+    }
+}
--- a/src/main/java/org/apricotgauge/http/UpstreamExchange.java
+++ b/src/main/java/org/apricotgauge/http/UpstreamExchange.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.http;
 
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apricotgauge.model.Checks;
 import org.eclipse.jetty.client.Request;
@@ -52,6 +53,15 @@
     /** Hears how the exchange goes, on the client's threads; must not block. */
     public interface Listener {
 
+        /**
+         * Called just before the first byte is written.
+         *
+         * @return false to write nothing; the exchange then fails as not sent
+         */
+        default boolean onBegin() {
+            return true;
+        }
+
         /** Called when the next hop says, by an interim answer, that it has the request. */
         default void onAcknowledged(HttpFields fields) {}
 
@@ -76,7 +86,7 @@
     public static UpstreamExchange send(Request request, Listener listener) {
         UpstreamExchange exchange = new UpstreamExchange(request, listener);
         request.attribute(ATTRIBUTE, exchange);
-        request.onRequestBegin(begun -> exchange.mBegun = true);
+        request.onRequestBegin(exchange::begin);
         request.onResponseContentSource(exchange::answered);
         request.send(exchange::completed);
         return exchange;
@@ -87,6 +97,14 @@
         mRequest.abort(cause);
     }
 
+    private void begin(Request request) {
+        if (mListener.onBegin()) {
+            mBegun = true;
+        } else {
+            request.abort(new CancellationException("given up before the first byte"));
+        }
+    }
+
     void acknowledged(HttpFields fields) {
         if (mPhase.get() == Phase.WAITING) {
             mListener.onAcknowledged(fields);
