Fold numbered patches into the configuration, the same everywhere

Cause: nodes and operators need one answer to what a patch does, whoever asks and whenever.

Configuration gains indexes by VM, by service and by match of a route; Route.host must be lower case.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/config/EntityKind.java
@@ -0,0 +1,20 @@
+package org.apricotgauge.config;
+
+import java.util.Locale;
+
+/** The kinds of things that a patch puts, removes or changes. */
+public enum EntityKind {
+    /** A service. */
+    SERVICE,
+    /** A target of a service. */
+    TARGET,
+    /** A route to a service. */
+    ROUTE,
+    /** A member. */
+    MEMBER;
+
+    /** Returns the name in lower case, as messages show it. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/config/PatchFold.java
@@ -0,0 +1,229 @@
+package org.apricotgauge.config;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.Member;
+import org.apricotgauge.model.Route;
+import org.apricotgauge.model.Service;
+import org.apricotgauge.model.Target;
+
+/**
+ * One patch being applied to one configuration; used once, by one thread.
+ *
+ * <p>Operations apply in their order, and each that names what is not there is a reason. What the
+ * entities say of each other is checked at the end, and only for those that were touched.
+ */
+final class PatchFold {
+    private static final int MAX_REASONS = 20;
+
+    private final Set<String> mTouchedServices = new LinkedHashSet<>();
+    private final Set<String> mTouchedTargets = new LinkedHashSet<>();
+    private final Set<String> mTouchedRoutes = new LinkedHashSet<>();
+    private final List<RefusalReason> mReasons = new ArrayList<>();
+    private Configuration mConfiguration;
+    private Digest mContent;
+
+    PatchFold(Configuration configuration, Digest content) {
+        mConfiguration = configuration;
+        mContent = content;
+    }
+
+    /** Applies the operations and returns why they can't take effect; empty if they can. */
+    List<RefusalReason> apply(List<PatchOperation> operations) {
+        operations.forEach(this::apply);
+        mTouchedServices.forEach(this::checkService);
+        mTouchedTargets.forEach(this::checkTarget);
+        mTouchedRoutes.forEach(this::checkRoute);
+        if (mReasons.size() <= MAX_REASONS) {
+            return mReasons;
+        }
+        List<RefusalReason> shown = new ArrayList<>(mReasons.subList(0, MAX_REASONS));
+        shown.add(new RefusalReason.More(mReasons.size() - MAX_REASONS));
+        return shown;
+    }
+
+    Configuration configuration() {
+        return mConfiguration;
+    }
+
+    Digest content() {
+        return mContent;
+    }
+
+    private void apply(PatchOperation operation) {
+        if (operation instanceof PatchOperation.PutService put) {
+            put(put.service());
+        } else if (operation instanceof PatchOperation.PutTarget put) {
+            put(put.target());
+        } else if (operation instanceof PatchOperation.PutRoute put) {
+            put(put.route());
+        } else if (operation instanceof PatchOperation.PutMember put) {
+            put(put.member());
+        } else if (operation instanceof PatchOperation.SetTargetSlots set) {
+            changeSlots(set);
+        } else if (!applyRemoval(operation)) {
+            changeService(operation);
+        }
+    }
+
+    private boolean applyRemoval(PatchOperation operation) {
+        if (operation instanceof PatchOperation.RemoveService remove) {
+            removeService(remove.id());
+        } else if (operation instanceof PatchOperation.RemoveTarget remove) {
+            removeTarget(remove.id());
+        } else if (operation instanceof PatchOperation.RemoveRoute remove) {
+            removeRoute(remove.id());
+        } else if (operation instanceof PatchOperation.RemoveMember remove) {
+            removeMember(remove.id());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void put(Service service) {
+        replace(EntityKind.SERVICE, mConfiguration.service(service.id()), service);
+        mConfiguration = mConfiguration.withService(service);
+        mTouchedServices.add(service.id());
+    }
+
+    private void put(Target target) {
+        replace(EntityKind.TARGET, mConfiguration.target(target.id()), target);
+        mConfiguration = mConfiguration.withTarget(target);
+        mTouchedTargets.add(target.id());
+    }
+
+    private void put(Route route) {
+        replace(EntityKind.ROUTE, mConfiguration.route(route.id()), route);
+        mConfiguration = mConfiguration.withRoute(route);
+        mTouchedRoutes.add(route.id());
+    }
+
+    private void put(Member member) {
+        replace(EntityKind.MEMBER, mConfiguration.member(member.id()), member);
+        mConfiguration = mConfiguration.withMember(member);
+    }
+
+    private void removeService(String id) {
+        if (replace(EntityKind.SERVICE, id, mConfiguration.service(id))) {
+            mConfiguration = mConfiguration.withoutService(id);
+            mTouchedServices.add(id);
+        }
+    }
+
+    private void removeTarget(String id) {
+        if (replace(EntityKind.TARGET, id, mConfiguration.target(id))) {
+            mConfiguration = mConfiguration.withoutTarget(id);
+        }
+    }
+
+    private void removeRoute(String id) {
+        if (replace(EntityKind.ROUTE, id, mConfiguration.route(id))) {
+            mConfiguration = mConfiguration.withoutRoute(id);
+        }
+    }
+
+    private void removeMember(String id) {
+        if (replace(EntityKind.MEMBER, id, mConfiguration.member(id))) {
+            mConfiguration = mConfiguration.withoutMember(id);
+        }
+    }
+
+    private void changeService(PatchOperation operation) {
+        String id = ServiceSettings.service(operation);
+        Service service = mConfiguration.service(id);
+        if (service == null) {
+            mReasons.add(new RefusalReason.Missing(EntityKind.SERVICE, id));
+            return;
+        }
+        try {
+            put(ServiceSettings.change(service, operation));
+        } catch (IllegalArgumentException e) {
+            mReasons.add(new RefusalReason.InvalidSetting(EntityKind.SERVICE, id, e.getMessage()));
+        }
+    }
+
+    private void changeSlots(PatchOperation.SetTargetSlots set) {
+        Target old = mConfiguration.target(set.target());
+        if (old == null) {
+            mReasons.add(new RefusalReason.Missing(EntityKind.TARGET, set.target()));
+            return;
+        }
+        try {
+            put(old.withSlots(set.slots()));
+        } catch (IllegalArgumentException e) {
+            mReasons.add(
+                    new RefusalReason.InvalidSetting(
+                            EntityKind.TARGET, set.target(), e.getMessage()));
+        }
+    }
+
+    private void replace(EntityKind kind, Object old, Object entity) {
+        if (old != null) {
+            mContent = mContent.minus(EntityDigest.of(kind, old));
+        }
+        mContent = mContent.plus(EntityDigest.of(kind, entity));
+    }
+
+    private boolean replace(EntityKind kind, String id, Object old) {
+        if (old == null) {
+            mReasons.add(new RefusalReason.Missing(kind, id));
+            return false;
+        }
+        mContent = mContent.minus(EntityDigest.of(kind, old));
+        return true;
+    }
+
+    private void checkService(String id) {
+        int targets = mConfiguration.targetsOf(id).size();
+        int routes = mConfiguration.routesOf(id).size();
+        if (mConfiguration.service(id) == null && targets + routes > 0) {
+            mReasons.add(new RefusalReason.ServiceInUse(id, targets, routes));
+        }
+    }
+
+    private void checkTarget(String id) {
+        Target target = mConfiguration.target(id);
+        if (target == null) {
+            return;
+        }
+        if (mConfiguration.service(target.service()) == null
+                && !mTouchedServices.contains(target.service())) {
+            mReasons.add(new RefusalReason.ServiceMissing(EntityKind.TARGET, id, target.service()));
+        }
+        mConfiguration.targetsOn(target.vm()).stream()
+                .map(Target::failureDomain)
+                .filter(other -> !other.equals(target.failureDomain()))
+                .sorted()
+                .findFirst()
+                .ifPresent(
+                        other ->
+                                mReasons.add(
+                                        new RefusalReason.VmInTwoFailureDomains(
+                                                target.vm(), target.failureDomain(), other)));
+    }
+
+    private void checkRoute(String id) {
+        Route route = mConfiguration.route(id);
+        if (route == null) {
+            return;
+        }
+        if (mConfiguration.service(route.service()) == null
+                && !mTouchedServices.contains(route.service())) {
+            mReasons.add(new RefusalReason.ServiceMissing(EntityKind.ROUTE, id, route.service()));
+        }
+        mConfiguration.routesAt(route.host(), route.pathPrefix()).stream()
+                .map(Route::id)
+                .filter(other -> !other.equals(id))
+                .sorted()
+                .findFirst()
+                .ifPresent(
+                        other ->
+                                mReasons.add(
+                                        new RefusalReason.RouteTaken(
+                                                id, other, route.host(), route.pathPrefix())));
+    }
+}
--- a/src/main/java/org/apricotgauge/model/Configuration.java
+++ b/src/main/java/org/apricotgauge/model/Configuration.java
@@ -1,7 +1,6 @@
 package org.apricotgauge.model;
 
 import java.util.Collection;
-import java.util.List;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -17,31 +16,26 @@
  */
 public final class Configuration {
     /** The configuration that holds nothing. */
-    public static final Configuration EMPTY =
-            new Configuration(
-                    HashTreePMap.empty(),
-                    HashTreePMap.empty(),
-                    HashTreePMap.empty(),
-                    HashTreePMap.empty(),
-                    HashTreePMap.empty());
+    public static final Configuration EMPTY = new Configuration(new Parts());
 
     private final PMap<String, Service> mServices;
     private final PMap<String, Target> mTargets;
-    private final PMap<String, PMap<String, Target>> mTargetsByService;
+    private final Index<String, Target> mTargetsByService;
+    private final Index<String, Target> mTargetsByVm;
     private final PMap<String, Route> mRoutes;
+    private final Index<String, Route> mRoutesByService;
+    private final Index<RouteMatch, Route> mRoutesByMatch;
     private final PMap<String, Member> mMembers;
 
-    private Configuration(
-            PMap<String, Service> services,
-            PMap<String, Target> targets,
-            PMap<String, PMap<String, Target>> targetsByService,
-            PMap<String, Route> routes,
-            PMap<String, Member> members) {
-        mServices = services;
-        mTargets = targets;
-        mTargetsByService = targetsByService;
-        mRoutes = routes;
-        mMembers = members;
+    private Configuration(Parts parts) {
+        mServices = parts.mServices;
+        mTargets = parts.mTargets;
+        mTargetsByService = parts.mTargetsByService;
+        mTargetsByVm = parts.mTargetsByVm;
+        mRoutes = parts.mRoutes;
+        mRoutesByService = parts.mRoutesByService;
+        mRoutesByMatch = parts.mRoutesByMatch;
+        mMembers = parts.mMembers;
     }
 
     /** Returns the service, or null if there is none of that name. */
@@ -76,8 +70,24 @@
 
     /** Returns the targets of one service, in no order; empty if it has none. */
     public Collection<Target> targetsOf(String service) {
-        PMap<String, Target> targets = mTargetsByService.get(service);
-        return targets == null ? List.of() : targets.values();
+        return mTargetsByService.get(service);
+    }
+
+    /** Returns the targets on one VM, in no order; empty if it has none. */
+    public Collection<Target> targetsOn(String vm) {
+        return mTargetsByVm.get(vm);
+    }
+
+    /** Returns the routes to one service, in no order; empty if it has none. */
+    public Collection<Route> routesOf(String service) {
+        return mRoutesByService.get(service);
+    }
+
+    /**
+     * Returns the routes with exactly this host and path; a valid configuration has one at most.
+     */
+    public Collection<Route> routesAt(String host, String pathPrefix) {
+        return mRoutesByMatch.get(new RouteMatch(host, pathPrefix));
     }
 
     /** Returns all routes, in no order. */
@@ -92,76 +102,114 @@
 
     /** Returns this configuration with the service added or replaced. */
     public Configuration withService(Service service) {
-        return new Configuration(
-                mServices.plus(service.id(), service),
-                mTargets,
-                mTargetsByService,
-                mRoutes,
-                mMembers);
+        Parts parts = new Parts(this);
+        parts.mServices = mServices.plus(service.id(), service);
+        return new Configuration(parts);
     }
 
     /** Returns this configuration without the service. */
     public Configuration withoutService(String id) {
-        return new Configuration(
-                mServices.minus(id), mTargets, mTargetsByService, mRoutes, mMembers);
+        Parts parts = new Parts(this);
+        parts.mServices = mServices.minus(id);
+        return new Configuration(parts);
     }
 
     /** Returns this configuration with the target added or replaced. */
     public Configuration withTarget(Target target) {
-        Configuration without = withoutTarget(target.id());
-        PMap<String, Target> siblings =
-                without.mTargetsByService.getOrDefault(target.service(), HashTreePMap.empty());
-        return new Configuration(
-                mServices,
-                without.mTargets.plus(target.id(), target),
-                without.mTargetsByService.plus(
-                        target.service(), siblings.plus(target.id(), target)),
-                mRoutes,
-                mMembers);
+        Parts parts = new Parts(this);
+        parts.remove(mTargets.get(target.id()));
+        parts.mTargets = mTargets.plus(target.id(), target);
+        parts.mTargetsByService =
+                parts.mTargetsByService.plus(target.service(), target.id(), target);
+        parts.mTargetsByVm = parts.mTargetsByVm.plus(target.vm(), target.id(), target);
+        return new Configuration(parts);
     }
 
     /** Returns this configuration without the target. */
     public Configuration withoutTarget(String id) {
-        Target old = mTargets.get(id);
-        if (old == null) {
-            return this;
-        }
-        PMap<String, Target> siblings = mTargetsByService.get(old.service()).minus(id);
-        return new Configuration(
-                mServices,
-                mTargets.minus(id),
-                siblings.isEmpty()
-                        ? mTargetsByService.minus(old.service())
-                        : mTargetsByService.plus(old.service(), siblings),
-                mRoutes,
-                mMembers);
+        Parts parts = new Parts(this);
+        parts.remove(mTargets.get(id));
+        parts.mTargets = mTargets.minus(id);
+        return new Configuration(parts);
     }
 
     /** Returns this configuration with the route added or replaced. */
     public Configuration withRoute(Route route) {
-        return new Configuration(
-                mServices, mTargets, mTargetsByService, mRoutes.plus(route.id(), route), mMembers);
+        Parts parts = new Parts(this);
+        parts.remove(mRoutes.get(route.id()));
+        parts.mRoutes = mRoutes.plus(route.id(), route);
+        parts.mRoutesByService = parts.mRoutesByService.plus(route.service(), route.id(), route);
+        parts.mRoutesByMatch = parts.mRoutesByMatch.plus(RouteMatch.of(route), route.id(), route);
+        return new Configuration(parts);
     }
 
     /** Returns this configuration without the route. */
     public Configuration withoutRoute(String id) {
-        return new Configuration(
-                mServices, mTargets, mTargetsByService, mRoutes.minus(id), mMembers);
+        Parts parts = new Parts(this);
+        parts.remove(mRoutes.get(id));
+        parts.mRoutes = mRoutes.minus(id);
+        return new Configuration(parts);
     }
 
     /** Returns this configuration with the member added or replaced. */
     public Configuration withMember(Member member) {
-        return new Configuration(
-                mServices,
-                mTargets,
-                mTargetsByService,
-                mRoutes,
-                mMembers.plus(member.id(), member));
+        Parts parts = new Parts(this);
+        parts.mMembers = mMembers.plus(member.id(), member);
+        return new Configuration(parts);
     }
 
     /** Returns this configuration without the member. */
     public Configuration withoutMember(String id) {
-        return new Configuration(
-                mServices, mTargets, mTargetsByService, mRoutes, mMembers.minus(id));
+        Parts parts = new Parts(this);
+        parts.mMembers = mMembers.minus(id);
+        return new Configuration(parts);
+    }
+
+    /** What a route matches. */
+    private record RouteMatch(String host, String pathPrefix) {
+        static RouteMatch of(Route route) {
+            return new RouteMatch(route.host(), route.pathPrefix());
+        }
+    }
+
+    /** The parts of a configuration in the making; seen by one thread, for one change. */
+    private static final class Parts {
+        private PMap<String, Service> mServices = HashTreePMap.empty();
+        private PMap<String, Target> mTargets = HashTreePMap.empty();
+        private Index<String, Target> mTargetsByService = Index.empty();
+        private Index<String, Target> mTargetsByVm = Index.empty();
+        private PMap<String, Route> mRoutes = HashTreePMap.empty();
+        private Index<String, Route> mRoutesByService = Index.empty();
+        private Index<RouteMatch, Route> mRoutesByMatch = Index.empty();
+        private PMap<String, Member> mMembers = HashTreePMap.empty();
+
+        Parts() {}
+
+        Parts(Configuration from) {
+            mServices = from.mServices;
+            mTargets = from.mTargets;
+            mTargetsByService = from.mTargetsByService;
+            mTargetsByVm = from.mTargetsByVm;
+            mRoutes = from.mRoutes;
+            mRoutesByService = from.mRoutesByService;
+            mRoutesByMatch = from.mRoutesByMatch;
+            mMembers = from.mMembers;
+        }
+
+        void remove(Target target) {
+            if (target == null) {
+                return;
+            }
+            mTargetsByService = mTargetsByService.minus(target.service(), target.id());
+            mTargetsByVm = mTargetsByVm.minus(target.vm(), target.id());
+        }
+
+        void remove(Route route) {
+            if (route == null) {
+                return;
+            }
+            mRoutesByService = mRoutesByService.minus(route.service(), route.id());
+            mRoutesByMatch = mRoutesByMatch.minus(RouteMatch.of(route), route.id());
+        }
     }
 }
--- a/src/main/java/org/apricotgauge/model/Route.java
+++ b/src/main/java/org/apricotgauge/model/Route.java
@@ -1,5 +1,7 @@
 package org.apricotgauge.model;
 
+import java.util.Locale;
+
 /**
  * Which requests go to which service, and how they are treated.
  *
@@ -30,6 +32,10 @@
     public Route {
         Checks.id("route.id", id);
         Checks.notBlank("route.host", host);
+        if (!host.equals(host.toLowerCase(Locale.ROOT))) {
+            throw new IllegalArgumentException(
+                    "route.host must be lower case, was \"" + host + '"');
+        }
         Checks.notBlank("route.pathPrefix", pathPrefix);
         if (!pathPrefix.startsWith("/")) {
             throw new IllegalArgumentException(
--- a/src/main/java/org/apricotgauge/model/Service.java
+++ b/src/main/java/org/apricotgauge/model/Service.java
@@ -43,4 +43,32 @@
     public int floorSlots(int configuredSlots) {
         return (int) (((long) configuredSlots * floorPercent + ALL_PERCENT - 1) / ALL_PERCENT);
     }
+
+    /** Returns this service with another floor. */
+    public Service withFloorPercent(int percent) {
+        return new Service(
+                id, percent, detection, retryBudgetPercent, fleetSharePercent, predecessor);
+    }
+
+    /** Returns this service with other odds of detection. */
+    public Service withDetection(DetectionOdds odds) {
+        return new Service(
+                id, floorPercent, odds, retryBudgetPercent, fleetSharePercent, predecessor);
+    }
+
+    /** Returns this service with another retry budget. */
+    public Service withRetryBudgetPercent(int percent) {
+        return new Service(id, floorPercent, detection, percent, fleetSharePercent, predecessor);
+    }
+
+    /** Returns this service with another share of the fleet. */
+    public Service withFleetSharePercent(int percent) {
+        return new Service(id, floorPercent, detection, retryBudgetPercent, percent, predecessor);
+    }
+
+    /** Returns this service with another address of the older routing system, or with null. */
+    public Service withPredecessor(Address address) {
+        return new Service(
+                id, floorPercent, detection, retryBudgetPercent, fleetSharePercent, address);
+    }
 }
--- a/src/main/java/org/apricotgauge/model/Target.java
+++ b/src/main/java/org/apricotgauge/model/Target.java
@@ -31,4 +31,9 @@
         Checks.port("target.port", port);
         Checks.inRange("target.slots", slots, 1, MAX_SLOTS);
     }
+
+    /** Returns this target with another number of slots. */
+    public Target withSlots(int number) {
+        return new Target(id, service, vm, failureDomain, host, port, number);
+    }
 }
