--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/WatchedSource.java
@@ -0,0 +1,52 @@
+package org.apricotgauge.http;
+
+import org.apricotgauge.model.Checks;
+import org.eclipse.jetty.io.Content;
+
+/**
+ * A source that remembers whether it was the one that failed.
+ *
+ * <pre>{@code
+ * WatchedSource body = new WatchedSource(source);
+ * Content.copy(body, sink, callback);
+ * // on failure: body.hasFailed() tells a broken upstream from a receiver that went away
+ * }</pre>
+ */
+public final class WatchedSource implements Content.Source {
+    private final Content.Source mSource;
+    private volatile boolean mFailed;
+
+    /** Watches the given source. */
+    public WatchedSource(Content.Source source) {
+        mSource = Checks.notNull("source", source);
+    }
+
+    /** Returns whether a read of the source ended in a failure of its own. */
+    public boolean hasFailed() {
+        return mFailed;
+    }
+
+    @Override
+    public long getLength() {
+        return mSource.getLength();
+    }
+
+    @Override
+    public Content.Chunk read() {
+        Content.Chunk chunk = mSource.read();
+        if (Content.Chunk.isFailure(chunk)) {
+            mFailed = true;
+        }
+        return chunk;
+    }
+
+    @Override
+    public void demand(Runnable onAvailable) {
+        mSource.demand(onAvailable);
+    }
+
+    @Override
+    public void fail(Throwable failure) {
+        mSource.fail(failure);
+    }
+}
--- a/src/main/java/org/apricotgauge/model/Member.java
+++ b/src/main/java/org/apricotgauge/model/Member.java
@@ -7,6 +7,9 @@
  * @param weight share relative to other members; 1 is usual
  */
 public record Member(String id, int weight) {
+    /** Stands for the member of a request that names none. */
+    public static final String ANONYMOUS_ID = "anonymous";
+
     /** The weight of a member that the configuration does not name. */
     public static final int DEFAULT_WEIGHT = 1;
 
