--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -0,0 +1,303 @@
+package org.apricotgauge.caller;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.Progress;
+import org.apricotgauge.decision.attempt.RetryBudget;
+import org.apricotgauge.decision.attempt.RetryDecision;
+import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.routing.BalancingPolicy;
+import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.decision.routing.ServiceTable;
+import org.apricotgauge.http.AnswerStream;
+import org.apricotgauge.http.Outcomes;
+import org.apricotgauge.http.ReplayableBody;
+import org.apricotgauge.http.WatchedSource;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * One caller's request from its head to its one final answer, over as many attempts as are safe.
+ *
+ * <p>At most one attempt is under way at a time. The deadline ends the exchange at once, whatever
+ * the attempt is doing. One lock for each exchange, held for a few steps and never during I/O.
+ */
+final class CallerExchange {
+    /** Bodies up to this size can be sent again; larger ones stream and go out once. */
+    static final int REPLAY_LIMIT_BYTES = 65_536;
+
+    private static final long NO_TARGET_RETRY_AFTER_MILLIS = 1_000;
+
+    private final EntryContext mContext;
+    private final ServiceTable mTable;
+    private final RetryBudget mBudget;
+    private final CallerRequest mAsked;
+    private final Request mRequest;
+    private final Response mResponse;
+    private final Callback mCallback;
+    private final ReplayableBody mBody;
+    private final long mStartNanos;
+    private final long mDeadlineMillis;
+    private final Set<String> mTried = new HashSet<>();
+    private Progress mProgress;
+    private TargetAttempt mCurrent;
+    private boolean mEnded;
+    private volatile Scheduler.Task mDeadline;
+
+    CallerExchange(
+            EntryContext context,
+            ServiceTable table,
+            RetryBudget budget,
+            CallerRequest asked,
+            Request request,
+            Response response,
+            Callback callback) {
+        mContext = context;
+        mTable = table;
+        mBudget = budget;
+        mAsked = asked;
+        mRequest = request;
+        mResponse = response;
+        mCallback = callback;
+        mBody = new ReplayableBody(request, REPLAY_LIMIT_BYTES);
+        mStartNanos = context.ticker().nanos();
+        mDeadlineMillis = context.ticker().millis() + asked.timeoutMillis();
+        mProgress = Progress.of(asked.repeatable(), asked.key().isPresent());
+    }
+
+    void start() {
+        mBudget.onRequest();
+        mDeadline =
+                mContext.scheduler()
+                        .schedule(
+                                this::deadlinePassed,
+                                mAsked.timeoutMillis(),
+                                TimeUnit.MILLISECONDS);
+        mRequest.addFailureListener(this::callerGone);
+        next();
+    }
+
+    EntryContext context() {
+        return mContext;
+    }
+
+    CallerRequest asked() {
+        return mAsked;
+    }
+
+    Request request() {
+        return mRequest;
+    }
+
+    ReplayableBody body() {
+        return mBody;
+    }
+
+    /** Returns the time left to the deadline, in milliseconds; not positive once it has passed. */
+    long leftMillis() {
+        return mDeadlineMillis - mContext.ticker().millis();
+    }
+
+    long deadlineMillis() {
+        return mDeadlineMillis;
+    }
+
+    private void next() {
+        Optional<Candidate> choice =
+                BalancingPolicy.choose(
+                        mTable, mTried, ThreadLocalRandom.current(), mContext.ticker().nanos());
+        if (choice.isEmpty()) {
+            endWithoutTarget();
+            return;
+        }
+        Candidate candidate = choice.get();
+        TargetAttempt attempt =
+                candidate.guard() == null
+                        ? new DirectAttempt(this, candidate)
+                        : new GuardedAttempt(this, candidate);
+        synchronized (this) {
+            if (mEnded) {
+                return;
+            }
+            mTried.add(candidate.target().id());
+            mCurrent = attempt;
+        }
+        attempt.send();
+    }
+
+    private void endWithoutTarget() {
+        boolean mayHaveRun;
+        synchronized (this) {
+            mayHaveRun = mProgress.mayHaveRun();
+        }
+        finish(
+                mayHaveRun
+                        ? new Outcome.Unknown(UnknownReason.FORGOTTEN)
+                        : new Outcome.NotRun(
+                                NotRunReason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_MILLIS));
+    }
+
+    /** Takes the end of an attempt that brought no answer of the target. */
+    void attemptEnded(TargetAttempt attempt, Outcome outcome) {
+        RetryDecision decision;
+        synchronized (this) {
+            if (mEnded || attempt != mCurrent) {
+                return;
+            }
+            mCurrent = null;
+            mProgress = mProgress.after(outcome);
+            decision = decide();
+        }
+        if (decision instanceof RetryDecision.Finish finish) {
+            finish(finish.outcome());
+            return;
+        }
+        mContext.metrics().retries().inc();
+        next();
+    }
+
+    private RetryDecision decide() {
+        boolean canReplay = mBody.canReplay();
+        return mContext.repeatPolicy()
+                .decide(
+                        mProgress,
+                        leftMillis(),
+                        () -> canReplay && mBudget.tryRetry(mContext.ticker().millis()));
+    }
+
+    /** Takes the head of the target's answer, and either passes it on or tries another target. */
+    void answered(
+            TargetAttempt attempt, org.eclipse.jetty.client.Response answer, Content.Source body) {
+        Outcome.Answered outcome = new Outcome.Answered(answer.getStatus());
+        boolean again;
+        synchronized (this) {
+            if (mEnded || attempt != mCurrent) {
+                body.fail(new IllegalStateException("the caller has its answer already"));
+                return;
+            }
+            mProgress = mProgress.after(outcome);
+            again = !(decide() instanceof RetryDecision.Finish);
+            if (again) {
+                mCurrent = null;
+            } else {
+                mEnded = true;
+            }
+        }
+        if (again) {
+            body.fail(new IllegalStateException("another target is tried"));
+            mContext.metrics().retries().inc();
+            next();
+            return;
+        }
+        pass(attempt, answer, body);
+    }
+
+    private void pass(
+            TargetAttempt attempt, org.eclipse.jetty.client.Response answer, Content.Source body) {
+        cancelDeadline();
+        AnswerStream.copyHead(answer, mResponse);
+        WatchedSource watched = new WatchedSource(body);
+        AnswerStream.copyBody(
+                answer,
+                watched,
+                mResponse,
+                Callback.from(() -> passed(attempt), cause -> passBroken(attempt, watched, cause)));
+    }
+
+    private void passed(TargetAttempt attempt) {
+        attempt.over();
+        mContext.metrics().answered().inc();
+        count();
+        mCallback.succeeded();
+    }
+
+    private void passBroken(TargetAttempt attempt, WatchedSource body, Throwable cause) {
+        attempt.over();
+        mContext.metrics().brokenAnswers().inc();
+        count();
+        if (body.hasFailed() && !mResponse.isCommitted()) {
+            mResponse.reset();
+            Outcomes.write(mResponse, mCallback, new Outcome.Unknown(UnknownReason.ANSWER_LOST));
+        } else {
+            // The head is out: the server closes the connection without ending the message, so
+            // that the caller does not take half an answer for a whole one.
+            mCallback.failed(cause);
+        }
+    }
+
+    private void deadlinePassed() {
+        TargetAttempt attempt;
+        boolean mayHaveRun;
+        synchronized (this) {
+            if (mEnded) {
+                return;
+            }
+            attempt = mCurrent;
+            mayHaveRun = mProgress.mayHaveRun() || (attempt != null && attempt.mayHaveRun());
+        }
+        finish(
+                mayHaveRun
+                        ? new Outcome.Unknown(UnknownReason.STARTED)
+                        : new Outcome.NotRun(NotRunReason.DEADLINE_PASSED, 0));
+        if (attempt != null) {
+            attempt.abandon();
+        }
+    }
+
+    private void callerGone(Throwable cause) {
+        TargetAttempt attempt;
+        synchronized (this) {
+            if (mEnded) {
+                return;
+            }
+            mEnded = true;
+            attempt = mCurrent;
+        }
+        cancelDeadline();
+        if (attempt != null) {
+            attempt.abandon();
+        }
+        mCallback.failed(cause);
+    }
+
+    private void finish(Outcome outcome) {
+        synchronized (this) {
+            if (mEnded) {
+                return;
+            }
+            mEnded = true;
+        }
+        cancelDeadline();
+        count();
+        if (outcome instanceof Outcome.NotRun notRun) {
+            mContext.metrics().notRun().inc();
+            Outcomes.write(mResponse, mCallback, notRun);
+        } else if (outcome instanceof Outcome.Unknown unknown) {
+            mContext.metrics().unknown().inc();
+            Outcomes.write(mResponse, mCallback, unknown);
+        } else {
+            throw new IllegalStateException("an answer must be passed on, not told: " + outcome);
+        }
+    }
+
+    private void count() {
+        mContext.metrics()
+                .total()
+                .update(mContext.ticker().nanos() - mStartNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void cancelDeadline() {
+        Scheduler.Task deadline = mDeadline;
+        if (deadline != null) {
+            deadline.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -0,0 +1,119 @@
+package org.apricotgauge.caller;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.http.ForwardedHeaders;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.UpstreamExchange;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+
+/**
+ * An attempt straight at a target that has no node beside it.
+ *
+ * <p>Nobody can fence it: once a byte was written, the request may have run.
+ */
+final class DirectAttempt implements TargetAttempt, UpstreamExchange.Listener {
+    private final CallerExchange mExchange;
+    private final EntryContext mContext;
+    private final Candidate mCandidate;
+    private final AtomicBoolean mCounted = new AtomicBoolean();
+    private final AtomicBoolean mObserved = new AtomicBoolean();
+    private volatile long mSentNanos;
+    private volatile boolean mBegun;
+    private volatile UpstreamExchange mUpstream;
+
+    DirectAttempt(CallerExchange exchange, Candidate candidate) {
+        mExchange = exchange;
+        mContext = exchange.context();
+        mCandidate = candidate;
+    }
+
+    @Override
+    public void send() {
+        mCandidate.load().begin();
+        mSentNanos = mContext.ticker().nanos();
+        org.eclipse.jetty.server.Request from = mExchange.request();
+        Request to =
+                mContext.direct()
+                        .newRequest(mCandidate.target().host(), mCandidate.target().port())
+                        .method(from.getMethod())
+                        .path(from.getHttpURI().getPathQuery());
+        long leftMillis = Math.max(1, mExchange.leftMillis());
+        to.headers(
+                headers -> {
+                    ForwardedHeaders.copyRequest(from.getHeaders(), headers);
+                    headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
+                });
+        to.body(mExchange.body().open());
+        mUpstream = UpstreamExchange.send(to, this);
+    }
+
+    @Override
+    public boolean onBegin() {
+        mBegun = true;
+        return true;
+    }
+
+    @Override
+    public void onAnswer(Response answer, Content.Source body) {
+        int status = answer.getStatus();
+        boolean shed = status == HttpStatus.SERVICE_UNAVAILABLE_503;
+        ObservedOutcome seen =
+                HttpStatus.isServerError(status)
+                        ? ObservedOutcome.TARGET_ERROR
+                        : ObservedOutcome.SUCCESS;
+        observed(shed ? ObservedOutcome.SHED : seen);
+        mExchange.answered(this, answer, body);
+    }
+
+    @Override
+    public void onFailure(UpstreamExchange.Failure failure) {
+        over();
+        observed(ObservedOutcome.PATH_FAULT);
+        mContext.metrics().pathFaults().inc();
+        mExchange.attemptEnded(
+                this,
+                failure.progress() == UpstreamExchange.Progress.NOT_SENT
+                        ? new Outcome.NotRun(NotRunReason.NEVER_SENT, 0)
+                        : new Outcome.Unknown(UnknownReason.NO_GUARD));
+    }
+
+    @Override
+    public boolean mayHaveRun() {
+        return mBegun;
+    }
+
+    @Override
+    public void abandon() {
+        over();
+        observed(ObservedOutcome.TIMEOUT);
+        UpstreamExchange upstream = mUpstream;
+        if (upstream != null) {
+            upstream.abort(new TimeoutException("attempt given up"));
+        }
+    }
+
+    @Override
+    public void over() {
+        if (mCounted.compareAndSet(false, true)) {
+            mCandidate.load().end();
+        }
+    }
+
+    private void observed(ObservedOutcome outcome) {
+        if (!mObserved.compareAndSet(false, true)) {
+            return;
+        }
+        long micros = TimeUnit.NANOSECONDS.toMicros(mContext.ticker().nanos() - mSentNanos);
+        mContext.observer().observed(mCandidate.target(), outcome, micros);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -0,0 +1,30 @@
+package org.apricotgauge.caller;
+
+import org.apricotgauge.decision.attempt.AttemptIds;
+import org.apricotgauge.decision.attempt.RepeatPolicy;
+import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * What all requests of one entry share.
+ *
+ * @param guards talks to the guards of other VMs
+ * @param direct sends to targets that have no node beside them
+ * @param ids names attempts
+ * @param repeatPolicy whether a request is sent again
+ * @param scheduler runs timeouts
+ * @param ticker the entry's clock
+ * @param observer hears how attempts ended
+ * @param metrics counters
+ */
+record EntryContext(
+        GuardClient guards,
+        HttpClient direct,
+        AttemptIds ids,
+        RepeatPolicy repeatPolicy,
+        Scheduler scheduler,
+        Ticker ticker,
+        EntryObserver observer,
+        EntryMetrics metrics) {}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -0,0 +1,274 @@
+package org.apricotgauge.caller;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apricotgauge.decision.attempt.Attempt;
+import org.apricotgauge.decision.attempt.FenceAnswer;
+import org.apricotgauge.decision.attempt.GuardSighting;
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.http.ForwardedHeaders;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.Outcomes;
+import org.apricotgauge.http.UpstreamExchange;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * An attempt through the guard beside the target.
+ *
+ * <p>The guard says at once, and then every second, that it has the attempt. Silence means that the
+ * path is dead one way or the other: the attempt is fenced over a new connection, and only the
+ * guard's "not run" lets it count as not run.
+ */
+final class GuardedAttempt implements TargetAttempt, UpstreamExchange.Listener {
+    /** Longest wait for the first word of the guard. */
+    static final long FIRST_WORD_MILLIS = 500;
+
+    /** Longest silence after it; the guard speaks every second. */
+    static final long SILENCE_MILLIS = 3_500;
+
+    /** Longest wait for the answer to a fence, a new connection included. */
+    static final long FENCE_MILLIS = 1_000;
+
+    /** Part of the time left that a guard may not use, so that its word arrives before the end. */
+    private static final long MARGIN_MILLIS = 10;
+
+    private final CallerExchange mExchange;
+    private final EntryContext mContext;
+    private final Candidate mCandidate;
+    private final AtomicBoolean mCounted = new AtomicBoolean();
+    private final AtomicBoolean mObserved = new AtomicBoolean();
+    private final AtomicBoolean mFencing = new AtomicBoolean();
+    private volatile long mSentNanos;
+    private volatile Attempt mAttempt;
+    private volatile UpstreamExchange mUpstream;
+    private volatile Scheduler.Task mSilence;
+    private volatile boolean mHeard;
+
+    GuardedAttempt(CallerExchange exchange, Candidate candidate) {
+        mExchange = exchange;
+        mContext = exchange.context();
+        mCandidate = candidate;
+    }
+
+    @Override
+    public void send() {
+        mCandidate.load().begin();
+        mSentNanos = mContext.ticker().nanos();
+        long waitMillis = Math.max(1, Math.min(FIRST_WORD_MILLIS, mExchange.leftMillis()));
+        mContext.guards()
+                .sighting(mCandidate.guard(), waitMillis)
+                .whenComplete(
+                        (sighting, failure) -> {
+                            if (failure == null) {
+                                sendTo(sighting);
+                            } else {
+                                unreachable();
+                            }
+                        });
+    }
+
+    private void unreachable() {
+        over();
+        observed(ObservedOutcome.PATH_FAULT);
+        mContext.metrics().pathFaults().inc();
+        mExchange.attemptEnded(this, new Outcome.NotRun(NotRunReason.NEVER_SENT, 0));
+    }
+
+    private void sendTo(GuardSighting sighting) {
+        long leftMillis = mExchange.leftMillis();
+        if (leftMillis <= 0) {
+            over();
+            return;
+        }
+        long untilMillis = mExchange.deadlineMillis() - Math.min(MARGIN_MILLIS, leftMillis / 2);
+        mAttempt = sighting.address(mContext.ids().next(), mContext.ticker().millis(), untilMillis);
+        awaitWord(FIRST_WORD_MILLIS);
+        mUpstream = UpstreamExchange.send(hopRequest(leftMillis), this);
+    }
+
+    private Request hopRequest(long leftMillis) {
+        org.eclipse.jetty.server.Request from = mExchange.request();
+        Request to =
+                mContext.guards()
+                        .newRequest(mCandidate.guard())
+                        .method(from.getMethod())
+                        .path(from.getHttpURI().getPathQuery());
+        to.headers(
+                headers -> {
+                    ForwardedHeaders.copyRequest(from.getHeaders(), headers);
+                    headers.put(Attempt.HEADER, mAttempt.toString());
+                    headers.put(HeaderNames.TARGET, mCandidate.target().id());
+                    headers.put(HeaderNames.MEMBER, mExchange.asked().memberId());
+                    headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
+                    headers.put(HeaderNames.PRIORITY, priority());
+                });
+        to.body(mExchange.body().open());
+        return to;
+    }
+
+    private String priority() {
+        return mExchange.asked().route().priority().name().toLowerCase(Locale.ROOT);
+    }
+
+    private void awaitWord(long millis) {
+        cancelSilence();
+        mSilence = mContext.scheduler().schedule(this::silent, millis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void onAcknowledged(HttpFields fields) {
+        mHeard = true;
+        mContext.guards().sighted(mCandidate.guard(), fields);
+        if (!mCounted.get()) {
+            awaitWord(SILENCE_MILLIS);
+        }
+    }
+
+    @Override
+    public void onAnswer(Response answer, Content.Source body) {
+        cancelSilence();
+        HttpFields headers = answer.getHeaders();
+        mContext.guards().sighted(mCandidate.guard(), headers);
+        reportLoad(headers);
+        Optional<Outcome> outcome = Outcomes.read(headers);
+        if (outcome.isPresent()) {
+            over();
+            body.fail(new IllegalStateException("an outcome has no body of interest"));
+            observed(ObservedOutcome.CANCELLED);
+            mExchange.attemptEnded(this, outcome.get());
+            return;
+        }
+        // An answer to another attempt on a mixed-up connection must never reach this caller.
+        if (!mAttempt.toString().equals(headers.get(Attempt.HEADER))) {
+            over();
+            body.fail(new IllegalStateException("answer to another attempt"));
+            mContext.metrics().mismatched().inc();
+            observed(ObservedOutcome.PATH_FAULT);
+            mExchange.attemptEnded(this, new Outcome.Unknown(UnknownReason.ANSWER_LOST));
+            return;
+        }
+        observed(seen(answer.getStatus()));
+        mExchange.answered(this, answer, body);
+    }
+
+    private static ObservedOutcome seen(int status) {
+        if (status == HttpStatus.SERVICE_UNAVAILABLE_503) {
+            return ObservedOutcome.SHED;
+        }
+        return HttpStatus.isServerError(status)
+                ? ObservedOutcome.TARGET_ERROR
+                : ObservedOutcome.SUCCESS;
+    }
+
+    private void reportLoad(HttpFields headers) {
+        long loadPermille = headers.getLongField(HeaderNames.LOAD_PERMILLE);
+        if (loadPermille >= 0) {
+            mCandidate.load().report((int) loadPermille, mContext.ticker().nanos());
+        }
+    }
+
+    @Override
+    public void onFailure(UpstreamExchange.Failure failure) {
+        cancelSilence();
+        if (failure.progress() == UpstreamExchange.Progress.NOT_SENT) {
+            unreachable();
+            return;
+        }
+        fence(false);
+    }
+
+    private void silent() {
+        mContext.metrics().pathFaults().inc();
+        fence(true);
+    }
+
+    // Bytes went out and nothing came back. Only the guard can say that the attempt did not run,
+    // and once it has said so it refuses the attempt should it still arrive.
+    private void fence(boolean connectionOpen) {
+        if (!mFencing.compareAndSet(false, true)) {
+            return;
+        }
+        mContext.metrics().fences().inc();
+        mContext.guards()
+                .fence(mCandidate.guard(), mAttempt, FENCE_MILLIS)
+                .whenComplete((answer, failure) -> fenced(answer, connectionOpen));
+    }
+
+    private void fenced(FenceAnswer answer, boolean connectionOpen) {
+        boolean started = answer != null && answer.state() == FenceAnswer.State.STARTED;
+        if (started && connectionOpen && !mExchange.asked().repeatable()) {
+            // It runs, and must not run twice: the answer may still come over the old connection.
+            mFencing.set(false);
+            return;
+        }
+        over();
+        observed(answer == null ? ObservedOutcome.PATH_FAULT : ObservedOutcome.CANCELLED);
+        Outcome outcome =
+                answer == null
+                        ? new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE)
+                        : answer.toOutcome();
+        if (connectionOpen) {
+            abortUpstream();
+        }
+        mExchange.attemptEnded(this, outcome);
+    }
+
+    @Override
+    public boolean mayHaveRun() {
+        return mUpstream != null;
+    }
+
+    @Override
+    public void abandon() {
+        cancelSilence();
+        over();
+        observed(mHeard ? ObservedOutcome.TIMEOUT : ObservedOutcome.PATH_FAULT);
+        Attempt attempt = mAttempt;
+        if (attempt != null) {
+            mContext.guards().abandon(mCandidate.guard(), attempt, FENCE_MILLIS);
+        }
+        abortUpstream();
+    }
+
+    private void abortUpstream() {
+        UpstreamExchange upstream = mUpstream;
+        if (upstream != null) {
+            upstream.abort(new TimeoutException("attempt given up"));
+        }
+    }
+
+    @Override
+    public void over() {
+        cancelSilence();
+        if (mCounted.compareAndSet(false, true)) {
+            mCandidate.load().end();
+        }
+    }
+
+    private void observed(ObservedOutcome outcome) {
+        if (!mObserved.compareAndSet(false, true)) {
+            return;
+        }
+        long micros = TimeUnit.NANOSECONDS.toMicros(mContext.ticker().nanos() - mSentNanos);
+        mContext.observer().observed(mCandidate.target(), outcome, micros);
+    }
+
+    private void cancelSilence() {
+        Scheduler.Task silence = mSilence;
+        if (silence != null) {
+            silence.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/TargetAttempt.java
@@ -0,0 +1,17 @@
+package org.apricotgauge.caller;
+
+/** One attempt of a caller's request at one target. */
+interface TargetAttempt {
+
+    /** Starts it; its exchange hears how it ends. */
+    void send();
+
+    /** Returns whether the target may have seen it by now. */
+    boolean mayHaveRun();
+
+    /** Gives it up without waiting; what has started is cancelled if that is possible. */
+    void abandon();
+
+    /** Tells it that its answer was passed on, or broke. */
+    void over();
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -0,0 +1,156 @@
+package org.apricotgauge.peer.hop;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.attempt.Attempt;
+import org.apricotgauge.decision.attempt.FenceAnswer;
+import org.apricotgauge.decision.attempt.GuardSighting;
+import org.apricotgauge.decision.attempt.GuardStamp;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.target.GuardHandler;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * Talks to the guards of other VMs on behalf of an entry.
+ *
+ * <pre>{@code
+ * guards.sighting(address, 500).thenAccept(sighting -> ...);
+ * guards.fence(address, attempt, 500).thenAccept(answer -> ...);
+ * }</pre>
+ *
+ * <p>Remembers the last stamp of each guard. Fences go over connections of their own, each used
+ * once: the connection that carried the attempt may be the very thing that is broken. Safe to share
+ * between threads.
+ */
+public final class GuardClient {
+    private static final int MAX_CONTROL_BYTES = 256;
+
+    private final HttpClient mForwarding;
+    private final HttpClient mFencing;
+    private final Ticker mTicker;
+    private final ConcurrentMap<Address, GuardSighting> mSightings = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a client.
+     *
+     * @param forwarding carries attempts; its connections are kept
+     * @param fencing carries control questions over fresh connections
+     * @param ticker the entry's clock
+     */
+    public GuardClient(HttpClient forwarding, HttpClient fencing, Ticker ticker) {
+        mForwarding = Checks.notNull("forwarding", forwarding);
+        mFencing = Checks.notNull("fencing", fencing);
+        mTicker = Checks.notNull("ticker", ticker);
+    }
+
+    /** Returns a request for a guard, to be filled and sent as an exchange. */
+    public Request newRequest(Address guard) {
+        return mForwarding.newRequest(guard.host(), guard.port());
+    }
+
+    /** Takes the stamp that came with an answer of a guard. */
+    public void sighted(Address guard, HttpFields headers) {
+        stampOf(headers).ifPresent(stamp -> merge(guard, stamp));
+    }
+
+    /** Returns the last sighting of a guard, asking it if there is none. */
+    public CompletableFuture<GuardSighting> sighting(Address guard, long timeoutMillis) {
+        GuardSighting known = mSightings.get(guard);
+        if (known != null) {
+            return CompletableFuture.completedFuture(known);
+        }
+        return ask(guard, GuardHandler.CONTROL_STAMP, null, timeoutMillis)
+                .thenApply(answer -> mSightings.get(guard));
+    }
+
+    /** Asks the guard, over a new connection, to refuse the attempt should it arrive late. */
+    public CompletableFuture<FenceAnswer> fence(
+            Address guard, Attempt attempt, long timeoutMillis) {
+        return ask(guard, GuardHandler.CONTROL_FENCE, attempt, timeoutMillis)
+                .thenApply(GuardClient::parseFence);
+    }
+
+    /** As {@link #fence}, and cancels the attempt at its target if it has started. */
+    public CompletableFuture<FenceAnswer> abandon(
+            Address guard, Attempt attempt, long timeoutMillis) {
+        return ask(guard, GuardHandler.CONTROL_ABANDON, attempt, timeoutMillis)
+                .thenApply(GuardClient::parseFence);
+    }
+
+    private CompletableFuture<String> ask(
+            Address guard, String question, Attempt attempt, long timeoutMillis) {
+        CompletableFuture<String> future = new CompletableFuture<>();
+        mFencing.newRequest(guard.host(), guard.port())
+                .path("/")
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .headers(
+                        headers -> {
+                            headers.put(HttpHeader.CONNECTION, "close");
+                            headers.put(HeaderNames.CONTROL, question);
+                            if (attempt != null) {
+                                headers.put(Attempt.HEADER, attempt.toString());
+                            }
+                        })
+                .send(new ControlListener(guard, future));
+        return future;
+    }
+
+    private static FenceAnswer parseFence(String text) {
+        String[] words = text.strip().split(" ", 2);
+        return new FenceAnswer(
+                FenceAnswer.State.valueOf(words[0]), Integer.parseInt(words[1].strip()));
+    }
+
+    private static Optional<GuardStamp> stampOf(HttpFields headers) {
+        return Optional.ofNullable(headers.get(GuardStamp.HEADER)).flatMap(GuardStamp::parse);
+    }
+
+    private void merge(Address guard, GuardStamp stamp) {
+        GuardSighting seen = new GuardSighting(stamp, mTicker.millis());
+        mSightings.merge(guard, seen, GuardSighting::merge);
+    }
+
+    /** Reads a short answer to a control question. */
+    private final class ControlListener extends BufferingResponseListener {
+        private final Address mGuard;
+        private final CompletableFuture<String> mFuture;
+
+        private ControlListener(Address guard, CompletableFuture<String> future) {
+            super(MAX_CONTROL_BYTES);
+            mGuard = guard;
+            mFuture = future;
+        }
+
+        @Override
+        public void onHeaders(Response response) {
+            sighted(mGuard, response.getHeaders());
+            super.onHeaders(response);
+        }
+
+        @Override
+        public void onComplete(Result result) {
+            if (result.isFailed()) {
+                mFuture.completeExceptionally(result.getFailure());
+            } else if (result.getResponse().getStatus() != HttpStatus.OK_200) {
+                mFuture.completeExceptionally(
+                        new IOException("guard " + mGuard + " answered " + result.getResponse()));
+            } else {
+                mFuture.complete(getContentAsString());
+            }
+        }
+    }
+}
