--- /dev/null
+++ b/src/main/java/org/apricotgauge/event/package-info.java
@@ -0,0 +1,2 @@
+/** Typed events of a node, ordered over the fleet by a hybrid logical clock, in a bounded ring. */
+package org.apricotgauge.event;
