Serve a read-only administration API with bounded cost

Cause: operators need status, events and metrics of a node without a way to change it, and a script must not cost the callers anything. Ruled out: the servlet module of Dropwizard (a servlet container for six paths); a _sum for summaries (Dropwizard's sample decays, so the sum would fall); Jetty's ConnectionLimit (deprecated).

--- /dev/null
+++ b/src/main/java/org/apricotgauge/operator/AdminHandler.java
@@ -0,0 +1,139 @@
+package org.apricotgauge.operator;
+
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.apricotgauge.event.EventCodec;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/** Answers the requests of the administration API. */
+final class AdminHandler extends Handler.Abstract {
+    static final int MAX_EVENTS = 500;
+    static final int DEFAULT_EVENTS = 100;
+    private static final int REQUESTS_PER_SECOND = 20;
+    private static final int BURST = 40;
+    private static final String VERSION_PREFIX = "/v1";
+    private static final String ALLOWED_METHODS = "GET, HEAD";
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .build()
+                    .registerModule(
+                            new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+
+    private final AdminSources mSources;
+    private final RateBound mRate;
+    private final Map<String, Endpoint> mEndpoints;
+
+    AdminHandler(AdminSources sources, Ticker ticker) {
+        mSources = sources;
+        mRate = new RateBound(ticker, REQUESTS_PER_SECOND, BURST);
+        mEndpoints =
+                Map.of(
+                        "/live", Endpoint.free(query -> AdminAnswer.line(200, "live")),
+                        "/ready", Endpoint.free(this::ready),
+                        "/status", Endpoint.counted(Set.of("service"), this::status),
+                        "/events", Endpoint.counted(Set.of("since", "limit"), this::events),
+                        "/metrics", Endpoint.counted(Set.of(), this::metrics),
+                        "/metrics.json", Endpoint.counted(Set.of(), this::metricsJson));
+    }
+
+    /** A path: what it may be asked, whether asking is rationed, and its answer. */
+    private record Endpoint(
+            Set<String> parameters, boolean isRationed, Function<AdminQuery, AdminAnswer> answer) {
+
+        /** Liveness and readiness are cheap, and must not fail because a script asks for much. */
+        static Endpoint free(Function<AdminQuery, AdminAnswer> answer) {
+            return new Endpoint(Set.of(), false, answer);
+        }
+
+        static Endpoint counted(Set<String> parameters, Function<AdminQuery, AdminAnswer> answer) {
+            return new Endpoint(parameters, true, answer);
+        }
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        AdminAnswer answer = answer(request, response);
+        response.setStatus(answer.status());
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, answer.contentType());
+        response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
+        Content.Sink.write(response, true, answer.body(), callback);
+        return true;
+    }
+
+    private AdminAnswer answer(Request request, Response response) {
+        Endpoint endpoint = mEndpoints.get(unversioned(Request.getPathInContext(request)));
+        if (endpoint == null) {
+            return AdminAnswer.line(404, "no such path; see /v1/status, /v1/events, /v1/metrics");
+        }
+        String method = request.getMethod();
+        if (!HttpMethod.GET.is(method) && !HttpMethod.HEAD.is(method)) {
+            response.getHeaders().put(HttpHeader.ALLOW, ALLOWED_METHODS);
+            return AdminAnswer.line(405, "read-only; allowed: " + ALLOWED_METHODS);
+        }
+        if (endpoint.isRationed() && !mRate.tryTake()) {
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, "1");
+            return AdminAnswer.line(
+                    429, "more than " + REQUESTS_PER_SECOND + " requests a second; retry in 1 s");
+        }
+        try {
+            Fields fields = Request.extractQueryParameters(request);
+            return endpoint.answer().apply(new AdminQuery(fields, endpoint.parameters()));
+        } catch (IllegalArgumentException e) {
+            return AdminAnswer.line(400, e.getMessage());
+        }
+    }
+
+    private static String unversioned(String path) {
+        return path.startsWith(VERSION_PREFIX + '/')
+                ? path.substring(VERSION_PREFIX.length())
+                : path;
+    }
+
+    private AdminAnswer ready(AdminQuery query) {
+        Readiness readiness = mSources.readiness().read();
+        return AdminAnswer.line(readiness.isReady() ? 200 : 503, readiness.reason());
+    }
+
+    private AdminAnswer status(AdminQuery query) {
+        NodeStatus status = mSources.status().read();
+        String service = query.text("service");
+        return AdminAnswer.json(json(service == null ? status : status.onlyService(service)));
+    }
+
+    private AdminAnswer events(AdminQuery query) {
+        long since = query.number("since", 0, 0, Long.MAX_VALUE);
+        int limit = (int) query.number("limit", DEFAULT_EVENTS, 1, MAX_EVENTS);
+        return AdminAnswer.json(EventCodec.write(mSources.events().read(since, limit)));
+    }
+
+    private AdminAnswer metrics(AdminQuery query) {
+        String text = PrometheusText.write(mSources.metrics());
+        return new AdminAnswer(200, AdminAnswer.PROMETHEUS, text);
+    }
+
+    private AdminAnswer metricsJson(AdminQuery query) {
+        return AdminAnswer.json(json(mSources.metrics()));
+    }
+
+    private static String json(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("not written as JSON: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators: the read-only administration API of a node, and what the operators' programs share.
+ */
+package org.apricotgauge.operator;
