Detect by parallel CUSUM tests against the pool, within the floor

Cause: nothing ejected a gray target yet. Ruled out: a parametric law of service times (a lognormal one condemns every healthy heavy tail); the pool's own histogram serves as the law instead, and the sick laws are worked out from it.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/Alternative.java
@@ -0,0 +1,76 @@
+package org.apricotgauge.decision.detection;
+
+import java.util.List;
+
+/**
+ * One way of being sick that a sequential test looks for.
+ *
+ * @param name what it is, for the evidence text
+ * @param kind whether it is about failures or service time
+ * @param law makes the sick target's law of categories from the pool's
+ */
+record Alternative(String name, Kind kind, Law law) {
+    /** The alternatives that are tested side by side. */
+    static final List<Alternative> ALL =
+            List.of(
+                    failing("failing 5 of 100", 0.05),
+                    failing("failing 30 of 100", 0.3),
+                    failing("failing 90 of 100", 0.9),
+                    slow("slow 2 times", 1, 2, 2),
+                    slow("slow 3 times", 1, 3, 4),
+                    slow("slow 10 times", 1, 5, 12),
+                    slow("straggling in 10 of 100", 0.1, 6, 12));
+
+    /** How far the failure probability of an alternative lies above the pool's, at least. */
+    private static final double MIN_FAILURE_RATIO = 4;
+
+    private static final double MAX_FAILURE = 0.95;
+
+    /** What an alternative is about. */
+    enum Kind {
+        FAILURE,
+        SLOWNESS
+    }
+
+    /** Makes a sick target's law from the pool's; both are probabilities of the categories. */
+    @FunctionalInterface
+    interface Law {
+        double[] sick(double[] pool);
+    }
+
+    private static Alternative failing(String name, double probability) {
+        return new Alternative(name, Kind.FAILURE, pool -> failingLaw(pool, probability));
+    }
+
+    private static Alternative slow(String name, double share, int fromBins, int toBins) {
+        return new Alternative(name, Kind.SLOWNESS, pool -> slowLaw(pool, share, fromBins, toBins));
+    }
+
+    private static double[] failingLaw(double[] pool, double probability) {
+        double failure =
+                Math.min(
+                        MAX_FAILURE,
+                        Math.max(probability, MIN_FAILURE_RATIO * pool[Category.FAILURE]));
+        double rest = (1 - failure) / (1 - pool[Category.FAILURE]);
+        double[] sick = new double[Category.COUNT];
+        for (int bin = 0; bin < LatencyScale.BINS; bin++) {
+            sick[bin] = pool[bin] * rest;
+        }
+        sick[Category.FAILURE] = failure;
+        return sick;
+    }
+
+    /** Moves a share of the answers by each number of bins of the range, in equal parts. */
+    private static double[] slowLaw(double[] pool, double share, int fromBins, int toBins) {
+        double[] sick = new double[Category.COUNT];
+        double part = share / (toBins - fromBins + 1);
+        for (int bin = 0; bin < LatencyScale.BINS; bin++) {
+            sick[bin] += pool[bin] * (1 - share);
+            for (int shift = fromBins; shift <= toBins; shift++) {
+                sick[Math.min(LatencyScale.BINS - 1, bin + shift)] += pool[bin] * part;
+            }
+        }
+        sick[Category.FAILURE] = pool[Category.FAILURE];
+        return sick;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/Category.java
@@ -0,0 +1,34 @@
+package org.apricotgauge.decision.detection;
+
+/** The categories of an observation: one for each bin of service time, and one for failure. */
+final class Category {
+    /** A request that failed by the doing of what the view tests. */
+    static final int FAILURE = LatencyScale.BINS;
+
+    /** Number of categories. */
+    static final int COUNT = LatencyScale.BINS + 1;
+
+    /** An observation that says nothing about sickness. */
+    static final int NONE = -1;
+
+    private Category() {}
+
+    /**
+     * Returns the category of an observation.
+     *
+     * <p>A shed request is load and a cancelled one is the caller's: counting either as a failure
+     * would eject the targets that protect themselves, in an overload one after the other.
+     */
+    static int of(Observation observation) {
+        switch (observation.outcome()) {
+            case SUCCESS:
+                return LatencyScale.bin(observation.serviceTimeMicros());
+            case TARGET_ERROR:
+            case TIMEOUT:
+            case PATH_FAULT:
+                return FAILURE;
+            default:
+                return NONE;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/DetectionThreshold.java
@@ -0,0 +1,47 @@
+package org.apricotgauge.decision.detection;
+
+import org.apricotgauge.model.DetectionOdds;
+
+/**
+ * Works out the threshold of the sequential tests from the operator's two odds.
+ *
+ * <p>With faults at rate L per target-second, a false ejection of cost F, a second of delay of cost
+ * D, and evidence of I nats a request at r requests a second, Page's test with threshold h costs
+ * about F r exp(-h) + L D h / (I r) a second. The least cost lies at exp(h) = (F / D) I r^2 / L
+ * (Page 1954; Lorden 1971; Moustakides 1986). So the mean time between false ejections of a target
+ * is (F / D) I r / L seconds, and its logarithm alone adds to the delay.
+ */
+final class DetectionThreshold {
+    /** Gray faults per target-second taken as given: 110 of 7,100 VMs on an ordinary day. */
+    static final double FAULTS_PER_TARGET_SECOND = 110.0 / 7_100 / 86_400;
+
+    /** Evidence taken as given, in nats a request; it changes the threshold by its logarithm. */
+    private static final double NATS_PER_REQUEST = 1;
+
+    private static final double MIN_NATS = 8;
+    private static final double MAX_NATS = 45;
+
+    private DetectionThreshold() {}
+
+    /** Returns the mean time between false ejections of one target that the odds ask for. */
+    static double falseEjectionSeconds(DetectionOdds odds, double requestsPerSecond) {
+        return odds.falseEjectionCost()
+                / odds.delayCostPerSecond()
+                * NATS_PER_REQUEST
+                * requestsPerSecond
+                / FAULTS_PER_TARGET_SECOND;
+    }
+
+    /**
+     * Returns the threshold in nats.
+     *
+     * @param odds the two odds
+     * @param requestsPerSecond requests that one target gets in a second
+     * @param tests how many tests run side by side on a target; each gets its equal part of the
+     *     false ejections
+     */
+    static double nats(DetectionOdds odds, double requestsPerSecond, int tests) {
+        double samples = falseEjectionSeconds(odds, requestsPerSecond) * requestsPerSecond;
+        return Math.max(MIN_NATS, Math.min(MAX_NATS, Math.log(samples * tests)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/EvidenceView.java
@@ -0,0 +1,153 @@
+package org.apricotgauge.decision.detection;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apricotgauge.model.DetectionOdds;
+
+/**
+ * The targets of a service as seen from one place, tested against each other.
+ *
+ * <p>Targets are compared within one view only. So a sick or far entry, to which every target looks
+ * slow, has nothing to say against any one of them.
+ */
+final class EvidenceView {
+    private static final long REFRESH_MILLIS = 60_000;
+    private static final long MIN_REFRESH_SAMPLES = 32;
+    private static final double REFRESH_GROWTH = 0.1;
+    private static final double MIN_BASELINE_SAMPLES = 60;
+    private static final double CAP_ABOVE_THRESHOLD_NATS = 10;
+    private static final double RATE_MEMORY_MILLIS = 60_000;
+    private static final double FIRST_RATE_PER_SECOND = 10;
+
+    /** A target is tested in two views at a time, of the guards and of this entry. */
+    private static final int TESTS = 2 * ScoreTable.TESTS;
+
+    private final DetectionOdds mOdds;
+    private final Map<String, TargetStream> mStreams = new LinkedHashMap<>();
+    private double mThresholdNats;
+    private double mRatePerSecond = FIRST_RATE_PER_SECOND;
+    private long mRefreshedMillis;
+    private long mSamplesAtRefresh;
+    private long mSamplesOfNextRefresh;
+    private long mSamples;
+
+    EvidenceView(DetectionOdds odds) {
+        mOdds = odds;
+        mThresholdNats = threshold();
+    }
+
+    double thresholdNats() {
+        return mThresholdNats;
+    }
+
+    /** Takes in one sample; returns whether a target in service has crossed the threshold. */
+    boolean add(String targetId, int category, long nowMillis) {
+        TargetStream stream = streamFor(targetId, nowMillis);
+        stream.add(category, nowMillis);
+        mSamples++;
+        return stream.isTested() && stream.suspicion() >= mThresholdNats;
+    }
+
+    /** Takes in samples whose order is not known. */
+    void addBatch(String targetId, int[] counts, long nowMillis) {
+        TargetStream stream = streamFor(targetId, nowMillis);
+        long before = stream.samples();
+        stream.addBatch(counts, nowMillis);
+        mSamples += stream.samples() - before;
+    }
+
+    private TargetStream streamFor(String targetId, long nowMillis) {
+        TargetStream stream = mStreams.get(targetId);
+        boolean isNew = stream == null;
+        if (isNew) {
+            stream = new TargetStream(targetId);
+            mStreams.put(targetId, stream);
+        }
+        if (isNew
+                || mSamples >= mSamplesOfNextRefresh
+                || nowMillis - mRefreshedMillis >= REFRESH_MILLIS) {
+            refresh(nowMillis);
+        }
+        return stream;
+    }
+
+    /** Returns the stream of a target, or null where the view has none. */
+    TargetStream stream(String targetId) {
+        return mStreams.get(targetId);
+    }
+
+    /** Forgets the targets that are no longer configured. */
+    void retain(Set<String> targetIds) {
+        mStreams.keySet().retainAll(targetIds);
+    }
+
+    /** Sets what a target's samples are used for. */
+    void setMode(String targetId, TargetStream.Mode mode) {
+        TargetStream stream = mStreams.get(targetId);
+        if (stream != null && stream.setMode(mode)) {
+            mSamplesOfNextRefresh = mSamples;
+        }
+    }
+
+    /**
+     * Returns the strongest evidence against a target, checked against its fellows' last samples.
+     */
+    Finding finding(String targetId) {
+        TargetStream stream = mStreams.get(targetId);
+        if (stream == null) {
+            return Finding.none(mThresholdNats);
+        }
+        if (stream.suspicion() >= mThresholdNats) {
+            confirm(stream);
+        }
+        int strongest = 0;
+        for (int test = 1; test < ScoreTable.TESTS; test++) {
+            strongest = stream.nats(test) > stream.nats(strongest) ? test : strongest;
+        }
+        return new Finding(
+                strongest, stream.nats(strongest), mThresholdNats, stream.natsPerSample(strongest));
+    }
+
+    private void confirm(TargetStream stream) {
+        List<TargetStream> fellows = PoolBaseline.fellows(stream, mStreams.values());
+        double[] baseline = PoolBaseline.withLastSamples(PoolBaseline.longRun(fellows), fellows);
+        for (int test = 0; test < ScoreTable.TESTS; test++) {
+            if (stream.nats(test) >= mThresholdNats) {
+                stream.lowerTo(test, baseline);
+            }
+        }
+        stream.capAt(mThresholdNats + CAP_ABOVE_THRESHOLD_NATS);
+    }
+
+    private void refresh(long nowMillis) {
+        measureRate(nowMillis - mRefreshedMillis);
+        mRefreshedMillis = nowMillis;
+        mSamplesAtRefresh = mSamples;
+        mSamplesOfNextRefresh =
+                mSamples
+                        + Math.max(
+                                MIN_REFRESH_SAMPLES,
+                                (long) (REFRESH_GROWTH * PoolBaseline.samples(mStreams.values())));
+        mThresholdNats = threshold();
+        for (TargetStream stream : mStreams.values()) {
+            List<TargetStream> fellows = PoolBaseline.fellows(stream, mStreams.values());
+            boolean withSlowness = PoolBaseline.samples(fellows) >= MIN_BASELINE_SAMPLES;
+            stream.setScores(new ScoreTable(PoolBaseline.longRun(fellows), withSlowness));
+        }
+    }
+
+    private void measureRate(long elapsedMillis) {
+        if (mSamplesAtRefresh == 0 || elapsedMillis <= 0) {
+            return;
+        }
+        double now = (mSamples - mSamplesAtRefresh) * 1_000.0 / elapsedMillis / mStreams.size();
+        double weight = 1 - Math.exp(-elapsedMillis / RATE_MEMORY_MILLIS);
+        mRatePerSecond += weight * (now - mRatePerSecond);
+    }
+
+    private double threshold() {
+        return DetectionThreshold.nats(mOdds, mRatePerSecond, TESTS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/Finding.java
@@ -0,0 +1,36 @@
+package org.apricotgauge.decision.detection;
+
+import java.util.Locale;
+
+/**
+ * The strongest evidence against a target in one view.
+ *
+ * @param test number of the test, as in {@link Alternative#ALL}
+ * @param nats its statistic
+ * @param thresholdNats the statistic at which the target is ejected
+ * @param natsPerSample its evidence for each sample: how bad the target is
+ */
+record Finding(int test, double nats, double thresholdNats, double natsPerSample) {
+
+    static Finding none(double thresholdNats) {
+        return new Finding(0, 0, thresholdNats, 0);
+    }
+
+    boolean isAlarm() {
+        return nats >= thresholdNats;
+    }
+
+    double share() {
+        return nats / thresholdNats;
+    }
+
+    String text(String source) {
+        return String.format(
+                Locale.ROOT,
+                "%s: %s, %.1f nats of %.1f",
+                source,
+                Alternative.ALL.get(test).name(),
+                nats,
+                thresholdNats);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/RemoteEvidence.java
@@ -0,0 +1,169 @@
+package org.apricotgauge.decision.detection;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apricotgauge.model.DetectionOdds;
+
+/**
+ * The evidence of other nodes.
+ *
+ * <p>Guards' counts join the one view of guards. Each remote entry has a view of its own, and
+ * together they speak by quorum: the sum of their statistics without the largest. A sick entry, or
+ * one behind a broken path, is alone in what it sees and so ejects nobody for others.
+ */
+final class RemoteEvidence {
+    /** Remote entries that are listened to; more would cost memory and add little. */
+    private static final int MAX_ENTRIES = 8;
+
+    private static final long IDLE_MILLIS = 60_000;
+
+    private final DetectionOdds mOdds;
+    private final EvidenceView mGuards;
+    private final Map<String, EvidenceDigest> mLast = new HashMap<>();
+    private final Map<String, Long> mHeardMillis = new HashMap<>();
+    private final Map<String, EvidenceView> mEntries = new LinkedHashMap<>();
+
+    RemoteEvidence(DetectionOdds odds, EvidenceView guards) {
+        mOdds = odds;
+        mGuards = guards;
+    }
+
+    /** A receiver of the counts that a digest adds. */
+    @FunctionalInterface
+    interface GuardListener {
+        void added(String targetId, int[] counts);
+    }
+
+    void merge(String reporter, EvidenceDigest digest, long nowMillis, GuardListener listener) {
+        if (digest.formatVersion() != EvidenceDigest.FORMAT_VERSION) {
+            return;
+        }
+        EvidenceDigest last = mLast.get(reporter);
+        if (last != null && !isNewer(digest, last)) {
+            return;
+        }
+        mLast.put(reporter, digest);
+        mHeardMillis.put(reporter, nowMillis);
+        forgetIdle(nowMillis);
+        if (last == null) {
+            // A first digest holds the counts of hours, in no order: it sets where to count from.
+            return;
+        }
+        boolean isRestarted = digest.incarnation() != last.incarnation();
+        for (EvidenceDigest.TargetEvidence now : digest.targets()) {
+            EvidenceDigest.TargetEvidence before = isRestarted ? null : find(last, now.targetId());
+            addGuard(now, before, nowMillis, listener);
+            addEntry(reporter, now, before, nowMillis);
+        }
+    }
+
+    private static boolean isNewer(EvidenceDigest digest, EvidenceDigest last) {
+        if (digest.incarnation() != last.incarnation()) {
+            return digest.incarnation() > last.incarnation();
+        }
+        return digest.sequence() > last.sequence();
+    }
+
+    private static EvidenceDigest.TargetEvidence find(EvidenceDigest digest, String targetId) {
+        for (EvidenceDigest.TargetEvidence evidence : digest.targets()) {
+            if (evidence.targetId().equals(targetId)) {
+                return evidence;
+            }
+        }
+        return null;
+    }
+
+    private void addGuard(
+            EvidenceDigest.TargetEvidence now,
+            EvidenceDigest.TargetEvidence before,
+            long nowMillis,
+            GuardListener listener) {
+        if (now.guard() == null) {
+            return;
+        }
+        int[] counts = difference(now.guard(), before == null ? null : before.guard());
+        if (isEmpty(counts)) {
+            return;
+        }
+        mGuards.addBatch(now.targetId(), counts, nowMillis);
+        listener.added(now.targetId(), counts);
+    }
+
+    private void addEntry(
+            String reporter,
+            EvidenceDigest.TargetEvidence now,
+            EvidenceDigest.TargetEvidence before,
+            long nowMillis) {
+        if (now.entry() == null) {
+            return;
+        }
+        if (!mEntries.containsKey(reporter) && mEntries.size() >= MAX_ENTRIES) {
+            return;
+        }
+        int[] counts = difference(now.entry(), before == null ? null : before.entry());
+        if (!isEmpty(counts)) {
+            mEntries.computeIfAbsent(reporter, any -> new EvidenceView(mOdds))
+                    .addBatch(now.targetId(), counts, nowMillis);
+        }
+    }
+
+    private static int[] difference(
+            EvidenceDigest.EndEvidence now, EvidenceDigest.EndEvidence before) {
+        int[] counts = new int[Category.COUNT];
+        add(counts, now, 1);
+        if (before != null) {
+            add(counts, before, -1);
+        }
+        for (int category = 0; category < counts.length; category++) {
+            counts[category] = Math.max(0, counts[category]);
+        }
+        return counts;
+    }
+
+    private static void add(int[] counts, EvidenceDigest.EndEvidence evidence, int sign) {
+        for (int i = 0; i < evidence.latencyCounts().size(); i++) {
+            counts[evidence.firstBin() + i] += sign * evidence.latencyCounts().get(i).intValue();
+        }
+        counts[Category.FAILURE] += sign * (int) evidence.failures();
+    }
+
+    private static boolean isEmpty(int[] counts) {
+        for (int count : counts) {
+            if (count > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void forgetIdle(long nowMillis) {
+        mHeardMillis.values().removeIf(heard -> nowMillis - heard > IDLE_MILLIS);
+        mLast.keySet().retainAll(mHeardMillis.keySet());
+        mEntries.keySet().retainAll(mHeardMillis.keySet());
+    }
+
+    /** Returns what the remote entries together hold against a target. */
+    Finding quorum(String targetId, double thresholdNats) {
+        double sum = 0;
+        Finding strongest = Finding.none(thresholdNats);
+        for (EvidenceView view : mEntries.values()) {
+            Finding finding = view.finding(targetId);
+            sum += finding.nats();
+            strongest = finding.nats() > strongest.nats() ? finding : strongest;
+        }
+        return new Finding(
+                strongest.test(), sum - strongest.nats(), thresholdNats, strongest.natsPerSample());
+    }
+
+    void retain(Set<String> targetIds) {
+        mEntries.values().forEach(view -> view.retain(targetIds));
+    }
+
+    /** Does something to every remote entry's stream of a target. */
+    void forEachView(Consumer<EvidenceView> action) {
+        mEntries.values().forEach(action);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/Standing.java
@@ -0,0 +1,73 @@
+package org.apricotgauge.decision.detection;
+
+/** What the detector remembers of one target between decisions. */
+final class Standing {
+    private final String mTargetId;
+    private final Readmission mReadmission = new Readmission();
+    private TargetPresence mPresence = TargetPresence.PRESENT;
+    private Evidence mEvidence;
+    private Evidence mEjectedFor;
+    private long mProbedMillis;
+    private long mReadmittedMillis = Long.MIN_VALUE;
+
+    Standing(String targetId) {
+        mTargetId = targetId;
+    }
+
+    /** The strongest evidence, and the view that it comes from. */
+    record Evidence(EvidenceView view, VerdictScope scope, String source, Finding finding) {
+        String text() {
+            return finding.text(source);
+        }
+    }
+
+    String targetId() {
+        return mTargetId;
+    }
+
+    Readmission readmission() {
+        return mReadmission;
+    }
+
+    TargetPresence presence() {
+        return mPresence;
+    }
+
+    void setPresence(TargetPresence presence) {
+        mPresence = presence;
+    }
+
+    Evidence evidence() {
+        return mReadmission.isOut() ? mEjectedFor : mEvidence;
+    }
+
+    void setEvidence(Evidence evidence) {
+        mEvidence = evidence;
+    }
+
+    boolean isCandidate() {
+        return mReadmission.isOut() || mEvidence.finding().isAlarm();
+    }
+
+    void eject(long nowMillis) {
+        mEjectedFor = mEvidence;
+        mReadmission.eject(nowMillis);
+    }
+
+    void readmit(long nowMillis) {
+        mReadmission.readmit(nowMillis);
+        mReadmittedMillis = nowMillis;
+    }
+
+    long readmittedMillis() {
+        return mReadmittedMillis;
+    }
+
+    long probedMillis() {
+        return mProbedMillis;
+    }
+
+    void setProbedMillis(long nowMillis) {
+        mProbedMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/TargetStream.java
@@ -0,0 +1,218 @@
+package org.apricotgauge.decision.detection;
+
+import java.util.Arrays;
+
+/**
+ * The samples of one target within one view, and the CUSUM tests on them.
+ *
+ * <p>Page's test keeps, for each alternative, the largest log-likelihood ratio of any suffix of the
+ * samples: S = max(0, S + score). The counts since S left 0 are kept too, so that the ratio can be
+ * worked out again against another baseline.
+ */
+final class TargetStream {
+    /** How many of the last samples are kept one by one. */
+    static final int LAST_SAMPLES = 64;
+
+    private static final double HISTORY_SAMPLES = 8_192;
+
+    /** What a target's samples are used for. */
+    enum Mode {
+        /** In service: it is tested, and its fellows are compared with it. */
+        TESTED,
+        /** Kept in service by the floor alone: it is tested, but no fellow is compared with it. */
+        HELD,
+        /** Out of service or in its cold start: neither. */
+        OUT
+    }
+
+    private final String mTargetId;
+    private final double[] mHistory = new double[Category.COUNT];
+    private final int[] mTotals = new int[Category.COUNT];
+    private final int[][] mAnchors = new int[ScoreTable.TESTS][Category.COUNT];
+    private final double[] mNats = new double[ScoreTable.TESTS];
+    private final byte[] mLast = new byte[LAST_SAMPLES];
+    private ScoreTable mScores;
+    private double mHistorySamples;
+    private long mSamples;
+    private long mLastMillis;
+    private double mMaxNats;
+    private Mode mMode = Mode.TESTED;
+
+    TargetStream(String targetId) {
+        mTargetId = targetId;
+    }
+
+    String targetId() {
+        return mTargetId;
+    }
+
+    void setScores(ScoreTable scores) {
+        mScores = scores;
+    }
+
+    /** Sets what the samples are used for; returns whether that is a change. */
+    boolean setMode(Mode mode) {
+        boolean isChanged = mMode != mode;
+        mMode = mode;
+        return isChanged;
+    }
+
+    boolean isTested() {
+        return mMode == Mode.TESTED;
+    }
+
+    boolean isCompared() {
+        return mMode == Mode.TESTED && mSamples > 0;
+    }
+
+    long samples() {
+        return mSamples;
+    }
+
+    long lastMillis() {
+        return mLastMillis;
+    }
+
+    double historySamples() {
+        return mHistorySamples;
+    }
+
+    double suspicion() {
+        return mMaxNats;
+    }
+
+    double nats(int test) {
+        return mNats[test];
+    }
+
+    /** Returns a sample's score against the target in one test, in nats. */
+    double score(int test, int category) {
+        return mScores.nats(category)[test];
+    }
+
+    /** Takes in one sample. */
+    void add(int category, long nowMillis) {
+        mLastMillis = nowMillis;
+        if (mMode != Mode.OUT) {
+            addToTests(mScores.nats(category));
+        }
+        addToTotals(category, 1);
+    }
+
+    /**
+     * Takes in samples whose order is not known.
+     *
+     * <p>Their scores are added up before the test takes them. Taken in one by one, with the
+     * failures last, a few among many successes would count as failures in a row.
+     */
+    void addBatch(int[] counts, long nowMillis) {
+        mLastMillis = nowMillis;
+        if (mMode != Mode.OUT) {
+            double[] scores = new double[ScoreTable.TESTS];
+            for (int category = 0; category < counts.length; category++) {
+                double[] nats = mScores.nats(category);
+                for (int test = 0; test < scores.length && counts[category] > 0; test++) {
+                    scores[test] += counts[category] * nats[test];
+                }
+            }
+            addToTests(scores);
+        }
+        for (int category = 0; category < counts.length; category++) {
+            addToTotals(category, counts[category]);
+        }
+    }
+
+    private void addToTests(double[] scores) {
+        double max = 0;
+        for (int test = 0; test < scores.length; test++) {
+            double nats = mNats[test];
+            if (nats == 0 && scores[test] > 0) {
+                System.arraycopy(mTotals, 0, mAnchors[test], 0, Category.COUNT);
+            }
+            nats = Math.max(0, nats + scores[test]);
+            mNats[test] = nats;
+            max = Math.max(max, nats);
+        }
+        mMaxNats = max;
+    }
+
+    private void addToTotals(int category, int count) {
+        if (mMode == Mode.TESTED) {
+            addToHistory(category, count);
+        }
+        mTotals[category] += count;
+        for (int i = 0; i < Math.min(count, LAST_SAMPLES); i++) {
+            mLast[(int) ((mSamples + i) % LAST_SAMPLES)] = (byte) category;
+        }
+        mSamples += count;
+    }
+
+    private void addToHistory(int category, int count) {
+        mHistory[category] += count;
+        mHistorySamples += count;
+        if (mHistorySamples > HISTORY_SAMPLES) {
+            for (int i = 0; i < mHistory.length; i++) {
+                mHistory[i] /= 2;
+            }
+            mHistorySamples /= 2;
+        }
+    }
+
+    /** Returns a test's evidence for each sample since it began to rise: how bad the target is. */
+    double natsPerSample(int test) {
+        int samples = 0;
+        for (int category = 0; category < Category.COUNT; category++) {
+            samples += mTotals[category] - mAnchors[test][category];
+        }
+        return mNats[test] / Math.max(1, samples);
+    }
+
+    /** Works a test's statistic out again against another baseline, and keeps the lesser one. */
+    void lowerTo(int test, double[] baseline) {
+        double nats = 0;
+        for (int category = 0; category < Category.COUNT; category++) {
+            int count = mTotals[category] - mAnchors[test][category];
+            if (count > 0) {
+                nats += count * mScores.natsAgainst(test, category, baseline[category]);
+            }
+        }
+        mNats[test] = Math.max(0, Math.min(mNats[test], nats));
+    }
+
+    /** Bounds every statistic, so that a recovered target need not undo hours of evidence. */
+    void capAt(double maxNats) {
+        mMaxNats = 0;
+        for (int test = 0; test < mNats.length; test++) {
+            mNats[test] = Math.min(mNats[test], maxNats);
+            mMaxNats = Math.max(mMaxNats, mNats[test]);
+        }
+    }
+
+    /** Forgets the evidence against the target, but not its share in the baseline. */
+    void clearTests() {
+        Arrays.fill(mNats, 0);
+        mMaxNats = 0;
+    }
+
+    /** Forgets everything: the target is a new process. */
+    void clear() {
+        clearTests();
+        Arrays.fill(mHistory, 0);
+        mHistorySamples = 0;
+        mSamples = 0;
+    }
+
+    void addHistoryTo(double[] counts) {
+        for (int category = 0; category < counts.length; category++) {
+            counts[category] += mHistory[category];
+        }
+    }
+
+    int addLastTo(double[] counts, int samples) {
+        int taken = (int) Math.min(samples, mSamples);
+        for (int i = 1; i <= taken; i++) {
+            counts[mLast[(int) ((mSamples - i) % LAST_SAMPLES)]]++;
+        }
+        return taken;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/detection/VerdictFactory.java
@@ -0,0 +1,82 @@
+package org.apricotgauge.decision.detection;
+
+/**
+ * Makes the verdict on a target from its standing.
+ *
+ * <p>Ejection is soft where it can be: from half the threshold on, the weight falls with the
+ * evidence, but not below a half, as the requests that are kept away are those that would decide. A
+ * target that only the floor keeps in service gets a tenth.
+ */
+final class VerdictFactory {
+    private static final double SUSPECT_SHARE = 0.5;
+    private static final double MIN_SUSPECT_WEIGHT = 0.5;
+    private static final double HELD_WEIGHT = 0.1;
+    private static final double FIRST_WEIGHT = 0.25;
+    private static final long RAMP_MILLIS = 10_000;
+    private static final String NO_EVIDENCE = "no evidence";
+
+    private VerdictFactory() {}
+
+    static Verdict verdict(Standing standing, long nowMillis) {
+        Finding finding = standing.evidence().finding();
+        VerdictState state = state(standing, nowMillis);
+        boolean isHeld = state == VerdictState.SUSPECT && finding.isAlarm();
+        return new Verdict(
+                standing.targetId(),
+                state,
+                weight(standing, state, isHeld, nowMillis),
+                standing.evidence().scope(),
+                finding.nats(),
+                finding.thresholdNats(),
+                isHeld,
+                text(standing, state, isHeld));
+    }
+
+    private static VerdictState state(Standing standing, long nowMillis) {
+        if (standing.readmission().isOut()) {
+            return standing.readmission().isTrying(nowMillis)
+                    ? VerdictState.READMITTING
+                    : VerdictState.EJECTED;
+        }
+        return standing.evidence().finding().share() >= SUSPECT_SHARE
+                ? VerdictState.SUSPECT
+                : VerdictState.HEALTHY;
+    }
+
+    private static double weight(
+            Standing standing, VerdictState state, boolean isHeld, long nowMillis) {
+        if (standing.readmission().isOut()) {
+            return 0;
+        }
+        if (isHeld) {
+            return HELD_WEIGHT;
+        }
+        double ramp = ramp(standing, nowMillis);
+        if (state == VerdictState.HEALTHY) {
+            return ramp;
+        }
+        double over = (standing.evidence().finding().share() - SUSPECT_SHARE) / (1 - SUSPECT_SHARE);
+        return ramp * (1 - over * (1 - MIN_SUSPECT_WEIGHT));
+    }
+
+    private static double ramp(Standing standing, long nowMillis) {
+        if (standing.readmittedMillis() == Long.MIN_VALUE) {
+            return 1;
+        }
+        double done = (nowMillis - standing.readmittedMillis()) / (double) RAMP_MILLIS;
+        return Math.min(1, FIRST_WEIGHT + (1 - FIRST_WEIGHT) * done);
+    }
+
+    private static String text(Standing standing, VerdictState state, boolean isHeld) {
+        if (state == VerdictState.HEALTHY) {
+            return NO_EVIDENCE;
+        }
+        String text = standing.evidence().text();
+        if (isHeld) {
+            return text + "; kept in service by the floor";
+        }
+        return standing.readmission().isOut()
+                ? text + "; ejections in a row: " + standing.readmission().strikes()
+                : text;
+    }
+}
