--- a/src/main/java/org/apricotgauge/decision/admission/AdaptiveLimit.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdaptiveLimit.java
@@ -10,8 +10,7 @@
 final class AdaptiveLimit {
     private static final long MIN_WAIT_MILLIS = 50;
     private static final long MAX_WAIT_MILLIS = 1_600;
-    private static final double SLOW = 2.0;
-    private static final int MIN_SAMPLES = 20;
+    private static final double SLOW = 1.5;
 
     private final int mSlots;
     private int mLimit;
@@ -42,21 +41,26 @@
     }
 
     /** Takes in an answered request; the limit can grow only while it holds requests back. */
-    void onAnswered(double inflation, boolean limitReached, long nowMillis) {
+    void onAnswered(boolean limitReached, long nowMillis) {
         mAnsweredSinceChange++;
-        int floor = (mSlots + 1) / 2;
-        if (inflation > SLOW && limitReached && mLimit > floor) {
-            if (mAnsweredSinceChange >= MIN_SAMPLES) {
-                mWaitMillis = MAX_WAIT_MILLIS;
-                change(mLimit - 1, nowMillis);
-            }
-            return;
-        }
         if (limitReached) {
             grow(nowMillis);
         }
     }
 
+    /**
+     * Takes in how slow a batch of answers was, as a multiple of the usual.
+     *
+     * <p>Never below half of the slots: a target that is slow for a reason of its own would be
+     * starved of work without becoming any faster.
+     */
+    void onBatch(double inflation, long nowMillis) {
+        if (inflation > SLOW && mLimit > (mSlots + 1) / 2) {
+            mWaitMillis = MAX_WAIT_MILLIS;
+            change(mLimit - 1, nowMillis);
+        }
+    }
+
     /** Grows back from nothing, where no answer can come to do it. */
     void onTick(long nowMillis) {
         if (mLimit == 0) {
--- a/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Priority;
 
 /**
  * The slots of one target and the short queue before them.
@@ -57,7 +58,7 @@
             run(mWaiting.startNow(ticket), nowMillis);
             return new Offer.Admitted();
         }
-        double neededMillis = waitMillis(ticket) + serviceMillis();
+        double neededMillis = waitMillis(ticket) + allowanceMillis(ticket);
         if (nowMillis + neededMillis > ticket.deadlineMillis()) {
             return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
         }
@@ -92,9 +93,12 @@
         if (result == Result.SHED) {
             mLimit.onShed(running.admittedAtMillis(), nowMillis);
         } else if (result == Result.ANSWERED) {
-            mServiceTimes.add(serviceMicros, nowMillis);
+            boolean batchDone = mServiceTimes.add(ticket.priority(), serviceMicros);
             mWaiting.setMeanMicros(mServiceTimes.meanMicros());
-            mLimit.onAnswered(mServiceTimes.inflation(), limitReached, nowMillis);
+            mLimit.onAnswered(limitReached, nowMillis);
+            if (batchDone) {
+                mLimit.onBatch(mServiceTimes.inflation(), nowMillis);
+            }
         }
         return fill(nowMillis);
     }
@@ -148,11 +152,13 @@
     // A slot spent on a request whose caller stops waiting before the answer is a slot lost; under
     // overload, served in the order of arrival, that becomes every slot.
     private void dropLate(long nowMillis, List<Refusal> refused) {
-        Ticket first = mWaiting.earliestDeadline();
-        while (first != null && nowMillis + serviceMillis() > first.deadlineMillis()) {
-            mWaiting.remove(first);
-            refused.add(refusal(first, RefusalReason.DEADLINE_PASSED));
-            first = mWaiting.earliestDeadline();
+        for (Priority priority : Priority.values()) {
+            Ticket first = mWaiting.earliestDeadline(priority);
+            while (first != null && nowMillis + allowanceMillis(first) > first.deadlineMillis()) {
+                mWaiting.remove(first);
+                refused.add(refusal(first, RefusalReason.DEADLINE_PASSED));
+                first = mWaiting.earliestDeadline(priority);
+            }
         }
     }
 
@@ -175,4 +181,8 @@
     private double serviceMillis() {
         return mServiceTimes.meanMicros() / MICROS_PER_MILLI;
     }
+
+    private double allowanceMillis(Ticket ticket) {
+        return mServiceTimes.allowanceMicros(ticket.priority()) / MICROS_PER_MILLI;
+    }
 }
--- a/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import org.apricotgauge.model.Priority;
@@ -35,6 +36,8 @@
             Comparator.comparingDouble(Flow::servedMicros).thenComparingLong(Flow::sequence);
     private static final Comparator<Flow> BY_BACKLOG =
             Comparator.comparingDouble(Flow::backlog).thenComparingLong(Flow::sequence);
+    private static final Comparator<Ticket> BY_DEADLINE =
+            Comparator.comparingLong(Ticket::deadlineMillis).thenComparingLong(Ticket::id);
 
     private final int mMaxMembers;
     private final Map<String, Flow> mFlows = new HashMap<>();
@@ -46,10 +49,11 @@
                     Comparator.<Flow>comparingDouble(mKeys::get).thenComparingLong(Flow::sequence));
     private final TreeSet<Flow> mByBacklog = new TreeSet<>(BY_BACKLOG);
     private final TreeSet<Flow> mIdle = new TreeSet<>(BY_SERVED);
-    private final TreeSet<Ticket> mByDeadline =
-            new TreeSet<>(
-                    Comparator.comparingLong(Ticket::deadlineMillis).thenComparingLong(Ticket::id));
-    private final int[] mQueuedByClass = new int[Priority.values().length];
+    private final List<TreeSet<Ticket>> mByDeadline =
+            List.of(
+                    new TreeSet<>(BY_DEADLINE),
+                    new TreeSet<>(BY_DEADLINE),
+                    new TreeSet<>(BY_DEADLINE));
     private double mVirtualMicros;
     private double mMeanMicros;
     private long mActiveWeight;
@@ -88,8 +92,7 @@
         enterOrder(flow);
         mTickets.put(ticket.id(), waiting);
         mBySequence.put(sequence, waiting);
-        mByDeadline.add(ticket);
-        mQueuedByClass[ticket.priority().ordinal()]++;
+        mByDeadline.get(ticket.priority().ordinal()).add(ticket);
     }
 
     boolean remove(Ticket ticket) {
@@ -136,9 +139,10 @@
         forgetIdle();
     }
 
-    /** Returns the waiting ticket with the earliest deadline, or null. */
-    Ticket earliestDeadline() {
-        return mByDeadline.isEmpty() ? null : mByDeadline.first();
+    /** Returns the waiting ticket of the class with the earliest deadline, or null. */
+    Ticket earliestDeadline(Priority priority) {
+        TreeSet<Ticket> tickets = mByDeadline.get(priority.ordinal());
+        return tickets.isEmpty() ? null : tickets.first();
     }
 
     /**
@@ -155,7 +159,18 @@
         if (longest != own && longest.backlog() > ownNext) {
             return last;
         }
-        return lessUrgent && longest.backlog() >= ownBacklog ? last : null;
+        if (lessUrgent && longest.backlog() >= ownBacklog) {
+            return last;
+        }
+        return ownVictim(own, newcomer);
+    }
+
+    private Ticket ownVictim(Flow own, Ticket newcomer) {
+        if (own == null || own.queued() == 0) {
+            return null;
+        }
+        Ticket last = mBySequence.get(own.lastSequence()).ticket();
+        return last.priority().compareTo(newcomer.priority()) > 0 ? last : null;
     }
 
     /** Estimates how many services start before that of a newcomer. */
@@ -166,13 +181,18 @@
         int weight = newcomer.member().weight();
         double allWeight = active ? mActiveWeight : mActiveWeight + weight;
         double byShare = (ownAhead + 1) * allWeight / weight;
+        // A member that has used up its lead waits for its share, however urgent its work.
+        double lead = LEAD_SERVICES[newcomer.priority().ordinal()] * mMeanMicros;
+        if (active && own.servedMicros() - mVirtualMicros > lead) {
+            return byShare;
+        }
         return Math.min(byShare, queuedInClass(newcomer.priority()) + 1.0);
     }
 
     private int queuedInClass(Priority lowest) {
         int count = 0;
         for (int i = 0; i <= lowest.ordinal(); i++) {
-            count += mQueuedByClass[i];
+            count += mByDeadline.get(i).size();
         }
         return count;
     }
@@ -184,8 +204,7 @@
         enterOrder(flow);
         mTickets.remove(waiting.ticket().id());
         mBySequence.remove(waiting.sequence());
-        mByDeadline.remove(waiting.ticket());
-        mQueuedByClass[waiting.ticket().priority().ordinal()]--;
+        mByDeadline.get(waiting.ticket().priority().ordinal()).remove(waiting.ticket());
     }
 
     private Charge charge(Flow flow, Ticket ticket) {
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/admission/ServiceEstimate.java
@@ -0,0 +1,40 @@
+package org.apricotgauge.decision.admission;
+
+/** Moving mean and mean deviation of service times, kept as TCP keeps its round trips. */
+final class ServiceEstimate {
+    // Gains and multiple of RFC 6298: one late sample moves the estimate little, and about one
+    // service in twenty takes longer than the allowance.
+    private static final double MEAN_GAIN = 0.05;
+    private static final double DEVIATION_GAIN = 0.1;
+    private static final double DEVIATIONS = 2;
+
+    private double mMeanMicros;
+    private double mDeviationMicros;
+    private boolean mMeasured;
+
+    ServiceEstimate(long initialMicros) {
+        mMeanMicros = initialMicros;
+    }
+
+    void add(long micros) {
+        if (!mMeasured) {
+            // The first sample replaces the assumption, which may be off by orders of magnitude.
+            mMeanMicros = micros;
+            mDeviationMicros = micros / 2.0;
+            mMeasured = true;
+            return;
+        }
+        double error = micros - mMeanMicros;
+        mMeanMicros += MEAN_GAIN * error;
+        mDeviationMicros += DEVIATION_GAIN * (Math.abs(error) - mDeviationMicros);
+    }
+
+    double meanMicros() {
+        return mMeanMicros;
+    }
+
+    /** Returns a time within which most services end. */
+    double allowanceMicros() {
+        return mMeanMicros + DEVIATIONS * mDeviationMicros;
+    }
+}
--- a/src/main/java/org/apricotgauge/decision/admission/ServiceTimes.java
+++ b/src/main/java/org/apricotgauge/decision/admission/ServiceTimes.java
@@ -1,41 +1,59 @@
 package org.apricotgauge.decision.admission;
 
-/** Moving mean of a target's service time, and the lowest such mean of late. */
+import org.apricotgauge.model.Priority;
+
+/** Service times of a target: over all, by class, and how far the last batch lies off the usual. */
 final class ServiceTimes {
-    private static final double WEIGHT = 0.05;
-    private static final long WINDOW_MILLIS = 30_000;
+    private static final double USUAL_GAIN = 0.05;
+
+    // Service times scatter widely: a moving mean of twenty wanders to twice its own lowest value
+    // without any cause. The mean of fifty, against the mean of many such means, hardly does.
+    private static final int BATCH = 50;
 
-    private double mMeanMicros;
-    private boolean mMeasured;
-    private double mLowestMicros = Double.MAX_VALUE;
-    private double mLowestBeforeMicros = Double.MAX_VALUE;
-    private long mWindowEndMillis = Long.MIN_VALUE;
+    private final ServiceEstimate mAll;
+    private final ServiceEstimate[] mByClass = new ServiceEstimate[Priority.values().length];
+    private double mBatchSumMicros;
+    private int mBatchCount;
+    private double mBatchMeanMicros;
+    private double mUsualMicros;
 
     ServiceTimes(long initialMicros) {
-        mMeanMicros = initialMicros;
+        mAll = new ServiceEstimate(initialMicros);
+        for (int i = 0; i < mByClass.length; i++) {
+            mByClass[i] = new ServiceEstimate(initialMicros);
+        }
     }
 
-    void add(long micros, long nowMillis) {
-        // The first sample replaces the assumption, which may be off by orders of magnitude.
-        mMeanMicros = mMeasured ? mMeanMicros + WEIGHT * (micros - mMeanMicros) : micros;
-        mMeasured = true;
-        if (nowMillis >= mWindowEndMillis) {
-            mLowestBeforeMicros = mLowestMicros;
-            mLowestMicros = mMeanMicros;
-            mWindowEndMillis = nowMillis + WINDOW_MILLIS;
+    /** Takes in a service time; returns whether it completes a batch. */
+    boolean add(Priority priority, long micros) {
+        mAll.add(micros);
+        mByClass[priority.ordinal()].add(micros);
+        mBatchSumMicros += micros;
+        mBatchCount++;
+        if (mBatchCount < BATCH) {
+            return false;
         }
-        mLowestMicros = Math.min(mLowestMicros, mMeanMicros);
+        mBatchMeanMicros = mBatchSumMicros / BATCH;
+        mUsualMicros =
+                mUsualMicros == 0
+                        ? mBatchMeanMicros
+                        : mUsualMicros + USUAL_GAIN * (mBatchMeanMicros - mUsualMicros);
+        mBatchSumMicros = 0;
+        mBatchCount = 0;
+        return true;
     }
 
     double meanMicros() {
-        return mMeanMicros;
+        return mAll.meanMicros();
     }
 
-    /** Returns how many times the lowest mean of the last half to whole minute the mean is now. */
+    /** Returns a time within which most services of the class end. */
+    double allowanceMicros(Priority priority) {
+        return mByClass[priority.ordinal()].allowanceMicros();
+    }
+
+    /** Returns the mean of the last whole batch as a multiple of the usual. */
     double inflation() {
-        if (!mMeasured) {
-            return 1;
-        }
-        return mMeanMicros / Math.max(1, Math.min(mLowestMicros, mLowestBeforeMicros));
+        return mUsualMicros == 0 ? 1 : mBatchMeanMicros / mUsualMicros;
     }
 }
