--- a/src/main/java/org/apricotgauge/decision/admission/AdaptiveLimit.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdaptiveLimit.java
@@ -9,7 +9,7 @@
  */
 final class AdaptiveLimit {
     private static final long MIN_WAIT_MILLIS = 50;
-    private static final long MAX_WAIT_MILLIS = 1_600;
+    private static final long MAX_WAIT_MILLIS = 800;
     private static final double SLOW = 1.5;
 
     private final int mSlots;
@@ -18,6 +18,7 @@
     private long mNextGrowthMillis = Long.MIN_VALUE;
     private long mChangedAtMillis = Long.MIN_VALUE;
     private int mAnsweredSinceChange;
+    private boolean mGrewLast;
 
     AdaptiveLimit(int slots) {
         mSlots = slots;
@@ -43,6 +44,11 @@
     /** Takes in an answered request; the limit can grow only while it holds requests back. */
     void onAnswered(boolean limitReached, long nowMillis) {
         mAnsweredSinceChange++;
+        // A step that held tells that slots have come free; the others are tried without delay.
+        if (mGrewLast && mAnsweredSinceChange >= mSlots) {
+            mWaitMillis = MIN_WAIT_MILLIS;
+            mNextGrowthMillis = Math.min(mNextGrowthMillis, nowMillis);
+        }
         if (limitReached) {
             grow(nowMillis);
         }
@@ -69,13 +75,16 @@
     }
 
     private void grow(long nowMillis) {
-        if (mLimit < mSlots && nowMillis >= mNextGrowthMillis) {
-            change(mLimit + 1, nowMillis);
+        if (mLimit >= mSlots || nowMillis < mNextGrowthMillis) {
+            return;
         }
+        change(mLimit + 1, nowMillis);
+        mGrewLast = true;
     }
 
     private void change(int limit, long nowMillis) {
         mLimit = limit;
+        mGrewLast = false;
         mAnsweredSinceChange = 0;
         mChangedAtMillis = nowMillis;
         mNextGrowthMillis = nowMillis + mWaitMillis;
