Add the state machines of the control plane, without I/O

Cause: nodes must bring each accepted version to all others in seconds without shared state. Change: dissemination, partial views, liveness, the list of VMs, gossip items as pure machines. Conclusion: compiles; not yet proved.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/Announcer.java
@@ -0,0 +1,92 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** What a node says about itself: that it lives, that it is leaving, that it lost the platform. */
+final class Announcer {
+    private static final long LIFETIME_MILLIS = GossipItem.MAX_LIFETIME_MILLIS;
+    private static final long WATCH_LIFETIME_MILLIS = 60_000;
+    private static final byte[] LOST = {0};
+    private static final byte[] FOUND = {1};
+
+    private final GossipContext mContext;
+    private final ItemGossip mItems;
+    private final Set<String> mLeaving = new LinkedHashSet<>();
+    private long mIncarnation;
+    private long mWatchSequence;
+
+    Announcer(GossipContext context, ItemGossip items, long incarnation) {
+        mContext = context;
+        mItems = items;
+        mIncarnation = incarnation;
+        mWatchSequence = incarnation;
+    }
+
+    long incarnation() {
+        return mIncarnation;
+    }
+
+    boolean leavingWhole() {
+        return mLeaving.contains(LeavingNotice.WHOLE_VM);
+    }
+
+    /** Returns whether this run said that the target, or the whole VM, is leaving. */
+    boolean saidLeaving(String target) {
+        return mLeaving.contains(target);
+    }
+
+    void alive(long nowMillis) {
+        publish(
+                GossipItem.Kind.LIVENESS,
+                "",
+                2 * mIncarnation,
+                VmPayload.of(mContext.self()),
+                nowMillis);
+    }
+
+    void leaving(String target, long nowMillis) {
+        mLeaving.add(target);
+        publish(
+                GossipItem.Kind.LEAVING,
+                target,
+                mIncarnation,
+                VmPayload.of(mIncarnation),
+                nowMillis);
+    }
+
+    void watch(boolean lost, long nowMillis) {
+        GossipItem item =
+                new GossipItem(
+                        GossipItem.Kind.WATCH,
+                        mContext.self().id(),
+                        "",
+                        ++mWatchSequence,
+                        WATCH_LIFETIME_MILLIS,
+                        lost ? LOST : FOUND);
+        mItems.publish(item, nowMillis);
+    }
+
+    /**
+     * Somebody says something of us that we did not say in this run: takes a later incarnation.
+     *
+     * <p>A leaving node says again that it is leaving, or the new incarnation would take its own
+     * notice back.
+     */
+    void refute(long heardIncarnation, long nowMillis) {
+        mIncarnation = Math.max(mIncarnation, heardIncarnation) + 1;
+        alive(nowMillis);
+        Set.copyOf(mLeaving).forEach(target -> leaving(target, nowMillis));
+    }
+
+    static boolean lost(GossipItem watch) {
+        return watch != null && watch.payload().length > 0 && watch.payload()[0] == LOST[0];
+    }
+
+    private void publish(
+            GossipItem.Kind kind, String key, long sequence, byte[] payload, long nowMillis) {
+        String self = mContext.self().id();
+        mItems.publish(
+                new GossipItem(kind, self, key, sequence, LIFETIME_MILLIS, payload), nowMillis);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/ItemGossip.java
@@ -0,0 +1,120 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Floods small items along all links, and compares stores by hash to mend what was missed. */
+final class ItemGossip {
+    private static final long SYNC_INTERVAL_MILLIS = 30_000;
+    private static final int ITEM_OVERHEAD_BYTES = 96;
+    private static final double EVIDENCE_BYTES_PER_SECOND = 512;
+    private static final double EVIDENCE_BURST_BYTES = 16 << 10;
+    private static final int MAX_ITEMS_OF_A_MESSAGE = 1_000;
+
+    /** Told of each item that is news. */
+    interface Listener {
+        void onItem(GossipItem item, long nowMillis);
+    }
+
+    private final GossipContext mContext;
+    private final PeerPort<?> mPort;
+    private final Listener mListener;
+    private final ItemStore mStore = new ItemStore();
+    private final TokenBucket mEvidenceBudget;
+    private long mNextSyncMillis = Long.MIN_VALUE;
+    private boolean mSynced;
+
+    ItemGossip(GossipContext context, PeerPort<?> port, Listener listener, long nowMillis) {
+        mContext = context;
+        mPort = port;
+        mListener = listener;
+        mEvidenceBudget =
+                new TokenBucket(EVIDENCE_BYTES_PER_SECOND, EVIDENCE_BURST_BYTES, nowMillis);
+    }
+
+    ItemStore store() {
+        return mStore;
+    }
+
+    /**
+     * Returns whether a full exchange has come in since the start or the last {@link #forgetSync}.
+     */
+    boolean synced() {
+        return mSynced;
+    }
+
+    /** Makes the next difference of hashes ask for a full exchange at once. */
+    void forgetSync() {
+        mSynced = false;
+        mNextSyncMillis = Long.MIN_VALUE;
+    }
+
+    void publish(GossipItem item, long nowMillis) {
+        takeIn(List.of(item), null, nowMillis);
+    }
+
+    void onItems(Link source, List<GossipItem> items, long nowMillis) {
+        mSynced = true;
+        takeIn(items, source, nowMillis);
+    }
+
+    void onSummary(Link link, Summary summary, long nowMillis) {
+        boolean due = nowMillis >= mNextSyncMillis;
+        if (due && link.established() && summary.itemsHash() != mStore.hash()) {
+            mNextSyncMillis = nowMillis + SYNC_INTERVAL_MILLIS;
+            mPort.send(link.mId, new PeerMessage.ItemsRequest());
+        }
+    }
+
+    void onItemsRequest(Link link, long nowMillis) {
+        List<GossipItem> all = mStore.all(nowMillis);
+        for (int from = 0; from < all.size(); from += MAX_ITEMS_OF_A_MESSAGE) {
+            int to = Math.min(all.size(), from + MAX_ITEMS_OF_A_MESSAGE);
+            mPort.send(link.mId, new PeerMessage.Items(all.subList(from, to)));
+        }
+        if (all.isEmpty()) {
+            mPort.send(link.mId, new PeerMessage.Items(List.of()));
+        }
+    }
+
+    void tick(long nowMillis) {
+        mStore.expire(nowMillis);
+    }
+
+    private void takeIn(List<GossipItem> items, Link source, long nowMillis) {
+        List<GossipItem> forward = new ArrayList<>();
+        for (GossipItem item : items) {
+            ItemStore.Verdict verdict = mStore.offer(item, nowMillis);
+            if (verdict == ItemStore.Verdict.DROPPED) {
+                mContext.count(GossipEvent.ITEM_DROPPED);
+            }
+            if (verdict != ItemStore.Verdict.NEWS) {
+                continue;
+            }
+            if (withinBudget(item, nowMillis)) {
+                forward.add(item);
+            } else {
+                mContext.count(GossipEvent.ITEM_DROPPED);
+            }
+            mListener.onItem(item, nowMillis);
+        }
+        if (!forward.isEmpty()) {
+            flood(new PeerMessage.Items(forward), source);
+        }
+    }
+
+    private boolean withinBudget(GossipItem item, long nowMillis) {
+        // Liveness and leaving are bounded by how often VMs come and go; evidence is bounded only
+        // here. With 8 links one byte taken in costs up to 15 on the wire.
+        return item.kind() != GossipItem.Kind.EVIDENCE
+                || mEvidenceBudget.take(item.payload().length + ITEM_OVERHEAD_BYTES, nowMillis);
+    }
+
+    private void flood(PeerMessage message, Link source) {
+        for (Link link : mContext.links().established()) {
+            if (link != source) {
+                mPort.send(link.mId, message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/LiveView.java
@@ -0,0 +1,121 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.List;
+import java.util.function.UnaryOperator;
+import org.apricotgauge.model.Vm;
+import org.apricotgauge.model.VmStatus;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * The VMs of the site, merged from the platform's lagging list and what nodes say; immutable.
+ *
+ * <pre>{@code
+ * if (view.leaving(target.vm(), target.id())) {
+ *     return; // no new work
+ * }
+ * }</pre>
+ *
+ * <p>Each source can only make a VM or target leave sooner: it counts as leaving if the platform
+ * says so, or has taken the VM off its list, or its own node said so in its present run. A VM that
+ * the list doesn't show yet is known from the moment its node is heard of. An unknown VM is not
+ * leaving: the list may be absent.
+ */
+public final class LiveView {
+    /** Knows no VM. */
+    public static final LiveView EMPTY = new LiveView(HashTreePMap.empty());
+
+    private final PMap<String, KnownVm> mVms;
+
+    private LiveView(PMap<String, KnownVm> vms) {
+        mVms = vms;
+    }
+
+    /** Returns the VM, or null if no source named it. */
+    public Vm vm(String id) {
+        KnownVm known = mVms.get(id);
+        return known == null ? null : known.vm();
+    }
+
+    /** Returns whether the whole VM is leaving or gone. */
+    public boolean leaving(String vm) {
+        return leaving(vm, LeavingNotice.WHOLE_VM);
+    }
+
+    /** Returns whether the target on the VM is leaving or gone. */
+    public boolean leaving(String vm, String target) {
+        KnownVm known = mVms.get(vm);
+        return known != null && known.leaving(target);
+    }
+
+    /**
+     * Returns whether nodes in several places failed to reach the VM's node for some seconds. This
+     * is about its control port, not its targets; detection decides about those.
+     */
+    public boolean unreachable(String vm) {
+        KnownVm known = mVms.get(vm);
+        return known != null && known.unreachable();
+    }
+
+    /** Returns the latest known run of the VM's node; 0 if none is known. */
+    public long incarnation(String vm) {
+        KnownVm known = mVms.get(vm);
+        return known == null ? 0 : known.incarnation();
+    }
+
+    /** Returns all VMs whose node has a control port and that are not leaving, in no order. */
+    public List<Vm> nodes() {
+        return mVms.values().stream()
+                .filter(known -> !known.leaving(LeavingNotice.WHOLE_VM))
+                .map(KnownVm::vm)
+                .filter(vm -> vm.peerPort() != 0)
+                .toList();
+    }
+
+    /** Returns how many VMs are known, leaving ones included. */
+    public int size() {
+        return mVms.size();
+    }
+
+    LiveView withLine(VmLine line) {
+        if (line.removed()) {
+            return change(line.id(), known -> known.withPlatformLeaving(true));
+        }
+        boolean leaving = line.status().state() == VmStatus.State.LEAVING;
+        KnownVm known = mVms.getOrDefault(line.id(), KnownVm.of(line.status().vm()));
+        return with(known.withVm(line.status().vm()).withPlatformLeaving(leaving));
+    }
+
+    LiveView withAlive(Vm vm, long incarnation) {
+        KnownVm known = mVms.getOrDefault(vm.id(), KnownVm.of(vm));
+        if (incarnation < known.incarnation()) {
+            return this;
+        }
+        return with(known.withVm(vm).withIncarnation(incarnation).withUnreachable(false));
+    }
+
+    LiveView withNotice(LeavingNotice notice) {
+        return change(
+                notice.vm(), known -> known.withNotice(notice.target(), notice.incarnation()));
+    }
+
+    LiveView withUnreachable(String vm, boolean unreachable) {
+        return change(vm, known -> known.withUnreachable(unreachable));
+    }
+
+    LiveView without(List<String> vms) {
+        return vms.isEmpty() ? this : new LiveView(mVms.minusAll(vms));
+    }
+
+    private LiveView change(String id, UnaryOperator<KnownVm> change) {
+        KnownVm known = mVms.get(id);
+        return known == null ? this : with(change.apply(known));
+    }
+
+    private LiveView with(KnownVm known) {
+        if (known.equals(mVms.get(known.vm().id()))) {
+            return this;
+        }
+        return new LiveView(mVms.plus(known.vm().id(), known));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/Neighbours.java
@@ -0,0 +1,207 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Vm;
+
+/**
+ * Keeps this node's partial view: a few links dialled to random nodes in the own and in other
+ * failure domains, now and then exchanged, and a bounded number of accepted ones.
+ *
+ * <p>Each node dials 4, so that a node has 8 links on average whatever the size of the fleet. A
+ * random graph in which each node picks m others stays in one piece when any m - 1 nodes are taken
+ * out (Fenner and Frieze, 1982).
+ */
+final class Neighbours {
+    private static final int MAX_DIALLING = 4;
+    private static final int MAX_HINTS = 32;
+    private static final long HEAL_MILLIS = 5_000;
+
+    /** Opens a link to a peer; the VM is null if only its address is known. */
+    interface Dialler {
+        void dial(Vm vm, Address address, long nowMillis);
+    }
+
+    private final GossipContext mContext;
+    private final Supplier<LiveView> mView;
+    private final Liveness mLiveness;
+    private final List<Address> mSeeds;
+    private final Dialler mDialler;
+    private final Map<String, Vm> mHints = new LinkedHashMap<>();
+    private List<Vm> mNodes = List.of();
+    private LiveView mNodesOf = LiveView.EMPTY;
+    private long mNextRewireMillis;
+    private long mNextHealMillis;
+
+    Neighbours(
+            GossipContext context,
+            Supplier<LiveView> view,
+            Liveness liveness,
+            List<Address> seeds,
+            Dialler dialler) {
+        mContext = context;
+        mView = view;
+        mLiveness = liveness;
+        mSeeds = List.copyOf(seeds);
+        mDialler = dialler;
+    }
+
+    /** Remembers nodes that a peer named; of use before the list of VMs is here. */
+    void onHints(List<Vm> vms) {
+        for (Vm vm : vms) {
+            if (mHints.size() < MAX_HINTS && !vm.id().equals(mContext.self().id())) {
+                mHints.put(vm.id(), vm);
+            }
+        }
+    }
+
+    /** Returns a few nodes to name to a newcomer. */
+    List<Vm> sample(int count) {
+        return mContext.sample(nodes(), count);
+    }
+
+    /** Returns a dialled link to give up for another one, or null if it isn't time. */
+    Link rewire(long nowMillis) {
+        if (nowMillis < mNextRewireMillis) {
+            return null;
+        }
+        long meanMillis = mContext.settings().rewireMillis();
+        boolean first = mNextRewireMillis == 0;
+        mNextRewireMillis = nowMillis + meanMillis / 2 + mContext.random().nextLong(meanMillis);
+        GossipSettings settings = mContext.settings();
+        int wanted = settings.ownDomainLinks() + settings.otherDomainLinks();
+        List<Link> dialled = mContext.links().where(l -> l.established() && l.dialled());
+        boolean others = nodes().size() > 2 * wanted;
+        return first || dialled.size() < wanted || !others ? null : mContext.pick(dialled);
+    }
+
+    /** Returns a dialled link of the own domain that stood in for one to another, or null. */
+    Link surplus() {
+        GossipSettings settings = mContext.settings();
+        int own = countDialled(true);
+        int wanted = settings.ownDomainLinks() + settings.otherDomainLinks();
+        if (own <= settings.ownDomainLinks() || own + countDialled(false) <= wanted) {
+            return null;
+        }
+        return mContext.pick(
+                mContext.links()
+                        .where(link -> link.established() && link.dialled() && inOwnDomain(link)));
+    }
+
+    /** Dials what is missing. */
+    void fill(long nowMillis) {
+        int dialling = mContext.links().count(l -> l.mState != Link.State.ESTABLISHED);
+        if (dialling >= MAX_DIALLING) {
+            return;
+        }
+        Vm chosen = choose(nowMillis);
+        if (chosen != null) {
+            dial(chosen, nowMillis);
+        } else if (mContext.links().established().isEmpty()) {
+            dialAnybody(nowMillis);
+        }
+    }
+
+    private Vm choose(long nowMillis) {
+        GossipSettings settings = mContext.settings();
+        int missingOther = settings.otherDomainLinks() - countDialled(false);
+        int missing = missingOther + settings.ownDomainLinks() - countDialled(true);
+        Vm chosen = null;
+        if (missingOther > 0) {
+            chosen = candidate(false, nowMillis);
+        }
+        if (chosen == null && missingOther > 0) {
+            chosen = healing(nowMillis);
+        }
+        if (chosen == null && missing > 0) {
+            chosen = candidate(true, nowMillis);
+        }
+        if (chosen == null && missing > 0) {
+            chosen = candidate(false, nowMillis);
+        }
+        return chosen;
+    }
+
+    private void dialAnybody(long nowMillis) {
+        if (nowMillis < mNextHealMillis) {
+            return;
+        }
+        mNextHealMillis = nowMillis + HEAL_MILLIS / MAX_DIALLING;
+        Vm anybody = mContext.pick(linkable(nodes()));
+        Vm hint = mContext.pick(linkable(List.copyOf(mHints.values())));
+        Address seed = mContext.pick(mSeeds);
+        if (hint != null && mContext.random().nextBoolean()) {
+            dial(hint, nowMillis);
+        } else if (anybody != null && mContext.random().nextBoolean()) {
+            dial(anybody, nowMillis);
+        } else if (seed != null) {
+            mDialler.dial(null, seed, nowMillis);
+        } else if (anybody != null) {
+            dial(anybody, nowMillis);
+        }
+    }
+
+    private Vm healing(long nowMillis) {
+        // In a partition the whole other side ends up suspected. Were it never dialled again, the
+        // two sides would stay apart after the partition has healed.
+        if (nowMillis < mNextHealMillis) {
+            return null;
+        }
+        mNextHealMillis = nowMillis + HEAL_MILLIS;
+        return mContext.pick(
+                linkable(nodes()).stream()
+                        .filter(vm -> !vm.failureDomain().equals(mContext.self().failureDomain()))
+                        .toList());
+    }
+
+    private Vm candidate(boolean ownDomain, long nowMillis) {
+        LiveView view = mView.get();
+        String domain = mContext.self().failureDomain();
+        List<Vm> choices = new ArrayList<>();
+        for (Vm vm : linkable(nodes())) {
+            boolean wanted = vm.failureDomain().equals(domain) == ownDomain;
+            if (wanted && !view.unreachable(vm.id()) && !mLiveness.avoided(vm.id(), nowMillis)) {
+                choices.add(vm);
+            }
+        }
+        return mContext.pick(choices);
+    }
+
+    private List<Vm> linkable(List<Vm> vms) {
+        return vms.stream()
+                .filter(vm -> !vm.id().equals(mContext.self().id()))
+                .filter(vm -> !mContext.links().linkedTo(vm.id()))
+                .toList();
+    }
+
+    private void dial(Vm vm, long nowMillis) {
+        mDialler.dial(vm, new Address(vm.host(), vm.peerPort()), nowMillis);
+    }
+
+    private int countDialled(boolean ownDomain) {
+        return mContext.links()
+                .count(
+                        link ->
+                                link.dialled()
+                                        && link.mRole == Link.Role.NEIGHBOUR
+                                        && link.mRemote != null
+                                        && inOwnDomain(link) == ownDomain);
+    }
+
+    private boolean inOwnDomain(Link link) {
+        return link.mRemote.failureDomain().equals(mContext.self().failureDomain());
+    }
+
+    private List<Vm> nodes() {
+        LiveView view = mView.get();
+        if (view != mNodesOf) {
+            mNodesOf = view;
+            mNodes = view.nodes();
+        }
+        return mNodes;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/PeerMessage.java
@@ -0,0 +1,160 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.List;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Vm;
+
+/**
+ * A message between two nodes.
+ *
+ * <p>A later release may add fields: a receiver ignores those it doesn't know.
+ */
+public sealed interface PeerMessage {
+
+    /** Why a connection was dialled. */
+    enum Purpose {
+        /** To exchange gossip. */
+        NEIGHBOUR,
+        /** To see, on behalf of another node, whether this one can be reached. */
+        PROBE
+    }
+
+    /** First message of the dialling side; the range of protocol versions it speaks. */
+    record Hello(
+            int minProtocol,
+            int maxProtocol,
+            String site,
+            Purpose purpose,
+            Vm vm,
+            long incarnation,
+            Summary summary)
+            implements PeerMessage {
+
+        /** Checks the parts. */
+        public Hello {
+            Checks.notNull("site", site);
+            Checks.notNull("purpose", purpose);
+            Checks.notNull("vm", vm);
+            Checks.notNull("summary", summary);
+        }
+    }
+
+    /** First message of the accepting side; with {@code accepted} false it closes next. */
+    record Welcome(
+            int protocol,
+            boolean accepted,
+            Vm vm,
+            long incarnation,
+            Summary summary,
+            List<Vm> sample)
+            implements PeerMessage {
+
+        /** Checks the parts. */
+        public Welcome {
+            Checks.notNull("vm", vm);
+            Checks.notNull("summary", summary);
+            sample = copy(sample);
+        }
+    }
+
+    /** Heartbeat; answered by {@link Ack} with the same sequence. */
+    record Ping(long sequence, Summary summary) implements PeerMessage {
+
+        /** Checks the parts. */
+        public Ping {
+            Checks.notNull("summary", summary);
+        }
+    }
+
+    /** Answer to a heartbeat. */
+    record Ack(long sequence, Summary summary) implements PeerMessage {
+
+        /** Checks the parts. */
+        public Ack {
+            Checks.notNull("summary", summary);
+        }
+    }
+
+    /** Tells at once that something new is here, too large to push. */
+    record Have(Summary summary) implements PeerMessage {
+
+        /** Checks the parts. */
+        public Have {
+            Checks.notNull("summary", summary);
+        }
+    }
+
+    /** Records of the log, in order. */
+    record Entries(List<DigestedRecord> records) implements PeerMessage {
+
+        /** Copies the list. */
+        public Entries {
+            records = copy(records);
+        }
+    }
+
+    /** Asks for the records after a position; the digest lets the other side check the history. */
+    record EntriesRequest(long afterPosition, String digest) implements PeerMessage {
+
+        /** Checks the parts. */
+        public EntriesRequest {
+            Checks.inRange("afterPosition", afterPosition, 0, Long.MAX_VALUE);
+            Checks.notNull("digest", digest);
+        }
+    }
+
+    /** Asks for one chunk of the snapshot at a position. */
+    record SnapshotRequest(long position, int chunk) implements PeerMessage {}
+
+    /** One chunk of a snapshot. */
+    record SnapshotChunk(long position, String digest, int chunk, int chunks, byte[] bytes)
+            implements PeerMessage {
+
+        /** Checks the parts. */
+        public SnapshotChunk {
+            Checks.notNull("digest", digest);
+            Checks.notNull("bytes", bytes);
+            Checks.inRange("chunk", chunk, 0, chunks - 1L);
+        }
+    }
+
+    /** Asks for changes of the list of VMs after a revision. */
+    record VmsRequest(long sinceRevision) implements PeerMessage {}
+
+    /** Changes of the list of VMs between two revisions. */
+    record VmChanges(long sinceRevision, long revision, List<VmLine> lines) implements PeerMessage {
+
+        /** Copies the list. */
+        public VmChanges {
+            lines = copy(lines);
+        }
+    }
+
+    /** Gossip items. */
+    record Items(List<GossipItem> items) implements PeerMessage {
+
+        /** Copies the list. */
+        public Items {
+            items = copy(items);
+        }
+    }
+
+    /** Asks for all gossip items. */
+    record ItemsRequest() implements PeerMessage {}
+
+    /** Asks the receiver to try to reach a VM. */
+    record ProbeRequest(long nonce, Vm vm) implements PeerMessage {
+
+        /** Checks the parts. */
+        public ProbeRequest {
+            Checks.notNull("vm", vm);
+        }
+    }
+
+    /** What came of a {@link ProbeRequest}. */
+    record ProbeResult(long nonce, boolean reachable) implements PeerMessage {}
+
+    private static <T> List<T> copy(List<T> list) {
+        return list == null ? List.of() : List.copyOf(list);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/SnapshotFetch.java
@@ -0,0 +1,33 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A snapshot on its way to this node, one chunk at a time, so that it fills no queue. */
+final class SnapshotFetch {
+    final long mLink;
+    final String mDigest;
+    final List<byte[]> mChunks = new ArrayList<>();
+    long mDeadlineMillis;
+    private final long mPosition;
+    private final int mCount;
+
+    SnapshotFetch(long link, PeerMessage.SnapshotChunk first) {
+        mLink = link;
+        mDigest = first.digest();
+        mPosition = first.position();
+        mCount = first.chunks();
+    }
+
+    boolean accept(long link, PeerMessage.SnapshotChunk chunk) {
+        if (link != mLink || chunk.position() != mPosition || chunk.chunk() != mChunks.size()) {
+            return false;
+        }
+        mChunks.add(chunk.bytes());
+        return true;
+    }
+
+    boolean complete() {
+        return mChunks.size() == mCount;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/VmPayload.java
@@ -0,0 +1,37 @@
+package org.apricotgauge.decision.gossip;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import org.apricotgauge.model.Vm;
+
+/** Payloads of liveness and leaving items. */
+final class VmPayload {
+    private static final ObjectMapper JSON =
+            new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private VmPayload() {}
+
+    static byte[] of(Vm vm) {
+        try {
+            return JSON.writeValueAsBytes(vm);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns the VM, or null if the payload is not one. */
+    static Vm vm(byte[] payload) {
+        try {
+            return JSON.readValue(payload, Vm.class);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    static byte[] of(long incarnation) {
+        return Long.toString(incarnation).getBytes(StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/VmSync.java
@@ -0,0 +1,142 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apricotgauge.model.VmStatus;
+import org.apricotgauge.platform.VmPage;
+
+/** Brings the platform's list of VMs to every node: announced in summaries, pulled by revision. */
+final class VmSync {
+    private static final int PAGE_LINES = 500;
+    private static final long PULL_TIMEOUT_MILLIS = 500;
+    private static final long REMOVAL_WINDOW_MILLIS = 60_000;
+    private static final int REMOVAL_SHARE = 10;
+    private static final int ALWAYS_REMOVABLE = 3;
+
+    /** Told which lines are news. */
+    interface Listener {
+        void onLines(List<VmLine> news, List<String> forgotten);
+    }
+
+    private final GossipContext mContext;
+    private final PeerPort<?> mPort;
+    private final Listener mListener;
+    private final Consumer<Link> mAnnounce;
+    private final VmTable mTable = new VmTable();
+    private long mPullUntilMillis;
+    private long mWindowStartMillis;
+    private int mRemovedInWindow;
+
+    VmSync(GossipContext context, PeerPort<?> port, Listener listener, Consumer<Link> announce) {
+        mContext = context;
+        mPort = port;
+        mListener = listener;
+        mAnnounce = announce;
+    }
+
+    long revision() {
+        return mTable.revision();
+    }
+
+    void onSummary(Link link, Summary summary, long nowMillis) {
+        if (summary.vmRevision() > mTable.revision()) {
+            pullFrom(link, nowMillis);
+        }
+    }
+
+    void onRequest(Link link, long sinceRevision) {
+        if (sinceRevision < mTable.revision()) {
+            mPort.send(link.mId, mTable.changesSince(sinceRevision, PAGE_LINES));
+        }
+    }
+
+    void onChanges(Link link, PeerMessage.VmChanges changes, long nowMillis) {
+        mPullUntilMillis = 0;
+        long before = mTable.revision();
+        List<VmLine> news =
+                mTable.apply(changes.sinceRevision(), changes.revision(), changes.lines());
+        tell(news);
+        if (mTable.revision() == before) {
+            return;
+        }
+        if (link.mSummary.vmRevision() > mTable.revision()) {
+            pullFrom(link, nowMillis);
+        } else {
+            mAnnounce.accept(link);
+        }
+    }
+
+    /**
+     * Takes in a page from the platform.
+     *
+     * @return whether the page was as new as what we have
+     */
+    boolean onPublished(long sinceRevision, VmPage page, long nowMillis) {
+        if (page.revision() < mTable.revision()) {
+            mContext.count(GossipEvent.STALE_PLATFORM);
+            return false;
+        }
+        List<VmLine> lines = new ArrayList<>();
+        for (VmStatus status : page.vms()) {
+            lines.add(new VmLine(page.revision(), status.vm().id(), status));
+        }
+        if (believable(page.removed().size(), nowMillis)) {
+            page.removed().forEach(id -> lines.add(new VmLine(page.revision(), id, null)));
+        } else {
+            mContext.count(GossipEvent.IMPLAUSIBLE_VM_LIST);
+        }
+        long before = mTable.revision();
+        tell(mTable.apply(sinceRevision, page.revision(), lines));
+        if (mTable.revision() > before) {
+            mAnnounce.accept(null);
+        }
+        return true;
+    }
+
+    void tick(long nowMillis) {
+        List<Link> ahead =
+                mContext.links()
+                        .where(
+                                link ->
+                                        link.established()
+                                                && link.mSummary.vmRevision() > mTable.revision());
+        Link chosen = mContext.pick(ahead);
+        if (chosen != null) {
+            pullFrom(chosen, nowMillis);
+        }
+    }
+
+    private boolean believable(int removed, long nowMillis) {
+        // An empty or truncated list looks like the removal of most VMs. Believed, it would take
+        // all targets from all callers at once. VMs that are truly gone are found unreachable.
+        if (removed == 0) {
+            return true;
+        }
+        if (nowMillis - mWindowStartMillis > REMOVAL_WINDOW_MILLIS) {
+            mWindowStartMillis = nowMillis;
+            mRemovedInWindow = 0;
+        }
+        int allowed = Math.max(ALWAYS_REMOVABLE, mTable.listed() / REMOVAL_SHARE);
+        if (mRemovedInWindow + removed > allowed) {
+            return false;
+        }
+        mRemovedInWindow += removed;
+        return true;
+    }
+
+    private void pullFrom(Link link, long nowMillis) {
+        if (!link.established() || nowMillis < mPullUntilMillis) {
+            return;
+        }
+        mPullUntilMillis = nowMillis + PULL_TIMEOUT_MILLIS;
+        mPort.send(link.mId, new PeerMessage.VmsRequest(mTable.revision()));
+    }
+
+    private void tell(List<VmLine> news) {
+        List<String> forgotten = mTable.forgetOldRemovals();
+        if (!news.isEmpty() || !forgotten.isEmpty()) {
+            mListener.onLines(news, forgotten);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/gossip/VmTable.java
@@ -0,0 +1,111 @@
+package org.apricotgauge.decision.gossip;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/**
+ * The platform's list of VMs as this node knows it, which it can hand on from any revision.
+ *
+ * <p>A line is labelled with the revision of which it is the state; of two lines of one VM the one
+ * with the later label holds.
+ */
+final class VmTable {
+    private static final int MAX_REMOVED = 20_000;
+
+    private final Map<String, VmLine> mLines = new HashMap<>();
+    private final NavigableMap<Long, Map<String, VmLine>> mByRevision = new TreeMap<>();
+    private long mRevision;
+    private int mRemoved;
+
+    long revision() {
+        return mRevision;
+    }
+
+    int listed() {
+        return mLines.size() - mRemoved;
+    }
+
+    /**
+     * Takes in the changes between two revisions.
+     *
+     * @return the lines that are news; empty if there is a gap before them or all are known
+     */
+    List<VmLine> apply(long sinceRevision, long revision, List<VmLine> lines) {
+        List<VmLine> news = new ArrayList<>();
+        if (sinceRevision > mRevision) {
+            return news;
+        }
+        for (VmLine line : lines) {
+            VmLine old = mLines.get(line.id());
+            if (old == null || old.revision() < line.revision()) {
+                replace(old, line);
+                news.add(line);
+            }
+        }
+        mRevision = Math.max(mRevision, revision);
+        return news;
+    }
+
+    /** Returns at most about {@code limit} changes after a revision. */
+    PeerMessage.VmChanges changesSince(long sinceRevision, int limit) {
+        List<VmLine> lines = new ArrayList<>();
+        long reached = sinceRevision;
+        for (Map.Entry<Long, Map<String, VmLine>> entry :
+                mByRevision.tailMap(sinceRevision, false).entrySet()) {
+            // All lines of one revision go together: a reader that stopped in the middle of one
+            // would never be told the rest.
+            if (!lines.isEmpty() && lines.size() + entry.getValue().size() > limit) {
+                return new PeerMessage.VmChanges(sinceRevision, reached, lines);
+            }
+            lines.addAll(entry.getValue().values());
+            reached = entry.getKey();
+        }
+        return new PeerMessage.VmChanges(sinceRevision, mRevision, lines);
+    }
+
+    private void replace(VmLine old, VmLine line) {
+        if (old != null) {
+            unlink(old);
+        }
+        mLines.put(line.id(), line);
+        mByRevision.computeIfAbsent(line.revision(), r -> new HashMap<>()).put(line.id(), line);
+        if (line.removed()) {
+            mRemoved++;
+        }
+    }
+
+    private void unlink(VmLine line) {
+        mLines.remove(line.id());
+        Map<String, VmLine> same = mByRevision.get(line.revision());
+        same.remove(line.id());
+        if (same.isEmpty()) {
+            mByRevision.remove(line.revision());
+        }
+        if (line.removed()) {
+            mRemoved--;
+        }
+    }
+
+    /**
+     * Forgets the oldest removals beyond the bound and returns the VMs' names.
+     *
+     * <p>22,000 VMs are replaced on a day; were each remembered, state would grow without end.
+     */
+    List<String> forgetOldRemovals() {
+        if (mRemoved <= MAX_REMOVED) {
+            return List.of();
+        }
+        List<VmLine> oldest =
+                mByRevision.values().stream()
+                        .flatMap(same -> same.values().stream())
+                        .filter(VmLine::removed)
+                        .limit(mRemoved - MAX_REMOVED / 2L)
+                        .toList();
+        oldest.forEach(this::unlink);
+        return oldest.stream().map(VmLine::id).toList();
+    }
+}
