--- /dev/null
+++ b/src/main/java/org/apricotgauge/control/ConfigHistoryFold.java
@@ -0,0 +1,66 @@
+package org.apricotgauge.control;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apricotgauge.config.ConfigHistory;
+import org.apricotgauge.config.FoldResult;
+import org.apricotgauge.config.LogEntry;
+import org.apricotgauge.config.SnapshotAssembler;
+import org.apricotgauge.config.SnapshotChunk;
+import org.apricotgauge.config.SnapshotCodec;
+import org.apricotgauge.decision.gossip.ConfigFold;
+import org.apricotgauge.platform.LogRecord;
+
+/** Folds the published log into the site's configuration. */
+public final class ConfigHistoryFold implements ConfigFold<ConfigHistory> {
+
+    @Override
+    public ConfigHistory empty() {
+        return ConfigHistory.EMPTY;
+    }
+
+    @Override
+    public long position(ConfigHistory history) {
+        return history.position();
+    }
+
+    @Override
+    public long version(ConfigHistory history) {
+        return history.version();
+    }
+
+    @Override
+    public String digest(ConfigHistory history) {
+        return history.digest().toString();
+    }
+
+    @Override
+    public ConfigHistory apply(ConfigHistory history, LogRecord record) {
+        FoldResult result = history.apply(new LogEntry(record.position(), record.body()));
+        if (result instanceof FoldResult.UnsupportedRules) {
+            return null;
+        }
+        return result.history();
+    }
+
+    @Override
+    public List<byte[]> encode(ConfigHistory history) {
+        return SnapshotCodec.encode(history).stream()
+                .map(chunk -> SnapshotCodec.toJson(chunk).getBytes(StandardCharsets.UTF_8))
+                .toList();
+    }
+
+    @Override
+    public ConfigHistory decode(List<byte[]> chunks) {
+        List<SnapshotChunk> parsed =
+                chunks.stream()
+                        .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
+                        .map(SnapshotCodec::fromJson)
+                        .toList();
+        SnapshotAssembler.Result result = SnapshotCodec.decode(parsed);
+        if (result instanceof SnapshotAssembler.Restored restored) {
+            return restored.history();
+        }
+        throw new IllegalArgumentException("no snapshot: " + result);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/control/ControlListener.java
@@ -0,0 +1,42 @@
+package org.apricotgauge.control;
+
+import org.apricotgauge.decision.gossip.GossipEvent;
+import org.apricotgauge.decision.gossip.GossipItem;
+import org.apricotgauge.decision.gossip.LeavingNotice;
+import org.apricotgauge.decision.gossip.LiveView;
+
+/**
+ * Is told by the control plane what changed; all calls come on its one thread and must not block.
+ *
+ * <pre>{@code
+ * ControlListener<ConfigHistory> listener =
+ *         new ControlListener<>() {
+ *             @Override
+ *             public void onHistory(ConfigHistory history) {
+ *                 router.swap(RoutingTable.of(history.configuration()));
+ *             }
+ *         };
+ * }</pre>
+ *
+ * @param <H> a folded history
+ */
+public interface ControlListener<H> {
+
+    /** A later history is in force. */
+    default void onHistory(H history) {}
+
+    /** What is known of the VMs changed. */
+    default void onView(LiveView view) {}
+
+    /** A node told that it or a target is leaving. */
+    default void onLeaving(LeavingNotice notice) {}
+
+    /** Evidence came from another node, or from this one. */
+    default void onEvidence(GossipItem evidence) {}
+
+    /** Something happened that is counted; see {@link GossipEvent#logged()}. */
+    default void onEvent(GossipEvent event) {}
+
+    /** An invariant broke and the control plane has ended; the process must end, too. */
+    default void onBroken(RuntimeException failure) {}
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/control/ControlPlane.java
@@ -0,0 +1,399 @@
+package org.apricotgauge.control;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ForkJoinPool;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apricotgauge.decision.gossip.ConfigFold;
+import org.apricotgauge.decision.gossip.GossipEvent;
+import org.apricotgauge.decision.gossip.GossipItem;
+import org.apricotgauge.decision.gossip.GossipListener;
+import org.apricotgauge.decision.gossip.GossipNode;
+import org.apricotgauge.decision.gossip.LeavingNotice;
+import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.decision.gossip.NodeIdentity;
+import org.apricotgauge.decision.gossip.OpeningPolicy;
+import org.apricotgauge.decision.gossip.PeerMessage;
+import org.apricotgauge.decision.gossip.PeerPort;
+import org.apricotgauge.decision.gossip.WatcherElection;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Vm;
+import org.apricotgauge.peer.PeerLoop;
+import org.apricotgauge.platform.PlatformClient;
+import org.apricotgauge.time.Ticker;
+import org.jboss.logging.Logger;
+
+/**
+ * The control plane of one node: the configuration in force, the VMs that live, and gossip.
+ *
+ * <pre>{@code
+ * ControlPlane<ConfigHistory> control =
+ *         ControlPlane.start(settings, new ConfigHistoryFold(), platform, listener, metrics);
+ * control.opened().thenRun(callers::open);
+ * ConfigHistory history = control.currentHistory();
+ * }</pre>
+ *
+ * <p>One thread does all its work. Readers on a request's path read atomic references: the history
+ * and the view are immutable, and the version only rises. The platform client stays its owner's.
+ *
+ * @param <H> a folded history
+ */
+public final class ControlPlane<H> implements AutoCloseable {
+    private static final Logger LOGGER = Logger.getLogger(ControlPlane.class);
+
+    private final ControlSettings mSettings;
+    private final ConfigFold<H> mFold;
+    private final ControlListener<H> mListener;
+    private final MetricRegistry mMetrics;
+    private final FrameFilter mFilter;
+    private final Ticker mTicker = Ticker.system();
+    private final PeerLoop mLoop;
+    private final GossipNode<H> mNode;
+    private final PlatformReader<H> mPlatform;
+    private final OpeningPolicy mOpening;
+    private final AtomicReference<H> mHistory;
+    private final AtomicReference<LiveView> mView = new AtomicReference<>(LiveView.EMPTY);
+    private final CompletableFuture<Void> mOpened = new CompletableFuture<>();
+    private final long mStartedMillis;
+    private volatile OpeningPolicy.Decision mDecision = OpeningPolicy.Decision.WAIT_ALONE;
+    private volatile WatcherElection.Role mRole = WatcherElection.Role.REST;
+
+    private ControlPlane(
+            ControlSettings settings,
+            ConfigFold<H> fold,
+            PlatformClient platform,
+            ControlListener<H> listener,
+            MetricRegistry metrics,
+            FrameFilter filter,
+            PeerLoop loop) {
+        mSettings = settings;
+        mFold = fold;
+        mListener = listener;
+        mMetrics = metrics;
+        mFilter = filter;
+        mLoop = loop;
+        mHistory = new AtomicReference<>(fold.empty());
+        mStartedMillis = mTicker.millis();
+        mOpening = new OpeningPolicy(settings.patienceMillis());
+        NodeIdentity identity =
+                new NodeIdentity(
+                        settings.site(), settings.vm(), settings.incarnation(), settings.seeds());
+        mNode =
+                new GossipNode<>(
+                        identity,
+                        settings.gossip(),
+                        fold,
+                        new Port(),
+                        new NodeEvents(),
+                        settings.seed(),
+                        mStartedMillis);
+        mPlatform = new PlatformReader<>(settings, platform, mNode, fold, new Loop(), metrics);
+    }
+
+    /**
+     * Starts a control plane.
+     *
+     * @throws IOException if it cannot listen at the VM's address and peer port
+     */
+    public static <H> ControlPlane<H> start(
+            ControlSettings settings,
+            ConfigFold<H> fold,
+            PlatformClient platform,
+            ControlListener<H> listener,
+            MetricRegistry metrics)
+            throws IOException {
+        return start(settings, fold, platform, listener, metrics, FrameFilter.NONE);
+    }
+
+    /** Starts a control plane that loses frames on purpose; see {@link FrameFilter}. */
+    public static <H> ControlPlane<H> start(
+            ControlSettings settings,
+            ConfigFold<H> fold,
+            PlatformClient platform,
+            ControlListener<H> listener,
+            MetricRegistry metrics,
+            FrameFilter filter)
+            throws IOException {
+        Checks.notNull("settings", settings);
+        Checks.notNull("platform", platform);
+        Vm vm = settings.vm();
+        PeerLoop loop =
+                PeerLoop.bind(
+                        "control-" + vm.id(),
+                        vm.host(),
+                        vm.peerPort(),
+                        Ticker.system(),
+                        Checks.notNull("metrics", metrics));
+        ControlPlane<H> plane =
+                new ControlPlane<>(
+                        settings.withPeerPort(loop.port()),
+                        Checks.notNull("fold", fold),
+                        platform,
+                        Checks.notNull("listener", listener),
+                        metrics,
+                        Checks.notNull("filter", filter),
+                        loop);
+        loop.start(plane.new LoopEvents());
+        return plane;
+    }
+
+    /** Returns the history in force; a request reads it once. */
+    public H currentHistory() {
+        return mHistory.get();
+    }
+
+    /** Returns what is known of the VMs; a request reads it once. */
+    public LiveView liveView() {
+        return mView.get();
+    }
+
+    /**
+     * Returns whether this process may act on what it knows; false after it was paused, until
+     * somebody confirmed its version. Cheap enough for each request.
+     */
+    public boolean mayAct() {
+        return mNode.freshness().mayAct(mTicker.millis());
+    }
+
+    /** Returns a future that completes once the node may open to callers. */
+    public CompletableFuture<Void> opened() {
+        return mOpened;
+    }
+
+    /** Returns what a fresh node waits for, or {@code OPEN}. */
+    public OpeningPolicy.Decision opening() {
+        return mDecision;
+    }
+
+    /** Returns whether this node watches the platform at present. */
+    public WatcherElection.Role watcherRole() {
+        return mRole;
+    }
+
+    /** Returns this node's VM with the port that it is reached at. */
+    public Vm vm() {
+        return mSettings.vm();
+    }
+
+    /** Returns the address of the control protocol. */
+    public Address address() {
+        return new Address(mSettings.vm().host(), mSettings.vm().peerPort());
+    }
+
+    /** Returns the thread, so that its processor time can be measured. */
+    public long threadId() {
+        return mLoop.threadId();
+    }
+
+    /** Tells the fleet that the whole VM is leaving. */
+    public void announceLeaving() {
+        announceLeaving(LeavingNotice.WHOLE_VM);
+    }
+
+    /** Tells the fleet that one target on this VM is leaving. */
+    public void announceLeaving(String target) {
+        mLoop.execute(() -> mNode.announceLeaving(target, mTicker.millis()));
+    }
+
+    /**
+     * Tells the fleet a piece of evidence.
+     *
+     * <p>The fleet carries about five pieces a second in all; more are dropped and counted. It is
+     * for verdicts, not for single observations.
+     *
+     * @param key tells the facts of this node apart; at most 64 at a time
+     * @param sequence a later one replaces an earlier one of the same key
+     * @param lifetimeMillis when it ceases to hold
+     * @param payload at most {@link GossipItem#MAX_PAYLOAD_BYTES}
+     */
+    public void publishEvidence(String key, long sequence, long lifetimeMillis, byte[] payload) {
+        byte[] copy = payload.clone();
+        mLoop.execute(
+                () -> mNode.publishEvidence(key, sequence, lifetimeMillis, copy, mTicker.millis()));
+    }
+
+    /** Ends; what the sockets take at once is still sent, a leaving notice too. */
+    @Override
+    public void close() {
+        mLoop.close();
+    }
+
+    private void tick() {
+        long nowMillis = mTicker.millis();
+        mNode.tick(nowMillis);
+        mPlatform.tick(nowMillis);
+        mRole = mPlatform.role();
+        if (!mOpened.isDone()) {
+            decideOpening(nowMillis);
+        }
+    }
+
+    private void decideOpening(long nowMillis) {
+        OpeningPolicy.Observation seen =
+                new OpeningPolicy.Observation(
+                        mNode.position(),
+                        Math.max(mNode.highestHeard(), mPlatform.head()),
+                        mPlatform.answered(),
+                        mPlatform.failed(),
+                        mNode.domainsHeard(),
+                        mNode.domainsKnown(),
+                        nowMillis - mStartedMillis);
+        mDecision = mOpening.decide(seen);
+        if (mDecision == OpeningPolicy.Decision.OPEN) {
+            LOGGER.infof("%s opens at log position %d", vm().id(), mNode.position());
+            mOpened.complete(null);
+        }
+    }
+
+    /** The loop as the platform's reader sees it. */
+    private final class Loop implements PlatformReader.LoopExecutor {
+        @Override
+        public void execute(Runnable task) {
+            mLoop.execute(task);
+        }
+
+        @Override
+        public long nowMillis() {
+            return mTicker.millis();
+        }
+    }
+
+    /** The transport as the state machine sees it. */
+    private final class Port implements PeerPort<H> {
+        @Override
+        public void dial(long link, Address address) {
+            mLoop.dial(link, address);
+        }
+
+        @Override
+        public void send(long link, PeerMessage message) {
+            mLoop.send(link, message);
+        }
+
+        @Override
+        public void close(long link) {
+            mLoop.close(link);
+        }
+
+        @Override
+        public void encode(H history) {
+            ForkJoinPool.commonPool()
+                    .execute(
+                            () -> {
+                                List<byte[]> chunks = mFold.encode(history);
+                                mLoop.execute(() -> mNode.onEncoded(chunks, mTicker.millis()));
+                            });
+        }
+
+        @Override
+        public void decode(List<byte[]> chunks) {
+            ForkJoinPool.commonPool()
+                    .execute(
+                            () -> {
+                                H snapshot = decodeOrNull(chunks);
+                                mLoop.execute(() -> mNode.onDecoded(snapshot));
+                            });
+        }
+
+        private H decodeOrNull(List<byte[]> chunks) {
+            try {
+                return mFold.decode(chunks);
+            } catch (RuntimeException e) {
+                LOGGER.warnf("a peer's snapshot is unreadable: %s", e.getMessage());
+                return null;
+            }
+        }
+    }
+
+    /** The state machine as the transport sees it. */
+    private final class LoopEvents implements PeerLoop.Handler {
+        private final Map<Long, String> mRemotes = new HashMap<>();
+
+        @Override
+        public void onAccepted(long link) {
+            mNode.onAccepted(link, mTicker.millis());
+        }
+
+        @Override
+        public void onConnected(long link) {
+            mNode.onConnected(link);
+        }
+
+        @Override
+        public void onMessage(long link, PeerMessage message) {
+            if (mFilter == FrameFilter.NONE || passes(link, message)) {
+                mNode.onMessage(link, message, mTicker.millis());
+            }
+        }
+
+        @Override
+        public void onClosed(long link) {
+            mRemotes.remove(link);
+            mNode.onClosed(link, mTicker.millis());
+        }
+
+        @Override
+        public void onTick() {
+            tick();
+        }
+
+        @Override
+        public void onBroken(RuntimeException failure) {
+            LOGGER.error("the control plane ended", failure);
+            mOpened.completeExceptionally(failure);
+            mListener.onBroken(failure);
+        }
+
+        private boolean passes(long link, PeerMessage message) {
+            if (message instanceof PeerMessage.Hello hello) {
+                mRemotes.put(link, hello.vm().id());
+            } else if (message instanceof PeerMessage.Welcome welcome) {
+                mRemotes.put(link, welcome.vm().id());
+            }
+            return mFilter.passes(mRemotes.getOrDefault(link, ""), vm().id());
+        }
+    }
+
+    /** Publishes what the state machine tells. */
+    private final class NodeEvents implements GossipListener<H> {
+        @Override
+        public void onHistory(H history) {
+            mHistory.set(history);
+            mListener.onHistory(history);
+        }
+
+        @Override
+        public void onView(LiveView view) {
+            mView.set(view);
+            mListener.onView(view);
+        }
+
+        @Override
+        public void onLeaving(LeavingNotice notice) {
+            mListener.onLeaving(notice);
+        }
+
+        @Override
+        public void onEvidence(GossipItem item) {
+            mListener.onEvidence(item);
+        }
+
+        @Override
+        public void onEvent(GossipEvent event) {
+            mMetrics.counter("control.events." + event.name().toLowerCase(Locale.ROOT)).inc();
+            if (event == GossipEvent.WOKE_FROM_PAUSE) {
+                mPlatform.onWoke();
+            }
+            if (event.logged()) {
+                LOGGER.warnf("%s at log position %d", event, mNode.position());
+            }
+            mListener.onEvent(event);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/control/ControlSettings.java
@@ -0,0 +1,110 @@
+package org.apricotgauge.control;
+
+import java.util.List;
+import org.apricotgauge.decision.gossip.GossipSettings;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Vm;
+
+/**
+ * Settings of one control plane.
+ *
+ * <pre>{@code
+ * ControlSettings settings = ControlSettings.of("kampsi", vm).withSeeds(List.of(address));
+ * }</pre>
+ *
+ * @param site name of the site; nodes of different sites do not talk
+ * @param vm the node's own VM; a {@code peerPort} of 0 takes any free port
+ * @param incarnation this run of the node, higher than that of the run before
+ * @param seeds peers to try while the platform names none; may be empty
+ * @param gossip bounds and times of the gossip
+ * @param watchMillis how long a watch waits at the platform
+ * @param patienceMillis after this time a fresh node opens on the answers it has
+ * @param startJitterMillis a fresh node's first calls are spread over this time; about 8,000 where
+ *     a whole fleet can start at once, so that the platform is not called by all in one second
+ * @param seed seed of random choices
+ */
+public record ControlSettings(
+        String site,
+        Vm vm,
+        long incarnation,
+        List<Address> seeds,
+        GossipSettings gossip,
+        long watchMillis,
+        long patienceMillis,
+        long startJitterMillis,
+        long seed) {
+    private static final long WATCH_MILLIS = 20_000;
+    private static final long PATIENCE_MILLIS = 10_000;
+    private static final long START_JITTER_MILLIS = 500;
+    private static final long MAX_MILLIS = 600_000;
+
+    /** Checks the parts. */
+    public ControlSettings {
+        Checks.id("site", site);
+        Checks.notNull("vm", vm);
+        Checks.inRange("incarnation", incarnation, 1, Long.MAX_VALUE / 4);
+        seeds = List.copyOf(Checks.notNull("seeds", seeds));
+        Checks.notNull("gossip", gossip);
+        Checks.inRange("watchMillis", watchMillis, 1, MAX_MILLIS);
+        Checks.inRange("patienceMillis", patienceMillis, 0, MAX_MILLIS);
+        Checks.inRange("startJitterMillis", startJitterMillis, 0, MAX_MILLIS);
+    }
+
+    /** Returns the usual settings, with the wall clock as incarnation. */
+    public static ControlSettings of(String site, Vm vm) {
+        long nowMillis = System.currentTimeMillis();
+        return new ControlSettings(
+                site,
+                vm,
+                nowMillis,
+                List.of(),
+                GossipSettings.DEFAULT,
+                WATCH_MILLIS,
+                PATIENCE_MILLIS,
+                START_JITTER_MILLIS,
+                nowMillis ^ vm.id().hashCode());
+    }
+
+    /** Returns these settings with other seeds. */
+    public ControlSettings withSeeds(List<Address> newSeeds) {
+        return new ControlSettings(
+                site,
+                vm,
+                incarnation,
+                newSeeds,
+                gossip,
+                watchMillis,
+                patienceMillis,
+                startJitterMillis,
+                seed);
+    }
+
+    /** Returns these settings with another spread of the first calls. */
+    public ControlSettings withStartJitterMillis(long millis) {
+        return new ControlSettings(
+                site, vm, incarnation, seeds, gossip, watchMillis, patienceMillis, millis, seed);
+    }
+
+    ControlSettings withPeerPort(int port) {
+        Vm bound =
+                new Vm(
+                        vm.id(),
+                        vm.failureDomain(),
+                        vm.host(),
+                        vm.callerPort(),
+                        vm.guardPort(),
+                        port,
+                        vm.adminPort());
+        return new ControlSettings(
+                site,
+                bound,
+                incarnation,
+                seeds,
+                gossip,
+                watchMillis,
+                patienceMillis,
+                startJitterMillis,
+                seed);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/control/PlatformReader.java
@@ -0,0 +1,316 @@
+package org.apricotgauge.control;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ForkJoinPool;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.apricotgauge.decision.gossip.Backoff;
+import org.apricotgauge.decision.gossip.ConfigFold;
+import org.apricotgauge.decision.gossip.GossipNode;
+import org.apricotgauge.decision.gossip.WatcherElection;
+import org.apricotgauge.platform.LogPage;
+import org.apricotgauge.platform.PlatformClient;
+import org.apricotgauge.platform.SnapshotHeader;
+import org.apricotgauge.platform.VmPage;
+
+/**
+ * Reads the platform when this node is one of the few that should; runs on the loop's thread.
+ *
+ * <p>A fresh node makes one call for the head of the log and one for a page of the list of VMs; the
+ * rest it hears from peers. Watchers hold one waiting call for each. Failures are followed by a
+ * back-off with jitter, and every stream leaves at least {@code MIN_GAP_MILLIS} between two calls.
+ *
+ * @param <H> a folded history
+ */
+final class PlatformReader<H> {
+    private static final int LOG_LIMIT = 500;
+    private static final int VM_LIMIT = 500;
+    private static final long MIN_GAP_MILLIS = 100;
+    private static final long BACKOFF_BASE_MILLIS = 500;
+    private static final long BACKOFF_CAP_MILLIS = 30_000;
+    private static final int LOST_AFTER_FAILURES = 3;
+    private static final long LOST_REFRESH_MILLIS = 30_000;
+    private static final long PEERLESS_MILLIS = 3_000;
+    private static final long SNAPSHOT_GAP = 1_000;
+    private static final long ELECTION_MILLIS = 1_000;
+
+    /** A snapshot as the platform holds it; without chunks if it is of no use here. */
+    private record SnapshotParts(SnapshotHeader header, List<byte[]> chunks) {}
+
+    private final ControlSettings mSettings;
+    private final PlatformClient mClient;
+    private final GossipNode<H> mNode;
+    private final ConfigFold<H> mFold;
+    private final LoopExecutor mLoop;
+    private final Counter mCalls;
+    private final Counter mFailures;
+    private final CallStream mLog;
+    private final CallStream mVms;
+    private final CallStream mHead;
+    private WatcherElection.Role mRole = WatcherElection.Role.REST;
+    private long mNextElectionMillis;
+    private long mNextLostMillis;
+    private long mPlatformHead = -1;
+    private long mPeerlessSinceMillis;
+    private boolean mLost;
+    private boolean mHeadWanted = true;
+    private boolean mVmsWanted = true;
+    private boolean mFailed;
+    private boolean mSnapshotTried;
+
+    /** Runs tasks on the loop's thread, with the time of their run. */
+    interface LoopExecutor {
+        void execute(Runnable task);
+
+        long nowMillis();
+    }
+
+    PlatformReader(
+            ControlSettings settings,
+            PlatformClient client,
+            GossipNode<H> node,
+            ConfigFold<H> fold,
+            LoopExecutor loop,
+            MetricRegistry metrics) {
+        mSettings = settings;
+        mClient = client;
+        mNode = node;
+        mFold = fold;
+        mLoop = loop;
+        mCalls = metrics.counter("platform.calls");
+        mFailures = metrics.counter("platform.failures");
+        long firstMillis = loop.nowMillis() + Math.floorMod(settings.seed(), jitterBound());
+        mLog = new CallStream(settings.seed(), firstMillis);
+        mVms = new CallStream(settings.seed() + 1, firstMillis);
+        mHead = new CallStream(settings.seed() + 2, firstMillis);
+        mPeerlessSinceMillis = loop.nowMillis();
+    }
+
+    boolean answered() {
+        return mPlatformHead >= 0;
+    }
+
+    boolean failed() {
+        return mFailed;
+    }
+
+    long head() {
+        return mPlatformHead;
+    }
+
+    WatcherElection.Role role() {
+        return mRole;
+    }
+
+    /** The process woke from a pause: one call tells whether the platform has gone on. */
+    void onWoke() {
+        mHeadWanted = true;
+    }
+
+    void tick(long nowMillis) {
+        if (nowMillis >= mNextElectionMillis) {
+            mNextElectionMillis = nowMillis + ELECTION_MILLIS;
+            mRole =
+                    WatcherElection.roleOf(
+                            mSettings.vm(),
+                            mNode.view().nodes(),
+                            mNode.view()::unreachable,
+                            mNode::lostPlatform);
+        }
+        if (mNode.links() > 0) {
+            mPeerlessSinceMillis = nowMillis;
+        }
+        readHead(nowMillis);
+        readVms(nowMillis);
+        readLog(nowMillis);
+        if (mLost && nowMillis >= mNextLostMillis) {
+            mNextLostMillis = nowMillis + LOST_REFRESH_MILLIS;
+            mNode.announceWatch(true, nowMillis);
+        }
+    }
+
+    private void readHead(long nowMillis) {
+        if (mHeadWanted && mHead.due(nowMillis)) {
+            long from = mNode.position() + 1;
+            call(mHead, () -> mClient.readLog(from, 0, 0), this::onHead);
+        }
+    }
+
+    private void readVms(long nowMillis) {
+        boolean watching = mRole != WatcherElection.Role.REST && !mHeadWanted;
+        boolean wanted = mVmsWanted || watching || peerless(nowMillis);
+        if (!wanted || !mVms.due(nowMillis)) {
+            return;
+        }
+        long since = mNode.vmRevision();
+        long waitMillis = mVmsWanted || !watching ? 0 : mSettings.watchMillis();
+        call(
+                mVms,
+                () -> mClient.readVms(since, VM_LIMIT, waitMillis),
+                (page, now) -> onVms(since, page, now));
+    }
+
+    private void readLog(long nowMillis) {
+        boolean watching = mRole != WatcherElection.Role.REST && !mHeadWanted;
+        boolean alone = peerless(nowMillis) && mPlatformHead > mNode.position();
+        if ((!watching && !alone) || !mLog.due(nowMillis)) {
+            return;
+        }
+        long from = mNode.position() + 1;
+        if (mPlatformHead - from > SNAPSHOT_GAP && !mSnapshotTried) {
+            mSnapshotTried = true;
+            call(mLog, this::readSnapshot, this::onSnapshot);
+            return;
+        }
+        long waitMillis = alone ? 0 : mSettings.watchMillis();
+        call(mLog, () -> mClient.readLog(from, LOG_LIMIT, waitMillis), this::onLog);
+    }
+
+    /** Returns whether no peer has been linked for some seconds, so that nobody else can tell. */
+    private boolean peerless(long nowMillis) {
+        return nowMillis - mPeerlessSinceMillis > PEERLESS_MILLIS;
+    }
+
+    private boolean onHead(LogPage page, long nowMillis) {
+        mPlatformHead = Math.max(mPlatformHead, page.head());
+        mHeadWanted = false;
+        if (mNode.onPublished(page) && page.head() <= mNode.position()) {
+            mNode.onPlatformConfirmed();
+        }
+        return true;
+    }
+
+    private boolean onVms(long since, VmPage page, long nowMillis) {
+        mVmsWanted = false;
+        return mNode.onPublishedVms(since, page, nowMillis);
+    }
+
+    private boolean onLog(LogPage page, long nowMillis) {
+        mPlatformHead = Math.max(mPlatformHead, page.head());
+        return mNode.onPublished(page);
+    }
+
+    private CompletableFuture<SnapshotParts> readSnapshot() {
+        return mClient.readSnapshotHeader()
+                .thenCompose(
+                        header ->
+                                header.position() <= mNode.position()
+                                        ? CompletableFuture.completedFuture(
+                                                new SnapshotParts(header, List.of()))
+                                        : readChunks(header, new ArrayList<>()));
+    }
+
+    private CompletableFuture<SnapshotParts> readChunks(
+            SnapshotHeader header, List<byte[]> chunks) {
+        if (chunks.size() == header.chunks()) {
+            return CompletableFuture.completedFuture(new SnapshotParts(header, chunks));
+        }
+        mCalls.inc();
+        return mClient.readSnapshotChunk(header.position(), chunks.size())
+                .thenCompose(
+                        chunk -> {
+                            chunks.add(chunk);
+                            return readChunks(header, chunks);
+                        });
+    }
+
+    private boolean onSnapshot(SnapshotParts parts, long nowMillis) {
+        if (parts.chunks().isEmpty()) {
+            return true;
+        }
+        ForkJoinPool.commonPool()
+                .execute(
+                        () -> {
+                            H snapshot = decodeOrNull(parts.chunks());
+                            String digest = snapshot == null ? null : mFold.digest(snapshot);
+                            mLoop.execute(() -> mNode.onPublishedSnapshot(snapshot, digest));
+                        });
+        return true;
+    }
+
+    private H decodeOrNull(List<byte[]> chunks) {
+        try {
+            return mFold.decode(chunks);
+        } catch (RuntimeException e) {
+            return null;
+        }
+    }
+
+    /** What becomes of an answer: whether it was as new as what we have. */
+    private interface OnAnswer<T> {
+        boolean take(T answer, long nowMillis);
+    }
+
+    private <T> void call(
+            CallStream stream, Supplier<CompletableFuture<T>> call, OnAnswer<T> onAnswer) {
+        mCalls.inc();
+        stream.mInFlight = true;
+        BiConsumer<T, Throwable> settle =
+                (answer, failure) -> mLoop.execute(() -> settle(stream, answer, failure, onAnswer));
+        try {
+            call.get().whenComplete(settle);
+        } catch (RuntimeException e) {
+            settle.accept(null, e);
+        }
+    }
+
+    private <T> void settle(CallStream stream, T answer, Throwable failure, OnAnswer<T> onAnswer) {
+        long nowMillis = mLoop.nowMillis();
+        stream.mInFlight = false;
+        if (failure != null) {
+            mFailures.inc();
+            mFailed = true;
+            stream.mNextMillis = nowMillis + stream.mBackoff.onFailure();
+            noteLoss(stream, nowMillis);
+            return;
+        }
+        boolean fresh = onAnswer.take(answer, nowMillis);
+        if (fresh) {
+            stream.mBackoff.onSuccess();
+            stream.mNextMillis = Math.max(nowMillis, stream.mNextMillis);
+        } else {
+            stream.mNextMillis = nowMillis + stream.mBackoff.onFailure();
+        }
+        if (mLost) {
+            mLost = false;
+            mNode.announceWatch(false, nowMillis);
+        }
+    }
+
+    private void noteLoss(CallStream stream, long nowMillis) {
+        boolean candidate = mRole != WatcherElection.Role.REST;
+        if (candidate && !mLost && stream.mBackoff.failures() >= LOST_AFTER_FAILURES) {
+            mLost = true;
+            mNextLostMillis = nowMillis;
+        }
+    }
+
+    private long jitterBound() {
+        return Math.max(1, mSettings.startJitterMillis());
+    }
+
+    /** Calls of one kind: one at a time, spaced, backing off. */
+    private static final class CallStream {
+        private final Backoff mBackoff;
+        private boolean mInFlight;
+        private long mNextMillis;
+
+        CallStream(long seed, long firstMillis) {
+            mBackoff = new Backoff(BACKOFF_BASE_MILLIS, BACKOFF_CAP_MILLIS, seed);
+            mNextMillis = firstMillis;
+        }
+
+        /** Returns whether a call may go out now, and if so counts the least gap from now. */
+        boolean due(long nowMillis) {
+            if (mInFlight || nowMillis < mNextMillis) {
+                return false;
+            }
+            mNextMillis = nowMillis + MIN_GAP_MILLIS;
+            return true;
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/decision/gossip/Dissemination.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/Dissemination.java
@@ -54,7 +54,7 @@
         switch (mReplica.relation(summary.position(), summary.digest())) {
             case CONFLICT -> onConflict(link);
             case AHEAD -> pullFrom(link, nowMillis);
-            case SAME, BEHIND -> link.mConflict = false;
+            default -> link.mConflict = false;
         }
     }
 
@@ -205,7 +205,7 @@
                 onConflict(link);
                 return false;
             }
-            case UNREADABLE -> {
+            default -> {
                 countRefusal(verdict);
                 return false;
             }
--- a/src/main/java/org/apricotgauge/decision/gossip/GossipEvent.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/GossipEvent.java
@@ -31,11 +31,7 @@
     /** A list of VMs took off too many at once; the removals were not believed. */
     IMPLAUSIBLE_VM_LIST(true),
     /** A gossip item was dropped because of a bound. */
-    ITEM_DROPPED(false),
-    /** A link's outbound queue was full; the link was closed. */
-    QUEUE_OVERFLOW(false),
-    /** A frame could not be read. */
-    BAD_FRAME(false);
+    ITEM_DROPPED(false);
 
     private final boolean mLogged;
 
--- a/src/main/java/org/apricotgauge/decision/gossip/GossipNode.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/GossipNode.java
@@ -320,8 +320,8 @@
             case LIVENESS -> mFleet.onLiveness(item, nowMillis);
             case LEAVING -> mFleet.onLeaving(item, nowMillis);
             case EVIDENCE -> mListener.onEvidence(item);
-            case WATCH -> {
-                return;
+            default -> {
+                return; // watch items are read where the watchers are chosen
             }
         }
     }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/peer/PeerLoop.java
@@ -0,0 +1,350 @@
+package org.apricotgauge.peer;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.channels.UnresolvedAddressException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.apricotgauge.decision.gossip.PeerMessage;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.time.Ticker;
+
+/**
+ * Carries messages to and from other nodes: one thread, one selector, bounded queues.
+ *
+ * <pre>{@code
+ * PeerLoop loop = PeerLoop.bind("control-vm1", "127.0.0.1", 0, ticker, metrics);
+ * loop.start(handler);
+ * loop.execute(() -> loop.send(link, message));
+ * }</pre>
+ *
+ * <p>The handler, and all methods but {@link #execute}, {@link #start} and {@link #close()}, run on
+ * the loop's thread, so that a state machine behind it needs no locks.
+ */
+public final class PeerLoop implements AutoCloseable {
+    private static final long TICK_MILLIS = 100;
+    private static final int SCRATCH_BYTES = 64 << 10;
+    private static final int MAX_ACCEPTED = 128;
+    private static final long JOIN_MILLIS = 5_000;
+
+    /** What the loop tells, on its thread. */
+    public interface Handler {
+        /** A peer connected to us. */
+        void onAccepted(long link);
+
+        /** A dial got through. */
+        void onConnected(long link);
+
+        /** A message came in. */
+        void onMessage(long link, PeerMessage message);
+
+        /** A link ended, or a dial failed. */
+        void onClosed(long link);
+
+        /** A tenth of a second went by. */
+        void onTick();
+
+        /** The handler threw; the loop has ended. */
+        void onBroken(RuntimeException failure);
+    }
+
+    private final Selector mSelector;
+    private final ServerSocketChannel mServer;
+    private final Ticker mTicker;
+    private final TransportCounters mCounters;
+    private final Thread mThread;
+    private final Queue<Runnable> mTasks = new ConcurrentLinkedQueue<>();
+    private final Map<Long, PeerConnection> mConnections = new HashMap<>();
+    private final Set<PeerConnection> mDirty = new HashSet<>();
+    private final ByteBuffer mScratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
+    private final PeerConnection.EncodedOnce mEncoded = new PeerConnection.EncodedOnce();
+    private volatile boolean mClosing;
+    private Handler mHandler;
+    private long mNextAccepted = -1;
+    private long mNextTickMillis;
+
+    private PeerLoop(String name, ServerSocketChannel server, Ticker ticker, MetricRegistry metrics)
+            throws IOException {
+        mSelector = Selector.open();
+        mServer = server;
+        mServer.configureBlocking(false);
+        mServer.register(mSelector, SelectionKey.OP_ACCEPT);
+        mTicker = ticker;
+        mCounters = TransportCounters.in(metrics);
+        mThread = new Thread(this::run, name);
+        mThread.setDaemon(true);
+    }
+
+    /**
+     * Listens, but does not serve before {@link #start}.
+     *
+     * @param port port to listen at; 0 for any free one
+     * @throws IOException if it cannot listen there
+     */
+    public static PeerLoop bind(
+            String name, String host, int port, Ticker ticker, MetricRegistry metrics)
+            throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
+        try {
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            server.bind(new InetSocketAddress(host, port), MAX_ACCEPTED);
+            return new PeerLoop(name, server, ticker, metrics);
+        } catch (IOException e) {
+            server.close();
+            throw e;
+        }
+    }
+
+    /** Returns the port it listens at. */
+    public int port() {
+        return mServer.socket().getLocalPort();
+    }
+
+    /** Returns the thread, so that its processor time can be measured. */
+    public long threadId() {
+        return mThread.getId();
+    }
+
+    /** Starts serving. */
+    public void start(Handler handler) {
+        mHandler = handler;
+        mThread.start();
+    }
+
+    /** Runs a task on the loop's thread. */
+    public void execute(Runnable task) {
+        mTasks.add(task);
+        mSelector.wakeup();
+    }
+
+    /** Dials; ends in {@code onConnected} or {@code onClosed}. */
+    public void dial(long link, Address address) {
+        try {
+            SocketChannel channel = SocketChannel.open();
+            PeerConnection connection = register(link, channel, SelectionKey.OP_CONNECT);
+            if (channel.connect(new InetSocketAddress(address.host(), address.port()))) {
+                connected(connection);
+            }
+        } catch (IOException | UnresolvedAddressException e) {
+            execute(() -> drop(link));
+        }
+    }
+
+    /** Queues a message. */
+    public void send(long link, PeerMessage message) {
+        PeerConnection connection = mConnections.get(link);
+        if (connection == null) {
+            return;
+        }
+        if (connection.enqueue(mEncoded.frameOf(message))) {
+            mDirty.add(connection);
+        } else {
+            mCounters.overflows().inc();
+            execute(() -> drop(link));
+        }
+    }
+
+    /** Closes a link after what the socket takes at once; no {@code onClosed} follows. */
+    public void close(long link) {
+        PeerConnection connection = mConnections.remove(link);
+        if (connection != null) {
+            mDirty.remove(connection);
+            flushQuietly(connection);
+            closeQuietly(connection.channel());
+        }
+    }
+
+    /** Stops serving after what the sockets take at once, and closes all links. */
+    @Override
+    public void close() {
+        mClosing = true;
+        mSelector.wakeup();
+        try {
+            if (Thread.currentThread() != mThread && mThread.isAlive()) {
+                mThread.join(JOIN_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        try {
+            mNextTickMillis = mTicker.millis();
+            while (!mClosing) {
+                step();
+            }
+        } catch (IOException e) {
+            mHandler.onBroken(new IllegalStateException("the selector failed", e));
+        } catch (RuntimeException e) {
+            mHandler.onBroken(e);
+        } finally {
+            mConnections.values().forEach(this::flushQuietly);
+            mConnections.values().forEach(c -> closeQuietly(c.channel()));
+            closeQuietly(mServer);
+            closeQuietly(mSelector);
+        }
+    }
+
+    private void step() throws IOException {
+        long waitMillis = mNextTickMillis - mTicker.millis();
+        if (waitMillis > 0 && mTasks.isEmpty()) {
+            mSelector.select(this::ready, waitMillis);
+        } else {
+            mSelector.selectNow(this::ready);
+        }
+        Runnable task = mTasks.poll();
+        while (task != null) {
+            task.run();
+            task = mTasks.poll();
+        }
+        if (mTicker.millis() >= mNextTickMillis) {
+            mNextTickMillis = mTicker.millis() + TICK_MILLIS;
+            mHandler.onTick();
+        }
+        flushDirty();
+    }
+
+    private void flushDirty() {
+        if (mDirty.isEmpty()) {
+            return;
+        }
+        for (PeerConnection connection : Set.copyOf(mDirty)) {
+            try {
+                connection.flush();
+            } catch (IOException e) {
+                drop(connection.link());
+            }
+        }
+        mDirty.clear();
+    }
+
+    private void ready(SelectionKey key) {
+        if (!key.isValid()) {
+            return;
+        }
+        if (key.isAcceptable()) {
+            accept();
+            return;
+        }
+        PeerConnection connection = (PeerConnection) key.attachment();
+        try {
+            if (key.isConnectable() && connection.channel().finishConnect()) {
+                connected(connection);
+            }
+            if (key.isValid() && key.isWritable()) {
+                connection.flush();
+            }
+            if (key.isValid() && key.isReadable()) {
+                read(connection);
+            }
+        } catch (IOException e) {
+            drop(connection.link());
+        }
+    }
+
+    private void accept() {
+        try {
+            SocketChannel channel = mServer.accept();
+            if (channel == null) {
+                return;
+            }
+            if (mConnections.size() >= MAX_ACCEPTED) {
+                channel.close();
+                return;
+            }
+            long link = mNextAccepted--;
+            register(link, channel, SelectionKey.OP_READ);
+            mHandler.onAccepted(link);
+        } catch (IOException e) {
+            mCounters.badFrames().inc();
+        }
+    }
+
+    private PeerConnection register(long link, SocketChannel channel, int interest)
+            throws IOException {
+        channel.configureBlocking(false);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        SelectionKey key = channel.register(mSelector, interest);
+        PeerConnection connection = new PeerConnection(link, channel, key, mCounters);
+        key.attach(connection);
+        mConnections.put(link, connection);
+        return connection;
+    }
+
+    private void connected(PeerConnection connection) {
+        connection.key().interestOps(SelectionKey.OP_READ);
+        mHandler.onConnected(connection.link());
+    }
+
+    private void read(PeerConnection connection) throws IOException {
+        boolean more = connection.read(mScratch, new FrameSink(connection));
+        if (!more) {
+            drop(connection.link());
+        }
+    }
+
+    private void drop(long link) {
+        PeerConnection connection = mConnections.remove(link);
+        if (connection != null) {
+            mDirty.remove(connection);
+            closeQuietly(connection.channel());
+        }
+        mHandler.onClosed(link);
+    }
+
+    private void flushQuietly(PeerConnection connection) {
+        try {
+            connection.flush();
+        } catch (IOException e) {
+            mCounters.badFrames().inc();
+        }
+    }
+
+    private void closeQuietly(AutoCloseable resource) {
+        try {
+            resource.close();
+        } catch (Exception e) {
+            mCounters.badFrames().inc();
+        }
+    }
+
+    /** Hands the frames of one connection to the handler. */
+    private final class FrameSink implements PeerConnection.Sink {
+        private final PeerConnection mConnection;
+
+        FrameSink(PeerConnection connection) {
+            mConnection = connection;
+        }
+
+        @Override
+        public void onFrame(byte[] bytes, int offset, int length) throws IOException {
+            PeerMessage message;
+            try {
+                message = MessageCodec.decode(bytes, offset, length);
+            } catch (IOException | IllegalArgumentException e) {
+                mCounters.badFrames().inc();
+                throw new IOException("unreadable frame", e);
+            }
+            if (message != null) {
+                mHandler.onMessage(mConnection.link(), message);
+            }
+        }
+
+        @Override
+        public boolean open() {
+            return mConnections.containsKey(mConnection.link());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/gossip/DisseminationProperties.java
@@ -0,0 +1,105 @@
+package org.apricotgauge.decision.gossip;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.LongRange;
+
+/**
+ * Fuzzes the dissemination against an oracle: a list, and the highest position that any node has.
+ * Faults come in any order and together; the checks of every step stand in {@link SimulatedFleet}.
+ */
+class DisseminationProperties {
+    private static final int NODES = 7;
+    private static final int DOMAINS = 3;
+    private static final long QUIET_MILLIS = 60_000;
+
+    /** One thing that happens; {@code a} and {@code b} pick nodes. */
+    record Step(Kind kind, int a, int b) {}
+
+    enum Kind {
+        PUBLISH,
+        READ_PLATFORM,
+        READ_STALE_PLATFORM,
+        CUT_ONE_WAY,
+        PARTITION,
+        HEAL,
+        RESTART,
+        VANISH_AND_RESTART,
+        PAUSE,
+        SILENCE,
+        LOSE,
+        WAIT
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<Integer> node = Arbitraries.integers().between(0, NODES - 1);
+        return Combinators.combine(Arbitraries.of(Kind.class), node, node)
+                .as(Step::new)
+                .list()
+                .ofMinSize(5)
+                .ofMaxSize(40);
+    }
+
+    @Property(seed = "5", tries = 150)
+    void everyNodeEndsAtTheHighestAndNoneGoesBack(
+            @ForAll("steps") List<Step> steps, @ForAll @LongRange(min = 1, max = 1_000) long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(NODES, DOMAINS, GossipSettings.DEFAULT, seed);
+        fleet.mReorder = seed % 2 == 0;
+        fleet.mDuplicateShare = seed % 3 == 0 ? 0.2 : 0;
+        fleet.run(3_000);
+        for (Step step : steps) {
+            apply(fleet, step);
+            fleet.run(200 + 37L * step.a());
+        }
+        fleet.heal();
+        fleet.mNodes.forEach(SimulatedFleet.Node::resume);
+        fleet.run(QUIET_MILLIS);
+        assertThat(fleet.allAt(fleet.highestPosition())).isTrue();
+        assertThat(fleet.count(GossipEvent.HISTORY_CONFLICT)).isZero();
+    }
+
+    private static void apply(SimulatedFleet fleet, Step step) {
+        SimulatedFleet.Node a = fleet.mNodes.get(step.a());
+        SimulatedFleet.Node b = fleet.mNodes.get(step.b());
+        switch (step.kind()) {
+            case PUBLISH -> fleet.publish("body " + fleet.mLog.size());
+            case READ_PLATFORM -> a.readLog(fleet.mLog.size());
+            case READ_STALE_PLATFORM -> a.readLog(fleet.mLog.size() / 2);
+            case CUT_ONE_WAY -> fleet.cut(a, b);
+            case PARTITION -> partition(fleet, step.a());
+            case HEAL -> fleet.heal();
+            case RESTART -> restart(a, false);
+            case VANISH_AND_RESTART -> restart(a, true);
+            case PAUSE -> {
+                a.pause();
+                fleet.run(4_000);
+                a.resume();
+            }
+            case SILENCE -> fleet.silenceLinksOf(a);
+            case LOSE -> fleet.mLossShare = 0.1;
+            default -> fleet.run(5_000);
+        }
+    }
+
+    private static void restart(SimulatedFleet.Node node, boolean silently) {
+        node.kill(silently);
+        node.start();
+    }
+
+    private static void partition(SimulatedFleet fleet, int border) {
+        for (SimulatedFleet.Node left : fleet.mNodes.subList(0, border)) {
+            for (SimulatedFleet.Node right : fleet.mNodes.subList(border, NODES)) {
+                fleet.cut(left, right);
+                fleet.cut(right, left);
+            }
+        }
+    }
+}
