--- a/src/main/java/org/apricotgauge/decision/attempt/Attempt.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/Attempt.java
@@ -30,6 +30,17 @@
         Checks.notNull("id", id);
     }
 
+    /**
+     * Returns a further attempt of the same submission, bound to the same run and time as this one.
+     *
+     * <p>For {@link RetryDecision.SendToSameGuard}. A later time, taken from a clock that stood
+     * still meanwhile, could outlive the guard's memory of the key, and the request would run
+     * again.
+     */
+    public Attempt again(AttemptId newId) {
+        return new Attempt(newId, guardIncarnation, latestStartMillis);
+    }
+
     /** Returns the attempt that the text gives, or nothing if the text is malformed. */
     public static Optional<Attempt> parse(String text) {
         Matcher matcher = TEXT.matcher(text);
--- a/src/main/java/org/apricotgauge/decision/attempt/KeyLimits.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/KeyLimits.java
@@ -26,6 +26,16 @@
         RUN
     }
 
+    /**
+     * Checks that a key is remembered for longer than any attempt with it may still arrive.
+     *
+     * @throws IllegalArgumentException if the retention is shorter than an attempt's lifetime
+     */
+    public void requireCovers(AttemptLimits attempts) {
+        Checks.inRange(
+                "retentionMillis", retentionMillis, attempts.maxLifetimeMillis(), MAX_MILLIS);
+    }
+
     /** Checks the parts. */
     public KeyLimits {
         Checks.inRange("maxKeys", maxKeys, 1, 1_000_000);
--- a/src/main/java/org/apricotgauge/decision/attempt/Progress.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/Progress.java
@@ -12,7 +12,7 @@
  * @param repeatable whether the request may run more than once
  * @param hasKey whether it carries an Idempotency-Key, and so always goes to the key's home
  * @param attempts attempts ended
- * @param mayHaveRun whether one of them ended without an answer and without a proof of "not run"
+ * @param mayHaveRun whether one of them ended without a proof of "not run", answered or not
  * @param last outcome of the last attempt, or null before the first ended
  */
 public record Progress(
@@ -30,7 +30,7 @@
 
     /** Returns the progress once an attempt has ended. */
     public Progress after(Outcome outcome) {
-        boolean unproven = outcome instanceof Outcome.Unknown;
+        boolean unproven = !(outcome instanceof Outcome.NotRun);
         return new Progress(repeatable, hasKey, attempts + 1, mayHaveRun || unproven, outcome);
     }
 }
--- a/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
@@ -85,9 +85,10 @@
     }
 
     private static RetryDecision finish(Progress progress) {
-        // "Not run" of the last attempt says nothing of an earlier one that may have run.
+        // "Not run" of the last attempt says nothing of an earlier one: a repeatable request that
+        // ran and got a 503 would be reported as not run once its retry is refused.
         if (progress.last() instanceof Outcome.NotRun && progress.mayHaveRun()) {
-            return new RetryDecision.Finish(new Outcome.Unknown(UnknownReason.FORGOTTEN));
+            return new RetryDecision.Finish(new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT));
         }
         return new RetryDecision.Finish(progress.last());
     }
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryDecision.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryDecision.java
@@ -8,7 +8,8 @@
 
     /**
      * Sends a new attempt with the same key to the same run of the same guard, whose memory of the
-     * key keeps it from running twice.
+     * key keeps it from running twice; address it with {@link Attempt#again} of the first attempt
+     * that may have run.
      */
     record SendToSameGuard() implements RetryDecision {}
 
--- a/src/main/java/org/apricotgauge/decision/attempt/UnknownReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/UnknownReason.java
@@ -13,5 +13,7 @@
     /** It was written to a target that has no guard, and no answer came. */
     NO_GUARD,
     /** The same Idempotency-Key is running now. */
-    KEY_RUNNING
+    KEY_RUNNING,
+    /** The last attempt did not run, but an earlier one may have, or did without success. */
+    EARLIER_ATTEMPT
 }
