--- a/src/main/java/org/apricotgauge/event/EventCodec.java
+++ b/src/main/java/org/apricotgauge/event/EventCodec.java
@@ -56,6 +56,7 @@
         ObjectNode root = MAPPER.createObjectNode();
         root.put("node", page.node());
         root.put("incarnation", page.incarnation());
+        root.put("readAt", page.readAt().toString());
         root.put("lost", page.lost());
         root.put("nextSince", page.nextSince());
         root.put("lastSequence", page.lastSequence());
@@ -77,6 +78,7 @@
         return new EventPage(
                 text(root, "node"),
                 number(root, "incarnation"),
+                HlcTimestamp.parse(text(root, "readAt")),
                 number(root, "lost"),
                 number(root, "nextSince"),
                 number(root, "lastSequence"),
--- a/src/main/java/org/apricotgauge/event/EventPage.java
+++ b/src/main/java/org/apricotgauge/event/EventPage.java
@@ -9,6 +9,8 @@
  * @param node id of the VM
  * @param incarnation tells this run of the node from the next; a reader that finds another one than
  *     before starts again at {@code since=0}
+ * @param readAt reading of the node's clock; every event of this run that is not in or before this
+ *     page, and is not lost, has a greater one if the page goes up to {@code lastSequence}
  * @param lost events after the asked-for number that the ring holds no longer
  * @param nextSince number to ask with next
  * @param lastSequence number of the newest event of the node
@@ -17,6 +19,7 @@
 public record EventPage(
         String node,
         long incarnation,
+        HlcTimestamp readAt,
         long lost,
         long nextSince,
         long lastSequence,
@@ -25,7 +28,13 @@
     /** Checks the parts. */
     public EventPage {
         Checks.id("page.node", node);
+        Checks.notNull("page.readAt", readAt);
         Checks.inRange("page.lost", lost, 0, Long.MAX_VALUE);
         events = List.copyOf(events);
     }
+
+    /** Returns whether the page goes up to the newest event. */
+    public boolean isComplete() {
+        return nextSince >= lastSequence;
+    }
 }
--- a/src/main/java/org/apricotgauge/event/EventRing.java
+++ b/src/main/java/org/apricotgauge/event/EventRing.java
@@ -15,7 +15,8 @@
  * }</pre>
  *
  * <p>Safe to share. Writers exclude each other, so that sequence numbers and clock readings run the
- * same way; events are changes of state, hence rare. Readers take no lock.
+ * same way; events are changes of state, hence rare. A reader takes the lock only to note where the
+ * ring stands, and copies events without it.
  */
 public final class EventRing implements EventRecorder {
     private static final int MAX_CAPACITY = 1 << 20;
@@ -24,7 +25,7 @@
     private final long mIncarnation;
     private final HybridClock mClock;
     private final AtomicReferenceArray<Event> mSlots;
-    private volatile long mLastSequence;
+    private long mLastSequence;
 
     /**
      * Creates an empty ring.
@@ -53,7 +54,6 @@
             EventId id = new EventId(mNode, mIncarnation, sequence);
             mSlots.set(
                     slot(sequence), new Event(id, mClock.now(), mClock.wallMillis(), cause, body));
-            // Only now may a reader look for it; before, the slot held an older event.
             mLastSequence = sequence;
             return id;
         }
@@ -68,7 +68,13 @@
     public EventPage read(long since, int limit) {
         Checks.inRange("since", since, 0, Long.MAX_VALUE);
         Checks.inRange("limit", limit, 1, MAX_CAPACITY);
-        long last = mLastSequence;
+        HlcTimestamp readAt;
+        long last;
+        synchronized (mSlots) {
+            // Together, or an event with a smaller reading could be published after the page.
+            readAt = mClock.now();
+            last = mLastSequence;
+        }
         long first = Math.max(since, last - mSlots.length()) + 1;
         long lost = first - since - 1;
         List<Event> events = new ArrayList<>();
@@ -82,7 +88,7 @@
             }
         }
         return new EventPage(
-                mNode, mIncarnation, lost, Math.max(since, sequence - 1), last, events);
+                mNode, mIncarnation, readAt, lost, Math.max(since, sequence - 1), last, events);
     }
 
     private int slot(long sequence) {
--- a/src/test/java/org/apricotgauge/operator/AdminServerTest.java
+++ b/src/test/java/org/apricotgauge/operator/AdminServerTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import org.apricotgauge.event.EventCodec;
+import org.apricotgauge.event.EventPage;
 import org.apricotgauge.event.EventRing;
 import org.apricotgauge.event.HybridClock;
 import org.apricotgauge.event.VmLeaving;
@@ -118,8 +119,11 @@
 
         String body = get("/v1/events?since=1&limit=3").body();
 
-        assertThat(EventCodec.readPage(body)).isEqualTo(mRing.read(1, 3));
-        assertThat(EventCodec.readPage(body).lost()).isEqualTo(1);
+        EventPage page = EventCodec.readPage(body);
+        assertThat(page.events()).isEqualTo(mRing.read(1, 3).events());
+        assertThat(page.lost()).isEqualTo(1);
+        assertThat(page.nextSince()).isEqualTo(5);
+        assertThat(page.isComplete()).isFalse();
     }
 
     @Test
