--- a/src/main/java/org/apricotgauge/model/Configuration.java
+++ b/src/main/java/org/apricotgauge/model/Configuration.java
@@ -1,8 +1,7 @@
 package org.apricotgauge.model;
 
 import java.util.Collection;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
+import org.pcollections.TreePMap;
 
 /**
  * The whole configuration of a site at one version; immutable and safe to share.
@@ -18,14 +17,14 @@
     /** The configuration that holds nothing. */
     public static final Configuration EMPTY = new Configuration(new Parts());
 
-    private final PMap<String, Service> mServices;
-    private final PMap<String, Target> mTargets;
+    private final TreePMap<String, Service> mServices;
+    private final TreePMap<String, Target> mTargets;
     private final Index<String, Target> mTargetsByService;
     private final Index<String, Target> mTargetsByVm;
-    private final PMap<String, Route> mRoutes;
+    private final TreePMap<String, Route> mRoutes;
     private final Index<String, Route> mRoutesByService;
     private final Index<RouteMatch, Route> mRoutesByMatch;
-    private final PMap<String, Member> mMembers;
+    private final TreePMap<String, Member> mMembers;
 
     private Configuration(Parts parts) {
         mServices = parts.mServices;
@@ -58,27 +57,27 @@
         return mMembers.get(id);
     }
 
-    /** Returns all services, in no order. */
+    /** Returns all services, in the order of their names. */
     public Collection<Service> services() {
         return mServices.values();
     }
 
-    /** Returns all targets, in no order. */
+    /** Returns all targets, in the order of their names. */
     public Collection<Target> targets() {
         return mTargets.values();
     }
 
-    /** Returns the targets of one service, in no order; empty if it has none. */
+    /** Returns the targets of one service, in the order of their names; empty if it has none. */
     public Collection<Target> targetsOf(String service) {
         return mTargetsByService.get(service);
     }
 
-    /** Returns the targets on one VM, in no order; empty if it has none. */
+    /** Returns the targets on one VM, in the order of their names; empty if it has none. */
     public Collection<Target> targetsOn(String vm) {
         return mTargetsByVm.get(vm);
     }
 
-    /** Returns the routes to one service, in no order; empty if it has none. */
+    /** Returns the routes to one service, in the order of their names; empty if it has none. */
     public Collection<Route> routesOf(String service) {
         return mRoutesByService.get(service);
     }
@@ -92,7 +91,7 @@
 
     /** Returns whether the other configuration has the same targets of the service, unchanged. */
     public boolean sharesTargets(Configuration other, String service) {
-        return mTargetsByService.get(service) == other.mTargetsByService.get(service);
+        return mTargetsByService.sharesGroup(other.mTargetsByService, service);
     }
 
     /** Returns whether the other configuration has the same routes, unchanged. */
@@ -100,12 +99,12 @@
         return mRoutes == other.mRoutes;
     }
 
-    /** Returns all routes, in no order. */
+    /** Returns all routes, in the order of their names. */
     public Collection<Route> routes() {
         return mRoutes.values();
     }
 
-    /** Returns all members, in no order. */
+    /** Returns all members, in the order of their names. */
     public Collection<Member> members() {
         return mMembers.values();
     }
@@ -126,6 +125,7 @@
 
     /** Returns this configuration with the target added or replaced. */
     public Configuration withTarget(Target target) {
+        target = shared(target);
         Parts parts = new Parts(this);
         parts.remove(mTargets.get(target.id()));
         parts.mTargets = mTargets.plus(target.id(), target);
@@ -145,6 +145,7 @@
 
     /** Returns this configuration with the route added or replaced. */
     public Configuration withRoute(Route route) {
+        route = shared(route);
         Parts parts = new Parts(this);
         parts.remove(mRoutes.get(route.id()));
         parts.mRoutes = mRoutes.plus(route.id(), route);
@@ -175,8 +176,56 @@
         return new Configuration(parts);
     }
 
+    /**
+     * Returns an equal target that shares its texts with those already here.
+     *
+     * <p>Each target is read from JSON with texts of its own; at 74,000 targets those that repeat
+     * take 18 MB.
+     */
+    private Target shared(Target target) {
+        Service service = mServices.get(target.service());
+        Target neighbour = first(mTargetsByVm.get(target.vm()));
+        return new Target(
+                target.id(),
+                service == null ? target.service() : service.id(),
+                neighbour == null ? target.vm() : neighbour.vm(),
+                neighbour == null
+                        ? target.failureDomain()
+                        : same(target.failureDomain(), neighbour.failureDomain()),
+                neighbour == null ? target.host() : same(target.host(), neighbour.host()),
+                target.port(),
+                target.slots());
+    }
+
+    private Route shared(Route route) {
+        Service service = mServices.get(route.service());
+        Route neighbour = first(mRoutesByService.get(route.service()));
+        return new Route(
+                route.id(),
+                neighbour == null ? route.host() : same(route.host(), neighbour.host()),
+                route.pathPrefix(),
+                service == null ? route.service() : service.id(),
+                route.priority(),
+                route.repeatability(),
+                route.deadlineMillis());
+    }
+
+    private static <T> T first(Collection<T> entities) {
+        return entities.isEmpty() ? null : entities.iterator().next();
+    }
+
+    private static String same(String text, String other) {
+        return text.equals(other) ? other : text;
+    }
+
     /** What a route matches. */
-    private record RouteMatch(String host, String pathPrefix) {
+    private record RouteMatch(String host, String pathPrefix) implements Comparable<RouteMatch> {
+        @Override
+        public int compareTo(RouteMatch other) {
+            int byHost = host.compareTo(other.host);
+            return byHost != 0 ? byHost : pathPrefix.compareTo(other.pathPrefix);
+        }
+
         static RouteMatch of(Route route) {
             return new RouteMatch(route.host(), route.pathPrefix());
         }
@@ -184,14 +233,14 @@
 
     /** The parts of a configuration in the making; seen by one thread, for one change. */
     private static final class Parts {
-        private PMap<String, Service> mServices = HashTreePMap.empty();
-        private PMap<String, Target> mTargets = HashTreePMap.empty();
+        private TreePMap<String, Service> mServices = TreePMap.empty();
+        private TreePMap<String, Target> mTargets = TreePMap.empty();
         private Index<String, Target> mTargetsByService = Index.empty();
         private Index<String, Target> mTargetsByVm = Index.empty();
-        private PMap<String, Route> mRoutes = HashTreePMap.empty();
+        private TreePMap<String, Route> mRoutes = TreePMap.empty();
         private Index<String, Route> mRoutesByService = Index.empty();
         private Index<RouteMatch, Route> mRoutesByMatch = Index.empty();
-        private PMap<String, Member> mMembers = HashTreePMap.empty();
+        private TreePMap<String, Member> mMembers = TreePMap.empty();
 
         Parts() {}
 
