--- a/src/main/java/org/apricotgauge/bench/package-info.java
+++ b/src/main/java/org/apricotgauge/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements: programs that print the figures of docs/measurements, deterministic by seed. */
+/** Programs that measure; each has a launcher named after it in {@code bin}. */
 package org.apricotgauge.bench;
