Wire nodes on the control plane; share guards' evidence; events and API

Cause: each node read the platform itself, and detection saw only its own node's requests, so the gray target of the demonstration kept its work. Ruled out: gossiping every digest (512 bytes a piece and five pieces a second for the whole fleet are too little); the guard's counts ride on its answers instead, and only a target that is out of service is spoken of by gossip. Change: ControlPlane in place of the direct feed; EvidenceShare, EvidencePublisher, ProbeTokens; events, administration API, two-step drain.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -111,9 +111,7 @@
     }
 
     private void next() {
-        Optional<Candidate> choice =
-                BalancingPolicy.choose(
-                        mTable, mTried, ThreadLocalRandom.current(), mContext.ticker().nanos());
+        Optional<Candidate> choice = choose();
         if (choice.isEmpty()) {
             endWithoutTarget();
             return;
@@ -132,6 +130,18 @@
         attempt.send();
     }
 
+    private Optional<Candidate> choose() {
+        if (mTried.isEmpty() && mAsked.repeatable()) {
+            Optional<Candidate> probe =
+                    mContext.probes().take(mTable.service().id()).flatMap(mTable::candidate);
+            if (probe.isPresent()) {
+                return probe;
+            }
+        }
+        return BalancingPolicy.choose(
+                mTable, mTried, ThreadLocalRandom.current(), mContext.ticker().nanos());
+    }
+
     private void endWithoutTarget() {
         boolean mayHaveRun;
         synchronized (this) {
@@ -219,14 +229,14 @@
     private void passed(TargetAttempt attempt) {
         attempt.over();
         mContext.metrics().answered().inc();
-        count();
+        count(new Outcome.Answered(mResponse.getStatus()));
         mCallback.succeeded();
     }
 
     private void passBroken(TargetAttempt attempt, WatchedSource body, Throwable cause) {
         attempt.over();
         mContext.metrics().brokenAnswers().inc();
-        count();
+        count(new Outcome.Unknown(UnknownReason.ANSWER_LOST));
         if (body.hasFailed() && !mResponse.isCommitted()) {
             mResponse.reset();
             Outcomes.write(mResponse, mCallback, new Outcome.Unknown(UnknownReason.ANSWER_LOST));
@@ -280,7 +290,7 @@
             mEnded = true;
         }
         cancelDeadline();
-        count();
+        count(outcome);
         if (outcome instanceof Outcome.NotRun notRun) {
             mContext.metrics().notRun().inc();
             Outcomes.write(mResponse, mCallback, notRun);
@@ -292,7 +302,8 @@
         }
     }
 
-    private void count() {
+    private void count(Outcome outcome) {
+        mContext.observer().told(mTable.service().id(), outcome);
         mContext.metrics()
                 .total()
                 .update(mContext.ticker().nanos() - mStartNanos, TimeUnit.NANOSECONDS);
--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -114,6 +114,6 @@
             return;
         }
         long micros = TimeUnit.NANOSECONDS.toMicros(mContext.ticker().nanos() - mSentNanos);
-        mContext.observer().observed(mCandidate.target(), outcome, micros);
+        mContext.observer().attempted(mCandidate.target(), outcome, micros);
     }
 }
--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -17,6 +17,7 @@
  * @param scheduler runs timeouts
  * @param ticker the entry's clock
  * @param observer hears how attempts ended
+ * @param probes which ejected targets to try
  * @param metrics counters
  */
 record EntryContext(
@@ -27,4 +28,5 @@
         Scheduler scheduler,
         Ticker ticker,
         EntryObserver observer,
+        ProbeSource probes,
         EntryMetrics metrics) {}
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -54,6 +54,7 @@
      * @param scheduler runs timeouts
      * @param ticker the entry's clock
      * @param observer hears how attempts ended
+     * @param probes which ejected targets to try
      * @param registry takes the counters
      */
     public EntryHandler(
@@ -65,6 +66,7 @@
             Scheduler scheduler,
             Ticker ticker,
             EntryObserver observer,
+            ProbeSource probes,
             MetricRegistry registry) {
         mTable = table;
         mStopping = stopping;
@@ -77,6 +79,7 @@
                         scheduler,
                         ticker,
                         observer,
+                        probes,
                         new EntryMetrics(registry));
     }
 
--- a/src/main/java/org/apricotgauge/caller/EntryObserver.java
+++ b/src/main/java/org/apricotgauge/caller/EntryObserver.java
@@ -1,18 +1,35 @@
 package org.apricotgauge.caller;
 
+import org.apricotgauge.decision.attempt.FenceAnswer;
+import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.model.Target;
+import org.eclipse.jetty.http.HttpFields;
 
-/** Hears how each attempt ended as the entry saw it, the path included. */
-@FunctionalInterface
+/** Hears how attempts and requests ended, as the entry saw it; called on request threads. */
 public interface EntryObserver {
 
     /**
-     * Called once for each attempt; on request threads.
+     * Called once for each attempt.
      *
      * @param target the target it was meant for
      * @param outcome how it ended
      * @param totalMicros time from sending it to the head of the answer, in microseconds
      */
-    void observed(Target target, ObservedOutcome outcome, long totalMicros);
+    void attempted(Target target, ObservedOutcome outcome, long totalMicros);
+
+    /** Called with the head of each answer of a guard, for what it tells beside the answer. */
+    void guardAnswered(Target target, HttpFields headers);
+
+    /** Called once for each request with what its caller is told. */
+    void told(String service, Outcome outcome);
+
+    /**
+     * Called once for each fence.
+     *
+     * @param target the target of the attempt
+     * @param attempt the attempt's id
+     * @param answer the guard's word, or null if none came in time
+     */
+    void fenced(Target target, String attempt, FenceAnswer answer);
 }
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -142,6 +142,7 @@
         cancelSilence();
         HttpFields headers = answer.getHeaders();
         mContext.guards().sighted(mCandidate.guard(), headers);
+        mContext.observer().guardAnswered(mCandidate.target(), headers);
         reportLoad(headers);
         Optional<Outcome> outcome = Outcomes.read(headers);
         if (outcome.isPresent()) {
@@ -208,6 +209,7 @@
     }
 
     private void fenced(FenceAnswer answer, boolean connectionOpen) {
+        mContext.observer().fenced(mCandidate.target(), mAttempt.id().toString(), answer);
         boolean started = answer != null && answer.state() == FenceAnswer.State.STARTED;
         if (started && connectionOpen && !mExchange.asked().repeatable()) {
             // It runs, and must not run twice: the answer may still come over the old connection.
@@ -267,7 +269,7 @@
             return;
         }
         long micros = TimeUnit.NANOSECONDS.toMicros(mContext.ticker().nanos() - mSentNanos);
-        mContext.observer().observed(mCandidate.target(), outcome, micros);
+        mContext.observer().attempted(mCandidate.target(), outcome, micros);
     }
 
     private void cancelSilence() {
--- a/src/main/java/org/apricotgauge/decision/routing/ServiceTable.java
+++ b/src/main/java/org/apricotgauge/decision/routing/ServiceTable.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Service;
 
@@ -79,6 +80,13 @@
         return mAll;
     }
 
+    /** Returns the candidate of a target that is not leaving, ejected or not. */
+    public Optional<Candidate> candidate(String targetId) {
+        return mAll.stream()
+                .filter(one -> one.target().id().equals(targetId) && !one.leaving())
+                .findFirst();
+    }
+
     /** Returns the eligible targets of the subset that stand in the entry's failure domain. */
     public List<Candidate> local() {
         return mLocal;
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -31,6 +31,12 @@
     /** Hops: load of the target as the guard sees it, in permille of its slots. */
     public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
 
+    /** Hops: the guard's evidence about the target; see {@code node.EvidenceCodec}. */
+    public static final String EVIDENCE = "Apricotgauge-Evidence";
+
+    /** Hops: hybrid logical clock of the sender. */
+    public static final String CLOCK = "Apricotgauge-Clock";
+
     /** Hops: a question about the guard instead of a request for a target; see {@code peer.hop}. */
     public static final String CONTROL = "Apricotgauge-Control";
 
--- a/src/main/java/org/apricotgauge/node/DetectionService.java
+++ b/src/main/java/org/apricotgauge/node/DetectionService.java
@@ -1,11 +1,12 @@
 package org.apricotgauge.node;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.Executor;
+import org.apricotgauge.decision.detection.EvidenceDigest;
 import org.apricotgauge.decision.detection.Membership;
 import org.apricotgauge.decision.detection.Observation;
 import org.apricotgauge.decision.detection.ObservationEnd;
@@ -13,38 +14,48 @@
 import org.apricotgauge.decision.detection.ServiceDetector;
 import org.apricotgauge.decision.detection.TargetPresence;
 import org.apricotgauge.decision.detection.Verdict;
-import org.apricotgauge.decision.detection.VerdictState;
 import org.apricotgauge.decision.detection.Verdicts;
-import org.apricotgauge.log.StateLog;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Service;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
-import org.jboss.logging.Logger;
 
 /**
- * Feeds what this node sees to the detectors and puts their verdicts into the routing table.
+ * Feeds what this node sees and hears to the detectors, and publishes their verdicts.
  *
  * <p>Detectors exist for services that this node has seen work of. Observations come on request
- * threads; decisions are made by the node's ticking thread.
+ * threads; decisions are made by the given executor, regularly and when evidence crosses a
+ * threshold.
  */
 final class DetectionService {
     private final ConcurrentMap<String, Entry> mDetectors = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Verdicts> mLast = new ConcurrentHashMap<>();
     private final RoutingState mState;
     private final Ticker mTicker;
     private final long mIncarnation;
-    private final MetricRegistry mRegistry;
-    private final StateLog mLog = new StateLog(Logger.getLogger(DetectionService.class));
+    private final VerdictListener mListener;
+    private final Executor mExecutor;
 
     private record Entry(Service service, ServiceDetector detector) {}
 
-    private record TargetChange(String service, String target, String state, String evidence) {}
+    /** Hears of verdicts. */
+    @FunctionalInterface
+    interface VerdictListener {
+        /** Called for each decision that changed a state; {@code before} may be null. */
+        void decided(String service, Verdicts before, Verdicts after);
+    }
 
-    DetectionService(RoutingState state, Ticker ticker, long incarnation, MetricRegistry registry) {
+    DetectionService(
+            RoutingState state,
+            Ticker ticker,
+            long incarnation,
+            VerdictListener listener,
+            Executor executor) {
         mState = state;
         mTicker = ticker;
         mIncarnation = incarnation;
-        mRegistry = registry;
+        mListener = listener;
+        mExecutor = executor;
     }
 
     void observed(Target target, ObservationEnd end, ObservedOutcome outcome, long micros) {
@@ -52,15 +63,51 @@
         if (service == null) {
             return;
         }
-        detectorOf(service)
-                .observe(
-                        new Observation(
-                                target.id(),
-                                end,
-                                outcome,
-                                micros,
-                                mTicker.millis(),
-                                Observation.NO_KEY));
+        Observation observation =
+                new Observation(
+                        target.id(), end, outcome, micros, mTicker.millis(), Observation.NO_KEY);
+        if (detectorOf(service).observe(observation)) {
+            mExecutor.execute(() -> decide(service.id()));
+        }
+    }
+
+    /** Takes in the evidence that another node's guard gave with an answer, or by gossip. */
+    void heard(String vm, String serviceId, EvidenceDigest digest) {
+        Service service = mState.table().configuration().service(serviceId);
+        if (service != null) {
+            detectorOf(service).mergeRemote(vm, digest, mTicker.millis());
+        }
+    }
+
+    /** Returns this guard's own counts of one target of its VM. */
+    EvidenceDigest guardDigest(Target target) {
+        Service service = mState.table().configuration().service(target.service());
+        if (service == null) {
+            return new EvidenceDigest(EvidenceDigest.FORMAT_VERSION, mIncarnation, 0, List.of());
+        }
+        EvidenceDigest all = detectorOf(service).digest();
+        List<EvidenceDigest.TargetEvidence> own =
+                all.targets().stream()
+                        .filter(one -> one.guard() != null && one.targetId().equals(target.id()))
+                        .map(
+                                one ->
+                                        new EvidenceDigest.TargetEvidence(
+                                                one.targetId(), one.guard(), null))
+                        .toList();
+        return new EvidenceDigest(all.formatVersion(), all.incarnation(), all.sequence(), own);
+    }
+
+    /** Returns the last verdicts of a service; null if none were made. */
+    Verdicts verdictsOf(String service) {
+        return mLast.get(service);
+    }
+
+    /** Decides about every service seen. */
+    void tick() {
+        Configuration configuration = mState.table().configuration();
+        mDetectors.keySet().removeIf(id -> configuration.service(id) == null);
+        mLast.keySet().removeIf(id -> configuration.service(id) == null);
+        mDetectors.keySet().forEach(this::decide);
     }
 
     private ServiceDetector detectorOf(Service service) {
@@ -81,33 +128,22 @@
                 .detector();
     }
 
-    /** Decides about every service seen, and publishes what changed. */
-    void tick() {
-        Configuration configuration = mState.table().configuration();
-        for (Map.Entry<String, Entry> detector : mDetectors.entrySet()) {
-            if (configuration.service(detector.getKey()) == null) {
-                mDetectors.remove(detector.getKey());
-                continue;
-            }
-            decide(detector.getKey(), detector.getValue().detector(), configuration);
+    private void decide(String service) {
+        Entry entry = mDetectors.get(service);
+        if (entry == null) {
+            return;
         }
-    }
-
-    private final Map<String, Verdicts> mLast = new ConcurrentHashMap<>();
-
-    private void decide(String service, ServiceDetector detector, Configuration configuration) {
-        Verdicts verdicts = detector.decide(mTicker.millis(), membership(service, configuration));
+        Verdicts verdicts = entry.detector().decide(mTicker.millis(), membership(service));
         Verdicts before = mLast.put(service, verdicts);
-        if (before != null && sameWeights(before, verdicts)) {
-            return;
+        if (before == null || !sameWeights(before, verdicts)) {
+            mState.verdictsChanged(service, verdicts);
         }
-        mState.verdictsChanged(service, verdicts);
-        logChanges(service, before, verdicts);
+        mListener.decided(service, before, verdicts);
     }
 
-    private Membership membership(String service, Configuration configuration) {
+    private Membership membership(String service) {
         List<Membership.Entry> entries = new ArrayList<>();
-        for (Target target : configuration.targetsOf(service)) {
+        for (Target target : mState.table().configuration().targetsOf(service)) {
             TargetPresence presence =
                     mState.isLeaving(target) ? TargetPresence.LEAVING : TargetPresence.PRESENT;
             entries.add(new Membership.Entry(target.id(), target.slots(), presence));
@@ -128,28 +164,4 @@
         }
         return true;
     }
-
-    private void logChanges(String service, Verdicts before, Verdicts after) {
-        for (Verdict verdict : after.byTarget().values()) {
-            Verdict old = before == null ? null : before.byTarget().get(verdict.targetId());
-            boolean wasOut = old != null && !old.isEligible();
-            if (wasOut == !verdict.isEligible()) {
-                continue;
-            }
-            boolean ejected = verdict.state() == VerdictState.EJECTED;
-            mRegistry.counter(ejected ? "detection.ejections" : "detection.readmissions").inc();
-            mLog.info(
-                    ejected ? "target ejected" : "target readmitted",
-                    new TargetChange(
-                            service,
-                            verdict.targetId(),
-                            verdict.state().name(),
-                            verdict.evidence()));
-        }
-    }
-
-    /** Returns the last verdicts of a service; null if none were made. */
-    Verdicts verdictsOf(String service) {
-        return mLast.get(service);
-    }
 }
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -3,163 +3,294 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.caller.EntryHandler;
+import org.apricotgauge.cli.ProductVersion;
 import org.apricotgauge.config.ConfigHistory;
+import org.apricotgauge.control.ConfigHistoryFold;
+import org.apricotgauge.control.ControlListener;
+import org.apricotgauge.control.ControlPlane;
+import org.apricotgauge.control.ControlSettings;
 import org.apricotgauge.decision.attempt.AttemptIds;
 import org.apricotgauge.decision.attempt.AttemptLedger;
 import org.apricotgauge.decision.attempt.AttemptLimits;
-import org.apricotgauge.decision.detection.ObservationEnd;
-import org.apricotgauge.http.HttpClientFactory;
+import org.apricotgauge.decision.detection.Verdicts;
+import org.apricotgauge.decision.gossip.GossipItem;
+import org.apricotgauge.decision.gossip.LeavingNotice;
+import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.decision.routing.RoutingTable;
+import org.apricotgauge.event.NodeStarted;
+import org.apricotgauge.event.StopPhase;
+import org.apricotgauge.event.StopPhaseEntered;
+import org.apricotgauge.event.VersionInForce;
+import org.apricotgauge.event.VmLeaving;
 import org.apricotgauge.http.HttpServerFactory;
-import org.apricotgauge.log.StateLog;
+import org.apricotgauge.model.Vm;
+import org.apricotgauge.operator.AdminServer;
+import org.apricotgauge.operator.AdminSources;
+import org.apricotgauge.operator.NodePhase;
+import org.apricotgauge.operator.OutcomeWindows;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.platform.HttpPlatformClient;
 import org.apricotgauge.platform.PlatformClient;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
-import org.jboss.logging.Logger;
 
 /**
  * One node: the entry for callers and the guard of its VM's targets, in one process.
  *
  * <pre>{@code
- * try (Node node = Node.start(settings)) {
- *     node.awaitStop();
- * }
+ * Node node = Node.start(settings);
+ * node.drain();
  * }</pre>
  */
 public final class Node implements AutoCloseable {
-    private static final int MAX_THREADS = 48;
-    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
-    private static final long KEEP_IDLE_MILLIS = 30_000;
-    private static final int PER_GUARD = 256;
-    private static final int PER_TARGET = 64;
-    private static final int FENCES_PER_GUARD = 64;
-    private static final int QUEUED = 4_096;
+    private static final String SITE = "site";
     private static final long DECIDE_EVERY_MILLIS = 100;
     private static final long DRAIN_POLL_MILLIS = 20;
+    private static final int WINDOWS = 64;
+
+    /** Peers hear of a stop within this time; until then they still send, and are served. */
+    private static final long ANNOUNCE_MILLIS = 1_500;
 
     private final NodeSettings mSettings;
     private final Ticker mTicker = Ticker.system();
     private final MetricRegistry mRegistry = new MetricRegistry();
-    private final StateLog mLog = new StateLog(Logger.getLogger(Node.class));
-    private final QueuedThreadPool mThreads = new QueuedThreadPool(MAX_THREADS);
-    private final ScheduledExecutorScheduler mScheduler =
-            new ScheduledExecutorScheduler("node-timer", true);
-    private final ScheduledExecutorService mControl =
-            Executors.newSingleThreadScheduledExecutor(Node::controlThread);
+    private final long mStartedMillis = System.currentTimeMillis();
+    private final NodeEvents mEvents;
+    private final OutcomeWindows mWindows = new OutcomeWindows(mTicker, WINDOWS);
+    private final NodeHttp mHttp;
+    private final ScheduledExecutorService mWorker =
+            Executors.newSingleThreadScheduledExecutor(Node::workerThread);
     private final RoutingState mState;
     private final DetectionService mDetection;
-    private final HttpClient mForwarding;
-    private final HttpClient mFencing;
-    private final HttpClient mTargets;
-    private final PlatformClient mPlatform;
-    private final PlatformFeed mFeed;
+    private final ProbeTokens mProbes;
+    private final EvidencePublisher mPublisher;
     private final EntryHandler mEntry;
     private final GuardHandler mGuard;
     private final Server mCallerServer;
     private final Server mGuardServer;
-    private volatile boolean mStopping;
-
-    private record PhaseChange(String vm, String phase, int callerPort, int guardPort) {}
-
-    private record VersionChange(String vm, long version, String digest) {}
+    private final AdminServer mAdmin;
+    private final PlatformClient mPlatform;
+    private final CompletableFuture<RuntimeException> mBroken = new CompletableFuture<>();
+    private volatile ControlPlane<ConfigHistory> mControl;
+    private volatile NodePhase mPhase = NodePhase.STARTING;
 
     private Node(NodeSettings settings) {
         mSettings = settings;
-        mThreads.setName("node-" + settings.vm());
-        long incarnation = new SecureRandom().nextLong();
+        mEvents = new NodeEvents(settings.vm(), mStartedMillis);
+        mHttp = new NodeHttp(settings.vm());
         mState = new RoutingState(settings.vm(), settings.failureDomain(), mTicker);
-        mDetection = new DetectionService(mState, mTicker, System.currentTimeMillis(), mRegistry);
-        HttpClientFactory clients = new HttpClientFactory(mThreads, mScheduler);
-        mForwarding = clients.create("forwarding", limits(PER_GUARD));
-        mFencing = clients.create("fencing", limits(FENCES_PER_GUARD));
-        mTargets = clients.create("targets", limits(PER_TARGET));
-        mEntry =
-                new EntryHandler(
-                        mState::table,
-                        () -> mStopping,
-                        new GuardClient(mForwarding, mFencing, mTicker),
-                        mTargets,
-                        new AttemptIds(settings.vm(), incarnation),
-                        mScheduler,
-                        mTicker,
-                        (target, outcome, micros) ->
-                                mDetection.observed(target, ObservationEnd.ENTRY, outcome, micros),
-                        mRegistry);
-        mGuard =
-                new GuardHandler(
-                        settings.vm(),
-                        mState::table,
-                        mTargets,
-                        new AttemptLedger(incarnation, AttemptLimits.DEFAULT),
-                        mScheduler,
+        mProbes = new ProbeTokens(mTicker, () -> mState.vms().nodes().size());
+        VerdictRecorder recorder = new VerdictRecorder(mEvents, mWindows);
+        mDetection =
+                new DetectionService(
+                        mState,
                         mTicker,
-                        (target, outcome, micros) ->
-                                mDetection.observed(target, ObservationEnd.GUARD, outcome, micros),
-                        mRegistry);
-        HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
+                        mStartedMillis,
+                        (service, before, after) -> decided(recorder, service, before, after),
+                        mWorker);
+        mPublisher = new EvidencePublisher(settings.vm(), mState, mDetection, mTicker);
+        NodeObserver observer = new NodeObserver(mDetection, mWindows, mEvents, mTicker);
+        long incarnation = new SecureRandom().nextLong();
+        mEntry = entry(observer, incarnation);
+        mGuard = guard(observer, incarnation);
+        HttpServerFactory servers = mHttp.servers();
         mCallerServer = servers.create(settings.host(), settings.callerPort(), mEntry);
         mGuardServer = servers.create(settings.host(), settings.guardPort(), mGuard);
+        NodeStatusSource status =
+                new NodeStatusSource(settings, mStartedMillis, mState, mDetection, mWindows);
+        mAdmin =
+                new AdminServer(
+                        new AdminSources(
+                                () -> NodeStatusSource.readiness(mPhase),
+                                () -> status.read(mPhase, currentHistory()),
+                                mEvents::read,
+                                mRegistry),
+                        settings.host(),
+                        settings.adminPort(),
+                        mTicker);
         mPlatform = HttpPlatformClient.open(settings.platform());
-        mFeed = new PlatformFeed(mPlatform, mControl, this::versionInForce, mState::vmsChanged);
     }
 
-    private static HttpClientFactory.Limits limits(int connections) {
-        return new HttpClientFactory.Limits(
-                CONNECT_TIMEOUT_MILLIS, KEEP_IDLE_MILLIS, connections, QUEUED);
+    private EntryHandler entry(NodeObserver observer, long incarnation) {
+        return new EntryHandler(
+                mState::table,
+                () -> mPhase == NodePhase.STOPPING,
+                new GuardClient(mHttp.forwarding(), mHttp.fencing(), mTicker),
+                mHttp.targets(),
+                new AttemptIds(mSettings.vm(), incarnation),
+                mHttp.scheduler(),
+                mTicker,
+                observer,
+                mProbes::take,
+                mRegistry);
+    }
+
+    private GuardHandler guard(NodeObserver observer, long incarnation) {
+        return new GuardHandler(
+                mSettings.vm(),
+                mState::table,
+                mHttp.targets(),
+                new AttemptLedger(incarnation, AttemptLimits.DEFAULT),
+                mHttp.scheduler(),
+                mTicker,
+                observer,
+                mRegistry);
     }
 
-    private static Thread controlThread(Runnable work) {
-        Thread thread = new Thread(work, "node-control");
+    private static Thread workerThread(Runnable work) {
+        Thread thread = new Thread(work, "node-worker");
         thread.setDaemon(true);
         return thread;
     }
 
     /**
-     * Starts a node.
+     * Starts a node; it opens to callers once it knows the configuration in force.
      *
      * @throws IOException if it cannot listen at one of its ports
      */
     public static Node start(NodeSettings settings) throws IOException {
         Node node = new Node(settings);
         try {
-            node.mThreads.start();
-            node.mScheduler.start();
-            HttpClientFactory.start(node.mForwarding);
-            HttpClientFactory.start(node.mFencing);
-            HttpClientFactory.start(node.mTargets);
-            node.mFeed.start();
-            node.mControl.scheduleWithFixedDelay(
-                    node.mDetection::tick,
-                    DECIDE_EVERY_MILLIS,
-                    DECIDE_EVERY_MILLIS,
-                    TimeUnit.MILLISECONDS);
-            node.mGuardServer.start();
-            node.mCallerServer.start();
+            node.startParts();
         } catch (Exception e) {
             node.close();
-            throw new IOException("node of " + settings.vm() + " does not start: " + e, e);
+            throw new IOException(
+                    "node of " + settings.vm() + " does not start: " + e.getMessage(), e);
         }
-        node.logPhase("serving");
         return node;
     }
 
+    private void startParts() throws Exception {
+        mEvents.record(new NodeStarted(mSettings.failureDomain(), ProductVersion.text()));
+        mHttp.start();
+        mAdmin.start();
+        mGuardServer.start();
+        ControlSettings control = ControlSettings.of(SITE, ownVm());
+        mControl =
+                ControlPlane.start(
+                        control.withSeeds(mSettings.seedPeers()),
+                        new ConfigHistoryFold(),
+                        mPlatform,
+                        new FleetListener(),
+                        mRegistry);
+        mWorker.scheduleWithFixedDelay(
+                guarded(mDetection::tick),
+                DECIDE_EVERY_MILLIS,
+                DECIDE_EVERY_MILLIS,
+                TimeUnit.MILLISECONDS);
+        mControl.opened().thenRunAsync(this::open, mWorker);
+    }
+
+    private Vm ownVm() {
+        return new Vm(
+                mSettings.vm(),
+                mSettings.failureDomain(),
+                mSettings.host(),
+                mSettings.callerPort(),
+                HttpServerFactory.portOf(mGuardServer),
+                mSettings.peerPort(),
+                mAdmin.port());
+    }
+
+    private void open() {
+        if (mPhase != NodePhase.STARTING) {
+            return;
+        }
+        try {
+            mCallerServer.start();
+            mPhase = NodePhase.SERVING;
+        } catch (Exception e) {
+            mBroken.complete(new IllegalStateException("caller port does not open", e));
+        }
+    }
+
+    // A broken invariant means that this process no longer knows what it does; it must stop rather
+    // than act on it. Without this an exception would only end one scheduled task, silently.
+    private Runnable guarded(Runnable work) {
+        return () -> {
+            try {
+                work.run();
+            } catch (RuntimeException e) {
+                mBroken.complete(e);
+                throw e;
+            }
+        };
+    }
+
+    private void decided(
+            VerdictRecorder recorder, String service, Verdicts before, Verdicts after) {
+        recorder.record(service, before, after);
+        mProbes.due(service, after.probesDue());
+        ControlPlane<ConfigHistory> control = mControl;
+        if (control != null) {
+            mPublisher.decided(service, after, control::publishEvidence);
+        }
+    }
+
+    private ConfigHistory currentHistory() {
+        ControlPlane<ConfigHistory> control = mControl;
+        return control == null ? ConfigHistory.EMPTY : control.currentHistory();
+    }
+
+    /** Hears what the fleet and the platform say; does the work on the node's own thread. */
+    private final class FleetListener implements ControlListener<ConfigHistory> {
+        @Override
+        public void onHistory(ConfigHistory history) {
+            mWorker.execute(guarded(() -> versionInForce(history)));
+        }
+
+        @Override
+        public void onView(LiveView view) {
+            mWorker.execute(guarded(() -> mState.vmsChanged(view)));
+        }
+
+        @Override
+        public void onLeaving(LeavingNotice notice) {
+            if (notice.wholeVm()) {
+                mEvents.record(new VmLeaving(notice.vm(), "peer"));
+            }
+        }
+
+        @Override
+        public void onEvidence(GossipItem evidence) {
+            EvidenceCodec.decode(evidence.payload())
+                    .ifPresent(digest -> mDetection.heard(evidence.node(), evidence.key(), digest));
+        }
+
+        @Override
+        public void onBroken(RuntimeException failure) {
+            mBroken.complete(failure);
+        }
+    }
+
     private void versionInForce(ConfigHistory history) {
+        if (history.version() <= mState.table().version()) {
+            return;
+        }
         mState.configurationChanged(history);
-        mLog.info(
-                "version in force",
-                new VersionChange(mSettings.vm(), history.version(), history.digest().toString()));
+        mWindows.versionInForce(history.version());
+        mEvents.record(
+                new VersionInForce(
+                        history.version(), history.digest().toString(), history.position()));
+    }
+
+    /** Returns the routing table in use. */
+    RoutingTable table() {
+        return mState.table();
+    }
+
+    /** Returns what the node does for callers now. */
+    public NodePhase phase() {
+        return mPhase;
     }
 
-    /** Returns the port at which callers are served. */
+    /** Returns the port at which callers are served, once it is open. */
     public int callerPort() {
         return HttpServerFactory.portOf(mCallerServer);
     }
@@ -169,9 +300,9 @@
         return HttpServerFactory.portOf(mGuardServer);
     }
 
-    /** Returns the version of the configuration in force. */
-    public long version() {
-        return mFeed.history().version();
+    /** Returns the port of the administration API. */
+    public int adminPort() {
+        return mAdmin.port();
     }
 
     /** Returns the counters. */
@@ -179,49 +310,67 @@
         return mRegistry;
     }
 
-    /** Takes no new callers, lets all requests end, and stops; bounded by the drain setting. */
+    /**
+     * Returns a future that completes with the invariant that broke; the process must then stop.
+     */
+    public CompletableFuture<RuntimeException> broken() {
+        return mBroken;
+    }
+
+    /**
+     * Stops for good without cutting off a request: tells peers and callers, waits until peers have
+     * heard, takes nothing new, and lets all in flight end; bounded by the drain setting.
+     */
     public void drain() throws InterruptedException {
-        mStopping = true;
-        logPhase("draining");
-        long untilMillis = mTicker.millis() + mSettings.drainMillis();
-        while (mEntry.inFlight() + mGuard.inFlight() > 0 && mTicker.millis() < untilMillis) {
-            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+        if (mPhase == NodePhase.STOPPING) {
+            return;
         }
+        mPhase = NodePhase.STOPPING;
+        stopPhase(StopPhase.ANNOUNCED);
+        ControlPlane<ConfigHistory> control = mControl;
+        if (control != null) {
+            control.announceLeaving();
+        }
+        long startMillis = mTicker.millis();
+        long untilMillis = startMillis + mSettings.drainMillis();
+        awaitQuiet(Math.min(untilMillis, startMillis + ANNOUNCE_MILLIS), false);
+        stopPhase(StopPhase.DRAINING);
+        mGuard.leave();
+        boolean quiet = awaitQuiet(untilMillis, true);
+        stopPhase(quiet ? StopPhase.DRAINED : StopPhase.TIMED_OUT);
         close();
     }
 
-    @Override
-    public void close() {
-        mFeed.close();
-        mControl.shutdownNow();
-        stop(mCallerServer::stop);
-        stop(mGuardServer::stop);
-        stop(mForwarding::stop);
-        stop(mFencing::stop);
-        stop(mTargets::stop);
-        stop(mPlatform::close);
-        stop(mScheduler::stop);
-        stop(mThreads::stop);
-        logPhase("stopped");
+    private boolean awaitQuiet(long untilMillis, boolean endWhenQuiet) throws InterruptedException {
+        while (mTicker.millis() < untilMillis) {
+            if (endWhenQuiet && inFlight() == 0) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+        }
+        return inFlight() == 0;
     }
 
-    private void logPhase(String phase) {
-        int callerPort = mCallerServer.isStarted() ? callerPort() : 0;
-        int guardPort = mGuardServer.isStarted() ? guardPort() : 0;
-        mLog.info("node phase", new PhaseChange(mSettings.vm(), phase, callerPort, guardPort));
+    private int inFlight() {
+        return mEntry.inFlight() + mGuard.inFlight();
     }
 
-    /** Something that may fail to stop. */
-    @FunctionalInterface
-    private interface Stoppable {
-        void stop() throws Exception;
+    private void stopPhase(StopPhase phase) {
+        mEvents.record(new StopPhaseEntered(phase, inFlight()));
     }
 
-    private static void stop(Stoppable part) {
-        try {
-            part.stop();
-        } catch (Exception e) {
-            Logger.getLogger(Node.class).warnf("part of the node does not stop: %s", e);
+    @Override
+    public void close() {
+        mPhase = NodePhase.STOPPING;
+        ControlPlane<ConfigHistory> control = mControl;
+        if (control != null) {
+            NodeHttp.stop(control::close);
         }
+        mWorker.shutdownNow();
+        NodeHttp.stop(mCallerServer::stop);
+        NodeHttp.stop(mGuardServer::stop);
+        NodeHttp.stop(mPlatform::close);
+        NodeHttp.stop(mAdmin::stop);
+        mHttp.stop();
     }
 }
--- a/src/main/java/org/apricotgauge/node/NodeMain.java
+++ b/src/main/java/org/apricotgauge/node/NodeMain.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.apricotgauge.cli.ExitCode;
 import org.apricotgauge.log.Logs;
+import org.jboss.logging.Logger;
 
 /** The program {@code apricotgauge-node}; a SIGTERM drains it. */
 public final class NodeMain {
@@ -32,6 +33,12 @@
                         },
                         "node-drain");
         Runtime.getRuntime().addShutdownHook(drain);
+        node.broken()
+                .thenAccept(
+                        failure -> {
+                            Logger.getLogger(NodeMain.class).fatal("invariant broken", failure);
+                            Runtime.getRuntime().halt(ExitCode.INVARIANT_BROKEN.code());
+                        });
         drained.await();
         return ExitCode.OK;
     }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -0,0 +1,84 @@
+package org.apricotgauge.node;
+
+import java.util.Locale;
+import org.apricotgauge.caller.EntryObserver;
+import org.apricotgauge.decision.attempt.FenceAnswer;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.detection.ObservationEnd;
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.event.FenceResult;
+import org.apricotgauge.event.FenceUsed;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.operator.OutcomeKind;
+import org.apricotgauge.operator.OutcomeWindows;
+import org.apricotgauge.target.GuardObserver;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.http.HttpFields;
+
+/** Passes on what requests show: to detection, to the counts of each version, to the time line. */
+final class NodeObserver implements EntryObserver, GuardObserver {
+    private static final int FIRST_ERROR_STATUS = 500;
+
+    private final DetectionService mDetection;
+    private final EvidenceShare mShare;
+    private final OutcomeWindows mWindows;
+    private final NodeEvents mEvents;
+
+    NodeObserver(
+            DetectionService detection, OutcomeWindows windows, NodeEvents events, Ticker ticker) {
+        mDetection = detection;
+        mShare = new EvidenceShare(ticker, detection::guardDigest);
+        mWindows = windows;
+        mEvents = events;
+    }
+
+    @Override
+    public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {
+        mDetection.observed(target, ObservationEnd.ENTRY, outcome, totalMicros);
+    }
+
+    @Override
+    public void observed(Target target, ObservedOutcome outcome, long serviceMicros) {
+        mDetection.observed(target, ObservationEnd.GUARD, outcome, serviceMicros);
+    }
+
+    @Override
+    public void beforeAnswer(Target target, HttpFields.Mutable headers) {
+        mShare.write(target, headers);
+        headers.put(HeaderNames.CLOCK, mEvents.stamp());
+    }
+
+    @Override
+    public void guardAnswered(Target target, HttpFields headers) {
+        mEvents.observe(headers);
+        EvidenceShare.read(headers)
+                .ifPresent(digest -> mDetection.heard(target.vm(), target.service(), digest));
+    }
+
+    @Override
+    public void told(String service, Outcome outcome) {
+        mWindows.count(service, kindOf(outcome));
+    }
+
+    private static OutcomeKind kindOf(Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun) {
+            return OutcomeKind.NOT_RUN;
+        }
+        if (outcome instanceof Outcome.Answered answered) {
+            return answered.status() >= FIRST_ERROR_STATUS
+                    ? OutcomeKind.FAILED
+                    : OutcomeKind.ANSWERED;
+        }
+        return OutcomeKind.UNKNOWN;
+    }
+
+    @Override
+    public void fenced(Target target, String attempt, FenceAnswer answer) {
+        FenceResult result =
+                answer == null || answer.state() == FenceAnswer.State.UNKNOWN_FORGOTTEN
+                        ? FenceResult.UNANSWERED
+                        : FenceResult.valueOf(answer.state().name().toUpperCase(Locale.ROOT));
+        mEvents.record(new FenceUsed(target.service(), target.id(), attempt, result));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/NodeStatusSource.java
@@ -0,0 +1,82 @@
+package org.apricotgauge.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apricotgauge.cli.ProductVersion;
+import org.apricotgauge.config.ConfigHistory;
+import org.apricotgauge.decision.detection.Verdicts;
+import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.decision.routing.ServiceTable;
+import org.apricotgauge.operator.NodePhase;
+import org.apricotgauge.operator.NodeStatus;
+import org.apricotgauge.operator.OutcomeWindows;
+import org.apricotgauge.operator.Readiness;
+import org.apricotgauge.operator.ServiceStatus;
+
+/** Tells operators what the node is and does. */
+final class NodeStatusSource {
+    private final NodeSettings mSettings;
+    private final long mIncarnation;
+    private final RoutingState mState;
+    private final DetectionService mDetection;
+    private final OutcomeWindows mWindows;
+
+    NodeStatusSource(
+            NodeSettings settings,
+            long incarnation,
+            RoutingState state,
+            DetectionService detection,
+            OutcomeWindows windows) {
+        mSettings = settings;
+        mIncarnation = incarnation;
+        mState = state;
+        mDetection = detection;
+        mWindows = windows;
+    }
+
+    static Readiness readiness(NodePhase phase) {
+        return switch (phase) {
+            case SERVING -> new Readiness(true, "serving");
+            case STARTING -> new Readiness(false, "waits to know the configuration in force");
+            case STOPPING -> new Readiness(false, "stopping");
+        };
+    }
+
+    NodeStatus read(NodePhase phase, ConfigHistory history) {
+        return new NodeStatus(
+                mSettings.vm(),
+                mSettings.failureDomain(),
+                ProductVersion.text(),
+                mIncarnation,
+                phase,
+                mState.table().version(),
+                history.version() == 0 ? "" : history.versionDigest().toString(),
+                history.position(),
+                services(),
+                mWindows.read());
+    }
+
+    /** Only services that this node has worked for: at full size there are thousands of others. */
+    private List<ServiceStatus> services() {
+        List<ServiceStatus> services = new ArrayList<>();
+        for (ServiceTable table : mState.table().services().values()) {
+            Verdicts verdicts = mDetection.verdictsOf(table.service().id());
+            if (verdicts == null) {
+                continue;
+            }
+            List<String> leaving =
+                    table.all().stream()
+                            .filter(Candidate::leaving)
+                            .map(candidate -> candidate.target().id())
+                            .toList();
+            List<String> ejected =
+                    verdicts.byTarget().values().stream()
+                            .filter(verdict -> !verdict.isEligible())
+                            .map(verdict -> verdict.targetId())
+                            .toList();
+            services.add(
+                    new ServiceStatus(table.service().id(), table.all().size(), leaving, ejected));
+        }
+        return services;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/ProbeTokens.java
@@ -0,0 +1,50 @@
+package org.apricotgauge.node;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.IntSupplier;
+import org.apricotgauge.time.Ticker;
+
+/**
+ * Hands out the right to try an ejected target with one repeatable request.
+ *
+ * <p>All entries together shall try a target about once a second, not each of them: the pause
+ * between two tries of one entry grows with the number of nodes. Thread-safe.
+ */
+final class ProbeTokens {
+    /** Pause for each node of the fleet; one try a second over all nodes. */
+    static final long PAUSE_PER_NODE_MILLIS = 1_000;
+
+    private final Ticker mTicker;
+    private final IntSupplier mNodes;
+    private final ConcurrentMap<String, String> mTokens = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Long> mGivenMillis = new ConcurrentHashMap<>();
+
+    ProbeTokens(Ticker ticker, IntSupplier nodes) {
+        mTicker = ticker;
+        mNodes = nodes;
+    }
+
+    /** Notes that a target of the service is due to be tried. */
+    void due(String service, List<String> targets) {
+        if (targets.isEmpty()) {
+            return;
+        }
+        long pauseMillis = PAUSE_PER_NODE_MILLIS * Math.max(1, mNodes.getAsInt());
+        Long givenMillis = mGivenMillis.get(service);
+        if (givenMillis == null || mTicker.millis() - givenMillis >= pauseMillis) {
+            mTokens.put(service, targets.get(0));
+        }
+    }
+
+    /** Takes the right to try a target of the service, if there is one. */
+    Optional<String> take(String service) {
+        String target = mTokens.remove(service);
+        if (target != null) {
+            mGivenMillis.put(service, mTicker.millis());
+        }
+        return Optional.ofNullable(target);
+    }
+}
--- a/src/main/java/org/apricotgauge/node/RoutingState.java
+++ b/src/main/java/org/apricotgauge/node/RoutingState.java
@@ -8,16 +8,18 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.apricotgauge.config.ConfigHistory;
 import org.apricotgauge.decision.detection.Verdicts;
+import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
+import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.model.Vm;
-import org.apricotgauge.model.VmStatus;
 import org.apricotgauge.time.Ticker;
 
 /**
- * Keeps the routing table true to the configuration, the list of VMs and the verdicts.
+ * Keeps the routing table true to the configuration, the VMs and the verdicts.
  *
  * <pre>{@code
  * state.configurationChanged(history);
@@ -33,8 +35,7 @@
     private final Ticker mTicker;
     private final RoutingTableFactory.View mView;
     private final Map<String, Verdicts> mVerdicts = new HashMap<>();
-    private Map<String, VmStatus> mVms = Map.of();
-    private boolean mVmsKnown;
+    private volatile LiveView mVms = LiveView.EMPTY;
 
     RoutingState(String vm, String failureDomain, Ticker ticker) {
         mFactory = new RoutingTableFactory(vm, failureDomain);
@@ -57,37 +58,37 @@
                         mTicker.nanos()));
     }
 
-    /** Takes a new list of VMs and builds anew the services that stand on those that changed. */
-    synchronized void vmsChanged(Map<String, VmStatus> vms) {
-        Set<String> changed = new HashSet<>(mVms.keySet());
-        changed.addAll(vms.keySet());
-        Map<String, VmStatus> old = mVms;
-        changed.removeIf(id -> mVmsKnown && Objects.equals(old.get(id), vms.get(id)));
-        mVms = Map.copyOf(vms);
-        boolean first = !mVmsKnown;
-        mVmsKnown = true;
+    /** Takes what is known of the VMs and builds anew the services that it changes. */
+    synchronized void vmsChanged(LiveView vms) {
+        mVms = vms;
         Set<String> services = new HashSet<>();
-        for (Target target : mTable.get().configuration().targets()) {
-            if (first || changed.contains(target.vm())) {
-                services.add(target.service());
+        for (ServiceTable service : mTable.get().services().values()) {
+            if (service.all().stream().anyMatch(this::isOutdated)) {
+                services.add(service.service().id());
             }
         }
         services.forEach(this::refresh);
     }
 
+    private boolean isOutdated(Candidate candidate) {
+        Target target = candidate.target();
+        return candidate.leaving() != isLeaving(target)
+                || !Objects.equals(candidate.guard(), guardOf(target));
+    }
+
     synchronized void verdictsChanged(String service, Verdicts verdicts) {
         mVerdicts.put(service, verdicts);
         refresh(service);
     }
 
-    /** Returns whether a target must get no new work, as far as the list of VMs says. */
-    synchronized boolean isLeaving(Target target) {
-        VmStatus status = mVms.get(target.vm());
-        if (status == null) {
-            // An empty list means that none was read yet; then every configured target is tried.
-            return mVmsKnown;
-        }
-        return status.state() == VmStatus.State.LEAVING;
+    /** Returns whether a target must get no new work, by membership and not by detection. */
+    boolean isLeaving(Target target) {
+        return mVms.leaving(target.vm(), target.id());
+    }
+
+    /** Returns what is known of the VMs. */
+    LiveView vms() {
+        return mVms;
     }
 
     private void refresh(String service) {
@@ -95,12 +96,8 @@
     }
 
     private Address guardOf(Target target) {
-        VmStatus status = mVms.get(target.vm());
-        if (status == null || !status.vm().hasNode()) {
-            return null;
-        }
-        Vm vm = status.vm();
-        return new Address(vm.host(), vm.guardPort());
+        Vm vm = mVms.vm(target.vm());
+        return vm == null || !vm.hasNode() ? null : new Address(vm.host(), vm.guardPort());
     }
 
     private double weightOf(Target target) {
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/VerdictRecorder.java
@@ -0,0 +1,43 @@
+package org.apricotgauge.node;
+
+import org.apricotgauge.decision.detection.Verdict;
+import org.apricotgauge.decision.detection.Verdicts;
+import org.apricotgauge.event.FloorReached;
+import org.apricotgauge.event.TargetEjected;
+import org.apricotgauge.event.TargetReadmitted;
+import org.apricotgauge.operator.OutcomeKind;
+import org.apricotgauge.operator.OutcomeWindows;
+
+/** Turns the difference between two decisions into events and counts. */
+final class VerdictRecorder {
+    private final NodeEvents mEvents;
+    private final OutcomeWindows mWindows;
+
+    VerdictRecorder(NodeEvents events, OutcomeWindows windows) {
+        mEvents = events;
+        mWindows = windows;
+    }
+
+    void record(String service, Verdicts before, Verdicts after) {
+        for (Verdict verdict : after.byTarget().values()) {
+            Verdict old = before == null ? null : before.byTarget().get(verdict.targetId());
+            boolean wasOut = old != null && !old.isEligible();
+            if (!wasOut && !verdict.isEligible()) {
+                mWindows.count(service, OutcomeKind.EJECTED);
+                mEvents.record(new TargetEjected(service, verdict.targetId(), verdict.evidence()));
+            } else if (wasOut && verdict.isEligible()) {
+                mEvents.record(
+                        new TargetReadmitted(service, verdict.targetId(), verdict.evidence()));
+            }
+            boolean wasHeld = old != null && old.heldByFloor();
+            if (verdict.heldByFloor() && !wasHeld) {
+                mEvents.record(
+                        new FloorReached(
+                                service,
+                                verdict.targetId(),
+                                after.floorSlots(),
+                                after.eligibleSlots()));
+            }
+        }
+    }
+}
