Let a cut-off node find the others again; dial lost nodes now and then

Cause: the fuzz left a restarted node without links for good: the search for nodes to heal to set the timer that the search for anybody waits for, so the latter never ran. Nodes with enough links never dialled a lost one either. Ruled out: the simulated network (the machine made no dial at all for 20 s). Change: a timer for each; every node dials lost ones with a chance that bounds what one lost node gets to about one dial in 5 s; links above the wanted count are closed after 10 s.

--- a/src/main/java/org/apricotgauge/decision/gossip/LinkKeeper.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/LinkKeeper.java
@@ -68,7 +68,7 @@
         for (Link link : mContext.links().all()) {
             watch(link, nowMillis);
         }
-        Link surplus = mNeighbours.surplus();
+        Link surplus = mNeighbours.surplus(nowMillis);
         Link exchanged = surplus == null ? mNeighbours.rewire(nowMillis) : surplus;
         if (exchanged != null) {
             close(exchanged);
--- a/src/main/java/org/apricotgauge/decision/gossip/Neighbours.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/Neighbours.java
@@ -20,6 +20,8 @@
     private static final int MAX_DIALLING = 4;
     private static final int MAX_HINTS = 32;
     private static final long HEAL_MILLIS = 5_000;
+    private static final long ANYBODY_MILLIS = 1_000;
+    private static final long SETTLE_MILLIS = 10_000;
 
     /** Opens a link to a peer; the VM is null if only its address is known. */
     interface Dialler {
@@ -36,6 +38,7 @@
     private LiveView mNodesOf = LiveView.EMPTY;
     private long mNextRewireMillis;
     private long mNextHealMillis;
+    private long mNextAnybodyMillis;
 
     Neighbours(
             GossipContext context,
@@ -75,21 +78,28 @@
         GossipSettings settings = mContext.settings();
         int wanted = settings.ownDomainLinks() + settings.otherDomainLinks();
         List<Link> dialled = mContext.links().where(l -> l.established() && l.dialled());
-        boolean others = nodes().size() > 2 * wanted;
+        boolean others = linkable(nodes()).stream().anyMatch(vm -> usable(vm, nowMillis));
         return first || dialled.size() < wanted || !others ? null : mContext.pick(dialled);
     }
 
-    /** Returns a dialled link of the own domain that stood in for one to another, or null. */
-    Link surplus() {
+    /** Returns a dialled link that is one too many by now, or null. */
+    Link surplus(long nowMillis) {
         GossipSettings settings = mContext.settings();
         int own = countDialled(true);
-        int wanted = settings.ownDomainLinks() + settings.otherDomainLinks();
-        if (own <= settings.ownDomainLinks() || own + countDialled(false) <= wanted) {
+        int other = countDialled(false);
+        if (own + other <= settings.ownDomainLinks() + settings.otherDomainLinks()) {
             return null;
         }
+        boolean tooManyOwn = own > settings.ownDomainLinks();
         return mContext.pick(
                 mContext.links()
-                        .where(link -> link.established() && link.dialled() && inOwnDomain(link)));
+                        .where(
+                                link ->
+                                        link.established()
+                                                && link.dialled()
+                                                && inOwnDomain(link) == tooManyOwn
+                                                && nowMillis - link.mOpenedAtMillis
+                                                        > SETTLE_MILLIS));
     }
 
     /** Dials what is missing. */
@@ -99,6 +109,9 @@
             return;
         }
         Vm chosen = choose(nowMillis);
+        if (chosen == null) {
+            chosen = healing(nowMillis);
+        }
         if (chosen != null) {
             dial(chosen, nowMillis);
         } else if (mContext.links().established().isEmpty()) {
@@ -114,9 +127,6 @@
         if (missingOther > 0) {
             chosen = candidate(false, nowMillis);
         }
-        if (chosen == null && missingOther > 0) {
-            chosen = healing(nowMillis);
-        }
         if (chosen == null && missing > 0) {
             chosen = candidate(true, nowMillis);
         }
@@ -127,10 +137,10 @@
     }
 
     private void dialAnybody(long nowMillis) {
-        if (nowMillis < mNextHealMillis) {
+        if (nowMillis < mNextAnybodyMillis) {
             return;
         }
-        mNextHealMillis = nowMillis + HEAL_MILLIS / MAX_DIALLING;
+        mNextAnybodyMillis = nowMillis + ANYBODY_MILLIS;
         Vm anybody = mContext.pick(linkable(nodes()));
         Vm hint = mContext.pick(linkable(List.copyOf(mHints.values())));
         Address seed = mContext.pick(mSeeds);
@@ -147,30 +157,34 @@
 
     private Vm healing(long nowMillis) {
         // In a partition the whole other side ends up suspected. Were it never dialled again, the
-        // two sides would stay apart after the partition has healed.
+        // two sides would stay apart after the partition has healed. The chance keeps the dials
+        // that one unreachable node gets at about one in HEAL_MILLIS, whatever the fleet's size.
         if (nowMillis < mNextHealMillis) {
             return null;
         }
         mNextHealMillis = nowMillis + HEAL_MILLIS;
-        return mContext.pick(
-                linkable(nodes()).stream()
-                        .filter(vm -> !vm.failureDomain().equals(mContext.self().failureDomain()))
-                        .toList());
+        LiveView view = mView.get();
+        List<Vm> lost = linkable(nodes()).stream().filter(vm -> view.unreachable(vm.id())).toList();
+        boolean now = mContext.random().nextInt(1 + nodes().size()) < lost.size();
+        return now ? mContext.pick(lost) : null;
     }
 
     private Vm candidate(boolean ownDomain, long nowMillis) {
-        LiveView view = mView.get();
         String domain = mContext.self().failureDomain();
         List<Vm> choices = new ArrayList<>();
         for (Vm vm : linkable(nodes())) {
             boolean wanted = vm.failureDomain().equals(domain) == ownDomain;
-            if (wanted && !view.unreachable(vm.id()) && !mLiveness.avoided(vm.id(), nowMillis)) {
+            if (wanted && usable(vm, nowMillis)) {
                 choices.add(vm);
             }
         }
         return mContext.pick(choices);
     }
 
+    private boolean usable(Vm vm, long nowMillis) {
+        return !mView.get().unreachable(vm.id()) && !mLiveness.avoided(vm.id(), nowMillis);
+    }
+
     private List<Vm> linkable(List<Vm> vms) {
         return vms.stream()
                 .filter(vm -> !vm.id().equals(mContext.self().id()))
