Open a fresh node only once others were asked; introduce a new run to each peer

A fresh node opened on a stale platform's word, as no VM was known yet and 'all known domains answered' held at once. A restarted node passed for dead or leaving until the next full exchange of items. A node's own view kept its earlier run's notice. Change: the opening policy needs the list of VMs first; both ends of a new link introduce their run; a node's own run enters its own view; links prefer failure domains not linked yet.

--- a/src/main/java/org/apricotgauge/control/ControlPlane.java
+++ b/src/main/java/org/apricotgauge/control/ControlPlane.java
@@ -241,6 +241,7 @@
                         Math.max(mNode.highestHeard(), mPlatform.head()),
                         mPlatform.answered(),
                         mPlatform.failed(),
+                        mNode.vmRevision() > 0 || mPlatform.vmsListed(),
                         mNode.domainsHeard(),
                         mNode.domainsKnown(),
                         nowMillis - mStartedMillis);
--- a/src/main/java/org/apricotgauge/control/PlatformReader.java
+++ b/src/main/java/org/apricotgauge/control/PlatformReader.java
@@ -98,6 +98,10 @@
         return mFailed;
     }
 
+    boolean vmsListed() {
+        return !mVmsWanted;
+    }
+
     long head() {
         return mPlatformHead;
     }
--- a/src/main/java/org/apricotgauge/decision/gossip/Announcer.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/Announcer.java
@@ -1,6 +1,8 @@
 package org.apricotgauge.decision.gossip;
 
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /** What a node says about itself: that it lives, that it is leaving, that it lost the platform. */
@@ -36,6 +38,18 @@
         return mLeaving.contains(target);
     }
 
+    /** Returns what this run says of itself, for a peer that may not know the run yet. */
+    List<GossipItem> statements() {
+        List<GossipItem> statements = new ArrayList<>();
+        String self = mContext.self().id();
+        statements.add(mItems.store().get(GossipItem.Kind.LIVENESS, self, ""));
+        for (String target : mLeaving) {
+            statements.add(mItems.store().get(GossipItem.Kind.LEAVING, self, target));
+        }
+        statements.removeIf(item -> item == null);
+        return statements;
+    }
+
     void alive(long nowMillis) {
         publish(
                 GossipItem.Kind.LIVENESS,
--- a/src/main/java/org/apricotgauge/decision/gossip/FleetView.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/FleetView.java
@@ -75,6 +75,8 @@
             if (item.sequence() > 2 * mAnnouncer.incarnation()) {
                 mContext.count(GossipEvent.SUSPICION_REFUTED);
                 mAnnouncer.refute(incarnation, nowMillis);
+            } else {
+                change(mView.withAlive(mContext.self(), incarnation));
             }
             return;
         }
--- a/src/main/java/org/apricotgauge/decision/gossip/GossipNode.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/GossipNode.java
@@ -282,7 +282,7 @@
 
     private void onFleetNews(Link link, PeerMessage message, long nowMillis) {
         if (message instanceof PeerMessage.Items items) {
-            mItems.onItems(link, items.items(), nowMillis);
+            mItems.onItems(link, items, nowMillis);
         } else if (message instanceof PeerMessage.ItemsRequest) {
             mItems.onItemsRequest(link, nowMillis);
         } else if (message instanceof PeerMessage.ProbeRequest request) {
@@ -393,7 +393,7 @@
         @Override
         public void onEstablished(Link link, long incarnation, Summary summary, long nowMillis) {
             mFleet.onMet(link.mRemote, incarnation);
-            tellOfSuspicion(link);
+            introduce(link);
             onSummary(link, summary, nowMillis);
         }
 
@@ -402,11 +402,20 @@
             mDissemination.onClosed(link);
         }
 
-        private void tellOfSuspicion(Link link) {
+        /**
+         * Tells the peer of our run, and of a suspicion against itself that we hold. Without the
+         * first, a node that was restarted would pass for dead or leaving until the next full
+         * exchange; without the second, one that was wrongly accused could not refute it.
+         */
+        private void introduce(Link link) {
+            List<GossipItem> items = mAnnouncer.statements();
             String id = link.mRemote.id();
             GossipItem item = mItems.store().get(GossipItem.Kind.LIVENESS, id, "");
             if (item != null && item.sequence() % 2 == 1) {
-                mPort.send(link.mId, new PeerMessage.Items(List.of(item)));
+                items.add(item);
+            }
+            if (!items.isEmpty()) {
+                mPort.send(link.mId, new PeerMessage.Items(items, false));
             }
         }
     }
--- a/src/main/java/org/apricotgauge/decision/gossip/ItemGossip.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/ItemGossip.java
@@ -53,9 +53,9 @@
         takeIn(List.of(item), null, nowMillis);
     }
 
-    void onItems(Link source, List<GossipItem> items, long nowMillis) {
-        mSynced = true;
-        takeIn(items, source, nowMillis);
+    void onItems(Link source, PeerMessage.Items message, long nowMillis) {
+        mSynced |= message.whole();
+        takeIn(message.items(), source, nowMillis);
     }
 
     void onSummary(Link link, Summary summary, long nowMillis) {
@@ -70,10 +70,10 @@
         List<GossipItem> all = mStore.all(nowMillis);
         for (int from = 0; from < all.size(); from += MAX_ITEMS_OF_A_MESSAGE) {
             int to = Math.min(all.size(), from + MAX_ITEMS_OF_A_MESSAGE);
-            mPort.send(link.mId, new PeerMessage.Items(all.subList(from, to)));
+            mPort.send(link.mId, new PeerMessage.Items(all.subList(from, to), to == all.size()));
         }
         if (all.isEmpty()) {
-            mPort.send(link.mId, new PeerMessage.Items(List.of()));
+            mPort.send(link.mId, new PeerMessage.Items(List.of(), true));
         }
     }
 
@@ -99,7 +99,7 @@
             mListener.onItem(item, nowMillis);
         }
         if (!forward.isEmpty()) {
-            flood(new PeerMessage.Items(forward), source);
+            flood(new PeerMessage.Items(forward, false), source);
         }
     }
 
--- a/src/main/java/org/apricotgauge/decision/gossip/Neighbours.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/Neighbours.java
@@ -172,13 +172,28 @@
     private Vm candidate(boolean ownDomain, long nowMillis) {
         String domain = mContext.self().failureDomain();
         List<Vm> choices = new ArrayList<>();
+        List<Vm> newDomains = new ArrayList<>();
         for (Vm vm : linkable(nodes())) {
             boolean wanted = vm.failureDomain().equals(domain) == ownDomain;
             if (wanted && usable(vm, nowMillis)) {
                 choices.add(vm);
+                if (!linkedIn(vm.failureDomain())) {
+                    newDomains.add(vm);
+                }
             }
         }
-        return mContext.pick(choices);
+        // Links into different domains: losing one domain then costs one link, and a fresh node
+        // hears from as many domains as it can.
+        return mContext.pick(newDomains.isEmpty() ? choices : newDomains);
+    }
+
+    private boolean linkedIn(String domain) {
+        return mContext.links()
+                        .count(
+                                link ->
+                                        link.mRemote != null
+                                                && link.mRemote.failureDomain().equals(domain))
+                > 0;
     }
 
     private boolean usable(Vm vm, long nowMillis) {
--- a/src/main/java/org/apricotgauge/decision/gossip/OpeningPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/OpeningPolicy.java
@@ -14,12 +14,24 @@
 public final class OpeningPolicy {
     private static final int WANTED_DOMAINS = 3;
 
-    /** What the node has learned so far. */
+    /**
+     * What the node has learned so far.
+     *
+     * @param position its log position
+     * @param highestHeard the highest position that the platform or a peer showed
+     * @param platformAnswered whether the platform told its head
+     * @param platformFailed whether a call to the platform failed
+     * @param vmsListed whether anybody has told which VMs there are
+     * @param domainsHeard from how many failure domains a peer has answered
+     * @param domainsKnown in how many failure domains other nodes are known
+     * @param waitedMillis time since the start
+     */
     public record Observation(
             long position,
             long highestHeard,
             boolean platformAnswered,
             boolean platformFailed,
+            boolean vmsListed,
             int domainsHeard,
             int domainsKnown,
             long waitedMillis) {}
@@ -53,7 +65,9 @@
         }
         boolean platformSettled = seen.platformAnswered() || seen.platformFailed();
         int wanted = Math.min(WANTED_DOMAINS, seen.domainsKnown());
-        boolean enough = platformSettled && seen.domainsHeard() >= wanted;
+        // Before the list of VMs is here no other node is known, and "all known ones answered"
+        // would hold at once, on the word of a platform that may be stale.
+        boolean enough = platformSettled && seen.vmsListed() && seen.domainsHeard() >= wanted;
         return enough || seen.waitedMillis() >= mPatienceMillis
                 ? Decision.OPEN
                 : Decision.WAIT_FOR_ANSWERS;
--- a/src/main/java/org/apricotgauge/decision/gossip/PeerMessage.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/PeerMessage.java
@@ -130,8 +130,8 @@
         }
     }
 
-    /** Gossip items. */
-    record Items(List<GossipItem> items) implements PeerMessage {
+    /** Gossip items; {@code whole} if they end the answer to an {@link ItemsRequest}. */
+    record Items(List<GossipItem> items, boolean whole) implements PeerMessage {
 
         /** Copies the list. */
         public Items {
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/gossip/ReplicaTest.java
@@ -0,0 +1,66 @@
+package org.apricotgauge.decision.gossip;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.apricotgauge.bench.ChainFold;
+import org.apricotgauge.platform.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class ReplicaTest {
+    private static final ChainFold FOLD = new ChainFold();
+
+    private static Replica<ChainFold.Chain> of(String... bodies) {
+        Replica<ChainFold.Chain> replica = new Replica<>(FOLD);
+        for (String body : bodies) {
+            replica.offer(new LogRecord(replica.position() + 1, body), null);
+        }
+        return replica;
+    }
+
+    @Test
+    void refusesAnotherBodyAtAPositionItHas() {
+        // Caller: two nodes answer differently at "the same" version. A platform that flaps between
+        // two copies showed another body at position 2 than the one in force here.
+        Replica<ChainFold.Chain> replica = of("a", "b");
+        assertThat(replica.offer(new LogRecord(2, "other"), null))
+                .isEqualTo(Replica.Verdict.CONFLICT);
+        assertThat(replica.offer(new LogRecord(2, "b"), null)).isEqualTo(Replica.Verdict.KNOWN);
+        assertThat(replica.relation(2, of("a", "other").digest()))
+                .isEqualTo(Replica.Relation.CONFLICT);
+    }
+
+    @Test
+    void refusesTheNextRecordOfAnotherHistory() {
+        // Caller: as above, one step later. A peer whose history differs at position 1 sends the
+        // record at 2; folded here it would make a third history that nobody else has.
+        Replica<ChainFold.Chain> ours = of("a");
+        Replica<ChainFold.Chain> theirs = of("other", "b");
+        assertThat(ours.offer(new LogRecord(2, "b"), theirs.digest()))
+                .isEqualTo(Replica.Verdict.CONFLICT);
+        assertThat(ours.history()).isEqualTo(of("a").history());
+    }
+
+    @Test
+    void refusesASnapshotThatIsOldOrDoesNotMatchItsDigest() {
+        Replica<ChainFold.Chain> replica = of("a", "b");
+        Replica<ChainFold.Chain> later = of("a", "b", "c");
+        assertThat(replica.adopt(of("a").history(), of("a").digest()))
+                .isEqualTo(Replica.Verdict.KNOWN);
+        assertThat(replica.adopt(later.history(), "forged")).isEqualTo(Replica.Verdict.CONFLICT);
+        assertThat(replica.adopt(later.history(), later.digest()))
+                .isEqualTo(Replica.Verdict.APPLIED);
+        assertThat(replica.position()).isEqualTo(3);
+    }
+
+    @Test
+    void keepsABoundedNumberOfRecordsForOthers() {
+        Replica<ChainFold.Chain> replica = new Replica<>(FOLD);
+        int total = 3 * Replica.MAX_RETAINED;
+        for (int i = 1; i <= total; i++) {
+            replica.offer(new LogRecord(i, "x"), null);
+        }
+        assertThat(replica.retainedAfter(0, Integer.MAX_VALUE)).isEmpty();
+        assertThat(replica.retainedAfter(total - Replica.MAX_RETAINED, Integer.MAX_VALUE))
+                .hasSize(Replica.MAX_RETAINED);
+    }
+}
