--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/effect/EffectPolicy.java
@@ -0,0 +1,101 @@
+package org.apricotgauge.decision.effect;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Decides whether a change made outcomes better, from counts of several nodes.
+ *
+ * <pre>{@code
+ * Effect effect = EffectPolicy.judge(List.of(new NodeEffect(before, after), ...));
+ * }</pre>
+ *
+ * <p>Requests of one node share their fate: one sick target makes a run of bad outcomes. A test
+ * that took each request for a draw of its own would see an effect in every burst. The nodes are
+ * therefore the draws: the variance of the difference of the two shares is estimated over nodes, by
+ * linearising the ratio (Cochran, "Sampling Techniques", chapter 6), and is never taken below the
+ * binomial one. The threshold is Student's for an error of 1 in 100, two-sided. It can't tell a
+ * change from something else that happened at the same moment. Pure.
+ */
+public final class EffectPolicy {
+    private static final int MIN_NODES = 3;
+    private static final long MIN_REQUESTS = 100;
+    // Student's t at 0.995 for 2, 3, ... degrees of freedom, then the normal's.
+    private static final double[] STUDENT = {
+        9.925, 5.841, 4.604, 4.032, 3.707, 3.499, 3.355, 3.250, 3.169, 3.106, 3.055, 3.012, 2.977,
+        2.947, 2.921, 2.898, 2.878, 2.861, 2.845, 2.831, 2.819, 2.807, 2.797, 2.787, 2.779, 2.771,
+        2.763, 2.756, 2.750
+    };
+    private static final double NORMAL = 2.750;
+
+    private EffectPolicy() {}
+
+    /** Judges by the nodes that saw requests both before and after. */
+    public static Effect judge(List<NodeEffect> nodes) {
+        List<NodeEffect> both =
+                nodes.stream()
+                        .filter(node -> node.before().requests() > 0)
+                        .filter(node -> node.after().requests() > 0)
+                        .toList();
+        OutcomeShare zero = new OutcomeShare(0, 0);
+        OutcomeShare before =
+                both.stream().map(NodeEffect::before).reduce(zero, OutcomeShare::plus);
+        OutcomeShare after = both.stream().map(NodeEffect::after).reduce(zero, OutcomeShare::plus);
+        if (both.size() < MIN_NODES) {
+            String reason =
+                    both.size() + " nodes saw requests before and after; needs " + MIN_NODES;
+            return new Effect(Effect.Verdict.UNDECIDED, before, after, reason);
+        }
+        if (before.requests() < MIN_REQUESTS || after.requests() < MIN_REQUESTS) {
+            String reason = "needs " + MIN_REQUESTS + " requests before and after";
+            return new Effect(Effect.Verdict.UNDECIDED, before, after, reason);
+        }
+        return test(both, before, after);
+    }
+
+    private static Effect test(List<NodeEffect> nodes, OutcomeShare before, OutcomeShare after) {
+        double difference = after.share() - before.share();
+        double variance = Math.max(overNodes(nodes, before, after), binomial(before, after));
+        double deviations = variance > 0 ? difference / Math.sqrt(variance) : 0;
+        double threshold = threshold(nodes.size());
+        String reason =
+                String.format(
+                        Locale.ROOT,
+                        "bad share %.4f%% before, %.4f%% after, %.2f standard errors apart over %d"
+                                + " nodes; needs %.2f",
+                        100 * before.share(),
+                        100 * after.share(),
+                        Math.abs(deviations),
+                        nodes.size(),
+                        threshold);
+        if (Math.abs(deviations) < threshold) {
+            return new Effect(Effect.Verdict.UNDECIDED, before, after, reason);
+        }
+        Effect.Verdict verdict = difference < 0 ? Effect.Verdict.HELPED : Effect.Verdict.HARMED;
+        return new Effect(verdict, before, after, reason);
+    }
+
+    private static double overNodes(
+            List<NodeEffect> nodes, OutcomeShare before, OutcomeShare after) {
+        double sum = 0;
+        for (NodeEffect node : nodes) {
+            double residual = residual(node.after(), after) - residual(node.before(), before);
+            sum += residual * residual;
+        }
+        return sum * nodes.size() / (nodes.size() - 1);
+    }
+
+    private static double residual(OutcomeShare node, OutcomeShare all) {
+        return (node.bad() - all.share() * node.requests()) / all.requests();
+    }
+
+    private static double binomial(OutcomeShare before, OutcomeShare after) {
+        double pooled = before.plus(after).share();
+        return pooled * (1 - pooled) * (1.0 / before.requests() + 1.0 / after.requests());
+    }
+
+    private static double threshold(int nodes) {
+        int index = nodes - MIN_NODES;
+        return index < STUDENT.length ? STUDENT[index] : NORMAL;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/effect/OutcomeShare.java
@@ -0,0 +1,28 @@
+package org.apricotgauge.decision.effect;
+
+import org.apricotgauge.model.Checks;
+
+/**
+ * Requests, and how many of them ended badly.
+ *
+ * @param bad requests that did not get the answer that they asked for
+ * @param requests all requests
+ */
+public record OutcomeShare(long bad, long requests) {
+
+    /** Checks the parts. */
+    public OutcomeShare {
+        Checks.inRange("requests", requests, 0, Long.MAX_VALUE);
+        Checks.inRange("bad", bad, 0, requests);
+    }
+
+    /** Returns the sum of both. */
+    public OutcomeShare plus(OutcomeShare other) {
+        return new OutcomeShare(bad + other.bad, requests + other.requests);
+    }
+
+    /** Returns the bad ones' share, from 0 to 1; 0 if there were no requests. */
+    public double share() {
+        return requests == 0 ? 0 : (double) bad / requests;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/effect/package-info.java
@@ -0,0 +1,2 @@
+/** Whether a change of the configuration made outcomes better or worse. */
+package org.apricotgauge.decision.effect;
--- a/src/main/java/org/apricotgauge/operator/FleetSettings.java
+++ b/src/main/java/org/apricotgauge/operator/FleetSettings.java
@@ -49,7 +49,8 @@
 
     /** Checks the parts. */
     public FleetSettings {
-        nodes = List.copyOf(nodes);
+        // A node named twice would count twice.
+        nodes = nodes.stream().distinct().toList();
         Checks.inRange("timeoutMillis", timeoutMillis, 1, MAX_MILLIS);
         Checks.inRange("pollMillis", pollMillis, MIN_POLL_MILLIS, MAX_MILLIS);
     }
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/effect/EffectPolicyTest.java
@@ -0,0 +1,84 @@
+package org.apricotgauge.decision.effect;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class EffectPolicyTest {
+    private static final int TRIALS = 1_000;
+    private static final int NODES = 24;
+    private static final int REQUESTS = 1_000;
+
+    /**
+     * Bad outcomes come in bursts: at each time a few nodes have much worse ones than the rest. A
+     * test that takes requests for independent calls most patches a help or a harm that are
+     * neither. At an error of 1 in 100 some 10 of 1,000 are expected; the seed is fixed.
+     */
+    @Test
+    void burstsAtSomeNodesAreNotTakenForAnEffect() {
+        Random random = new Random(1721);
+        int judged = 0;
+        for (int trial = 0; trial < TRIALS; trial++) {
+            if (verdict(random, 0.02, 0.02) != Effect.Verdict.UNDECIDED) {
+                judged++;
+            }
+        }
+
+        assertThat(judged).isLessThanOrEqualTo(TRIALS * 2 / 100);
+    }
+
+    @Test
+    void clearChangeIsSeenInItsDirection() {
+        Random random = new Random(1722);
+
+        assertThat(shareOf(random, Effect.Verdict.HELPED, 0.05, 0.001)).isGreaterThan(0.9);
+        assertThat(shareOf(random, Effect.Verdict.HARMED, 0.001, 0.05)).isGreaterThan(0.9);
+    }
+
+    @Test
+    void tooLittleIsUndecided() {
+        NodeEffect bad = new NodeEffect(new OutcomeShare(50, 50), new OutcomeShare(0, 50));
+        NodeEffect onlyBefore = new NodeEffect(new OutcomeShare(50, 500), new OutcomeShare(0, 0));
+
+        assertThat(EffectPolicy.judge(List.of()).verdict()).isEqualTo(Effect.Verdict.UNDECIDED);
+        assertThat(EffectPolicy.judge(List.of(bad, bad, onlyBefore)).reason())
+                .isEqualTo("2 nodes saw requests before and after; needs 3");
+        NodeEffect few = new NodeEffect(new OutcomeShare(33, 33), new OutcomeShare(0, 50));
+        assertThat(EffectPolicy.judge(List.of(few, few, few)).reason())
+                .isEqualTo("needs 100 requests before and after");
+        assertThat(EffectPolicy.judge(List.of(bad, bad, bad)).verdict())
+                .isEqualTo(Effect.Verdict.HELPED);
+    }
+
+    private static double shareOf(
+            Random random, Effect.Verdict verdict, double before, double after) {
+        long found =
+                Stream.generate(() -> verdict(random, before, after))
+                        .limit(TRIALS)
+                        .filter(verdict::equals)
+                        .count();
+        return (double) found / TRIALS;
+    }
+
+    private static Effect.Verdict verdict(Random random, double before, double after) {
+        List<NodeEffect> nodes = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(new NodeEffect(burst(random, before), burst(random, after)));
+        }
+        return EffectPolicy.judge(nodes).verdict();
+    }
+
+    /** A node's share is drawn anew at each time, with an exponential spread around the mean. */
+    private static OutcomeShare burst(Random random, double meanShare) {
+        double share = Math.min(1, -Math.log(1 - random.nextDouble()) * meanShare);
+        long bad = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            bad += random.nextDouble() < share ? 1 : 0;
+        }
+        return new OutcomeShare(bad, REQUESTS);
+    }
+}
