Bound what the operators' programs read at a large site

Cause: 7,100 addresses do not fit in one argument (128 KB), and all events of 7,100 rings do not fit in the memory of one program. Ruled out: a filter at the nodes (causes of what is asked for lie at other nodes, under other names).

--- a/src/main/java/org/apricotgauge/cli/Setting.java
+++ b/src/main/java/org/apricotgauge/cli/Setting.java
@@ -107,7 +107,8 @@
         return mName;
     }
 
-    String allowed() {
+    /** Returns the unit and range in words. */
+    public String allowed() {
         return mAllowed;
     }
 
--- a/src/main/java/org/apricotgauge/operator/timeline/TimelineMain.java
+++ b/src/main/java/org/apricotgauge/operator/timeline/TimelineMain.java
@@ -10,6 +10,7 @@
 import org.apricotgauge.event.Event;
 import org.apricotgauge.event.EventId;
 import org.apricotgauge.log.Logs;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.operator.FleetClient;
 import org.apricotgauge.time.Ticker;
 
@@ -35,8 +36,10 @@
     static ExitCode run(TimelineSettings settings, PrintStream out, Ticker ticker)
             throws IOException, InterruptedException {
         Logs.configure(settings.log());
+        List<Address> nodes = settings.fleet().allNodes();
         try (FleetClient client = FleetClient.start(settings.fleet().timeoutMillis())) {
-            TimelineReader reader = new TimelineReader(client::events, settings.fleet().nodes());
+            TimelineReader reader =
+                    new TimelineReader(client::events, nodes, settings.lastEvents());
             return settings.fleet().isFollowing()
                     ? follow(settings, reader, out, ticker)
                     : once(settings, reader, out);
--- a/src/main/java/org/apricotgauge/operator/timeline/TimelineReader.java
+++ b/src/main/java/org/apricotgauge/operator/timeline/TimelineReader.java
@@ -28,9 +28,13 @@
                 throws InterruptedException;
     }
 
-    /** Where reading of a node stands. */
+    /** Where reading of a node stands; while it has not begun, the incarnation is negative. */
     private record Cursor(long incarnation, long since) {
         static final Cursor START = new Cursor(-1, 0);
+
+        boolean isStart() {
+            return incarnation < 0;
+        }
     }
 
     /**
@@ -44,10 +48,20 @@
     record Round(List<Event> events, List<TimelineGap> gaps, Optional<HlcTimestamp> settled) {}
 
     private final Source mSource;
+    private final int mLastEvents;
     private final Map<Address, Cursor> mCursors = new HashMap<>();
 
-    TimelineReader(Source source, List<Address> nodes) {
+    /**
+     * Creates a reader.
+     *
+     * @param source answers the questions
+     * @param nodes administration addresses
+     * @param lastEvents most events of a node to begin with; what is older is left out, since at
+     *     thousands of nodes all of it does not fit in memory
+     */
+    TimelineReader(Source source, List<Address> nodes, int lastEvents) {
         mSource = source;
+        mLastEvents = lastEvents;
         nodes.forEach(node -> mCursors.put(node, Cursor.START));
     }
 
@@ -55,10 +69,7 @@
         RoundBuilder round = new RoundBuilder();
         List<Address> open = List.copyOf(mCursors.keySet());
         for (int pages = 0; pages < MAX_PAGES && !open.isEmpty(); pages++) {
-            List<FleetClient.Question> questions =
-                    open.stream()
-                            .map(node -> FleetClient.events(node, since(node), PAGE_LIMIT))
-                            .toList();
+            List<FleetClient.Question> questions = open.stream().map(this::question).toList();
             List<Address> incomplete = new ArrayList<>();
             for (NodeAnswer<EventPage> answer : mSource.ask(questions)) {
                 if (!take(answer, round)) {
@@ -70,8 +81,10 @@
         return round.build();
     }
 
-    private long since(Address node) {
-        return mCursors.get(node).since();
+    /** The first question to a node only finds out where its newest event is. */
+    private FleetClient.Question question(Address node) {
+        Cursor cursor = mCursors.get(node);
+        return FleetClient.events(node, cursor.since(), cursor.isStart() ? 1 : PAGE_LIMIT);
     }
 
     /** Takes in one answer, and returns whether the node is done for this round. */
@@ -81,10 +94,11 @@
             return true;
         }
         EventPage page = ((NodeAnswer.Answered<EventPage>) answer).value();
-        Cursor cursor = mCursors.get(answer.node());
-        if (cursor.incarnation() != page.incarnation() && cursor.since() > 0) {
-            // The node was restarted; its numbers begin anew, and the ones asked for mean nothing.
-            mCursors.put(answer.node(), new Cursor(page.incarnation(), 0));
+        if (mCursors.get(answer.node()).incarnation() != page.incarnation()) {
+            // The reading begins, or the node was restarted: its numbers begin anew then, and the
+            // one asked for means nothing.
+            long since = Math.max(0, page.lastSequence() - mLastEvents);
+            mCursors.put(answer.node(), new Cursor(page.incarnation(), since));
             return false;
         }
         mCursors.put(answer.node(), new Cursor(page.incarnation(), page.nextSince()));
--- a/src/main/java/org/apricotgauge/operator/timeline/TimelineSettings.java
+++ b/src/main/java/org/apricotgauge/operator/timeline/TimelineSettings.java
@@ -19,6 +19,7 @@
  * @param format how the time line is written
  * @param filter which events are shown
  * @param settleMillis longest time that a live event is held back for its order
+ * @param lastEvents most events of one node that the time line begins with
  * @param log settings of the log
  */
 record TimelineSettings(
@@ -26,10 +27,14 @@
         TimelineFormat format,
         TimelineFilter filter,
         long settleMillis,
+        int lastEvents,
         LogSettings log) {
     private static final long DEFAULT_SETTLE_MILLIS = 5_000;
     private static final long MAX_SETTLE_MILLIS = 600_000;
 
+    private static final int DEFAULT_LAST_EVENTS = 1_000;
+    private static final int MAX_LAST_EVENTS = 1_000_000;
+
     private static final Setting<TimelineFormat> FORMAT =
             Setting.withDefault(
                     "format",
@@ -49,6 +54,13 @@
                     DEFAULT_SETTLE_MILLIS,
                     "Longest time that a live event is held back for its place in the order.");
 
+    private static final Setting<Integer> LAST_EVENTS =
+            Setting.withDefault(
+                    "last-events",
+                    SettingKinds.integer("events", 1, MAX_LAST_EVENTS),
+                    DEFAULT_LAST_EVENTS,
+                    "Most events of one node that the time line begins with.");
+
     TimelineSettings {
         Checks.notNull("fleet", fleet);
         Checks.notNull("format", format);
@@ -58,7 +70,7 @@
 
     static Command<TimelineSettings> command() {
         List<Setting<?>> settings = new ArrayList<>(FleetSettings.declared());
-        settings.addAll(List.of(FORMAT, SERVICE, TARGET, REQUEST, SETTLE_MILLIS));
+        settings.addAll(List.of(FORMAT, SERVICE, TARGET, REQUEST, SETTLE_MILLIS, LAST_EVENTS));
         settings.addAll(LogSettings.declared());
         return new Command<>(
                 "apricotgauge-timeline",
@@ -74,17 +86,18 @@
                 values.get(FORMAT),
                 new TimelineFilter(values.get(SERVICE), values.get(TARGET), values.get(REQUEST)),
                 values.get(SETTLE_MILLIS),
+                values.get(LAST_EVENTS),
                 LogSettings.of(values));
     }
 
     private static List<SettingFault> faults(SettingValues values) {
-        boolean isLivePage =
-                FleetSettings.of(values).isFollowing() && values.get(FORMAT) == TimelineFormat.HTML;
-        return isLivePage
-                ? List.of(
-                        new SettingFault(
-                                FORMAT.flag(),
-                                "\"html\" is not allowed with --follow; allowed: text, jsonl"))
-                : List.of();
+        List<SettingFault> faults = new ArrayList<>(FleetSettings.faults(values));
+        if (FleetSettings.of(values).isFollowing() && values.get(FORMAT) == TimelineFormat.HTML) {
+            faults.add(
+                    new SettingFault(
+                            FORMAT.flag(),
+                            "\"html\" is not allowed with --follow; allowed: text, jsonl"));
+        }
+        return faults;
     }
 }
--- a/src/main/java/org/apricotgauge/operator/watch/WatchMain.java
+++ b/src/main/java/org/apricotgauge/operator/watch/WatchMain.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.util.List;
 import org.apricotgauge.cli.ExitCode;
 import org.apricotgauge.decision.effect.Effect;
 import org.apricotgauge.log.Logs;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.operator.FleetClient;
 
 /**
@@ -30,21 +32,23 @@
     static ExitCode run(WatchSettings settings, PrintStream out)
             throws IOException, InterruptedException {
         Logs.configure(settings.log());
+        List<Address> nodes = settings.fleet().allNodes();
         try (FleetClient client = FleetClient.start(settings.fleet().timeoutMillis())) {
-            FleetView view = show(settings, client, out);
+            FleetView view = show(settings, nodes, client, out);
             while (settings.fleet().isFollowing() && !out.checkError()) {
                 Thread.sleep(settings.fleet().pollMillis());
-                view = show(settings, client, out);
+                view = show(settings, nodes, client, out);
             }
             return verdict(view);
         }
     }
 
-    private static FleetView show(WatchSettings settings, FleetClient client, PrintStream out)
+    private static FleetView show(
+            WatchSettings settings, List<Address> nodes, FleetClient client, PrintStream out)
             throws InterruptedException {
         FleetView view =
                 FleetView.of(
-                        client.statuses(settings.fleet().nodes(), settings.service()),
+                        client.statuses(nodes, settings.service()),
                         settings.service(),
                         settings.sinceVersion());
         out.print(
--- a/src/main/java/org/apricotgauge/operator/watch/WatchSettings.java
+++ b/src/main/java/org/apricotgauge/operator/watch/WatchSettings.java
@@ -54,7 +54,8 @@
                 "apricotgauge-watch",
                 "Shows version adoption, ejections and outcomes over the fleet.",
                 settings,
-                WatchSettings::of);
+                WatchSettings::of,
+                FleetSettings::faults);
     }
 
     private static WatchSettings of(SettingValues values) {
