--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/DetectionService.java
@@ -0,0 +1,167 @@
+package org.apricotgauge.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.Executor;
+import org.apricotgauge.decision.detection.EvidenceDigest;
+import org.apricotgauge.decision.detection.Membership;
+import org.apricotgauge.decision.detection.Observation;
+import org.apricotgauge.decision.detection.ObservationEnd;
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.decision.detection.ServiceDetector;
+import org.apricotgauge.decision.detection.TargetPresence;
+import org.apricotgauge.decision.detection.Verdict;
+import org.apricotgauge.decision.detection.Verdicts;
+import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.Service;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.time.Ticker;
+
+/**
+ * Feeds what this node sees and hears to the detectors, and publishes their verdicts.
+ *
+ * <p>Detectors exist for services that this node has seen work of. Observations come on request
+ * threads; decisions are made by the given executor, regularly and when evidence crosses a
+ * threshold.
+ */
+final class DetectionService {
+    private final ConcurrentMap<String, Entry> mDetectors = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Verdicts> mLast = new ConcurrentHashMap<>();
+    private final RoutingState mState;
+    private final Ticker mTicker;
+    private final long mIncarnation;
+    private final VerdictListener mListener;
+    private final Executor mExecutor;
+
+    private record Entry(Service service, ServiceDetector detector) {}
+
+    /** Hears of verdicts. */
+    @FunctionalInterface
+    interface VerdictListener {
+        /** Called for each decision that changed a state; {@code before} may be null. */
+        void decided(String service, Verdicts before, Verdicts after);
+    }
+
+    DetectionService(
+            RoutingState state,
+            Ticker ticker,
+            long incarnation,
+            VerdictListener listener,
+            Executor executor) {
+        mState = state;
+        mTicker = ticker;
+        mIncarnation = incarnation;
+        mListener = listener;
+        mExecutor = executor;
+    }
+
+    void observed(Target target, ObservationEnd end, ObservedOutcome outcome, long micros) {
+        Service service = mState.table().configuration().service(target.service());
+        if (service == null) {
+            return;
+        }
+        Observation observation =
+                new Observation(
+                        target.id(), end, outcome, micros, mTicker.millis(), Observation.NO_KEY);
+        if (detectorOf(service).observe(observation)) {
+            mExecutor.execute(() -> decide(service.id()));
+        }
+    }
+
+    /** Takes in the evidence that another node's guard gave with an answer, or by gossip. */
+    void heard(String vm, String serviceId, EvidenceDigest digest) {
+        Service service = mState.table().configuration().service(serviceId);
+        if (service != null) {
+            detectorOf(service).mergeRemote(vm, digest, mTicker.millis());
+        }
+    }
+
+    /** Returns this guard's own counts of one target of its VM. */
+    EvidenceDigest guardDigest(Target target) {
+        Service service = mState.table().configuration().service(target.service());
+        if (service == null) {
+            return new EvidenceDigest(EvidenceDigest.FORMAT_VERSION, mIncarnation, 0, List.of());
+        }
+        EvidenceDigest all = detectorOf(service).digest();
+        List<EvidenceDigest.TargetEvidence> own =
+                all.targets().stream()
+                        .filter(one -> one.guard() != null && one.targetId().equals(target.id()))
+                        .map(
+                                one ->
+                                        new EvidenceDigest.TargetEvidence(
+                                                one.targetId(), one.guard(), null))
+                        .toList();
+        return new EvidenceDigest(all.formatVersion(), all.incarnation(), all.sequence(), own);
+    }
+
+    /** Returns the last verdicts of a service; null if none were made. */
+    Verdicts verdictsOf(String service) {
+        return mLast.get(service);
+    }
+
+    /** Decides about every service seen. */
+    void tick() {
+        Configuration configuration = mState.table().configuration();
+        mDetectors.keySet().removeIf(id -> configuration.service(id) == null);
+        mLast.keySet().removeIf(id -> configuration.service(id) == null);
+        mDetectors.keySet().forEach(this::decide);
+    }
+
+    private ServiceDetector detectorOf(Service service) {
+        Entry entry = mDetectors.get(service.id());
+        if (entry != null && entry.service() == service) {
+            return entry.detector();
+        }
+        // A change of floor or odds starts the evidence afresh: it was weighed by other thresholds.
+        return mDetectors
+                .compute(
+                        service.id(),
+                        (id, old) ->
+                                old != null && old.service().equals(service)
+                                        ? new Entry(service, old.detector())
+                                        : new Entry(
+                                                service,
+                                                new ServiceDetector(service, mIncarnation)))
+                .detector();
+    }
+
+    private void decide(String service) {
+        Entry entry = mDetectors.get(service);
+        if (entry == null) {
+            return;
+        }
+        Verdicts verdicts = entry.detector().decide(mTicker.millis(), membership(service));
+        Verdicts before = mLast.put(service, verdicts);
+        if (before == null || !sameWeights(before, verdicts)) {
+            mState.verdictsChanged(service, verdicts);
+        }
+        mListener.decided(service, before, verdicts);
+    }
+
+    private Membership membership(String service) {
+        List<Membership.Entry> entries = new ArrayList<>();
+        for (Target target : mState.table().configuration().targetsOf(service)) {
+            TargetPresence presence =
+                    mState.isLeaving(target) ? TargetPresence.LEAVING : TargetPresence.PRESENT;
+            entries.add(new Membership.Entry(target.id(), target.slots(), presence));
+        }
+        return new Membership(entries);
+    }
+
+    private static boolean sameWeights(Verdicts before, Verdicts after) {
+        if (!before.byTarget().keySet().equals(after.byTarget().keySet())) {
+            return false;
+        }
+        for (Map.Entry<String, Verdict> entry : after.byTarget().entrySet()) {
+            Verdict old = before.byTarget().get(entry.getKey());
+            if (old.state() != entry.getValue().state()
+                    || old.weight() != entry.getValue().weight()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
