--- a/src/main/java/org/apricotgauge/operator/timeline/TimelineReader.java
+++ b/src/main/java/org/apricotgauge/operator/timeline/TimelineReader.java
@@ -1,7 +1,7 @@
 package org.apricotgauge.operator.timeline;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,7 +49,7 @@
 
     private final Source mSource;
     private final int mLastEvents;
-    private final Map<Address, Cursor> mCursors = new HashMap<>();
+    private final Map<Address, Cursor> mCursors = new LinkedHashMap<>();
 
     /**
      * Creates a reader.
