--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -18,6 +18,7 @@
  * @param ticker the entry's clock
  * @param observer hears how attempts ended
  * @param probes which ejected targets to try
+ * @param lag how late this process runs
  * @param metrics counters
  */
 record EntryContext(
@@ -29,4 +30,5 @@
         Ticker ticker,
         EntryObserver observer,
         ProbeSource probes,
+        LagMeter lag,
         EntryMetrics metrics) {}
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -80,9 +80,15 @@
                         ticker,
                         observer,
                         probes,
+                        new LagMeter(scheduler, ticker),
                         new EntryMetrics(registry));
     }
 
+    /** Starts what runs beside the requests; the scheduler must have been started. */
+    public void open() {
+        mContext.lag().start();
+    }
+
     /** Returns how many requests have not had their final answer. */
     public int inFlight() {
         return mInFlight.get();
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -32,12 +32,6 @@
  * guard's "not run" lets it count as not run.
  */
 final class GuardedAttempt implements TargetAttempt, UpstreamExchange.Listener {
-    /** Longest wait for the first word of the guard. */
-    static final long FIRST_WORD_MILLIS = 500;
-
-    /** Longest silence after it; the guard speaks every second. */
-    static final long SILENCE_MILLIS = 3_500;
-
     /** Longest wait for the answer to a fence, a new connection included. */
     static final long FENCE_MILLIS = 1_000;
 
@@ -66,7 +60,7 @@
     public void send() {
         mCandidate.load().begin();
         mSentNanos = mContext.ticker().nanos();
-        long waitMillis = Math.max(1, Math.min(FIRST_WORD_MILLIS, mExchange.leftMillis()));
+        long waitMillis = Math.max(1, Math.min(firstWordMillis(), mExchange.leftMillis()));
         mContext.guards()
                 .sighting(mCandidate.guard(), waitMillis)
                 .whenComplete(
@@ -95,7 +89,7 @@
         }
         long untilMillis = mExchange.deadlineMillis() - Math.min(MARGIN_MILLIS, leftMillis / 2);
         mAttempt = sighting.address(mContext.ids().next(), mContext.ticker().millis(), untilMillis);
-        awaitWord(FIRST_WORD_MILLIS);
+        awaitWord(firstWordMillis());
         mUpstream = UpstreamExchange.send(hopRequest(leftMillis), this);
     }
 
@@ -123,6 +117,10 @@
         return mExchange.asked().route().priority().name().toLowerCase(Locale.ROOT);
     }
 
+    private long firstWordMillis() {
+        return SilencePolicy.DEFAULT.firstWordMillis(mContext.lag().lagMillis());
+    }
+
     private void awaitWord(long millis) {
         cancelSilence();
         mSilence = mContext.scheduler().schedule(this::silent, millis, TimeUnit.MILLISECONDS);
@@ -133,7 +131,7 @@
         mHeard = true;
         mContext.guards().sighted(mCandidate.guard(), fields);
         if (!mCounted.get()) {
-            awaitWord(SILENCE_MILLIS);
+            awaitWord(SilencePolicy.DEFAULT.silenceMillis(mContext.lag().lagMillis()));
         }
     }
 
@@ -204,7 +202,10 @@
         }
         mContext.metrics().fences().inc();
         mContext.guards()
-                .fence(mCandidate.guard(), mAttempt, FENCE_MILLIS)
+                .fence(
+                        mCandidate.guard(),
+                        mAttempt,
+                        FENCE_MILLIS + firstWordMillis() - SilencePolicy.DEFAULT.firstWordMillis(0))
                 .whenComplete((answer, failure) -> fenced(answer, connectionOpen));
     }
 
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/LagMeter.java
@@ -0,0 +1,40 @@
+package org.apricotgauge.caller;
+
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Measures how late this process gets to run: the lateness of a task that is due every 20 ms.
+ *
+ * <p>The reading follows a rise at once and falls by half in about a second.
+ */
+final class LagMeter {
+    private static final long PERIOD_MILLIS = 20;
+    private static final double KEEP = 0.986;
+
+    private final Scheduler mScheduler;
+    private final Ticker mTicker;
+    private long mDueMillis;
+    private volatile double mLagMillis;
+
+    LagMeter(Scheduler scheduler, Ticker ticker) {
+        mScheduler = scheduler;
+        mTicker = ticker;
+    }
+
+    void start() {
+        mDueMillis = mTicker.millis() + PERIOD_MILLIS;
+        mScheduler.schedule(this::tick, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    long lagMillis() {
+        return (long) mLagMillis;
+    }
+
+    private void tick() {
+        long lateMillis = Math.max(0, mTicker.millis() - mDueMillis);
+        mLagMillis = Math.max(lateMillis, mLagMillis * KEEP);
+        start();
+    }
+}
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -203,6 +203,7 @@
             return;
         }
         try {
+            mEntry.open();
             mCallerServer.start();
             mPhase = NodePhase.SERVING;
         } catch (Exception e) {
--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -0,0 +1,24 @@
+package org.apricotgauge.target;
+
+import org.apricotgauge.decision.attempt.AttemptLedger;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * What all requests of one guard share.
+ *
+ * @param client sends to the targets of this VM
+ * @param ledger which attempts may start
+ * @param scheduler runs timeouts
+ * @param ticker time of ledger and queues
+ * @param observer hears how requests ended
+ * @param metrics counters
+ */
+record GuardContext(
+        HttpClient client,
+        AttemptLedger ledger,
+        Scheduler scheduler,
+        Ticker ticker,
+        GuardObserver observer,
+        GuardMetrics metrics) {}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -0,0 +1,245 @@
+package org.apricotgauge.target;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.apricotgauge.decision.admission.Ticket;
+import org.apricotgauge.decision.attempt.Arrival;
+import org.apricotgauge.decision.attempt.Attempt;
+import org.apricotgauge.decision.attempt.AttemptLedger;
+import org.apricotgauge.decision.attempt.FenceAnswer;
+import org.apricotgauge.decision.attempt.GuardStamp;
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.routing.RoutingTable;
+import org.apricotgauge.http.Bodies;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.Outcomes;
+import org.apricotgauge.model.Member;
+import org.apricotgauge.model.Priority;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * The last hop before the targets of this node's VM: limits, queues, fences and forwards.
+ *
+ * <p>Other nodes send it attempts ({@link Attempt#HEADER}) and control questions ({@link
+ * HeaderNames#CONTROL}): its stamp, a fence, or the abandonment of an attempt. Every answer carries
+ * the {@link GuardStamp}. All requests on the guard's port come from nodes.
+ */
+public final class GuardHandler extends Handler.Abstract.NonBlocking {
+    /** Value of {@link HeaderNames#CONTROL}: tell the stamp. */
+    public static final String CONTROL_STAMP = "stamp";
+
+    /** Value of {@link HeaderNames#CONTROL}: fence the attempt. */
+    public static final String CONTROL_FENCE = "fence";
+
+    /** Value of {@link HeaderNames#CONTROL}: fence the attempt, and cancel it if it runs. */
+    public static final String CONTROL_ABANDON = "abandon";
+
+    private static final long EXPIRE_EVERY_MILLIS = 10;
+
+    private final Supplier<RoutingTable> mTable;
+    private final String mVm;
+    private final GuardContext mContext;
+    private final TargetGates mGates;
+    private final AtomicLong mTicketIds = new AtomicLong();
+    private final AtomicInteger mInFlight = new AtomicInteger();
+    private final ConcurrentMap<Attempt, GuardedRequest> mRequests = new ConcurrentHashMap<>();
+    private volatile boolean mLeaving;
+
+    /**
+     * Creates the handler of one VM.
+     *
+     * @param vm id of the VM
+     * @param table present routing table
+     * @param client sends to the targets; started and stopped by the caller
+     * @param ledger memory of attempts
+     * @param scheduler runs timeouts
+     * @param ticker time of ledger and queues
+     * @param observer hears how requests ended
+     * @param registry takes the counters
+     */
+    public GuardHandler(
+            String vm,
+            Supplier<RoutingTable> table,
+            HttpClient client,
+            AttemptLedger ledger,
+            Scheduler scheduler,
+            Ticker ticker,
+            GuardObserver observer,
+            MetricRegistry registry) {
+        mVm = vm;
+        mTable = table;
+        mContext =
+                new GuardContext(
+                        client, ledger, scheduler, ticker, observer, new GuardMetrics(registry));
+        mGates = new TargetGates(ticker);
+        scheduleExpiry();
+    }
+
+    private void scheduleExpiry() {
+        mContext.scheduler()
+                .schedule(this::expireAndGoOn, EXPIRE_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void expireAndGoOn() {
+        mGates.forEach(TargetGate::expire);
+        scheduleExpiry();
+    }
+
+    /** Refuses attempts that arrive from now on, as not run; those that are here go on. */
+    public void leave() {
+        mLeaving = true;
+    }
+
+    /** Returns how many attempts are here, waiting or running. */
+    public int inFlight() {
+        return mInFlight.get();
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        long nowMillis = mContext.ticker().millis();
+        String stamp = mContext.ledger().stamp(nowMillis).toString();
+        response.getHeaders().put(GuardStamp.HEADER, stamp);
+        String control = request.getHeaders().get(HeaderNames.CONTROL);
+        if (CONTROL_STAMP.equals(control)) {
+            Bodies.writeText(response, callback, HttpStatus.OK_200, "");
+            return true;
+        }
+        Optional<Attempt> attempt =
+                Optional.ofNullable(request.getHeaders().get(Attempt.HEADER))
+                        .flatMap(Attempt::parse);
+        if (attempt.isEmpty()) {
+            mContext.metrics().badRequests().inc();
+            Bodies.writeText(
+                    response, callback, HttpStatus.BAD_REQUEST_400, Attempt.HEADER + " missing\n");
+            return true;
+        }
+        if (control != null) {
+            fence(attempt.get(), CONTROL_ABANDON.equals(control), response, callback);
+        } else {
+            forward(attempt.get(), request, response, callback);
+        }
+        return true;
+    }
+
+    private void fence(Attempt attempt, boolean abandon, Response response, Callback callback) {
+        mContext.metrics().fences().inc();
+        FenceAnswer answer = mContext.ledger().fence(attempt, mContext.ticker().millis());
+        GuardedRequest waiting = mRequests.get(attempt);
+        if (waiting != null && abandon) {
+            waiting.abandoned();
+        } else if (waiting != null) {
+            waiting.fenced();
+        }
+        Bodies.writeText(response, callback, HttpStatus.OK_200, wordOf(answer));
+    }
+
+    /** Returns the word that a fence is answered with. */
+    private static String wordOf(FenceAnswer answer) {
+        return answer.state().name() + ' ' + answer.status();
+    }
+
+    private void forward(Attempt attempt, Request request, Response response, Callback callback) {
+        mContext.metrics().requests().inc();
+        if (mLeaving) {
+            refuse(response, callback, NotRunReason.LEAVING);
+            return;
+        }
+        Target target = targetOf(request);
+        if (target == null || !target.vm().equals(mVm)) {
+            refuse(response, callback, NotRunReason.TARGET_UNREACHABLE);
+            return;
+        }
+        long nowMillis = mContext.ticker().millis();
+        Arrival arrival = mContext.ledger().admit(attempt, nowMillis);
+        if (arrival != Arrival.ADMITTED) {
+            refuse(arrival, response, callback);
+            return;
+        }
+        Ticket ticket = ticketOf(attempt, request);
+        mInFlight.incrementAndGet();
+        Callback counted =
+                Callback.from(
+                        callback,
+                        () -> {
+                            mRequests.remove(attempt);
+                            mInFlight.decrementAndGet();
+                        });
+        TargetGate gate = mGates.of(target);
+        GuardedRequest guarded =
+                new GuardedRequest(mContext, gate, attempt, ticket, request, response, counted);
+        mRequests.put(attempt, guarded);
+        guarded.begin();
+    }
+
+    private Target targetOf(Request request) {
+        String id = request.getHeaders().get(HeaderNames.TARGET);
+        return id == null ? null : mTable.get().target(id);
+    }
+
+    private Ticket ticketOf(Attempt attempt, Request request) {
+        String memberId = request.getHeaders().get(HeaderNames.MEMBER);
+        Member member = memberId == null ? null : mTable.get().configuration().member(memberId);
+        if (member == null) {
+            member =
+                    new Member(
+                            memberId == null ? Member.ANONYMOUS_ID : memberId,
+                            Member.DEFAULT_WEIGHT);
+        }
+        return new Ticket(
+                mTicketIds.incrementAndGet(),
+                member,
+                priorityOf(request),
+                attempt.latestStartMillis());
+    }
+
+    private static Priority priorityOf(Request request) {
+        String word = request.getHeaders().get(HeaderNames.PRIORITY);
+        for (Priority priority : Priority.values()) {
+            if (priority.name().toLowerCase(Locale.ROOT).equals(word)) {
+                return priority;
+            }
+        }
+        return Priority.NORMAL;
+    }
+
+    private void refuse(Response response, Callback callback, NotRunReason reason) {
+        mContext.metrics().notRun().inc();
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        Outcomes.write(response, callback, new Outcome.NotRun(reason, 0));
+    }
+
+    private void refuse(Arrival arrival, Response response, Callback callback) {
+        if (!arrival.provesNotRun()) {
+            mContext.metrics().unknown().inc();
+            Outcomes.write(response, callback, new Outcome.Unknown(UnknownReason.FORGOTTEN));
+            return;
+        }
+        NotRunReason reason =
+                switch (arrival) {
+                    case OTHER_INCARNATION -> NotRunReason.GUARD_RESTARTED;
+                    case FULL -> NotRunReason.LEDGER_FULL;
+                    case EXPIRED, TOO_FAR_AHEAD -> NotRunReason.DEADLINE_PASSED;
+                    default -> NotRunReason.FENCED;
+                };
+        refuse(response, callback, reason);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -0,0 +1,21 @@
+package org.apricotgauge.target;
+
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.model.Target;
+import org.eclipse.jetty.http.HttpFields;
+
+/** Hears how requests ended at the targets of this VM; called on request threads. */
+public interface GuardObserver {
+
+    /**
+     * Called once for each request that was sent to a target.
+     *
+     * @param target the target
+     * @param outcome how it ended
+     * @param serviceMicros time from the first byte to the end of the answer, in microseconds
+     */
+    void observed(Target target, ObservedOutcome outcome, long serviceMicros);
+
+    /** Called before each answer, to add what entries should learn with it. */
+    void beforeAnswer(Target target, HttpFields.Mutable headers);
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -0,0 +1,296 @@
+package org.apricotgauge.target;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apricotgauge.decision.admission.Refusal;
+import org.apricotgauge.decision.admission.RefusalReason;
+import org.apricotgauge.decision.admission.Result;
+import org.apricotgauge.decision.admission.Ticket;
+import org.apricotgauge.decision.attempt.Attempt;
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.http.AnswerStream;
+import org.apricotgauge.http.ForwardedHeaders;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.Outcomes;
+import org.apricotgauge.http.ReplayableBody;
+import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.WatchedSource;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * One admitted attempt on its way through the gate to its target and back.
+ *
+ * <p>It ends once: refused before its first byte (proof of "not run"), answered, or broken. Each
+ * ending tells the ledger, the gate, the observer and the entry, in that order.
+ */
+final class GuardedRequest implements TargetGate.Work, UpstreamExchange.Listener {
+    private static final long HEARTBEAT_MILLIS = 1_000;
+    private static final String PROCESSING = "guard";
+
+    private final GuardContext mContext;
+    private final TargetGate mGate;
+    private final Attempt mAttempt;
+    private final Ticket mTicket;
+    private final Request mRequest;
+    private final Response mResponse;
+    private final Callback mCallback;
+    private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
+    private volatile long mSentAtNanos;
+    private volatile UpstreamExchange mExchange;
+    private volatile Scheduler.Task mTimeout;
+    private volatile Scheduler.Task mHeartbeat;
+    private volatile boolean mTimedOut;
+    private volatile boolean mFenced;
+    private volatile boolean mAbandoned;
+    private CompletableFuture<Void> mInterim = CompletableFuture.completedFuture(null);
+
+    private enum Phase {
+        /** In the queue. */
+        WAITING,
+        /** Has a slot; the answer's head is not here. */
+        SENDING,
+        /** The answer streams. */
+        ANSWERING,
+        /** Over. */
+        ENDED
+    }
+
+    GuardedRequest(
+            GuardContext context,
+            TargetGate gate,
+            Attempt attempt,
+            Ticket ticket,
+            Request request,
+            Response response,
+            Callback callback) {
+        mContext = context;
+        mGate = gate;
+        mAttempt = attempt;
+        mTicket = ticket;
+        mRequest = request;
+        mResponse = response;
+        mCallback = callback;
+    }
+
+    /** Tells the entry that the request is here, and goes to the gate. */
+    void begin() {
+        acknowledge();
+        afterInterim(() -> mGate.enter(mTicket, this));
+    }
+
+    /** Takes the request out of the queue after a fence; a started one goes on. */
+    void fenced() {
+        if (mGate.cancel(mTicket) && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+            endNotRun(NotRunReason.FENCED, 0);
+        }
+    }
+
+    /** Gives the request up because its entry has; a started one is cancelled at the target. */
+    void abandoned() {
+        mAbandoned = true;
+        fenced();
+        UpstreamExchange exchange = mExchange;
+        if (exchange != null) {
+            exchange.abort(new TimeoutException("the entry gave the attempt up"));
+        }
+    }
+
+    // A 102 tells the entry that the path works, again every second while the target is slow. An
+    // entry that hears none knows of a dead path long before the deadline.
+    private synchronized void acknowledge() {
+        Phase phase = mPhase.get();
+        if (phase == Phase.ANSWERING || phase == Phase.ENDED) {
+            return;
+        }
+        HttpFields fields = HttpFields.build().put(HttpHeader.SERVER, PROCESSING).asImmutable();
+        mInterim = mResponse.writeInterim(HttpStatus.PROCESSING_102, fields);
+        scheduleHeartbeat();
+    }
+
+    /** Writes nothing while an interim answer is being written: two writes at once would clash. */
+    private void afterInterim(Runnable action) {
+        CompletableFuture<Void> interim;
+        synchronized (this) {
+            interim = mInterim;
+        }
+        interim.whenComplete((written, failure) -> action.run());
+    }
+
+    private void scheduleHeartbeat() {
+        mHeartbeat =
+                mContext.scheduler()
+                        .schedule(this::acknowledge, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void admitted() {
+        if (!mPhase.compareAndSet(Phase.WAITING, Phase.SENDING)) {
+            mGate.leave(mTicket, Result.CANCELLED, 0);
+            return;
+        }
+        long leftMillis = Math.max(1, mTicket.deadlineMillis() - mContext.ticker().millis());
+        mTimeout = mContext.scheduler().schedule(this::timedOut, leftMillis, TimeUnit.MILLISECONDS);
+        mExchange = UpstreamExchange.send(targetRequest(leftMillis), this);
+    }
+
+    private org.eclipse.jetty.client.Request targetRequest(long leftMillis) {
+        org.eclipse.jetty.client.Request request =
+                mContext.client()
+                        .newRequest(mGate.target().host(), mGate.target().port())
+                        .method(mRequest.getMethod())
+                        .path(mRequest.getHttpURI().getPathQuery());
+        request.headers(
+                headers -> {
+                    ForwardedHeaders.copyRequest(mRequest.getHeaders(), headers);
+                    headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
+                });
+        request.body(new ReplayableBody(mRequest, 0).open());
+        return request;
+    }
+
+    @Override
+    public void refused(Refusal refusal) {
+        if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+            mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
+            endNotRun(reasonOf(refusal.reason()), refusal.retryAfterMillis());
+        }
+    }
+
+    private static NotRunReason reasonOf(RefusalReason reason) {
+        return switch (reason) {
+            case QUEUE_FULL -> NotRunReason.QUEUE_FULL;
+            case DEADLINE_TOO_SHORT -> NotRunReason.DEADLINE_TOO_SHORT;
+            case DEADLINE_PASSED -> NotRunReason.DEADLINE_PASSED;
+        };
+    }
+
+    @Override
+    public boolean onBegin() {
+        mSentAtNanos = mContext.ticker().nanos();
+        // A fence may have been answered "not run" while this waited; from then it must not start.
+        mFenced = !mContext.ledger().started(mAttempt);
+        return !mFenced;
+    }
+
+    @Override
+    public void onFailure(UpstreamExchange.Failure failure) {
+        if (!mPhase.compareAndSet(Phase.SENDING, Phase.ENDED)) {
+            return;
+        }
+        if (failure.progress() == UpstreamExchange.Progress.NOT_SENT) {
+            boolean fenced = mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
+            leaveGate(
+                    mFenced ? Result.CANCELLED : Result.FAILED,
+                    mFenced ? ObservedOutcome.CANCELLED : ObservedOutcome.TARGET_ERROR);
+            if (!fenced) {
+                throw new IllegalStateException("attempt not sent, yet started: " + mAttempt);
+            }
+            endNotRun(mFenced ? NotRunReason.FENCED : NotRunReason.TARGET_UNREACHABLE, 0);
+            return;
+        }
+        endBroken(true);
+        mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
+        afterInterim(
+                () ->
+                        Outcomes.write(
+                                mResponse, mCallback, new Outcome.Unknown(UnknownReason.STARTED)));
+    }
+
+    @Override
+    public void onAnswer(org.eclipse.jetty.client.Response answer, Content.Source body) {
+        if (!mPhase.compareAndSet(Phase.SENDING, Phase.ANSWERING)) {
+            body.fail(new TimeoutException("the attempt was given up"));
+            return;
+        }
+        cancel(mHeartbeat);
+        AnswerStream.copyHead(answer, mResponse);
+        mResponse.getHeaders().put(Attempt.HEADER, mAttempt.toString());
+        mResponse.getHeaders().put(HeaderNames.LOAD_PERMILLE, mGate.loadPermille());
+        mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
+        WatchedSource watched = new WatchedSource(body);
+        Callback whenCopied =
+                Callback.from(
+                        () -> answered(answer.getStatus()),
+                        cause -> answerBroken(watched.hasFailed(), cause));
+        afterInterim(() -> AnswerStream.copyBody(answer, watched, mResponse, whenCopied));
+    }
+
+    private void answered(int status) {
+        mPhase.set(Phase.ENDED);
+        mContext.ledger().completed(mAttempt, status, mContext.ticker().millis());
+        boolean shed = status == HttpStatus.SERVICE_UNAVAILABLE_503;
+        boolean error = HttpStatus.isServerError(status);
+        ObservedOutcome seen = error ? ObservedOutcome.TARGET_ERROR : ObservedOutcome.SUCCESS;
+        leaveGate(shed ? Result.SHED : Result.ANSWERED, shed ? ObservedOutcome.SHED : seen);
+        mContext.metrics().answered().inc();
+        stopTimers();
+        mCallback.succeeded();
+    }
+
+    private void answerBroken(boolean byTarget, Throwable cause) {
+        mPhase.set(Phase.ENDED);
+        endBroken(byTarget);
+        mCallback.failed(cause);
+    }
+
+    private void endBroken(boolean byTarget) {
+        mContext.ledger().broken(mAttempt, mContext.ticker().millis());
+        if (mTimedOut) {
+            leaveGate(Result.CANCELLED, ObservedOutcome.TIMEOUT);
+        } else if (byTarget && !mAbandoned) {
+            leaveGate(Result.FAILED, ObservedOutcome.TARGET_ERROR);
+        } else {
+            leaveGate(Result.CANCELLED, ObservedOutcome.CANCELLED);
+        }
+        mContext.metrics().unknown().inc();
+        stopTimers();
+    }
+
+    private void timedOut() {
+        mTimedOut = true;
+        UpstreamExchange exchange = mExchange;
+        if (exchange != null) {
+            exchange.abort(new TimeoutException("deadline of the request passed"));
+        }
+    }
+
+    private void leaveGate(Result result, ObservedOutcome outcome) {
+        long serviceNanos = Math.max(0, mContext.ticker().nanos() - mSentAtNanos);
+        long serviceMicros = TimeUnit.NANOSECONDS.toMicros(serviceNanos);
+        mContext.metrics().service().update(serviceNanos, TimeUnit.NANOSECONDS);
+        mContext.observer().observed(mGate.target(), outcome, serviceMicros);
+        mGate.leave(mTicket, result, serviceMicros);
+    }
+
+    private void endNotRun(NotRunReason reason, long retryAfterMillis) {
+        stopTimers();
+        mContext.metrics().notRun().inc();
+        mResponse.getHeaders().put(HeaderNames.LOAD_PERMILLE, mGate.loadPermille());
+        mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
+        Outcome.NotRun outcome = new Outcome.NotRun(reason, retryAfterMillis);
+        afterInterim(() -> Outcomes.write(mResponse, mCallback, outcome));
+    }
+
+    private void stopTimers() {
+        cancel(mTimeout);
+        cancel(mHeartbeat);
+    }
+
+    private static void cancel(Scheduler.Task task) {
+        if (task != null) {
+            task.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -0,0 +1,123 @@
+package org.apricotgauge.target;
+
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import org.apricotgauge.decision.admission.AdmissionConfig;
+import org.apricotgauge.decision.admission.AdmissionQueue;
+import org.apricotgauge.decision.admission.Changes;
+import org.apricotgauge.decision.admission.Offer;
+import org.apricotgauge.decision.admission.Refusal;
+import org.apricotgauge.decision.admission.Result;
+import org.apricotgauge.decision.admission.Ticket;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.time.Ticker;
+
+/**
+ * The slots of one target with the requests that wait for them.
+ *
+ * <pre>{@code
+ * gate.enter(ticket, work);   // work.admitted() or work.refused(...), now or later
+ * gate.leave(ticket, Result.ANSWERED, serviceMicros);
+ * }</pre>
+ *
+ * <p>Each entered work hears exactly one of its two methods, on the thread that freed the slot or
+ * found the deadline too near. Thread-safe.
+ */
+final class TargetGate {
+    private static final double PERMILLE = 1_000.0;
+
+    private final Target mTarget;
+    private final AdmissionQueue mQueue;
+    private final Ticker mTicker;
+    private final ConcurrentMap<Long, Work> mWaiting = new ConcurrentHashMap<>();
+
+    /** Something that needs a slot. */
+    interface Work {
+        /** Called once the work has a slot; it must leave the gate once. */
+        void admitted();
+
+        /** Called once the work will get no slot. */
+        void refused(Refusal refusal);
+    }
+
+    TargetGate(Target target, Ticker ticker) {
+        mTarget = target;
+        mQueue = new AdmissionQueue(AdmissionConfig.forSlots(target.slots()));
+        mTicker = ticker;
+    }
+
+    Target target() {
+        return mTarget;
+    }
+
+    void enter(Ticket ticket, Work work) {
+        // Noted before it is offered: a slot may come free, on another thread, before offer
+        // returns.
+        mWaiting.put(ticket.id(), work);
+        Offer offer = mQueue.offer(ticket, mTicker.millis());
+        if (offer instanceof Offer.Admitted) {
+            admit(ticket);
+        } else if (offer instanceof Offer.Refused refused) {
+            refuse(refused.refusal());
+        } else if (offer instanceof Offer.Queued queued) {
+            queued.displaced().forEach(this::refuse);
+        }
+    }
+
+    void leave(Ticket ticket, Result result, long serviceMicros) {
+        apply(mQueue.release(ticket, result, serviceMicros, mTicker.millis()));
+    }
+
+    /** Takes out work that still waits; false if it has a slot or was refused already. */
+    boolean cancel(Ticket ticket) {
+        boolean cancelled = mQueue.cancel(ticket);
+        if (cancelled) {
+            mWaiting.remove(ticket.id());
+        }
+        return cancelled;
+    }
+
+    /** Answers what can't be served any more; called every few milliseconds. */
+    void expire() {
+        if (mQueue.queued() > 0) {
+            apply(mQueue.expire(mTicker.millis()));
+        }
+    }
+
+    /** Returns requests running and waiting, in permille of the slots usable now. */
+    int loadPermille() {
+        int inUse = mQueue.inFlight() + mQueue.queued();
+        return (int) Math.round(PERMILLE * inUse / Math.max(1, mQueue.limit()));
+    }
+
+    int queued() {
+        return mQueue.queued();
+    }
+
+    int inFlight() {
+        return mQueue.inFlight();
+    }
+
+    int limit() {
+        return mQueue.limit();
+    }
+
+    private void apply(Changes changes) {
+        changes.refused().forEach(this::refuse);
+        changes.admitted().forEach(this::admit);
+    }
+
+    private void admit(Ticket ticket) {
+        Work work = mWaiting.remove(ticket.id());
+        if (work != null) {
+            work.admitted();
+        }
+    }
+
+    private void refuse(Refusal refusal) {
+        Work work = mWaiting.remove(refusal.ticket().id());
+        if (work != null) {
+            work.refused(refusal);
+        }
+    }
+}
