--- a/src/main/java/org/apricotgauge/control/PlatformReader.java
+++ b/src/main/java/org/apricotgauge/control/PlatformReader.java
@@ -34,7 +34,7 @@
     private static final long BACKOFF_CAP_MILLIS = 30_000;
     private static final int LOST_AFTER_FAILURES = 3;
     private static final long LOST_REFRESH_MILLIS = 30_000;
-    private static final long PEERLESS_MILLIS = 3_000;
+    private static final long STABLE_MILLIS = 2_000;
     private static final long SNAPSHOT_GAP = 1_000;
     private static final long ELECTION_MILLIS = 1_000;
 
@@ -56,6 +56,7 @@
     private long mNextLostMillis;
     private long mPlatformHead = -1;
     private long mPeerlessSinceMillis;
+    private long mElectedSinceMillis;
     private boolean mLost;
     private boolean mHeadWanted = true;
     private boolean mVmsWanted = true;
@@ -88,6 +89,7 @@
         mVms = new CallStream(settings.seed() + 1, firstMillis);
         mHead = new CallStream(settings.seed() + 2, firstMillis);
         mPeerlessSinceMillis = loop.nowMillis();
+        mElectedSinceMillis = loop.nowMillis();
     }
 
     boolean answered() {
@@ -118,12 +120,7 @@
     void tick(long nowMillis) {
         if (nowMillis >= mNextElectionMillis) {
             mNextElectionMillis = nowMillis + ELECTION_MILLIS;
-            mRole =
-                    WatcherElection.roleOf(
-                            mSettings.vm(),
-                            mNode.view().nodes(),
-                            mNode.view()::unreachable,
-                            mNode::lostPlatform);
+            elect(nowMillis);
         }
         if (mNode.links() > 0) {
             mPeerlessSinceMillis = nowMillis;
@@ -137,6 +134,18 @@
         }
     }
 
+    private void elect(long nowMillis) {
+        mRole =
+                WatcherElection.roleOf(
+                        mSettings.vm(),
+                        mNode.view().nodes(),
+                        mNode.view()::unreachable,
+                        mNode::lostPlatform);
+        if (mRole == WatcherElection.Role.REST) {
+            mElectedSinceMillis = nowMillis;
+        }
+    }
+
     private void readHead(long nowMillis) {
         if (mHeadWanted && mHead.due(nowMillis)) {
             long from = mNode.position() + 1;
@@ -145,13 +154,12 @@
     }
 
     private void readVms(long nowMillis) {
-        boolean watching = mRole != WatcherElection.Role.REST && !mHeadWanted;
-        boolean wanted = mVmsWanted || watching || peerless(nowMillis);
-        if (!wanted || !mVms.due(nowMillis)) {
+        boolean watching = watching(nowMillis);
+        if ((!mVmsWanted && !watching) || !mVms.due(nowMillis)) {
             return;
         }
         long since = mNode.vmRevision();
-        long waitMillis = mVmsWanted || !watching ? 0 : mSettings.watchMillis();
+        long waitMillis = mVmsWanted ? 0 : mSettings.watchMillis();
         call(
                 mVms,
                 () -> mClient.readVms(since, VM_LIMIT, waitMillis),
@@ -159,9 +167,7 @@
     }
 
     private void readLog(long nowMillis) {
-        boolean watching = mRole != WatcherElection.Role.REST && !mHeadWanted;
-        boolean alone = peerless(nowMillis) && mPlatformHead > mNode.position();
-        if ((!watching && !alone) || !mLog.due(nowMillis)) {
+        if (!watching(nowMillis) || !mLog.due(nowMillis)) {
             return;
         }
         long from = mNode.position() + 1;
@@ -170,13 +176,22 @@
             call(mLog, this::readSnapshot, this::onSnapshot);
             return;
         }
-        long waitMillis = alone ? 0 : mSettings.watchMillis();
-        call(mLog, () -> mClient.readLog(from, LOG_LIMIT, waitMillis), this::onLog);
+        call(mLog, () -> mClient.readLog(from, LOG_LIMIT, mSettings.watchMillis()), this::onLog);
     }
 
-    /** Returns whether no peer has been linked for some seconds, so that nobody else can tell. */
-    private boolean peerless(long nowMillis) {
-        return nowMillis - mPeerlessSinceMillis > PEERLESS_MILLIS;
+    /**
+     * Returns whether this node holds watches: it is elected, or no peer has been linked for a
+     * while, so that nobody else can tell it.
+     *
+     * <p>A node that starts knows only itself and elects itself. Were that acted on at once, the
+     * start of a whole fleet would put two waiting calls for each node on the platform.
+     */
+    private boolean watching(long nowMillis) {
+        boolean elected =
+                mRole != WatcherElection.Role.REST
+                        && nowMillis - mElectedSinceMillis > STABLE_MILLIS;
+        boolean peerless = nowMillis - mPeerlessSinceMillis > STABLE_MILLIS;
+        return !mHeadWanted && (elected || peerless);
     }
 
     private boolean onHead(LogPage page, long nowMillis) {
