--- a/src/main/java/org/apricotgauge/config/PatchFold.java
+++ b/src/main/java/org/apricotgauge/config/PatchFold.java
@@ -133,7 +133,7 @@
     }
 
     private void changeService(PatchOperation operation) {
-        String id = ServiceSettings.service(operation);
+        String id = operation.entityId();
         Service service = mConfiguration.service(id);
         if (service == null) {
             mReasons.add(new RefusalReason.Missing(EntityKind.SERVICE, id));
--- a/src/main/java/org/apricotgauge/config/PatchOperation.java
+++ b/src/main/java/org/apricotgauge/config/PatchOperation.java
@@ -36,12 +36,28 @@
 })
 public sealed interface PatchOperation {
 
+    /** Returns the kind of the entity that it changes. */
+    EntityKind kind();
+
+    /** Returns the name of the entity that it changes. */
+    String entityId();
+
     /** Adds the service or replaces the one of its name. */
     record PutService(Service service) implements PatchOperation {
         /** Checks the parts. */
         public PutService {
             Checks.notNull("service", service);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SERVICE;
+        }
+
+        @Override
+        public String entityId() {
+            return service.id();
+        }
     }
 
     /** Removes a service that nothing uses any more. */
@@ -50,6 +66,16 @@
         public RemoveService {
             Checks.id("id", id);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SERVICE;
+        }
+
+        @Override
+        public String entityId() {
+            return id;
+        }
     }
 
     /** Adds the target or replaces the one of its name. */
@@ -58,6 +84,16 @@
         public PutTarget {
             Checks.notNull("target", target);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.TARGET;
+        }
+
+        @Override
+        public String entityId() {
+            return target.id();
+        }
     }
 
     /** Removes a target. */
@@ -66,6 +102,16 @@
         public RemoveTarget {
             Checks.id("id", id);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.TARGET;
+        }
+
+        @Override
+        public String entityId() {
+            return id;
+        }
     }
 
     /** Adds the route or replaces the one of its name. */
@@ -74,6 +120,16 @@
         public PutRoute {
             Checks.notNull("route", route);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.ROUTE;
+        }
+
+        @Override
+        public String entityId() {
+            return route.id();
+        }
     }
 
     /** Removes a route. */
@@ -82,6 +138,16 @@
         public RemoveRoute {
             Checks.id("id", id);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.ROUTE;
+        }
+
+        @Override
+        public String entityId() {
+            return id;
+        }
     }
 
     /** Adds the member or replaces the one of its name. */
@@ -90,6 +156,16 @@
         public PutMember {
             Checks.notNull("member", member);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.MEMBER;
+        }
+
+        @Override
+        public String entityId() {
+            return member.id();
+        }
     }
 
     /** Removes a member; its requests then weigh {@link Member#DEFAULT_WEIGHT}. */
@@ -98,6 +174,16 @@
         public RemoveMember {
             Checks.id("id", id);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.MEMBER;
+        }
+
+        @Override
+        public String entityId() {
+            return id;
+        }
     }
 
     /** Changes the floor of a service. */
@@ -106,6 +192,16 @@
         public SetFloorPercent {
             Checks.id("service", service);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SERVICE;
+        }
+
+        @Override
+        public String entityId() {
+            return service;
+        }
     }
 
     /** Changes the odds of detection of a service. */
@@ -115,6 +211,16 @@
             Checks.id("service", service);
             Checks.notNull("detection", detection);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SERVICE;
+        }
+
+        @Override
+        public String entityId() {
+            return service;
+        }
     }
 
     /** Changes the retry budget of a service. */
@@ -123,6 +229,16 @@
         public SetRetryBudget {
             Checks.id("service", service);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SERVICE;
+        }
+
+        @Override
+        public String entityId() {
+            return service;
+        }
     }
 
     /** Changes the share of a service's requests that the fleet serves itself. */
@@ -131,6 +247,16 @@
         public SetFleetShare {
             Checks.id("service", service);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SERVICE;
+        }
+
+        @Override
+        public String entityId() {
+            return service;
+        }
     }
 
     /** Changes the address of the older routing system; null where there is none any more. */
@@ -139,6 +265,16 @@
         public SetPredecessor {
             Checks.id("service", service);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SERVICE;
+        }
+
+        @Override
+        public String entityId() {
+            return service;
+        }
     }
 
     /** Changes how many requests a target runs at a time. */
@@ -147,5 +283,15 @@
         public SetTargetSlots {
             Checks.id("target", target);
         }
+
+        @Override
+        public EntityKind kind() {
+            return EntityKind.TARGET;
+        }
+
+        @Override
+        public String entityId() {
+            return target;
+        }
     }
 }
--- a/src/main/java/org/apricotgauge/config/ServiceSettings.java
+++ b/src/main/java/org/apricotgauge/config/ServiceSettings.java
@@ -7,26 +7,6 @@
 
     private ServiceSettings() {}
 
-    /** Returns the service that the operation changes. */
-    static String service(PatchOperation operation) {
-        if (operation instanceof PatchOperation.SetFloorPercent set) {
-            return set.service();
-        }
-        if (operation instanceof PatchOperation.SetDetection set) {
-            return set.service();
-        }
-        if (operation instanceof PatchOperation.SetRetryBudget set) {
-            return set.service();
-        }
-        if (operation instanceof PatchOperation.SetFleetShare set) {
-            return set.service();
-        }
-        if (operation instanceof PatchOperation.SetPredecessor set) {
-            return set.service();
-        }
-        throw new IllegalStateException("no change of a service: " + operation);
-    }
-
     /**
      * Returns the service with the setting changed.
      *
