--- a/src/main/java/org/apricotgauge/bench/SyntheticPatches.java
+++ b/src/main/java/org/apricotgauge/bench/SyntheticPatches.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.apricotgauge.config.LogEntry;
 import org.apricotgauge.config.Patch;
+import org.apricotgauge.config.PatchCodec;
 import org.apricotgauge.config.PatchOperation;
 import org.apricotgauge.config.Rules;
 import org.apricotgauge.model.DetectionOdds;
@@ -36,8 +38,13 @@
         return (mSize.entities() + ENTITIES_PER_PATCH - 1) / ENTITIES_PER_PATCH;
     }
 
+    /** Returns the entry at a position, from 1 on; all are accepted in their order. */
+    LogEntry entryAt(long position) {
+        return new LogEntry(position, PatchCodec.encode(patchOn(position - 1)));
+    }
+
     /** Returns the patch on the given version; versions past the fill change what is there. */
-    Patch patchOn(long version) {
+    private Patch patchOn(long version) {
         List<PatchOperation> operations = new ArrayList<>();
         if (version < fillCount()) {
             int from = (int) version * ENTITIES_PER_PATCH;
