Don't call an attempt too far ahead "not run"

Cause: an attempt whose latest start lay beyond the guard's memory was refused as proven not run, without a mark. A second copy of it, a millisecond later, lay within the bound and ran. Change: that refusal is no proof; and the entry cuts the latest start to the guard's bound, so that a long deadline does not meet it.

--- a/src/main/java/org/apricotgauge/decision/attempt/Arrival.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/Arrival.java
@@ -12,8 +12,11 @@
     EXPIRED(true),
     /** It was addressed to another run of the guard. */
     OTHER_INCARNATION(true),
-    /** Its latest start lies further ahead than the guard remembers. */
-    TOO_FAR_AHEAD(true),
+    /**
+     * Its latest start lies further ahead than the guard remembers; no mark is left, so a second
+     * copy, which comes a little later, may be admitted.
+     */
+    TOO_FAR_AHEAD(false),
     /** Too many attempts are under way. */
     FULL(true),
     /** It may have been here before; its traces are gone. */
--- a/src/main/java/org/apricotgauge/decision/attempt/GuardSighting.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/GuardSighting.java
@@ -18,6 +18,8 @@
  * @param seenAtMillis the entry's own clock when the stamp arrived
  */
 public record GuardSighting(GuardStamp stamp, long seenAtMillis) {
+    // A guard refuses what may start later than it remembers; its clock reads more than estimated.
+    private static final long MAX_LEFT_MILLIS = AttemptLimits.DEFAULT.maxLifetimeMillis();
 
     /** Checks the stamp. */
     public GuardSighting {
@@ -29,11 +31,13 @@
      *
      * @param id identifier of the attempt, used on one connection only
      * @param nowMillis the entry's clock
-     * @param deadlineMillis the request's deadline by the entry's clock
+     * @param deadlineMillis the request's deadline by the entry's clock; a longer time than {@link
+     *     AttemptLimits#maxLifetimeMillis} is cut to that for the start, not for the answer
      */
     public Attempt address(AttemptId id, long nowMillis, long deadlineMillis) {
         long guardNowMillis = stamp.guardMillis() + (nowMillis - seenAtMillis);
-        long latestStartMillis = guardNowMillis + Math.max(0, deadlineMillis - nowMillis);
+        long leftMillis = Math.max(0, deadlineMillis - nowMillis);
+        long latestStartMillis = guardNowMillis + Math.min(leftMillis, MAX_LEFT_MILLIS);
         return new Attempt(id, stamp.incarnation(), latestStartMillis);
     }
 
--- a/src/test/java/org/apricotgauge/functional/attempt/AtMostOnceProperties.java
+++ b/src/test/java/org/apricotgauge/functional/attempt/AtMostOnceProperties.java
@@ -23,7 +23,7 @@
 class AtMostOnceProperties {
     private static final int MAX_STEPS = 90;
 
-    @Property(seed = "4711", tries = 20_000)
+    @Property(seed = "4711", tries = 40_000)
     void nothingIsToldThatIsNotSo(@ForAll("steps") List<Step> steps) {
         new World().run(steps);
     }
--- a/src/test/java/org/apricotgauge/functional/attempt/World.java
+++ b/src/test/java/org/apricotgauge/functional/attempt/World.java
@@ -100,7 +100,7 @@
                         mOracle.mSubmissions.size(),
                         repeatable,
                         key,
-                        entry.mClockMillis + step.millis());
+                        entry.mClockMillis + step.millis() * (key == null ? 1L : 2L));
         mOracle.mSubmissions.add(submission);
         mEntryOf.add(entry);
         entry.submit(submission, step.pick());
