Prove both hops over real sockets: whole answers, silent paths, keys, stops

Found by the new tests and mended: with one target, a request whose path had gone silent was told "not run" rather than sent over a new connection; after a silence the other pooled connections were tried one by one, each for the whole bound (three attempts used up by three dead connections). Ruled out: shorter bounds (they fence slow guards); no pooling (a connection costs about 1 ms). Change: RenewableConnectionPool drops unused connections after a silence; targets whose path failed are taken again if no other is left; malformed requests are answered in one line, counted, and their connection closed.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -152,8 +152,24 @@
                 return probe;
             }
         }
+        Optional<Candidate> untried =
+                BalancingPolicy.choose(
+                        mTable, mTried, ThreadLocalRandom.current(), mContext.ticker().nanos());
+        if (untried.isPresent() || !isPathAtFault(mProgress.last())) {
+            return untried;
+        }
+        // The only targets left are those whose path failed; a new connection may reach them.
         return BalancingPolicy.choose(
-                mTable, mTried, ThreadLocalRandom.current(), mContext.ticker().nanos());
+                mTable, Set.of(), ThreadLocalRandom.current(), mContext.ticker().nanos());
+    }
+
+    private static boolean isPathAtFault(Outcome last) {
+        if (last instanceof Outcome.NotRun notRun) {
+            return notRun.reason() == NotRunReason.FENCED
+                    || notRun.reason() == NotRunReason.GUARD_RESTARTED
+                    || notRun.reason() == NotRunReason.NEVER_SENT;
+        }
+        return last instanceof Outcome.Unknown;
     }
 
     private void endWithoutTarget() {
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -53,6 +53,7 @@
      * @param ticker the entry's clock
      * @param observer hears how attempts ended
      * @param probes which ejected targets to try
+     * @param keyLimits bounds of the memory of Idempotency-Keys
      * @param registry takes the counters
      */
     public EntryHandler(
@@ -65,6 +66,7 @@
             Ticker ticker,
             EntryObserver observer,
             ProbeSource probes,
+            KeyLimits keyLimits,
             MetricRegistry registry) {
         mTable = table;
         mStopping = stopping;
@@ -80,7 +82,7 @@
                         probes,
                         new LagMeter(scheduler, ticker),
                         new EntryMetrics(registry));
-        mKeyed = new KeyedRequests(mContext, KeyLimits.DEFAULT);
+        mKeyed = new KeyedRequests(mContext, keyLimits);
     }
 
     /** Starts what runs beside the requests; the scheduler must have been started. */
@@ -88,6 +90,11 @@
         mContext.lag().start();
     }
 
+    /** Counts a request that was refused before it could be read. */
+    public void refused() {
+        mContext.metrics().badRequests().inc();
+    }
+
     /** Returns how many requests have not had their final answer. */
     public int inFlight() {
         return mInFlight.get();
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -191,6 +191,7 @@
 
     private void silent() {
         mContext.metrics().pathFaults().inc();
+        mContext.guards().wentSilent(mCandidate.guard());
         fence(true);
     }
 
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -71,6 +71,7 @@
 
     private void silent() {
         mContext.metrics().pathFaults().inc();
+        mContext.guards().wentSilent(mHome);
         abort();
         mExchange.attemptEnded(this, new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
     }
--- a/src/main/java/org/apricotgauge/http/HttpClientFactory.java
+++ b/src/main/java/org/apricotgauge/http/HttpClientFactory.java
@@ -1,8 +1,11 @@
 package org.apricotgauge.http;
 
 import java.util.concurrent.Executor;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
+import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Origin;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
@@ -59,7 +62,12 @@
         connector.setSelectors(SELECTORS);
         connector.setExecutor(mExecutor);
         connector.setScheduler(mScheduler);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+        transport.setConnectionPoolFactory(
+                destination ->
+                        new RenewableConnectionPool(
+                                destination, limits.connectionsPerDestination()));
+        HttpClient client = new HttpClient(transport);
         client.setName(name);
         client.setExecutor(mExecutor);
         client.setScheduler(mScheduler);
@@ -74,6 +82,18 @@
         return client;
     }
 
+    /** Closes the unused connections of a client to one address. */
+    public static void dropIdleConnections(HttpClient client, Address address) {
+        for (Destination destination : client.getDestinations()) {
+            Origin.Address at = destination.getOrigin().getAddress();
+            boolean matches = at.getHost().equals(address.host()) && at.getPort() == address.port();
+            if (matches
+                    && destination.getConnectionPool() instanceof RenewableConnectionPool pool) {
+                pool.dropIdle();
+            }
+        }
+    }
+
     /** Starts a client and removes the handlers that would change what it carries. */
     public static void start(HttpClient client) throws Exception {
         client.start();
--- a/src/main/java/org/apricotgauge/http/HttpServerFactory.java
+++ b/src/main/java/org/apricotgauge/http/HttpServerFactory.java
@@ -44,8 +44,9 @@
      * @param host IP number to listen at
      * @param port port to listen at, or 0 for any free one
      * @param handler answers the requests
+     * @param onRefused called for each request that is refused as malformed
      */
-    public Server create(String host, int port, Handler handler) {
+    public Server create(String host, int port, Handler handler, Runnable onRefused) {
         Server server = new Server(mThreads, mScheduler, null);
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setSendServerVersion(false);
@@ -61,6 +62,7 @@
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
         server.addConnector(connector);
+        server.setErrorHandler(new RefusalHandler(onRefused));
         server.setHandler(handler);
         return server;
     }
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -17,11 +17,11 @@
 import org.apricotgauge.decision.attempt.AttemptIds;
 import org.apricotgauge.decision.attempt.AttemptLedger;
 import org.apricotgauge.decision.attempt.AttemptLimits;
+import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.detection.Verdicts;
 import org.apricotgauge.decision.gossip.GossipItem;
 import org.apricotgauge.decision.gossip.LeavingNotice;
 import org.apricotgauge.decision.gossip.LiveView;
-import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.event.NodeStarted;
 import org.apricotgauge.event.StopPhase;
 import org.apricotgauge.event.StopPhaseEntered;
@@ -100,8 +100,9 @@
         mEntry = entry(observer, incarnation);
         mGuard = guard(observer, incarnation);
         HttpServerFactory servers = mHttp.servers();
-        mCallerServer = servers.create(settings.host(), settings.callerPort(), mEntry);
-        mGuardServer = servers.create(settings.host(), settings.guardPort(), mGuard);
+        mCallerServer =
+                servers.create(settings.host(), settings.callerPort(), mEntry, mEntry::refused);
+        mGuardServer = servers.create(settings.host(), settings.guardPort(), mGuard, () -> {});
         NodeStatusSource status =
                 new NodeStatusSource(settings, mStartedMillis, mState, mDetection, mWindows);
         mAdmin =
@@ -128,6 +129,7 @@
                 mTicker,
                 observer,
                 mProbes::take,
+                KeyLimits.DEFAULT,
                 mRegistry);
     }
 
@@ -282,11 +284,6 @@
                         history.version(), history.digest().toString(), history.position()));
     }
 
-    /** Returns the routing table in use. */
-    RoutingTable table() {
-        return mState.table();
-    }
-
     /** Returns what the node does for callers now. */
     public NodePhase phase() {
         return mPhase;
@@ -302,6 +299,16 @@
         return HttpServerFactory.portOf(mGuardServer);
     }
 
+    /** Returns the port of the control protocol between nodes. */
+    public int peerPort() {
+        return mControl.vm().peerPort();
+    }
+
+    /** Returns the version of the configuration that requests are routed by. */
+    public long version() {
+        return mState.table().version();
+    }
+
     /** Returns the port of the administration API. */
     public int adminPort() {
         return mAdmin.port();
--- a/src/main/java/org/apricotgauge/operator/AdminServer.java
+++ b/src/main/java/org/apricotgauge/operator/AdminServer.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.operator;
 
 import java.io.IOException;
+import org.apricotgauge.http.RefusalHandler;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -57,7 +58,7 @@
         mServer.addConnector(mConnector);
         mServer.addBean(new NetworkConnectionLimit(MAX_CONNECTIONS, mServer));
         mServer.setStopTimeout(STOP_MILLIS);
-        mServer.setErrorHandler(new PlainErrorHandler());
+        mServer.setErrorHandler(new RefusalHandler(() -> {}));
         mServer.setHandler(new AdminHandler(sources, Checks.notNull("ticker", ticker)));
     }
 
--- a/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -11,6 +11,7 @@
 import org.apricotgauge.decision.attempt.GuardSighting;
 import org.apricotgauge.decision.attempt.GuardStamp;
 import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.HttpClientFactory;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.target.GuardHandler;
@@ -104,6 +105,11 @@
                 .thenApply(answer -> mSightings.get(guard));
     }
 
+    /** Notes that a connection to the guard went silent; the unused ones are not trusted either. */
+    public void wentSilent(Address guard) {
+        HttpClientFactory.dropIdleConnections(mForwarding, guard);
+    }
+
     /** Asks the guard, over a new connection, to refuse the attempt should it arrive late. */
     public CompletableFuture<FenceAnswer> fence(
             Address guard, Attempt attempt, long timeoutMillis) {
--- a/src/main/java/org/apricotgauge/standin/TargetStandin.java
+++ b/src/main/java/org/apricotgauge/standin/TargetStandin.java
@@ -91,7 +91,7 @@
         threads.setName("target-" + settings.id());
         mServer =
                 new HttpServerFactory(threads, mScheduler)
-                        .create(settings.host(), settings.port(), new WorkHandler());
+                        .create(settings.host(), settings.port(), new WorkHandler(), () -> {});
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -0,0 +1,215 @@
+package org.apricotgauge.functional;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apricotgauge.caller.EntryHandler;
+import org.apricotgauge.caller.EntryObserver;
+import org.apricotgauge.decision.attempt.AttemptIds;
+import org.apricotgauge.decision.attempt.AttemptLedger;
+import org.apricotgauge.decision.attempt.AttemptLimits;
+import org.apricotgauge.decision.attempt.FenceAnswer;
+import org.apricotgauge.decision.attempt.KeyLimits;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.decision.routing.RoutingTable;
+import org.apricotgauge.decision.routing.RoutingTableFactory;
+import org.apricotgauge.http.HttpClientFactory;
+import org.apricotgauge.http.HttpServerFactory;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.DetectionOdds;
+import org.apricotgauge.model.Priority;
+import org.apricotgauge.model.Repeatability;
+import org.apricotgauge.model.Route;
+import org.apricotgauge.model.Service;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.target.GuardHandler;
+import org.apricotgauge.target.GuardObserver;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/**
+ * The two hops of a request over real sockets, without control plane or detection: VMs with an
+ * entry, a guard and a relay before the guard. Any path is repeatable by its method, {@code /once}
+ * never.
+ */
+final class Hops implements AutoCloseable {
+    private static final String SERVICE = "s";
+
+    /** These nodes have no predecessors whose keys they could not know. */
+    private static final KeyLimits KEYS =
+            new KeyLimits(1_000, 1_000_000, 600_000, KeyLimits.NewHomePolicy.RUN);
+
+    private static final long DEADLINE_MILLIS = 20_000;
+
+    private final QueuedThreadPool mThreads = new QueuedThreadPool(64);
+    private final ScheduledExecutorScheduler mScheduler =
+            new ScheduledExecutorScheduler("hops", true);
+    private final HttpClientFactory mClients = new HttpClientFactory(mThreads, mScheduler);
+    private final Map<String, HopVm> mVms = new HashMap<>();
+    private final List<HttpClient> mStarted = new ArrayList<>();
+    private Configuration mConfiguration =
+            Configuration.EMPTY
+                    .withService(new Service(SERVICE, 0, new DetectionOdds(1, 1), 100, 100, null))
+                    .withRoute(route("any", "/", Repeatability.BY_METHOD))
+                    .withRoute(route("once", "/once", Repeatability.NEVER));
+
+    /** One VM: its servers, its relay, and what it counts. */
+    static final class HopVm {
+        private final MetricRegistry mRegistry = new MetricRegistry();
+        private GuardHandler mGuard;
+        private EntryHandler mEntry;
+        private Server mGuardServer;
+        private Server mEntryServer;
+        private Relay mRelay;
+
+        int callerPort() {
+            return HttpServerFactory.portOf(mEntryServer);
+        }
+
+        Relay relay() {
+            return mRelay;
+        }
+
+        GuardHandler guard() {
+            return mGuard;
+        }
+
+        long count(String counter) {
+            return mRegistry.counter(counter).getCount();
+        }
+    }
+
+    Hops(String... vms) throws Exception {
+        mThreads.start();
+        mScheduler.start();
+        for (String vm : vms) {
+            mVms.put(vm, new HopVm());
+        }
+        for (String vm : vms) {
+            start(vm, mVms.get(vm));
+        }
+    }
+
+    private static Route route(String id, String prefix, Repeatability repeatability) {
+        return new Route(id, "*", prefix, SERVICE, Priority.NORMAL, repeatability, DEADLINE_MILLIS);
+    }
+
+    HopVm vm(String id) {
+        return mVms.get(id);
+    }
+
+    Hops target(String id, String vm, int port, int slots) {
+        mConfiguration =
+                mConfiguration.withTarget(
+                        new Target(id, SERVICE, vm, "here", "127.0.0.1", port, slots));
+        return this;
+    }
+
+    /** Builds the table anew for each reading; tests change the site between requests only. */
+    private RoutingTable table(String entryVm) {
+        RoutingTableFactory.View view =
+                new RoutingTableFactory.View(this::guardOf, target -> false, target -> 1.0);
+        return new RoutingTableFactory(entryVm, "here")
+                .create(RoutingTable.EMPTY, 1, mConfiguration, view, 0);
+    }
+
+    private Address guardOf(Target target) {
+        return new Address("127.0.0.1", mVms.get(target.vm()).mRelay.port());
+    }
+
+    private void start(String id, HopVm vm) throws Exception {
+        HttpClient targets = client("targets");
+        vm.mEntry =
+                new EntryHandler(
+                        () -> table(id),
+                        () -> false,
+                        new GuardClient(client("guards"), client("fences"), Ticker.system()),
+                        targets,
+                        new AttemptIds(id, id.hashCode()),
+                        mScheduler,
+                        Ticker.system(),
+                        new Blind(),
+                        service -> Optional.empty(),
+                        KEYS,
+                        vm.mRegistry);
+        vm.mGuard =
+                new GuardHandler(
+                        id,
+                        () -> table(id),
+                        targets,
+                        new AttemptLedger(id.hashCode(), AttemptLimits.DEFAULT),
+                        mScheduler,
+                        Ticker.system(),
+                        new Blind(),
+                        vm.mEntry::handleKeyed,
+                        vm.mRegistry);
+        HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
+        vm.mGuardServer = servers.create("127.0.0.1", 0, vm.mGuard, () -> {});
+        vm.mEntryServer = servers.create("127.0.0.1", 0, vm.mEntry, vm.mEntry::refused);
+        vm.mGuardServer.start();
+        vm.mEntry.open();
+        vm.mEntryServer.start();
+        vm.mRelay = new Relay(() -> HttpServerFactory.portOf(vm.mGuardServer));
+    }
+
+    private HttpClient client(String name) throws Exception {
+        HttpClient client =
+                mClients.create(name, new HttpClientFactory.Limits(5_000, 60_000, 64, 256));
+        HttpClientFactory.start(client);
+        mStarted.add(client);
+        return client;
+    }
+
+    @Override
+    public void close() {
+        try {
+            stopAll();
+        } catch (Exception e) {
+            throw new IllegalStateException("hops do not stop", e);
+        }
+    }
+
+    private void stopAll() throws Exception {
+        for (HopVm vm : mVms.values()) {
+            vm.mRelay.close();
+            vm.mEntryServer.stop();
+            vm.mGuardServer.stop();
+        }
+        for (HttpClient client : mStarted) {
+            client.stop();
+        }
+        mScheduler.stop();
+        mThreads.stop();
+    }
+
+    /** Looks at nothing. */
+    private static final class Blind implements EntryObserver, GuardObserver {
+        @Override
+        public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {}
+
+        @Override
+        public void guardAnswered(Target target, HttpFields headers) {}
+
+        @Override
+        public void told(String service, Outcome outcome) {}
+
+        @Override
+        public void fenced(Target target, String attempt, FenceAnswer answer) {}
+
+        @Override
+        public void observed(Target target, ObservedOutcome outcome, long serviceMicros) {}
+
+        @Override
+        public void beforeAnswer(Target target, HttpFields.Mutable headers) {}
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/functional/SilentPathTest.java
@@ -0,0 +1,149 @@
+package org.apricotgauge.functional;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections that go silent, one way or both, between an entry and a guard. */
+class SilentPathTest {
+    private static final int FIRST = 3;
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    private final CountDownLatch mGo = new CountDownLatch(1);
+    private final CountDownLatch mTogether = new CountDownLatch(FIRST);
+    private Hops mHops;
+    private RawTarget mTarget;
+
+    @BeforeEach
+    void start() throws Exception {
+        mHops = new Hops("vm-a", "vm-b");
+        mTarget =
+                RawTarget.start(
+                        (head, body, out) -> {
+                            if (head.contains("/wait")) {
+                                mGo.await();
+                            }
+                            if (head.contains("/first")) {
+                                mTogether.countDown();
+                                mTogether.await();
+                            }
+                            out.write(OK.getBytes(StandardCharsets.US_ASCII));
+                            return true;
+                        });
+        mHops.target("t", "vm-b", mTarget.port(), 3);
+        // Three connections are open and in the pool before anything goes wrong.
+        List<CompletableFuture<String>> first = new ArrayList<>();
+        for (int i = 0; i < FIRST; i++) {
+            first.add(async("GET", "/first"));
+        }
+        for (CompletableFuture<String> answer : first) {
+            assertThat(answer.get()).endsWith("ok");
+        }
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mGo.countDown();
+        mHops.close();
+        mTarget.close();
+    }
+
+    private CompletableFuture<String> async(String method, String path) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return ask(method, path);
+                    } catch (Exception e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+    }
+
+    private String ask(String method, String path, String... headers) throws Exception {
+        try (RawCaller caller = new RawCaller(mHops.vm("vm-a").callerPort())) {
+            return caller.request(method, path, headers).readAll();
+        }
+    }
+
+    @Test
+    void aBookingHeldUpOnTheWayRunsOnceThoughItArrivesLate() throws Exception {
+        // The caller gets its answer, and the booking runs once. The pooled connection swallows the
+        // first attempt; the entry fences it over a new connection, hears "not run" and sends it
+        // again; then the first attempt arrives after all, and the guard must refuse it.
+        mHops.vm("vm-b").relay().silence(Relay.Way.THERE);
+        assertThat(ask("POST", "/once", "Content-Length: 0")).startsWith("HTTP/1.1 200");
+        assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
+        long refusedBefore = mHops.vm("vm-b").count("guard.not_run");
+
+        mHops.vm("vm-b").relay().release();
+
+        Fleet.await(() -> mHops.vm("vm-b").count("guard.not_run") > refusedBefore);
+        assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
+        assertThat(mHops.vm("vm-a").count("entry.fences")).isEqualTo(1);
+    }
+
+    @Test
+    void aBookingWhoseAnswerIsLostIsUnknownAndRunsOnce() throws Exception {
+        // The caller is told "unknown" at its deadline, and the booking ran once. The request
+        // arrives and the way back is silent; the guard says "started", so it is not sent again.
+        mHops.vm("vm-b").relay().silence(Relay.Way.BACK);
+        String answer =
+                ask("POST", "/once", "Content-Length: 0", "Apricotgauge-Timeout-Millis: 3000");
+        assertThat(answer).startsWith("HTTP/1.1 504").contains("Apricotgauge-Outcome: unknown");
+        assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
+    }
+
+    @Test
+    void aLookupWhoseAnswerIsLostIsAskedAgain() throws Exception {
+        // The caller gets its answer long before its deadline. The way back is silent; the request
+        // may repeat, so the entry asks again over a new connection.
+        mHops.vm("vm-b").relay().silence(Relay.Way.BACK);
+        assertThat(ask("GET", "/")).endsWith("ok");
+    }
+
+    @Test
+    void aSlowTargetIsNotTakenForADeadPath() throws Exception {
+        // The caller of a slow target waits and gets its answer; nothing is fenced. The guard says
+        // every second that it has the request, so that the entry can tell slow from dead.
+        Thread later =
+                new Thread(
+                        () -> {
+                            Fleet.await(() -> mHops.vm("vm-a").count("entry.requests") > FIRST);
+                            LockSupport.parkNanos(1_500_000_000L);
+                            mGo.countDown();
+                        });
+        later.start();
+        assertThat(ask("POST", "/once/wait", "Content-Length: 0")).endsWith("ok");
+        assertThat(mHops.vm("vm-a").count("entry.fences")).isZero();
+        assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
+    }
+
+    @Test
+    void aGuardThatDiesWithABookingLeavesItUnknown() throws Exception {
+        // The caller is told "unknown", for the target may have run it; it ran once. The guard dies
+        // with the request at its target, and nobody is left to ask.
+        Thread killer =
+                new Thread(
+                        () -> {
+                            Fleet.await(() -> mTarget.runs() == FIRST + 1);
+                            try {
+                                mHops.vm("vm-b").relay().cut();
+                            } catch (IOException e) {
+                                throw new IllegalStateException(e);
+                            }
+                        });
+        killer.start();
+        String answer = ask("POST", "/once/wait", "Content-Length: 0");
+        assertThat(answer).contains("Apricotgauge-Outcome: unknown");
+        assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
+    }
+}
