Show each safeguard of the control plane failing first

Cause: a promise counts only if its test fails without the safeguard. Change: none in the program; the one-way test also forbids any accusation.

--- a/src/test/java/org/apricotgauge/decision/gossip/GossipNodeTest.java
+++ b/src/test/java/org/apricotgauge/decision/gossip/GossipNodeTest.java
@@ -103,6 +103,7 @@
             assertThat(heldUnreachable(fleet, to)).as("second %d", i).isFalse();
         }
         assertThat(fleet.count(GossipEvent.PATH_FAULT)).isPositive();
+        assertThat(fleet.count(GossipEvent.SUSPICION_RAISED)).isZero();
         long position = publishTo(fleet, from);
         fleet.run(2_000);
         assertThat(fleet.allAt(position)).isTrue();
