--- a/src/main/java/org/apricotgauge/decision/admission/AdaptiveLimit.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdaptiveLimit.java
@@ -9,9 +9,8 @@
  */
 final class AdaptiveLimit {
     private static final long MIN_WAIT_MILLIS = 50;
-    private static final long MAX_WAIT_MILLIS = 1_600;
-    private static final double SLOW = 2.0;
-    private static final int MIN_SAMPLES = 20;
+    private static final long MAX_WAIT_MILLIS = 800;
+    private static final double SLOW = 1.5;
 
     private final int mSlots;
     private int mLimit;
@@ -19,6 +18,7 @@
     private long mNextGrowthMillis = Long.MIN_VALUE;
     private long mChangedAtMillis = Long.MIN_VALUE;
     private int mAnsweredSinceChange;
+    private boolean mGrewLast;
 
     AdaptiveLimit(int slots) {
         mSlots = slots;
@@ -42,21 +42,31 @@
     }
 
     /** Takes in an answered request; the limit can grow only while it holds requests back. */
-    void onAnswered(double inflation, boolean limitReached, long nowMillis) {
+    void onAnswered(boolean limitReached, long nowMillis) {
         mAnsweredSinceChange++;
-        int floor = (mSlots + 1) / 2;
-        if (inflation > SLOW && limitReached && mLimit > floor) {
-            if (mAnsweredSinceChange >= MIN_SAMPLES) {
-                mWaitMillis = MAX_WAIT_MILLIS;
-                change(mLimit - 1, nowMillis);
-            }
-            return;
+        // A step that held tells that slots have come free; the others are tried without delay.
+        if (mGrewLast && mAnsweredSinceChange >= mSlots) {
+            mWaitMillis = MIN_WAIT_MILLIS;
+            mNextGrowthMillis = Math.min(mNextGrowthMillis, nowMillis);
         }
         if (limitReached) {
             grow(nowMillis);
         }
     }
 
+    /**
+     * Takes in how slow a batch of answers was, as a multiple of the usual.
+     *
+     * <p>Never below half of the slots: a target that is slow for a reason of its own would be
+     * starved of work without becoming any faster.
+     */
+    void onBatch(double inflation, long nowMillis) {
+        if (inflation > SLOW && mLimit > (mSlots + 1) / 2) {
+            mWaitMillis = MAX_WAIT_MILLIS;
+            change(mLimit - 1, nowMillis);
+        }
+    }
+
     /** Grows back from nothing, where no answer can come to do it. */
     void onTick(long nowMillis) {
         if (mLimit == 0) {
@@ -65,13 +75,16 @@
     }
 
     private void grow(long nowMillis) {
-        if (mLimit < mSlots && nowMillis >= mNextGrowthMillis) {
-            change(mLimit + 1, nowMillis);
+        if (mLimit >= mSlots || nowMillis < mNextGrowthMillis) {
+            return;
         }
+        change(mLimit + 1, nowMillis);
+        mGrewLast = true;
     }
 
     private void change(int limit, long nowMillis) {
         mLimit = limit;
+        mGrewLast = false;
         mAnsweredSinceChange = 0;
         mChangedAtMillis = nowMillis;
         mNextGrowthMillis = nowMillis + mWaitMillis;
