--- a/src/main/java/org/apricotgauge/bench/ControlFleet.java
+++ b/src/main/java/org/apricotgauge/bench/ControlFleet.java
@@ -73,7 +73,7 @@
             }
             mNodes.add(node);
         }
-        publishVms();
+        publishVms(VmStatus.State.LIVE);
     }
 
     PlatformStandin standin() {
@@ -116,11 +116,13 @@
         return (int) mNodes.stream().filter(node -> node.mPosition < position).count();
     }
 
-    private void publishVms() {
-        mStandin.setVms(
-                mNodes.stream()
-                        .map(node -> new VmStatus(node.mPlane.vm(), VmStatus.State.LIVE))
-                        .toList());
+    /** Publishes the list of VMs with one VM more, which has no node, in the given state. */
+    void publishVms(VmStatus.State stateOfExtra) {
+        List<VmStatus> vms = new ArrayList<>();
+        mNodes.forEach(node -> vms.add(new VmStatus(node.mPlane.vm(), VmStatus.State.LIVE)));
+        Vm extra = new Vm("extra", "domain0", HOST, 0, 0, 0, 0);
+        vms.add(new VmStatus(extra, stateOfExtra));
+        mStandin.setVms(vms);
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/bench/MeasureConfig.java
+++ b/src/main/java/org/apricotgauge/bench/MeasureConfig.java
@@ -11,6 +11,7 @@
 import org.apricotgauge.log.LogLevel;
 import org.apricotgauge.log.LogSettings;
 import org.apricotgauge.log.Logs;
+import org.apricotgauge.model.VmStatus;
 import org.apricotgauge.standin.PlatformMode;
 
 /**
@@ -23,8 +24,8 @@
  * <p>For each size: 20 patches of 600 bytes, one after the other, (a) with the platform up, (b)
  * with the platform taken down as soon as one node has read the patch, (c) with 10% of the ordered
  * pairs of nodes losing every frame. Then bytes, processor time and calls at rest, and at 1 and 4
- * changes a second (10 and 41 times 8,400 a day). Before that, the memory and time of one node's
- * state with 7,100 VMs known.
+ * changes a second (10 and 41 times 8,400 a day), and with one change of the list of VMs a second.
+ * Before that, the memory and time of one node's state with 7,100 VMs known.
  */
 public final class MeasureConfig {
     private static final int PATCHES = 20;
@@ -33,6 +34,7 @@
     private static final long SETTLE_MILLIS = 3_000;
     private static final long REST_MILLIS = 20_000;
     private static final long LOAD_MILLIS = 5_000;
+    private static final long CHURN_GAP_MILLIS = 1_000;
     private static final double LOST_SHARE = 0.1;
     private static final long SEED = 42;
     private static final double NANOS_PER_MILLI = 1e6;
@@ -71,6 +73,7 @@
             printUsage(size, "at rest", rest(fleet, REST_MILLIS), REST_MILLIS, size);
             printUsage(size, "1 change/s", load(fleet, 1_000), LOAD_MILLIS, size);
             printUsage(size, "4 changes/s", load(fleet, 250), LOAD_MILLIS, size);
+            printUsage(size, "1 VM change/s", churn(fleet), LOAD_MILLIS, size);
             print(size, "platform down after one read", patches(fleet, true));
             fleet.standin().setMode(PlatformMode.UP);
             cutLinks(fleet, size);
@@ -135,6 +138,17 @@
         return since(before, usage(fleet));
     }
 
+    private Usage churn(ControlFleet fleet) throws Exception {
+        Usage before = usage(fleet);
+        boolean leaving = true;
+        for (long done = 0; done < LOAD_MILLIS; done += CHURN_GAP_MILLIS) {
+            fleet.publishVms(leaving ? VmStatus.State.LEAVING : VmStatus.State.LIVE);
+            leaving = !leaving;
+            Thread.sleep(CHURN_GAP_MILLIS);
+        }
+        return since(before, usage(fleet));
+    }
+
     private Usage usage(ControlFleet fleet) {
         long cpuNanos = 0;
         for (ControlFleet.Node node : fleet.nodes()) {
