Keep the administration API's cost under 3% of a core at full size

Cause: /status listed every service in each of 64 windows (1.0 MB at 200 services), and 20 requests a second of any path could take far more than the 4.1% of a core that a node may spend on control. Without a call of Logs.configure, Logback's default wrote Jetty's DEBUG lines to standard output (a measurement printed 1.9 million lines). Ruled out: caching answers (an operator would read old ones without knowing); one bound for all paths (/metrics costs ten times /status). Change: without service= /status tells totals and only services with leaving or ejected targets; ended windows are frozen; 10 requests a second for pages and 1 for metrics, with bursts; a default log configuration at WARN for processes that have not set up theirs; bin/measure-admin. Tests: AdminServerTest and OutcomeWindowsTest follow the new contract and check the new bounds; a poll is at least 500 ms.

--- a/src/main/java/org/apricotgauge/log/Logs.java
+++ b/src/main/java/org/apricotgauge/log/Logs.java
@@ -39,7 +39,10 @@
     static void configure(LogSettings settings, OutputStream stream) {
         Checks.notNull("settings", settings);
         System.setProperty(JBOSS_PROVIDER, "slf4j");
-        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        configure((LoggerContext) LoggerFactory.getILoggerFactory(), settings, stream);
+    }
+
+    static void configure(LoggerContext context, LogSettings settings, OutputStream stream) {
         context.reset();
         Encoder<ILoggingEvent> encoder = encoder(settings.format(), context);
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
--- a/src/main/java/org/apricotgauge/operator/AdminHandler.java
+++ b/src/main/java/org/apricotgauge/operator/AdminHandler.java
@@ -5,8 +5,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.apricotgauge.event.EventCodec;
 import org.apricotgauge.time.Ticker;
@@ -23,8 +25,11 @@
 final class AdminHandler extends Handler.Abstract {
     static final int MAX_EVENTS = 500;
     static final int DEFAULT_EVENTS = 100;
-    private static final int REQUESTS_PER_SECOND = 20;
-    private static final int BURST = 40;
+    // At the costs that bin/measure-admin shows, the two stay under 3% of a core together.
+    private static final int PAGES_PER_SECOND = 10;
+    private static final int PAGES_BURST = 40;
+    private static final int METRICS_PER_SECOND = 1;
+    private static final int METRICS_BURST = 5;
     private static final String VERSION_PREFIX = "/v1";
     private static final String ALLOWED_METHODS = "GET, HEAD";
     private static final ObjectMapper MAPPER =
@@ -34,33 +39,34 @@
                             new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
 
     private final AdminSources mSources;
-    private final RateBound mRate;
     private final Map<String, Endpoint> mEndpoints;
 
     AdminHandler(AdminSources sources, Ticker ticker) {
         mSources = sources;
-        mRate = new RateBound(ticker, REQUESTS_PER_SECOND, BURST);
+        RateBound pages = new RateBound(ticker, PAGES_PER_SECOND, PAGES_BURST);
+        RateBound metrics = new RateBound(ticker, METRICS_PER_SECOND, METRICS_BURST);
         mEndpoints =
                 Map.of(
                         "/live", Endpoint.free(query -> AdminAnswer.line(200, "live")),
                         "/ready", Endpoint.free(this::ready),
-                        "/status", Endpoint.counted(Set.of("service"), this::status),
-                        "/events", Endpoint.counted(Set.of("since", "limit"), this::events),
-                        "/metrics", Endpoint.counted(Set.of(), this::metrics),
-                        "/metrics.json", Endpoint.counted(Set.of(), this::metricsJson));
+                        "/status", new Endpoint(Set.of("service"), pages::tryTake, this::status),
+                        "/events",
+                                new Endpoint(
+                                        Set.of("since", "limit"), pages::tryTake, this::events),
+                        "/metrics", new Endpoint(Set.of(), metrics::tryTake, this::metrics),
+                        "/metrics.json",
+                                new Endpoint(Set.of(), metrics::tryTake, this::metricsJson));
     }
 
-    /** A path: what it may be asked, whether asking is rationed, and its answer. */
+    /** A path: what it may be asked, whether it may be answered now, and its answer. */
     private record Endpoint(
-            Set<String> parameters, boolean isRationed, Function<AdminQuery, AdminAnswer> answer) {
+            Set<String> parameters,
+            BooleanSupplier admission,
+            Function<AdminQuery, AdminAnswer> answer) {
 
         /** Liveness and readiness are cheap, and must not fail because a script asks for much. */
         static Endpoint free(Function<AdminQuery, AdminAnswer> answer) {
-            return new Endpoint(Set.of(), false, answer);
-        }
-
-        static Endpoint counted(Set<String> parameters, Function<AdminQuery, AdminAnswer> answer) {
-            return new Endpoint(parameters, true, answer);
+            return new Endpoint(Set.of(), () -> true, answer);
         }
     }
 
@@ -84,10 +90,9 @@
             response.getHeaders().put(HttpHeader.ALLOW, ALLOWED_METHODS);
             return AdminAnswer.line(405, "read-only; allowed: " + ALLOWED_METHODS);
         }
-        if (endpoint.isRationed() && !mRate.tryTake()) {
+        if (!endpoint.admission().getAsBoolean()) {
             response.getHeaders().put(HttpHeader.RETRY_AFTER, "1");
-            return AdminAnswer.line(
-                    429, "more than " + REQUESTS_PER_SECOND + " requests a second; retry in 1 s");
+            return AdminAnswer.line(429, "asked too often; retry in 1 s");
         }
         try {
             Fields fields = Request.extractQueryParameters(request);
@@ -110,8 +115,8 @@
 
     private AdminAnswer status(AdminQuery query) {
         NodeStatus status = mSources.status().read();
-        String service = query.text("service");
-        return AdminAnswer.json(json(service == null ? status : status.onlyService(service)));
+        Optional<String> service = Optional.ofNullable(query.text("service"));
+        return AdminAnswer.json(json(status.narrowed(service)));
     }
 
     private AdminAnswer events(AdminQuery query) {
--- a/src/main/java/org/apricotgauge/operator/FleetSettings.java
+++ b/src/main/java/org/apricotgauge/operator/FleetSettings.java
@@ -31,8 +31,8 @@
         long pollMillis) {
     private static final long DEFAULT_TIMEOUT_MILLIS = 2_000;
     private static final long MAX_MILLIS = 60_000;
-    // A node answers 20 requests a second; faster rounds would be refused where several follow.
-    private static final long MIN_POLL_MILLIS = 200;
+    // A node answers 10 requests a second; faster rounds would be refused where several follow.
+    private static final long MIN_POLL_MILLIS = 500;
     private static final long DEFAULT_POLL_MILLIS = 1_000;
 
     private static final Setting<List<Address>> NODES =
--- a/src/main/java/org/apricotgauge/operator/NodeStatus.java
+++ b/src/main/java/org/apricotgauge/operator/NodeStatus.java
@@ -1,6 +1,8 @@
 package org.apricotgauge.operator;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
 import org.apricotgauge.model.Checks;
 
 /**
@@ -41,8 +43,16 @@
         windows = List.copyOf(windows);
     }
 
-    /** Returns this status with what it says of one service only. */
-    NodeStatus onlyService(String service) {
+    /**
+     * Returns this status narrowed to one service, or, if none is named, to the services that have
+     * leaving or ejected targets and to totals: a node may serve thousands of services, and the
+     * whole would cost a megabyte for each time it is asked.
+     */
+    NodeStatus narrowed(Optional<String> service) {
+        Predicate<ServiceStatus> isTold =
+                service.isPresent()
+                        ? one -> one.service().equals(service.get())
+                        : one -> !one.leaving().isEmpty() || !one.ejected().isEmpty();
         return new NodeStatus(
                 vm,
                 failureDomain,
@@ -52,7 +62,7 @@
                 version,
                 digest,
                 listPosition,
-                services.stream().filter(one -> one.service().equals(service)).toList(),
+                services.stream().filter(isTold).toList(),
                 windows.stream().map(window -> window.onlyService(service)).toList());
     }
 }
--- a/src/main/java/org/apricotgauge/operator/OutcomeWindows.java
+++ b/src/main/java/org/apricotgauge/operator/OutcomeWindows.java
@@ -26,11 +26,14 @@
  */
 public final class OutcomeWindows {
     private static final int MAX_WINDOWS = 1_024;
+    private static final int LIVE_WINDOWS = 2;
+    private static final long STILL_IN_FORCE = Long.MAX_VALUE;
 
     private final Ticker mTicker;
     private final int mCapacity;
-    private final Deque<Window> mPast = new ArrayDeque<>();
+    private final Deque<VersionWindow> mPast = new ArrayDeque<>();
     private volatile Window mCurrent;
+    private Window mPrevious;
 
     /**
      * Creates windows, the first for version 0.
@@ -40,7 +43,7 @@
      */
     public OutcomeWindows(Ticker ticker, int capacity) {
         mTicker = Checks.notNull("ticker", ticker);
-        mCapacity = (int) Checks.inRange("capacity", capacity, 1, MAX_WINDOWS);
+        mCapacity = (int) Checks.inRange("capacity", capacity, LIVE_WINDOWS, MAX_WINDOWS);
         mCurrent = new Window(0, ticker.millis(), new ConcurrentHashMap<>());
     }
 
@@ -50,9 +53,14 @@
             return;
         }
         long nowMillis = mTicker.millis();
-        mPast.addLast(mCurrent.endedAt(nowMillis));
+        // The last one but one is frozen, at a third of the memory. The last one is not, as a
+        // request that ends just now may still count in it.
+        if (mPrevious != null) {
+            mPast.addLast(mPrevious.read(nowMillis));
+        }
+        mPrevious = mCurrent.endedAt(nowMillis);
         mCurrent = new Window(version, nowMillis, new ConcurrentHashMap<>());
-        while (mPast.size() >= mCapacity) {
+        while (mPast.size() > Math.max(0, mCapacity - LIVE_WINDOWS)) {
             mPast.removeFirst();
         }
     }
@@ -64,24 +72,28 @@
 
     /** Returns the windows, the oldest first. */
     public synchronized List<VersionWindow> read() {
-        List<VersionWindow> windows = new ArrayList<>();
-        mPast.forEach(window -> windows.add(window.read(window.lastedMillis())));
-        windows.add(mCurrent.read(mTicker.millis() - mCurrent.startMillis()));
+        long nowMillis = mTicker.millis();
+        List<VersionWindow> windows = new ArrayList<>(mPast);
+        if (mPrevious != null) {
+            windows.add(mPrevious.read(nowMillis));
+        }
+        windows.add(mCurrent.read(nowMillis));
         return List.copyOf(windows);
     }
 
+    /** A window that counts; the end is {@link #STILL_IN_FORCE} while its version is in force. */
     private record Window(
             long version,
             long startMillis,
-            long lastedMillis,
+            long endMillis,
             ConcurrentHashMap<String, LongAdder[]> counters) {
 
         Window(long version, long startMillis, ConcurrentHashMap<String, LongAdder[]> counters) {
-            this(version, startMillis, 0, counters);
+            this(version, startMillis, STILL_IN_FORCE, counters);
         }
 
         Window endedAt(long nowMillis) {
-            return new Window(version, startMillis, nowMillis - startMillis, counters);
+            return new Window(version, startMillis, nowMillis, counters);
         }
 
         LongAdder[] counters(String service) {
@@ -89,10 +101,11 @@
             return found != null ? found : counters.computeIfAbsent(service, id -> newCounters());
         }
 
-        VersionWindow read(long millisInForce) {
+        VersionWindow read(long nowMillis) {
             Map<String, OutcomeCounts> services = new HashMap<>();
             counters.forEach((service, adders) -> services.put(service, counts(adders)));
-            return new VersionWindow(version, millisInForce, services);
+            return VersionWindow.of(
+                    version, Math.min(nowMillis, endMillis) - startMillis, services);
         }
 
         private static LongAdder[] newCounters() {
--- a/src/main/java/org/apricotgauge/operator/watch/FleetView.java
+++ b/src/main/java/org/apricotgauge/operator/watch/FleetView.java
@@ -165,7 +165,7 @@
             NodeStatus status, Optional<String> service, long from, long to) {
         return status.windows().stream()
                 .filter(window -> window.version() >= from && window.version() <= to)
-                .map((VersionWindow window) -> window.total(service))
+                .map((VersionWindow window) -> window.counts(service))
                 .reduce(OutcomeCounts.ZERO, OutcomeCounts::plus);
     }
 }
