Keep the review's report free of logs; ask before taking a peer's history

A history from a faulty peer would stop the process in CurrentHistory.advance.

Ruled out: passing such a history over silently in advance (two digests of one version must not go unseen where the history was folded here).

Change: ReviewMain sets up the log like the other programs; CurrentHistory.isConsistentWith; messages.

Conclusion: the report is all of standard output.

--- a/src/main/java/org/apricotgauge/config/CurrentHistory.java
+++ b/src/main/java/org/apricotgauge/config/CurrentHistory.java
@@ -46,18 +46,36 @@
         }
     }
 
+    /**
+     * Returns whether the history can be of the same list as the one in force.
+     *
+     * <p>Whoever has a history from another process asks first: a fault there is that process's,
+     * and must not stop this one.
+     */
+    public boolean isConsistentWith(ConfigHistory other) {
+        return fault(mHistory.get(), Checks.notNull("history", other)) == null;
+    }
+
     private static void check(ConfigHistory one, ConfigHistory other) {
+        String fault = fault(one, other);
+        if (fault != null) {
+            throw new IllegalStateException(fault);
+        }
+    }
+
+    private static String fault(ConfigHistory one, ConfigHistory other) {
         ConfigHistory older = one.position() <= other.position() ? one : other;
         ConfigHistory newer = older == one ? other : one;
         if (newer.version() < older.version()) {
-            throw new IllegalStateException("version falls from " + older + " to " + newer);
+            return "version falls from " + older + " to " + newer;
         }
         if (newer.position() == older.position() && !newer.digest().equals(older.digest())) {
-            throw new IllegalStateException("one position, two digests: " + older + "; " + newer);
+            return "one position, two digests: " + older + "; " + newer;
         }
         if (newer.version() == older.version()
                 && !newer.versionDigest().equals(older.versionDigest())) {
-            throw new IllegalStateException("one version, two digests: " + older + "; " + newer);
+            return "one version, two digests: " + older + "; " + newer;
         }
+        return null;
     }
 }
--- a/src/main/java/org/apricotgauge/config/PatchCodec.java
+++ b/src/main/java/org/apricotgauge/config/PatchCodec.java
@@ -15,6 +15,7 @@
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /**
@@ -36,6 +37,11 @@
     private static final int MAX_DEPTH = 16;
     private static final int MAX_NUMBER_CHARS = 64;
     private static final int MAX_DETAIL_CHARS = 300;
+
+    /** What the library says of its own input, such as "(for Array starting at [Source: ...])". */
+    private static final Pattern LIBRARY_SOURCE =
+            Pattern.compile("\\s*\\([^()]*\\[Source:.*\\]\\)");
+
     private static final JsonMapper MAPPER = newMapper();
 
     private PatchCodec() {}
@@ -111,7 +117,7 @@
     static RefusalReason.Malformed malformed(JsonProcessingException e) {
         String path = e instanceof JsonMappingException mapping ? path(mapping) : "";
         String detail = path.isEmpty() ? cause(e) : path + ": " + cause(e);
-        if (e.getLocation() != null && path.isEmpty()) {
+        if (e.getLocation() != null && e.getLocation().getLineNr() > 0) {
             detail += " at line " + e.getLocation().getLineNr();
         }
         return new RefusalReason.Malformed(oneLine(detail));
@@ -139,7 +145,12 @@
     }
 
     private static String oneLine(String text) {
-        String line = text.replaceAll("[\\p{Cntrl}\\s]+", " ").strip();
+        String line =
+                LIBRARY_SOURCE
+                        .matcher(text)
+                        .replaceAll("")
+                        .replaceAll("[\\p{Cntrl}\\s]+", " ")
+                        .strip();
         return line.length() <= MAX_DETAIL_CHARS
                 ? line
                 : line.substring(0, MAX_DETAIL_CHARS) + "...";
--- a/src/main/java/org/apricotgauge/operator/review/FileHistorySource.java
+++ b/src/main/java/org/apricotgauge/operator/review/FileHistorySource.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.operator.review;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -30,7 +31,7 @@
 
     @Override
     public ConfigHistory read() throws IOException {
-        JsonNode tree = MAPPER.readTree(TextFile.read(mPath));
+        JsonNode tree = parse(TextFile.read(mPath));
         if (tree.isObject() && tree.path("entries").isArray()) {
             return fromPage(tree.path("entries"));
         }
@@ -40,6 +41,14 @@
         return tree.path(0).has("mark") ? fromSnapshot(tree) : fromPatches(tree);
     }
 
+    private JsonNode parse(String text) throws IOException {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new IOException(mPath + " is not JSON, line " + e.getLocation().getLineNr());
+        }
+    }
+
     private ConfigHistory fromPage(JsonNode entries) throws IOException {
         HistoryBuilder builder = new HistoryBuilder(ConfigHistory.EMPTY);
         for (JsonNode entry : entries) {
@@ -77,7 +86,7 @@
         try {
             return SnapshotCodec.fromJson(chunk.toString());
         } catch (IllegalArgumentException e) {
-            throw new IOException(mPath + ": " + e.getMessage(), e);
+            throw new IOException(mPath + ": " + e.getMessage());
         }
     }
 }
--- a/src/main/java/org/apricotgauge/operator/review/ReviewMain.java
+++ b/src/main/java/org/apricotgauge/operator/review/ReviewMain.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.net.URI;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.apricotgauge.cli.Command;
@@ -15,6 +16,8 @@
 import org.apricotgauge.cli.SettingKinds;
 import org.apricotgauge.cli.SettingValues;
 import org.apricotgauge.config.ConfigHistory;
+import org.apricotgauge.log.LogSettings;
+import org.apricotgauge.log.Logs;
 import org.apricotgauge.platform.HttpPlatformClient;
 import org.apricotgauge.platform.PlatformException;
 
@@ -53,8 +56,9 @@
      * @param patch file of the patch
      * @param source where the history comes from
      * @param json whether the report is JSON
+     * @param log settings of the log
      */
-    record Settings(Path patch, HistorySource source, boolean json) {
+    record Settings(Path patch, HistorySource source, boolean json, LogSettings log) {
 
         static Settings of(SettingValues values) {
             Optional<Path> config = values.get(CONFIG);
@@ -62,7 +66,8 @@
                     config.isPresent()
                             ? new FileHistorySource(config.get())
                             : platform(values.get(PLATFORM).orElseThrow());
-            return new Settings(values.get(PATCH), source, values.get(JSON));
+            return new Settings(
+                    values.get(PATCH), source, values.get(JSON), LogSettings.of(values));
         }
 
         private static HistorySource platform(URI uri) {
@@ -70,7 +75,7 @@
                 try (HttpPlatformClient client = HttpPlatformClient.open(uri)) {
                     return new PlatformHistorySource(client).read();
                 } catch (PlatformException e) {
-                    throw new IOException("the platform: " + e.getMessage(), e);
+                    throw new IOException("the platform: " + e.getMessage(), e.getCause());
                 }
             };
         }
@@ -78,14 +83,22 @@
 
     /** Runs the program. */
     public static void main(String[] args) {
-        command().runAndExit(args, settings -> run(settings, System.out));
+        command()
+                .runAndExit(
+                        args,
+                        settings -> {
+                            Logs.configure(settings.log());
+                            return run(settings, System.out);
+                        });
     }
 
     static Command<Settings> command() {
+        List<Setting<?>> declared = new ArrayList<>(List.of(PATCH, PLATFORM, CONFIG, JSON));
+        declared.addAll(LogSettings.declared());
         return new Command<>(
                 "apricotgauge-review",
                 "Tells whether a patch would take effect, what it changes and what that does.",
-                List.of(PATCH, PLATFORM, CONFIG, JSON),
+                declared,
                 Settings::of,
                 ReviewMain::faults);
     }
--- a/src/main/java/org/apricotgauge/operator/review/TextFile.java
+++ b/src/main/java/org/apricotgauge/operator/review/TextFile.java
@@ -16,9 +16,9 @@
         try {
             return Files.readString(path, StandardCharsets.UTF_8);
         } catch (NoSuchFileException e) {
-            throw new IOException("there is no file " + path, e);
+            throw new IOException("there is no file " + path);
         } catch (CharacterCodingException e) {
-            throw new IOException(path + " is not UTF-8 text", e);
+            throw new IOException(path + " is not UTF-8 text");
         }
     }
 }
--- a/src/test/java/org/apricotgauge/config/ConfigHistoryTest.java
+++ b/src/test/java/org/apricotgauge/config/ConfigHistoryTest.java
@@ -35,6 +35,19 @@
         assertThat(late.history().configuration()).isSameAs(two.configuration());
     }
 
+    // An operator's tool publishes one patch twice, after a timeout. Taken twice, the second would
+    // undo
+    // what came between; the same text at a later position is on a version that is past.
+    @Test
+    void patchPublishedTwiceTakesEffectOnce() {
+        ConfigHistory one = accepted(putService("lessons"));
+
+        FoldResult again = one.apply(entry(2, 0, putService("lessons")));
+
+        assertThat(reasons(again)).containsExactly(new RefusalReason.NotOnCurrentVersion(0, 1));
+        assertThat(again.history().version()).isEqualTo(1);
+    }
+
     // A patch prepared for a version that is still to come is published before its predecessor. It
     // must not wait in a node's memory and take effect later: a node that starts anew would not.
     @Test
--- a/src/test/java/org/apricotgauge/config/CurrentHistoryTest.java
+++ b/src/test/java/org/apricotgauge/config/CurrentHistoryTest.java
@@ -21,6 +21,7 @@
         assertThat(current.advance(two)).isTrue();
         assertThat(current.advance(one)).isFalse();
         assertThat(current.get()).isSameAs(two);
+        assertThat(current.isConsistentWith(one)).isTrue();
     }
 
     // Two nodes read different entries at one position (a platform restored from a backup). Going
@@ -30,6 +31,7 @@
     void anotherDigestAtOnePositionStopsTheProcess() {
         CurrentHistory current = new CurrentHistory(accepted(putService("lessons")));
 
+        assertThat(current.isConsistentWith(accepted(putService("bookings")))).isFalse();
         assertThatThrownBy(() -> current.advance(accepted(putService("bookings"))))
                 .isInstanceOf(IllegalStateException.class)
                 .hasMessageStartingWith("one position, two digests");
--- a/src/test/java/org/apricotgauge/config/PatchCodecTest.java
+++ b/src/test/java/org/apricotgauge/config/PatchCodecTest.java
@@ -62,6 +62,7 @@
                 "{\"op\":\"removeRoute\",\"id\":\"r\",\"id\":\"q\"}|Duplicate field 'id'",
                 "{\"op\":\"removeRoute\"}]} {|Trailing token",
                 "null|operations[0] must be given",
+                "{]|Unexpected close marker ']': expected '}' at line 1",
             })
     void faultIsToldInOneLine(String operation, String detail) {
         String body =
