--- a/src/main/java/org/apricotgauge/config/SnapshotCodec.java
+++ b/src/main/java/org/apricotgauge/config/SnapshotCodec.java
@@ -34,7 +34,13 @@
 
     private SnapshotCodec() {}
 
-    /** Cuts the history into chunks; at least one. */
+    /**
+     * Cuts the history into chunks; at least one.
+     *
+     * <p>This costs the size of the configuration (about half a second at 330,900 entities):
+     * whoever serves many newcomers cuts once for each position. The chunks share their entities
+     * with the history.
+     */
     public static List<SnapshotChunk> encode(ConfigHistory history) {
         Configuration configuration = history.configuration();
         Cutter cutter = new Cutter(history);
