--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -140,6 +140,7 @@
                 mHttp.scheduler(),
                 mTicker,
                 observer,
+                mEntry::handleKeyed,
                 mRegistry);
     }
 
@@ -203,6 +204,7 @@
             return;
         }
         try {
+            mEntry.open();
             mCallerServer.start();
             mPhase = NodePhase.SERVING;
         } catch (Exception e) {
