--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/admission/AdmissionQueueTest.java
@@ -0,0 +1,147 @@
+package org.apricotgauge.decision.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apricotgauge.model.Member;
+import org.apricotgauge.model.Priority;
+import org.junit.jupiter.api.Test;
+
+class AdmissionQueueTest {
+    private static final long SERVICE_MICROS = 10_000;
+
+    private final AdmissionQueue mQueue = new AdmissionQueue(config(2, 6));
+    private long mNextId;
+
+    @Test
+    void whatCannotMakeItsDeadlineIsRefusedAtOnceAndToldWhenToComeBack() {
+        fillSlots();
+        Offer offer = mQueue.offer(ticket("m", Priority.NORMAL, 12), 0);
+        assertThat(offer)
+                .isInstanceOfSatisfying(
+                        Offer.Refused.class,
+                        refused -> {
+                            assertThat(refused.refusal().reason())
+                                    .isEqualTo(RefusalReason.DEADLINE_TOO_SHORT);
+                            assertThat(refused.refusal().retryAfterMillis()).isPositive();
+                        });
+    }
+
+    @Test
+    void whatWaitedTooLongIsGivenBackNotServed() {
+        List<Ticket> running = fillSlots();
+        Ticket waiting = ticket("m", Priority.NORMAL, 100);
+        assertThat(mQueue.offer(waiting, 0)).isInstanceOf(Offer.Queued.class);
+        assertThat(mQueue.expire(50)).isEqualTo(Changes.NONE);
+        Changes changes = mQueue.release(running.get(0), Result.ANSWERED, SERVICE_MICROS, 99);
+        assertThat(changes.admitted()).isEmpty();
+        assertThat(changes.refused()).extracting(Refusal::ticket).containsExactly(waiting);
+        assertThat(mQueue.inFlight()).isEqualTo(1);
+    }
+
+    @Test
+    void aFullQueueTakesThePlaceOfWhoeverHasMostWaiting() {
+        fillSlots();
+        for (int i = 0; i < 6; i++) {
+            mQueue.offer(ticket("greedy", Priority.NORMAL, 10_000), 0);
+        }
+        assertThat(mQueue.offer(ticket("greedy", Priority.NORMAL, 10_000), 0))
+                .isInstanceOf(Offer.Refused.class);
+        assertThat(mQueue.offer(ticket("modest", Priority.PATIENT, 10_000), 0))
+                .isInstanceOfSatisfying(
+                        Offer.Queued.class,
+                        queued ->
+                                assertThat(queued.displaced())
+                                        .extracting(refusal -> refusal.ticket().member().id())
+                                        .containsExactly("greedy"));
+        assertThat(mQueue.queued()).isEqualTo(6);
+    }
+
+    @Test
+    void slotsAreSharedByWeightAndNoClassStarves() {
+        AdmissionQueue queue = new AdmissionQueue(config(1, 300));
+        Member light = new Member("light", 1);
+        Member heavy = new Member("heavy", 3);
+        for (int i = 0; i < 90; i++) {
+            queue.offer(new Ticket(mNextId++, light, Priority.URGENT, 1_000_000), 0);
+            queue.offer(new Ticket(mNextId++, heavy, Priority.URGENT, 1_000_000), 0);
+            queue.offer(new Ticket(mNextId++, heavy, Priority.PATIENT, 1_000_000), 0);
+        }
+        Map<String, Integer> served = new HashMap<>();
+        Ticket running = new Ticket(0, light, Priority.URGENT, 1_000_000);
+        for (int i = 1; i <= 80; i++) {
+            Changes changes = queue.release(running, Result.ANSWERED, SERVICE_MICROS, i * 10L);
+            running = changes.admitted().get(0);
+            served.merge(running.member().id(), 1, Integer::sum);
+            served.merge(running.priority().name(), 1, Integer::sum);
+        }
+        assertThat(served.get("heavy")).isBetween(56, 64);
+        assertThat(served.get("PATIENT")).isBetween(5, 9);
+    }
+
+    @Test
+    void theLimitFollowsWhatTheTargetShedsAndGrowsBack() {
+        AdmissionQueue queue = new AdmissionQueue(config(3, 300));
+        List<Ticket> running = new ArrayList<>();
+        long nowMillis = 0;
+        for (int i = 0; i < 200; i++) {
+            Ticket ticket = ticket("m", Priority.NORMAL, 1_000_000);
+            if (queue.offer(ticket, nowMillis) instanceof Offer.Admitted) {
+                running.add(ticket);
+            }
+        }
+        // The older system takes one of the three slots for the first second.
+        int sheds = 0;
+        while (nowMillis < 2_000) {
+            nowMillis += 10;
+            boolean shed = nowMillis < 1_000 && running.size() > 2;
+            sheds += shed ? 1 : 0;
+            Result result = shed ? Result.SHED : Result.ANSWERED;
+            // The one that came last finds no slot.
+            Ticket done = running.remove(shed ? running.size() - 1 : 0);
+            running.addAll(queue.release(done, result, SERVICE_MICROS, nowMillis).admitted());
+            queue.offer(ticket("m", Priority.NORMAL, 1_000_000), nowMillis);
+            assertThat(queue.limit()).isEqualTo(shed ? 2 : queue.inFlight());
+        }
+        // Tries double their distance: 50, 100, 200, 400 ms, so five or so in the second.
+        assertThat(sheds).isBetween(3, 6);
+        assertThat(queue.limit()).isEqualTo(3);
+    }
+
+    @Test
+    void madeUpMembersDoNotTakeTheMemory() {
+        AdmissionQueue queue = new AdmissionQueue(new AdmissionConfig(1, 300, 8, 10_000));
+        for (int i = 0; i < 300; i++) {
+            queue.offer(ticket("made-up-" + i, Priority.NORMAL, 1_000_000), 0);
+        }
+        assertThat(queue.members()).isLessThanOrEqualTo(8 + 16);
+    }
+
+    @Test
+    void releasingWhatHasNoSlotBreaksAnInvariant() {
+        Ticket ticket = ticket("m", Priority.NORMAL, 100);
+        assertThatThrownBy(() -> mQueue.release(ticket, Result.ANSWERED, 1, 0))
+                .isInstanceOf(IllegalStateException.class);
+    }
+
+    private List<Ticket> fillSlots() {
+        List<Ticket> running = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            running.add(ticket("m", Priority.NORMAL, 10_000));
+            assertThat(mQueue.offer(running.get(i), 0)).isInstanceOf(Offer.Admitted.class);
+        }
+        return running;
+    }
+
+    private Ticket ticket(String member, Priority priority, long deadlineMillis) {
+        return new Ticket(mNextId++, new Member(member, 1), priority, deadlineMillis);
+    }
+
+    private static AdmissionConfig config(int slots, int maxQueued) {
+        return new AdmissionConfig(slots, maxQueued, 100, SERVICE_MICROS);
+    }
+}
