--- a/src/main/java/org/apricotgauge/bench/policy/DetectorPolicy.java
+++ b/src/main/java/org/apricotgauge/bench/policy/DetectorPolicy.java
@@ -99,11 +99,6 @@
         return -1;
     }
 
-    @Override
-    public String describe(int target) {
-        return mVerdicts.byTarget().get(mIds[target]).toString();
-    }
-
     @Override
     public int wrongForOthers() {
         return mWrongForOthers;
--- a/src/main/java/org/apricotgauge/bench/policy/EjectionPolicy.java
+++ b/src/main/java/org/apricotgauge/bench/policy/EjectionPolicy.java
@@ -26,11 +26,6 @@
         return -1;
     }
 
-    /** Returns why the target is out, for the notes on false ejections. */
-    default String describe(int target) {
-        return "";
-    }
-
     /** Returns the ejections that this policy spread to other entries wrongly, for path faults. */
     default int wrongForOthers() {
         return 0;
--- a/src/main/java/org/apricotgauge/bench/policy/Episode.java
+++ b/src/main/java/org/apricotgauge/bench/policy/Episode.java
@@ -205,17 +205,6 @@
         boolean isSick = mIsSick[target] && nowMillis >= mFaultMillis;
         if (!isSick || mFault.scope() == Fault.Scope.ALL) {
             mFalseEjections++;
-            if (mPolicy instanceof DetectorPolicy)
-                System.err.println(
-                        mPool.name()
-                                + " "
-                                + mFault.name()
-                                + " "
-                                + nowMillis
-                                + " fault "
-                                + mFaultMillis
-                                + " "
-                                + mPolicy.describe(target));
             return;
         }
         if (mDetectedMillis[target] == 0) {
--- a/src/main/java/org/apricotgauge/decision/detection/EvidenceView.java
+++ b/src/main/java/org/apricotgauge/decision/detection/EvidenceView.java
@@ -25,7 +25,7 @@
     /** A target is tested in two views at a time, of the guards and of this entry. */
     private static final int TESTS = 2 * ScoreTable.TESTS;
 
-    private final DetectionOdds mOdds;
+    private DetectionOdds mOdds;
     private final Map<String, TargetStream> mStreams = new LinkedHashMap<>();
     private double mThresholdNats;
     private double mRatePerSecond = FIRST_RATE_PER_SECOND;
@@ -39,6 +39,11 @@
         mThresholdNats = threshold();
     }
 
+    void setOdds(DetectionOdds odds) {
+        mOdds = odds;
+        mThresholdNats = threshold();
+    }
+
     double thresholdNats() {
         return mThresholdNats;
     }
--- a/src/main/java/org/apricotgauge/decision/detection/PoolBaseline.java
+++ b/src/main/java/org/apricotgauge/decision/detection/PoolBaseline.java
@@ -29,8 +29,6 @@
     /** The window, by its place among those, that tells a lasting change of the whole service. */
     private static final int CHANGE_WINDOW = 1;
 
-    private static final double DEVIATIONS = 2;
-
     private PoolBaseline() {}
 
     /** Returns the fellows of a target that its baseline is made of. */
@@ -118,7 +116,9 @@
             suspect += scores.isSuspect(test, category) ? counts[category] : 0;
         }
         double usual = total * scores.suspectShare(test);
-        if (suspect <= usual + DEVIATIONS * Math.sqrt(usual) + 1) {
+        boolean isFailure = Alternative.ALL.get(test).kind() == Alternative.Kind.FAILURE;
+        double chance = isFailure ? 2 * Math.sqrt(usual) + 1 : Math.sqrt(usual) + 0.5;
+        if (suspect <= usual + chance) {
             return 0;
         }
         return (suspect + 0.5) / (total + 1);
--- a/src/main/java/org/apricotgauge/decision/detection/RemoteEvidence.java
+++ b/src/main/java/org/apricotgauge/decision/detection/RemoteEvidence.java
@@ -20,7 +20,7 @@
 
     private static final long IDLE_MILLIS = 60_000;
 
-    private final DetectionOdds mOdds;
+    private DetectionOdds mOdds;
     private final EvidenceView mGuards;
     private final Map<String, EvidenceDigest> mLast = new HashMap<>();
     private final Map<String, Long> mHeardMillis = new HashMap<>();
@@ -158,6 +158,11 @@
                 strongest.test(), sum - strongest.nats(), thresholdNats, strongest.natsPerSample());
     }
 
+    void setOdds(DetectionOdds odds) {
+        mOdds = odds;
+        mEntries.values().forEach(view -> view.setOdds(odds));
+    }
+
     void retain(Set<String> targetIds) {
         mEntries.values().forEach(view -> view.retain(targetIds));
     }
--- a/src/main/java/org/apricotgauge/decision/detection/ScoreTable.java
+++ b/src/main/java/org/apricotgauge/decision/detection/ScoreTable.java
@@ -8,7 +8,7 @@
 final class ScoreTable {
     static final int TESTS = Alternative.ALL.size();
 
-    private static final double MAX_NATS = 8;
+    private static final double MAX_NATS = 7.4;
     private static final double MIN_NATS = -4;
 
     private final double[][] mNats = new double[Category.COUNT][TESTS];
--- a/src/main/java/org/apricotgauge/decision/detection/ServiceDetector.java
+++ b/src/main/java/org/apricotgauge/decision/detection/ServiceDetector.java
@@ -42,7 +42,7 @@
     /** While all targets look sick at once, each request would call for a decision. */
     private static final long MIN_DECIDE_MILLIS = 10;
 
-    private final Service mService;
+    private Service mService;
     private final long mIncarnation;
     private final EvidenceView mGuards;
     private final EvidenceView mOwnEntry;
@@ -91,6 +91,17 @@
         return (isPassed || isCrossed) && !isFresh;
     }
 
+    /**
+     * Takes a new version of the service; its floor holds from the next decision on, its odds for
+     * the targets' next requests. The evidence is kept.
+     */
+    public synchronized void update(Service service) {
+        mService = Checks.notNull("service", service);
+        mGuards.setOdds(service.detection());
+        mOwnEntry.setOdds(service.detection());
+        mRemote.setOdds(service.detection());
+    }
+
     /** Returns this node's own evidence, to be sent to the other nodes of the service. */
     public synchronized EvidenceDigest digest() {
         mSequence++;
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/detection/DetectorHarness.java
@@ -0,0 +1,113 @@
+package org.apricotgauge.decision.detection;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.ToLongFunction;
+import org.apricotgauge.model.DetectionOdds;
+import org.apricotgauge.model.Service;
+
+/** A detector with targets that answer by simple laws, on a clock of its own. */
+final class DetectorHarness {
+    static final long FAILS = -1;
+    static final long SHEDS = -2;
+    static final DetectionOdds ENTOTO = new DetectionOdds(5, 1);
+
+    final ServiceDetector mDetector;
+    final String[] mIds;
+    final TargetPresence[] mPresence;
+    long mNowMillis;
+    Verdicts mVerdicts;
+    private final SplittableRandom mRandom = new SplittableRandom(42);
+    private final int mSlots;
+
+    DetectorHarness(int targets, int slots, int floorPercent) {
+        Service service = new Service("pool", floorPercent, ENTOTO, 0, 100, null);
+        mDetector = new ServiceDetector(service, 1);
+        mSlots = slots;
+        mIds = new String[targets];
+        mPresence = new TargetPresence[targets];
+        for (int i = 0; i < targets; i++) {
+            mIds[i] = "t" + i;
+            mPresence[i] = TargetPresence.PRESENT;
+        }
+        decide();
+    }
+
+    Membership membership() {
+        List<Membership.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < mIds.length; i++) {
+            entries.add(new Membership.Entry(mIds[i], mSlots, mPresence[i]));
+        }
+        return new Membership(entries);
+    }
+
+    void decide() {
+        mVerdicts = mDetector.decide(mNowMillis, membership());
+    }
+
+    /** Returns a healthy service time around 20 ms. */
+    long healthyMicros() {
+        return (long) (20_000 * Math.exp(0.4 * gaussian()));
+    }
+
+    private double gaussian() {
+        double sum = -6;
+        for (int i = 0; i < 12; i++) {
+            sum += mRandom.nextDouble();
+        }
+        return sum;
+    }
+
+    /** Sends rounds of one request to each eligible target, 100 ms apart; the law gives micros. */
+    void rounds(int rounds, ObservationEnd end, ToLongFunction<String> law) {
+        for (int round = 0; round < rounds; round++) {
+            mNowMillis += 100;
+            for (String id : mIds) {
+                if (mVerdicts.isEligible(id) || mVerdicts.probesDue().contains(id)) {
+                    observe(id, end, law.applyAsLong(id));
+                }
+            }
+            decide();
+        }
+    }
+
+    void observe(String id, ObservationEnd end, long micros) {
+        ObservedOutcome outcome = ObservedOutcome.SUCCESS;
+        if (micros == FAILS) {
+            outcome =
+                    end == ObservationEnd.GUARD
+                            ? ObservedOutcome.TARGET_ERROR
+                            : ObservedOutcome.PATH_FAULT;
+        } else if (micros == SHEDS) {
+            outcome = ObservedOutcome.SHED;
+        }
+        mDetector.observe(
+                new Observation(
+                        id, end, outcome, Math.max(0, micros), mNowMillis, Observation.NO_KEY));
+    }
+
+    void healthy(int rounds) {
+        rounds(rounds, ObservationEnd.GUARD, id -> healthyMicros());
+    }
+
+    /** Runs until the target is out, and returns how many rounds that took, at most the limit. */
+    int roundsToEjection(String target, int limit, ToLongFunction<String> law) {
+        for (int round = 1; round <= limit; round++) {
+            rounds(1, ObservationEnd.GUARD, law);
+            if (!mVerdicts.isEligible(target)) {
+                return round;
+            }
+        }
+        return limit + 1;
+    }
+
+    boolean allEligible() {
+        for (String id : mIds) {
+            if (!mVerdicts.isEligible(id)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
@@ -0,0 +1,274 @@
+package org.apricotgauge.decision.detection;
+
+import static org.apricotgauge.decision.detection.DetectorHarness.FAILS;
+import static org.apricotgauge.decision.detection.DetectorHarness.SHEDS;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.apricotgauge.model.Service;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ServiceDetectorTest {
+    private DetectorHarness mPool;
+
+    @BeforeEach
+    void warmUp() {
+        mPool = new DetectorHarness(9, 3, 60);
+        mPool.healthy(300);
+        assertThat(mPool.allEligible()).isTrue();
+    }
+
+    /*
+     * A target answers its health check but fails every request. Callers see errors from one in
+     * nine requests until the guard's evidence has crossed the threshold, after four requests.
+     */
+    @Test
+    void ejectsATargetThatFailsAll() {
+        int rounds =
+                mPool.roundsToEjection(
+                        "t3", 20, id -> id.equals("t3") ? FAILS : mPool.healthyMicros());
+        assertThat(rounds).isLessThanOrEqualTo(5);
+        Verdict verdict = mPool.mVerdicts.byTarget().get("t3");
+        assertThat(verdict.state()).isEqualTo(VerdictState.EJECTED);
+        assertThat(verdict.evidence()).contains("beside the target: failing", "nats of");
+    }
+
+    /*
+     * A straggler answers everything, three times slower. No request fails, so rules on errors see
+     * nothing; compared with its fellows it stands out after some ten requests.
+     */
+    @Test
+    void ejectsAStraggler() {
+        int rounds =
+                mPool.roundsToEjection(
+                        "t3", 50, id -> mPool.healthyMicros() * (id.equals("t3") ? 3 : 1));
+        assertThat(rounds).isLessThanOrEqualTo(20);
+    }
+
+    /*
+     * A partial fault: one member's requests, every fourth here, fail on one target alone. Most of
+     * its answers are good, so there are never five errors in a row.
+     */
+    @Test
+    void ejectsATargetThatFailsOneMember() {
+        int[] request = {0};
+        int rounds =
+                mPool.roundsToEjection(
+                        "t3",
+                        60,
+                        id ->
+                                id.equals("t3") && ++request[0] % 4 == 0
+                                        ? FAILS
+                                        : mPool.healthyMicros());
+        assertThat(rounds).isLessThanOrEqualTo(40);
+    }
+
+    /*
+     * The whole service turns five times slower at once, as in a global overload. Each target
+     * crosses its threshold against the baseline of the minutes before; ejecting any would put its
+     * load on the rest.
+     */
+    @Test
+    void ejectsNobodyForBeingAsSlowAsAll() {
+        for (int round = 0; round < 300; round++) {
+            mPool.rounds(1, ObservationEnd.GUARD, id -> 5 * mPool.healthyMicros());
+            assertThat(mPool.allEligible()).as("round %d", round).isTrue();
+        }
+    }
+
+    /*
+     * A failure domain of three targets slows down. They may be ejected as far as the floor lets,
+     * but no target of another domain may.
+     */
+    @Test
+    void ejectsNobodyOutsideASlowFailureDomain() {
+        List<String> domain = List.of("t0", "t3", "t6");
+        for (int round = 0; round < 100; round++) {
+            mPool.rounds(
+                    1,
+                    ObservationEnd.GUARD,
+                    id -> mPool.healthyMicros() * (domain.contains(id) ? 3 : 1));
+            for (String id : mPool.mIds) {
+                assertThat(domain.contains(id) || mPool.mVerdicts.isEligible(id)).isTrue();
+            }
+        }
+        assertThat(domain).noneMatch(mPool.mVerdicts::isEligible);
+    }
+
+    /*
+     * A target refuses half its requests with 503 as it is at its limit. Read as errors, these
+     * would eject it and push the next target over its limit.
+     */
+    @Test
+    void takesSheddingForLoad() {
+        int[] request = {0};
+        mPool.rounds(
+                200,
+                ObservationEnd.GUARD,
+                id -> id.equals("t3") && ++request[0] % 2 == 0 ? SHEDS : mPool.healthyMicros());
+        assertThat(mPool.allEligible()).isTrue();
+    }
+
+    /*
+     * A restarted target answers slowly in its cold start, and is fast after it. Its slow answers
+     * count neither against it nor in its fellows' baseline.
+     */
+    @Test
+    void bearsWithAColdStart() {
+        mPool.mPresence[3] = TargetPresence.RAMPING;
+        mPool.rounds(
+                50, ObservationEnd.GUARD, id -> mPool.healthyMicros() * (id.equals("t3") ? 20 : 1));
+        assertThat(mPool.mVerdicts.isEligible("t3")).isTrue();
+        mPool.mPresence[3] = TargetPresence.PRESENT;
+        mPool.healthy(100);
+        assertThat(mPool.allEligible()).isTrue();
+    }
+
+    /*
+     * The answers from one target to this entry are lost: a one-way partition. The guard sees them
+     * served. This entry stops using the target; a node that hears of it goes on.
+     */
+    @Test
+    void keepsAPathFaultToThisEntry() {
+        DetectorHarness other = new DetectorHarness(9, 3, 60);
+        for (int round = 0; round < 100; round++) {
+            mPool.rounds(
+                    1, ObservationEnd.ENTRY, id -> id.equals("t3") ? FAILS : mPool.healthyMicros());
+            mPool.observe("t3", ObservationEnd.GUARD, mPool.healthyMicros());
+            other.mNowMillis = mPool.mNowMillis;
+            other.mDetector.mergeRemote("entry", mPool.mDetector.digest(), other.mNowMillis);
+            other.decide();
+            assertThat(other.allEligible()).isTrue();
+        }
+        Verdict verdict = mPool.mVerdicts.byTarget().get("t3");
+        assertThat(verdict.isEligible()).isFalse();
+        assertThat(verdict.scope()).isEqualTo(VerdictScope.PATH);
+    }
+
+    /*
+     * Guards tell a node that serves no request itself what they see, by digests that come late,
+     * twice and out of order. It ejects the failing target all the same, and counts nothing twice.
+     */
+    @Test
+    void learnsFromTheGuardsDigests() {
+        DetectorHarness other = new DetectorHarness(9, 3, 60);
+        EvidenceDigest last = mPool.mDetector.digest();
+        for (int round = 0; round < 60; round++) {
+            boolean isSick = round >= 50;
+            mPool.rounds(
+                    1,
+                    ObservationEnd.GUARD,
+                    id -> isSick && id.equals("t3") ? FAILS : mPool.healthyMicros());
+            EvidenceDigest digest = mPool.mDetector.digest();
+            other.mNowMillis = mPool.mNowMillis;
+            other.mDetector.mergeRemote("guard", digest, other.mNowMillis);
+            other.mDetector.mergeRemote("guard", digest, other.mNowMillis);
+            other.mDetector.mergeRemote("guard", last, other.mNowMillis);
+            other.decide();
+            last = digest;
+            assertThat(other.mVerdicts.isEligible("t3") || isSick).isTrue();
+        }
+        assertThat(other.mVerdicts.isEligible("t3")).isFalse();
+    }
+
+    /*
+     * A target fails, is ejected, mends, and is tried by single requests no more than four a
+     * second. A few good answers bring it back.
+     */
+    @Test
+    void readmitsByAFewRequests() {
+        mPool.roundsToEjection("t3", 20, id -> id.equals("t3") ? FAILS : mPool.healthyMicros());
+        int[] tried = {0};
+        mPool.rounds(
+                60,
+                ObservationEnd.GUARD,
+                id -> {
+                    tried[0] += id.equals("t3") && !mPool.mVerdicts.isEligible("t3") ? 1 : 0;
+                    return mPool.healthyMicros();
+                });
+        assertThat(mPool.mVerdicts.isEligible("t3")).isTrue();
+        assertThat(tried[0]).isBetween(2, 8);
+    }
+
+    /*
+     * A target is good for 10 s and fails for 10 s, again and again. Each return costs callers a
+     * few errors; the hold time doubles, so that the errors become rare.
+     */
+    @Test
+    void makesFlappingDearer() {
+        int[] errors = new int[2];
+        for (int half = 0; half < 2; half++) {
+            for (int round = 0; round < 6_000; round++) {
+                boolean isBad = round / 100 % 2 == 0;
+                int now = half;
+                mPool.rounds(
+                        1,
+                        ObservationEnd.GUARD,
+                        id -> {
+                            if (!isBad || !id.equals("t3")) {
+                                return mPool.healthyMicros();
+                            }
+                            errors[now]++;
+                            return FAILS;
+                        });
+            }
+        }
+        assertThat(errors[0]).isLessThan(100);
+        assertThat(errors[1]).isLessThan(errors[0] / 2);
+    }
+
+    /*
+     * Three targets are ejected, which takes the service down to its floor. Then a healthy one
+     * dies: the least bad of the three, the slow one, serves again in the very next decision.
+     */
+    @Test
+    void returnsTheLeastBadWhenCapacityIsLost() {
+        mPool.rounds(
+                150,
+                ObservationEnd.GUARD,
+                id ->
+                        switch (id) {
+                            case "t0", "t1" -> FAILS;
+                            case "t2" -> 2 * mPool.healthyMicros();
+                            default -> mPool.healthyMicros();
+                        });
+        assertThat(List.of("t0", "t1", "t2")).noneMatch(mPool.mVerdicts::isEligible);
+        mPool.mPresence[8] = TargetPresence.DEAD;
+        mPool.decide();
+        assertThat(mPool.mVerdicts.isEligible("t2")).isTrue();
+        assertThat(mPool.mVerdicts.byTarget().get("t2").heldByFloor()).isTrue();
+        assertThat(mPool.mVerdicts.weight("t2")).isLessThan(0.2);
+        assertThat(List.of("t0", "t1")).noneMatch(mPool.mVerdicts::isEligible);
+    }
+
+    /*
+     * Hardly any traffic: one request to each target in ten seconds. A target that fails all is
+     * found by a handful of requests, and time alone adds no evidence.
+     */
+    @Test
+    void decidesOnThinTraffic() {
+        DetectorHarness thin = new DetectorHarness(6, 3, 60);
+        for (int i = 0; i < 200; i++) {
+            thin.mNowMillis += 9_900;
+            thin.healthy(1);
+        }
+        int requests = 0;
+        while (thin.mVerdicts.isEligible("t3") && requests < 20) {
+            requests++;
+            thin.mNowMillis += 9_900;
+            thin.rounds(
+                    1, ObservationEnd.GUARD, id -> id.equals("t3") ? FAILS : thin.healthyMicros());
+        }
+        assertThat(requests).isLessThanOrEqualTo(5);
+    }
+
+    @Test
+    void asksMoreEvidenceWhereFalseEjectionsAreDear() {
+        Service careful = new Service("s", 60, DetectorHarness.ENTOTO, 0, 100, null);
+        double dear = DetectionThreshold.nats(careful.detection(), 10, 1);
+        double cheap =
+                DetectionThreshold.nats(new org.apricotgauge.model.DetectionOdds(1, 20), 10, 1);
+        assertThat(dear).isGreaterThan(cheap);
+    }
+}
