--- a/src/main/java/org/apricotgauge/bench/policy/EjectionPolicy.java
+++ b/src/main/java/org/apricotgauge/bench/policy/EjectionPolicy.java
@@ -6,8 +6,8 @@
 /** A policy under measurement; targets go by their number. */
 interface EjectionPolicy {
 
-    /** Takes in one ended request. */
-    void observe(
+    /** Takes in one ended request; returns whether it was a cause to decide. */
+    boolean observe(
             int target, ObservationEnd end, ObservedOutcome outcome, long micros, long nowMillis);
 
     /** Decides again. */
