--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -10,12 +10,15 @@
 import org.apricotgauge.decision.attempt.IdempotencyKey;
 import org.apricotgauge.decision.attempt.KeyHome;
 import org.apricotgauge.decision.attempt.KeyLimits;
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.ForwardedHeaders;
+import org.apricotgauge.http.Outcomes;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.time.Ticker;
@@ -34,8 +37,11 @@
  * <p>Each request reads the routing table once and keeps what it read to its end.
  */
 public final class EntryHandler extends Handler.Abstract.NonBlocking {
+    private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 1_000;
+
     private final Supplier<RoutingTable> mTable;
     private final BooleanSupplier mStopping;
+    private final BooleanSupplier mMayAct;
     private final EntryContext mContext;
     private final AtomicInteger mInFlight = new AtomicInteger();
     private final RetryBudgets mBudgets = new RetryBudgets();
@@ -46,6 +52,7 @@
      *
      * @param table present routing table
      * @param stopping whether the node is stopping, so that connections shall end
+     * @param mayAct whether what this node knows is confirmed; false after it was paused
      * @param guards talks to guards
      * @param direct sends to targets without a node
      * @param ids names attempts
@@ -59,6 +66,7 @@
     public EntryHandler(
             Supplier<RoutingTable> table,
             BooleanSupplier stopping,
+            BooleanSupplier mayAct,
             GuardClient guards,
             HttpClient direct,
             AttemptIds ids,
@@ -70,6 +78,7 @@
             MetricRegistry registry) {
         mTable = table;
         mStopping = stopping;
+        mMayAct = mayAct;
         mContext =
                 new EntryContext(
                         guards,
@@ -111,6 +120,17 @@
             refuse(response, counted, HttpStatus.LOOP_DETECTED_508, "request came here before");
             return true;
         }
+        // A process that was paused would send work by what it knew before: to targets that have
+        // left, or by a version that is long out of force. It is confirmed in about a second.
+        if (!mMayAct.getAsBoolean()) {
+            mContext.metrics().notRun().inc();
+            Outcomes.write(
+                    response,
+                    counted,
+                    new Outcome.NotRun(
+                            NotRunReason.STATE_UNCONFIRMED, UNCONFIRMED_RETRY_AFTER_MILLIS));
+            return true;
+        }
         Routed routed = route(request, response, counted);
         if (routed == null) {
             return true;
--- a/src/main/java/org/apricotgauge/caller/EntryObserver.java
+++ b/src/main/java/org/apricotgauge/caller/EntryObserver.java
@@ -18,6 +18,9 @@
      */
     void attempted(Target target, ObservedOutcome outcome, long totalMicros);
 
+    /** Called before each attempt is sent to a guard, to add what the guard should learn. */
+    void beforeHop(HttpFields.Mutable headers);
+
     /** Called with the head of each answer of a guard, for what it tells beside the answer. */
     void guardAnswered(Target target, HttpFields headers);
 
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -108,6 +108,7 @@
                     headers.put(HeaderNames.MEMBER, mExchange.asked().memberId());
                     headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
                     headers.put(HeaderNames.PRIORITY, priority());
+                    mContext.observer().beforeHop(headers);
                 });
         to.body(mExchange.body().open());
         return to;
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -20,6 +20,8 @@
     TARGET_UNREACHABLE,
     /** The target is leaving, or the guard is stopping, and takes no new work. */
     LEAVING,
+    /** The node was paused, and has not yet heard that what it knows is still in force. */
+    STATE_UNCONFIRMED,
     /** The guard of its Idempotency-Key restarted too lately to know whether the key was used. */
     KEY_HISTORY_UNKNOWN,
     /** The guard has no room to remember one more attempt or key. */
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -38,6 +38,7 @@
 import org.apricotgauge.platform.PlatformClient;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 
 /**
@@ -102,6 +103,8 @@
         HttpServerFactory servers = mHttp.servers();
         mCallerServer =
                 servers.create(settings.host(), settings.callerPort(), mEntry, mEntry::refused);
+        mCallerServer.addBean(
+                new NetworkConnectionLimit(settings.maxCallerConnections(), mCallerServer));
         mGuardServer = servers.create(settings.host(), settings.guardPort(), mGuard, () -> {});
         NodeStatusSource status =
                 new NodeStatusSource(settings, mStartedMillis, mState, mDetection, mWindows);
@@ -122,6 +125,7 @@
         return new EntryHandler(
                 mState::table,
                 () -> mPhase == NodePhase.STOPPING,
+                this::mayAct,
                 new GuardClient(mHttp.forwarding(), mHttp.fencing(), mTicker),
                 mHttp.targets(),
                 new AttemptIds(mSettings.vm(), incarnation),
@@ -237,6 +241,11 @@
         }
     }
 
+    private boolean mayAct() {
+        ControlPlane<ConfigHistory> control = mControl;
+        return control != null && control.mayAct();
+    }
+
     private ConfigHistory currentHistory() {
         ControlPlane<ConfigHistory> control = mControl;
         return control == null ? ConfigHistory.EMPTY : control.currentHistory();
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -49,6 +49,16 @@
         headers.put(HeaderNames.CLOCK, mEvents.stamp());
     }
 
+    @Override
+    public void beforeHop(HttpFields.Mutable headers) {
+        headers.put(HeaderNames.CLOCK, mEvents.stamp());
+    }
+
+    @Override
+    public void attemptArrived(HttpFields headers) {
+        mEvents.observe(headers);
+    }
+
     @Override
     public void guardAnswered(Target target, HttpFields headers) {
         mEvents.observe(headers);
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -171,6 +171,7 @@
 
     private void forward(Attempt attempt, Request request, Response response, Callback callback) {
         mContext.metrics().requests().inc();
+        mContext.observer().attemptArrived(request.getHeaders());
         if (mLeaving) {
             refuse(response, callback, NotRunReason.LEAVING);
             return;
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -16,6 +16,9 @@
      */
     void observed(Target target, ObservedOutcome outcome, long serviceMicros);
 
+    /** Called with the head of each attempt that arrives. */
+    void attemptArrived(HttpFields headers);
+
     /** Called before each answer, to add what entries should learn with it. */
     void beforeAnswer(Target target, HttpFields.Mutable headers);
 }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -133,6 +133,7 @@
                 new EntryHandler(
                         () -> table(id),
                         () -> false,
+                        () -> true,
                         new GuardClient(client("guards"), client("fences"), Ticker.system()),
                         targets,
                         new AttemptIds(id, id.hashCode()),
@@ -197,6 +198,12 @@
         @Override
         public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {}
 
+        @Override
+        public void beforeHop(HttpFields.Mutable headers) {}
+
+        @Override
+        public void attemptArrived(HttpFields headers) {}
+
         @Override
         public void guardAnswered(Target target, HttpFields headers) {}
 
