Name the two changes of the content's digest for what they do

Cause: two methods of PatchFold were both called replace, and neither replaced an entity.

Ruled out: folding them into one with a null entity.

Change: exchange and subtract.

Conclusion: no change of behaviour.

--- a/src/main/java/org/apricotgauge/config/PatchFold.java
+++ b/src/main/java/org/apricotgauge/config/PatchFold.java
@@ -85,49 +85,49 @@
     }
 
     private void put(Service service) {
-        replace(EntityKind.SERVICE, mConfiguration.service(service.id()), service);
+        exchange(EntityKind.SERVICE, mConfiguration.service(service.id()), service);
         mConfiguration = mConfiguration.withService(service);
         mTouchedServices.add(service.id());
     }
 
     private void put(Target target) {
-        replace(EntityKind.TARGET, mConfiguration.target(target.id()), target);
+        exchange(EntityKind.TARGET, mConfiguration.target(target.id()), target);
         mConfiguration = mConfiguration.withTarget(target);
         mTouchedTargets.add(target.id());
     }
 
     private void put(Route route) {
-        replace(EntityKind.ROUTE, mConfiguration.route(route.id()), route);
+        exchange(EntityKind.ROUTE, mConfiguration.route(route.id()), route);
         mConfiguration = mConfiguration.withRoute(route);
         mTouchedRoutes.add(route.id());
     }
 
     private void put(Member member) {
-        replace(EntityKind.MEMBER, mConfiguration.member(member.id()), member);
+        exchange(EntityKind.MEMBER, mConfiguration.member(member.id()), member);
         mConfiguration = mConfiguration.withMember(member);
     }
 
     private void removeService(String id) {
-        if (replace(EntityKind.SERVICE, id, mConfiguration.service(id))) {
+        if (subtract(EntityKind.SERVICE, id, mConfiguration.service(id))) {
             mConfiguration = mConfiguration.withoutService(id);
             mTouchedServices.add(id);
         }
     }
 
     private void removeTarget(String id) {
-        if (replace(EntityKind.TARGET, id, mConfiguration.target(id))) {
+        if (subtract(EntityKind.TARGET, id, mConfiguration.target(id))) {
             mConfiguration = mConfiguration.withoutTarget(id);
         }
     }
 
     private void removeRoute(String id) {
-        if (replace(EntityKind.ROUTE, id, mConfiguration.route(id))) {
+        if (subtract(EntityKind.ROUTE, id, mConfiguration.route(id))) {
             mConfiguration = mConfiguration.withoutRoute(id);
         }
     }
 
     private void removeMember(String id) {
-        if (replace(EntityKind.MEMBER, id, mConfiguration.member(id))) {
+        if (subtract(EntityKind.MEMBER, id, mConfiguration.member(id))) {
             mConfiguration = mConfiguration.withoutMember(id);
         }
     }
@@ -161,14 +161,16 @@
         }
     }
 
-    private void replace(EntityKind kind, Object old, Object entity) {
+    /** Takes the old entity, if there is one, out of the content's digest and adds the new. */
+    private void exchange(EntityKind kind, Object old, Object entity) {
         if (old != null) {
             mContent = mContent.minus(EntityDigest.of(kind, old));
         }
         mContent = mContent.plus(EntityDigest.of(kind, entity));
     }
 
-    private boolean replace(EntityKind kind, String id, Object old) {
+    /** Takes the entity out of the content's digest; without one, that is a reason. */
+    private boolean subtract(EntityKind kind, String id, Object old) {
         if (old == null) {
             mReasons.add(new RefusalReason.Missing(kind, id));
             return false;
