Ask the exchange before the first byte of every attempt

Cause: read while comparing the wiring with the model. The deadline took "may have run" from the attempt without a lock: GuardedAttempt from a field that is set after the send was begun, DirectAttempt and KeyedAttempt from a flag set after the exchange may have told "not run". A pause between the two told "not run" to the caller of a request whose bytes went out. Change: one question under the exchange's lock just before the first byte; refused once the caller has its outcome. An attempt given up that way is no path fault of the guard. Not shown failing first: the window lies between two instructions, and no test here can hold a thread there; the argument is the lock.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -50,6 +50,7 @@
     private Progress mProgress;
     private Candidate mHome;
     private TargetAttempt mCurrent;
+    private boolean mCurrentBegun;
     private boolean mEnded;
     private volatile Scheduler.Task mDeadline;
 
@@ -140,10 +141,28 @@
                 return;
             }
             mCurrent = attempt;
+            mCurrentBegun = false;
         }
         attempt.send();
     }
 
+    /**
+     * Asked by an attempt just before its first byte is written; false means to write nothing.
+     *
+     * <p>The deadline may pass between the decision to send and the first byte. Under one lock
+     * either the caller is told "not run" and no byte follows, or the byte comes first and the
+     * caller is told "unknown".
+     */
+    boolean mayBegin(TargetAttempt attempt) {
+        synchronized (this) {
+            if (mEnded || attempt != mCurrent) {
+                return false;
+            }
+            mCurrentBegun = true;
+            return true;
+        }
+    }
+
     private Optional<Candidate> choose() {
         if (mTried.isEmpty() && mAsked.repeatable()) {
             Optional<Candidate> probe =
@@ -285,7 +304,7 @@
                 return;
             }
             attempt = mCurrent;
-            mayHaveRun = mProgress.mayHaveRun() || (attempt != null && attempt.mayHaveRun());
+            mayHaveRun = mProgress.mayHaveRun() || (attempt != null && mCurrentBegun);
         }
         finish(
                 mayHaveRun
--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -28,7 +28,6 @@
     private final AtomicBoolean mCounted = new AtomicBoolean();
     private final AtomicBoolean mObserved = new AtomicBoolean();
     private volatile long mSentNanos;
-    private volatile boolean mBegun;
     private volatile UpstreamExchange mUpstream;
 
     DirectAttempt(CallerExchange exchange, Candidate candidate) {
@@ -59,8 +58,7 @@
 
     @Override
     public boolean onBegin() {
-        mBegun = true;
-        return true;
+        return mExchange.mayBegin(this);
     }
 
     @Override
@@ -87,11 +85,6 @@
                         : new Outcome.Unknown(UnknownReason.NO_GUARD));
     }
 
-    @Override
-    public boolean mayHaveRun() {
-        return mBegun;
-    }
-
     @Override
     public void abandon() {
         over();
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -49,6 +49,7 @@
     private volatile UpstreamExchange mUpstream;
     private volatile Scheduler.Task mSilence;
     private volatile boolean mHeard;
+    private volatile boolean mGivenUp;
 
     GuardedAttempt(CallerExchange exchange, Candidate candidate) {
         mExchange = exchange;
@@ -126,6 +127,12 @@
         mSilence = mContext.scheduler().schedule(this::silent, millis, TimeUnit.MILLISECONDS);
     }
 
+    @Override
+    public boolean onBegin() {
+        mGivenUp = !mExchange.mayBegin(this);
+        return !mGivenUp;
+    }
+
     @Override
     public void onAcknowledged(HttpFields fields) {
         mHeard = true;
@@ -182,6 +189,10 @@
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
         cancelSilence();
+        if (mGivenUp) {
+            over();
+            return;
+        }
         if (failure.progress() == UpstreamExchange.Progress.NOT_SENT) {
             unreachable();
             return;
@@ -234,11 +245,6 @@
         mExchange.attemptEnded(this, outcome);
     }
 
-    @Override
-    public boolean mayHaveRun() {
-        return mUpstream != null;
-    }
-
     @Override
     public void abandon() {
         cancelSilence();
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -34,7 +34,6 @@
     private final IdempotencyKey mKey;
     private volatile UpstreamExchange mUpstream;
     private volatile Scheduler.Task mSilence;
-    private volatile boolean mBegun;
 
     KeyedAttempt(CallerExchange exchange, Candidate home, IdempotencyKey key) {
         mExchange = exchange;
@@ -78,8 +77,7 @@
 
     @Override
     public boolean onBegin() {
-        mBegun = true;
-        return true;
+        return mExchange.mayBegin(this);
     }
 
     @Override
@@ -110,11 +108,6 @@
                         : new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
     }
 
-    @Override
-    public boolean mayHaveRun() {
-        return mBegun;
-    }
-
     @Override
     public void abandon() {
         cancelSilence();
--- a/src/main/java/org/apricotgauge/caller/TargetAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/TargetAttempt.java
@@ -6,9 +6,6 @@
     /** Starts it; its exchange hears how it ends. */
     void send();
 
-    /** Returns whether the target may have seen it by now. */
-    boolean mayHaveRun();
-
     /** Gives it up without waiting; what has started is cancelled if that is possible. */
     void abandon();
 
