Address keyed requests to one run and time of their home

Cause: the hop to a key's home carried neither. Change: the entry addresses the keyed hop like any attempt, and keeps run and latest start of the first try once that may have run; the home checks both before it looks the key up.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.attempt.Attempt;
+import org.apricotgauge.decision.attempt.GuardSighting;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.Progress;
@@ -51,6 +53,7 @@
     private Candidate mHome;
     private TargetAttempt mCurrent;
     private boolean mCurrentBegun;
+    private Attempt mAtHome;
     private boolean mEnded;
     private volatile Scheduler.Task mDeadline;
 
@@ -119,6 +122,23 @@
         return mDeadlineMillis;
     }
 
+    /**
+     * Returns the address of the next attempt at the key's home.
+     *
+     * <p>Once one may have run there, the others keep its run and its latest start: addressed anew
+     * they could reach a home that no longer remembers the key.
+     */
+    Attempt addressAtHome(GuardSighting home, long untilMillis) {
+        synchronized (this) {
+            mAtHome =
+                    mProgress.mayHaveRun()
+                            ? mAtHome.again(mContext.ids().next())
+                            : home.address(
+                                    mContext.ids().next(), mContext.ticker().millis(), untilMillis);
+            return mAtHome;
+        }
+    }
+
     private void next() {
         if (mHome != null) {
             send(new KeyedAttempt(this, mHome, mAsked.key().orElseThrow()));
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.apricotgauge.decision.attempt.Attempt;
+import org.apricotgauge.decision.attempt.GuardSighting;
 import org.apricotgauge.decision.attempt.IdempotencyKey;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
@@ -44,6 +46,22 @@
 
     @Override
     public void send() {
+        long waitMillis = Math.max(1, Math.min(firstWordMillis(), mExchange.leftMillis()));
+        mContext.guards()
+                .sighting(mHome, waitMillis)
+                .whenComplete(
+                        (sighting, failure) -> {
+                            if (failure == null) {
+                                sendTo(sighting);
+                            } else {
+                                mExchange.attemptEnded(
+                                        this, new Outcome.NotRun(NotRunReason.NEVER_SENT, 0));
+                            }
+                        });
+    }
+
+    private void sendTo(GuardSighting sighting) {
+        Attempt attempt = mExchange.addressAtHome(sighting, mExchange.deadlineMillis());
         long leftMillis = Math.max(1, mExchange.leftMillis());
         org.eclipse.jetty.server.Request from = mExchange.request();
         Request to =
@@ -55,14 +73,19 @@
                 headers -> {
                     ForwardedHeaders.copyRequest(from.getHeaders(), headers);
                     headers.put(HeaderNames.CONTROL, GuardHandler.CONTROL_KEYED);
+                    headers.put(Attempt.HEADER, attempt.toString());
                     headers.put(HeaderNames.MEMBER, mKey.member());
                     headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
                 });
         to.body(mExchange.body().open());
-        awaitWord(SilencePolicy.DEFAULT.firstWordMillis(mContext.lag().lagMillis()));
+        awaitWord(firstWordMillis());
         mUpstream = UpstreamExchange.send(to, this);
     }
 
+    private long firstWordMillis() {
+        return SilencePolicy.DEFAULT.firstWordMillis(mContext.lag().lagMillis());
+    }
+
     private void awaitWord(long millis) {
         cancelSilence();
         mSilence = mContext.scheduler().schedule(this::silent, millis, TimeUnit.MILLISECONDS);
@@ -82,12 +105,14 @@
 
     @Override
     public void onAcknowledged(HttpFields fields) {
+        mContext.guards().sighted(mHome, fields);
         awaitWord(SilencePolicy.DEFAULT.silenceMillis(mContext.lag().lagMillis()));
     }
 
     @Override
     public void onAnswer(Response answer, Content.Source body) {
         cancelSilence();
+        mContext.guards().sighted(mHome, answer.getHeaders());
         Optional<Outcome> outcome = Outcomes.read(answer.getHeaders());
         if (outcome.isPresent()) {
             body.fail(new IllegalStateException("an outcome has no body of interest"));
--- a/src/main/java/org/apricotgauge/decision/attempt/AttemptLedger.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/AttemptLedger.java
@@ -103,6 +103,22 @@
         return Arrival.ADMITTED;
     }
 
+    /**
+     * Decides on an attempt that is remembered elsewhere, by its key: only its run and time count.
+     *
+     * <p>Unlike {@link #admit} it leaves no trace and does not tell copies apart.
+     */
+    public synchronized Arrival check(Attempt attempt, long nowMillis) {
+        if (attempt.guardIncarnation() != mIncarnation) {
+            return Arrival.OTHER_INCARNATION;
+        }
+        advance(nowMillis);
+        if (attempt.latestStartMillis() < mNowMillis) {
+            return Arrival.EXPIRED;
+        }
+        return isTooFarAhead(attempt) ? Arrival.TOO_FAR_AHEAD : Arrival.ADMITTED;
+    }
+
     /**
      * Asks whether the first byte may go to the target; call it just before that byte is written.
      *
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -132,9 +132,6 @@
             Bodies.writeText(response, callback, HttpStatus.OK_200, "");
             return true;
         }
-        if (CONTROL_KEYED.equals(control)) {
-            return mKeyed.handle(request, response, callback);
-        }
         Optional<Attempt> attempt =
                 Optional.ofNullable(request.getHeaders().get(Attempt.HEADER))
                         .flatMap(Attempt::parse);
@@ -144,6 +141,9 @@
                     response, callback, HttpStatus.BAD_REQUEST_400, Attempt.HEADER + " missing\n");
             return true;
         }
+        if (CONTROL_KEYED.equals(control)) {
+            return handleKeyed(attempt.get(), request, response, callback);
+        }
         if (control != null) {
             fence(attempt.get(), CONTROL_ABANDON.equals(control), response, callback);
         } else {
@@ -152,6 +152,19 @@
         return true;
     }
 
+    // A second try of a keyed request, read by a node that was paused for longer than it remembers
+    // keys, would run again; it carries the latest start of the first, which has passed by then.
+    private boolean handleKeyed(
+            Attempt attempt, Request request, Response response, Callback callback)
+            throws Exception {
+        Arrival arrival = mContext.ledger().check(attempt, mContext.ticker().millis());
+        if (arrival == Arrival.ADMITTED) {
+            return mKeyed.handle(request, response, callback);
+        }
+        refuse(arrival, response, callback);
+        return true;
+    }
+
     private void fence(Attempt attempt, boolean abandon, Response response, Callback callback) {
         mContext.metrics().fences().inc();
         FenceAnswer answer = mContext.ledger().fence(attempt, mContext.ticker().millis());
--- a/src/test/java/org/apricotgauge/decision/attempt/AttemptLedgerTest.java
+++ b/src/test/java/org/apricotgauge/decision/attempt/AttemptLedgerTest.java
@@ -80,6 +80,15 @@
         assertThat(mLedger.admit(first, 0)).isEqualTo(Arrival.FORGOTTEN);
     }
 
+    @Test
+    void whatIsRememberedByItsKeyIsCheckedForRunAndTimeOnly() {
+        assertThat(mLedger.check(attempt(500), 500)).isEqualTo(Arrival.ADMITTED);
+        assertThat(mLedger.check(attempt(500), 501)).isEqualTo(Arrival.EXPIRED);
+        assertThat(mLedger.check(new Attempt(mIds.next(), RUN + 1, 900), 501))
+                .isEqualTo(Arrival.OTHER_INCARNATION);
+        assertThat(mLedger.size()).isZero();
+    }
+
     @Test
     void moreThanTheBoundUnderWayIsRefused() {
         mLedger.admit(attempt(500), 0);
--- a/src/test/java/org/apricotgauge/functional/LimitsTest.java
+++ b/src/test/java/org/apricotgauge/functional/LimitsTest.java
@@ -113,6 +113,27 @@
         assertThat(mTarget.runs()).isEqualTo(1);
     }
 
+    @Test
+    void aKeyedRequestForAnEarlierRunOfItsHomeIsNotRun() throws Exception {
+        // An entry sends a booking a second time to the key's home. The home restarted, or slept
+        // for longer than it remembers keys; it can't know the first try, so it must not run this.
+        mHops.target("t", "vm-b", mTarget.port(), 3);
+        String keyed =
+                post(
+                        "/once",
+                        "ride",
+                        "Idempotency-Key: k3",
+                        "Apricotgauge-Control: keyed",
+                        "Apricotgauge-Attempt: vm-a:1:0;dead;0");
+        try (RawCaller entry = new RawCaller(mHops.vm("vm-b").relay().port())) {
+            assertThat(entry.send(keyed).readAll())
+                    .startsWith("HTTP/1.1 503")
+                    .contains("Apricotgauge-Outcome: not-run")
+                    .contains("guard-restarted");
+        }
+        assertThat(mTarget.runs()).isZero();
+    }
+
     @Test
     void aLeavingGuardFinishesWhatItHasAndRefusesTheRestAsNotRun() throws Exception {
         // The first caller's request, in flight when the stop begins, is answered whole; the second
