--- a/src/test/java/org/apricotgauge/functional/Fleet.java
+++ b/src/main/java/org/apricotgauge/bench/LocalFleet.java
@@ -1,4 +1,4 @@
-package org.apricotgauge.functional;
+package org.apricotgauge.bench;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -15,6 +15,7 @@
 import org.apricotgauge.log.LogFormat;
 import org.apricotgauge.log.LogLevel;
 import org.apricotgauge.log.LogSettings;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.model.DetectionOdds;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Repeatability;
@@ -31,11 +32,22 @@
 /**
  * A small fleet in one process over real sockets: a platform stand-in, nodes, and any targets.
  *
- * <p>Service {@code s} with route {@code /}; {@code /once} is never repeatable. Waits are for
- * conditions, with a bound so generous that only a fault reaches it.
+ * <pre>{@code
+ * try (LocalFleet fleet = new LocalFleet()) {
+ *     Node node = fleet.startNode("vm-a");
+ *     fleet.putTarget("t", "vm-a", port, 3);
+ *     fleet.settle();
+ * }
+ * }</pre>
+ *
+ * <p>Service {@link #SERVICE} with route {@code /}; {@code /once} is never repeatable. Waits are
+ * for conditions, with a bound so generous that only a fault reaches it. For tests and soak runs;
+ * its methods are called by one thread.
  */
-final class Fleet implements AutoCloseable {
-    static final String SERVICE = "s";
+public final class LocalFleet implements AutoCloseable {
+    /** The one service. */
+    public static final String SERVICE = "s";
+
     private static final Duration PATIENCE = Duration.ofSeconds(60);
 
     private final PlatformStandin mPlatform = PlatformStandin.start("127.0.0.1", 0);
@@ -43,7 +55,8 @@
     private final Map<String, VmStatus> mVms = new HashMap<>();
     private long mVersion;
 
-    Fleet() {
+    /** Starts the platform and publishes the service with its routes. */
+    public LocalFleet() {
         publish(
                 new PatchOperation.PutService(
                         new Service(SERVICE, 0, new DetectionOdds(1_000, 1), 100, 100, null)),
@@ -51,47 +64,65 @@
                 route("once", "/once", Repeatability.NEVER));
     }
 
-    static PatchOperation route(String id, String prefix, Repeatability repeatability) {
+    /** Returns the operation that publishes a route of the service. */
+    public static PatchOperation route(String id, String prefix, Repeatability repeatability) {
         return new PatchOperation.PutRoute(
                 new Route(id, "*", prefix, SERVICE, Priority.NORMAL, repeatability, 20_000));
     }
 
-    PlatformStandin platform() {
+    /** Returns the platform stand-in. */
+    public PlatformStandin platform() {
         return mPlatform;
     }
 
-    void publish(PatchOperation... operations) {
+    /** Publishes one patch on the newest version. */
+    public void publish(PatchOperation... operations) {
         mPlatform.append(
                 PatchCodec.encode(
                         new Patch(mVersion++, "test", "", Rules.FIRST, List.of(operations))));
     }
 
     /** Starts a node and waits until it serves. */
-    Node startNode(String vm) throws IOException {
-        Node node = Node.start(settings(vm));
+    public Node startNode(String vm) throws IOException {
+        Node node = Node.start(settings(vm, 0));
+        mNodes.put(vm, node);
+        list(vm, node.guardPort(), VmStatus.State.LIVE);
+        return node;
+    }
+
+    /** Starts a node that has ended anew, at the caller port that it had. */
+    public Node restartNode(String vm, int callerPort) throws IOException {
+        Node node = Node.start(settings(vm, callerPort));
         mNodes.put(vm, node);
         list(vm, node.guardPort(), VmStatus.State.LIVE);
         return node;
     }
 
-    private NodeSettings settings(String vm) {
+    private NodeSettings settings(String vm, int callerPort) {
         return new NodeSettings(
                 vm,
                 "domain-" + vm,
                 "127.0.0.1",
-                0,
+                callerPort,
                 0,
                 0,
                 0,
                 mPlatform.uri(),
-                List.of(),
+                seeds(),
                 20_000,
                 1_000,
                 new LogSettings(LogFormat.TEXT, LogLevel.WARN));
     }
 
+    private List<Address> seeds() {
+        return mNodes.values().stream()
+                .filter(node -> node.phase() == NodePhase.SERVING)
+                .map(node -> new Address("127.0.0.1", node.peerPort()))
+                .toList();
+    }
+
     /** Puts a VM on the platform's list; the guard may stand behind a relay. */
-    void list(String vm, int guardPort, VmStatus.State state) {
+    public void list(String vm, int guardPort, VmStatus.State state) {
         Node node = mNodes.get(vm);
         int peerPort = node == null ? 0 : node.peerPort();
         int adminPort = node == null ? 0 : node.adminPort();
@@ -101,14 +132,14 @@
     }
 
     /** Publishes a target on a VM. */
-    void putTarget(String id, String vm, int port, int slots) {
+    public void putTarget(String id, String vm, int port, int slots) {
         publish(
                 new PatchOperation.PutTarget(
                         new Target(id, SERVICE, vm, "domain-" + vm, "127.0.0.1", port, slots)));
     }
 
     /** Waits until every node serves the newest version. */
-    void settle() {
+    public void settle() {
         await(
                 () ->
                         mNodes.values().stream()
@@ -118,7 +149,8 @@
                                                         && node.version() == mVersion));
     }
 
-    static void await(BooleanSupplier condition) {
+    /** Waits for a condition. */
+    public static void await(BooleanSupplier condition) {
         long untilNanos = System.nanoTime() + PATIENCE.toNanos();
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > untilNanos) {
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -298,9 +298,10 @@
         return mPhase;
     }
 
-    /** Returns the port at which callers are served, once it is open. */
+    /** Returns the port at which callers are served; the one that was set until it is open. */
     public int callerPort() {
-        return HttpServerFactory.portOf(mCallerServer);
+        int port = HttpServerFactory.portOf(mCallerServer);
+        return port > 0 ? port : mSettings.callerPort();
     }
 
     /** Returns the port at which other nodes are served. */
--- a/src/test/java/org/apricotgauge/functional/BadRequestTest.java
+++ b/src/test/java/org/apricotgauge/functional/BadRequestTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.config.PatchOperation;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Repeatability;
@@ -16,13 +17,13 @@
 
 /** Malformed, smuggled and oversized requests get a 4xx, end their connection, and run nothing. */
 class BadRequestTest {
-    private static Fleet sFleet;
+    private static LocalFleet sFleet;
     private static Node sEntry;
     private static RawTarget sTarget;
 
     @BeforeAll
     static void start() throws IOException {
-        sFleet = new Fleet();
+        sFleet = new LocalFleet();
         sEntry = sFleet.startNode("vm-a");
         sTarget = RawTarget.start(RawTarget.always("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
         sFleet.putTarget("t", "vm-a", sTarget.port(), 3);
@@ -101,7 +102,7 @@
                                 "other",
                                 "elsewhere",
                                 "/",
-                                Fleet.SERVICE,
+                                LocalFleet.SERVICE,
                                 Priority.NORMAL,
                                 Repeatability.BY_METHOD,
                                 1_000)),
@@ -110,7 +111,7 @@
         try (RawCaller caller = new RawCaller(sEntry.callerPort())) {
             assertThat(caller.request("GET", "/none").readAll()).startsWith("HTTP/1.1 404");
         } finally {
-            sFleet.publish(Fleet.route("any", "/", Repeatability.BY_METHOD));
+            sFleet.publish(LocalFleet.route("any", "/", Repeatability.BY_METHOD));
             sFleet.settle();
         }
     }
--- a/src/test/java/org/apricotgauge/functional/LimitsTest.java
+++ b/src/test/java/org/apricotgauge/functional/LimitsTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import org.apricotgauge.bench.LocalFleet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -66,7 +67,7 @@
         // The only slot is taken by a request that lasts; the second one's time is too short.
         mHops.target("t", "vm-b", mTarget.port(), 1);
         CompletableFuture<String> first = async("vm-a", post("/once/wait", ""));
-        Fleet.await(() -> mTarget.runs() == 1);
+        LocalFleet.await(() -> mTarget.runs() == 1);
 
         String answer = ask("vm-a", post("/once", "", "Apricotgauge-Timeout-Millis: 300"));
 
@@ -92,7 +93,7 @@
         mHops.target("t1", "vm-a", mTarget.port(), 3).target("t2", "vm-b", mTarget.port(), 3);
         String booking = post("/once/wait", "ride", "Idempotency-Key: \"k1\"");
         CompletableFuture<String> first = async("vm-a", booking);
-        Fleet.await(() -> mTarget.runs() == 1);
+        LocalFleet.await(() -> mTarget.runs() == 1);
 
         assertThat(ask("vm-b", booking)).startsWith("HTTP/1.1 409").contains("Retry-After: ");
 
@@ -119,7 +120,7 @@
         // is told "not run", and is not run.
         mHops.target("t", "vm-b", mTarget.port(), 3);
         CompletableFuture<String> first = async("vm-a", post("/once/wait", ""));
-        Fleet.await(() -> mTarget.runs() == 1);
+        LocalFleet.await(() -> mTarget.runs() == 1);
 
         mHops.vm("vm-b").guard().leave();
 
--- a/src/test/java/org/apricotgauge/functional/SilentPathTest.java
+++ b/src/test/java/org/apricotgauge/functional/SilentPathTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.locks.LockSupport;
+import org.apricotgauge.bench.LocalFleet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -86,7 +87,7 @@
 
         mHops.vm("vm-b").relay().release();
 
-        Fleet.await(() -> mHops.vm("vm-b").count("guard.not_run") > refusedBefore);
+        LocalFleet.await(() -> mHops.vm("vm-b").count("guard.not_run") > refusedBefore);
         assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
         assertThat(mHops.vm("vm-a").count("entry.fences")).isEqualTo(1);
     }
@@ -117,7 +118,8 @@
         Thread later =
                 new Thread(
                         () -> {
-                            Fleet.await(() -> mHops.vm("vm-a").count("entry.requests") > FIRST);
+                            LocalFleet.await(
+                                    () -> mHops.vm("vm-a").count("entry.requests") > FIRST);
                             LockSupport.parkNanos(1_500_000_000L);
                             mGo.countDown();
                         });
@@ -134,7 +136,7 @@
         Thread killer =
                 new Thread(
                         () -> {
-                            Fleet.await(() -> mTarget.runs() == FIRST + 1);
+                            LocalFleet.await(() -> mTarget.runs() == FIRST + 1);
                             try {
                                 mHops.vm("vm-b").relay().cut();
                             } catch (IOException e) {
--- a/src/test/java/org/apricotgauge/functional/StopAndLeaveTest.java
+++ b/src/test/java/org/apricotgauge/functional/StopAndLeaveTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.model.VmStatus;
 import org.apricotgauge.node.Node;
 import org.apricotgauge.standin.PlatformMode;
@@ -19,7 +20,7 @@
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     private final CountDownLatch mGo = new CountDownLatch(1);
-    private Fleet mFleet;
+    private LocalFleet mFleet;
     private Node mA;
     private Node mB;
     private RawTarget mTargetA;
@@ -37,7 +38,7 @@
                 };
         mTargetA = RawTarget.start(script);
         mTargetB = RawTarget.start(script);
-        mFleet = new Fleet();
+        mFleet = new LocalFleet();
         mA = mFleet.startNode("vm-a");
         mB = mFleet.startNode("vm-b");
     }
@@ -78,10 +79,10 @@
             assertThat(kept.readHead()).startsWith("HTTP/1.1 200");
             assertThat(kept.read(2)).isEqualTo("ok");
             CompletableFuture<String> inFlight = async(mA, "POST", "/once/wait");
-            Fleet.await(() -> mTargetB.runs() == 2);
+            LocalFleet.await(() -> mTargetB.runs() == 2);
 
             CompletableFuture<Void> drained = drain(mA);
-            Fleet.await(() -> mA.metrics().counter("entry.requests").getCount() == 2);
+            LocalFleet.await(() -> mA.metrics().counter("entry.requests").getCount() == 2);
             kept.send("GET / HTTP/1.1\r\nHost: site\r\n\r\n");
             assertThat(kept.readHead()).contains("Connection: close");
             mGo.countDown();
@@ -98,7 +99,7 @@
         mFleet.putTarget("b", "vm-b", mTargetB.port(), 3);
         mFleet.settle();
         CompletableFuture<String> inFlight = async(mA, "POST", "/once/wait");
-        Fleet.await(() -> mTargetB.runs() == 1);
+        LocalFleet.await(() -> mTargetB.runs() == 1);
         mFleet.putTarget("a", "vm-a", mTargetA.port(), 3);
         mFleet.settle();
 
@@ -154,7 +155,7 @@
 
     /** Waits until so many requests in a row went to the other VM's target. */
     private void awaitOnlyTargetA() {
-        Fleet.await(
+        LocalFleet.await(
                 () -> {
                     int before = mTargetB.runs();
                     for (int i = 0; i < IN_A_ROW; i++) {
--- a/src/test/java/org/apricotgauge/functional/WholeAnswerTest.java
+++ b/src/test/java/org/apricotgauge/functional/WholeAnswerTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.node.Node;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
@@ -14,14 +15,14 @@
 class WholeAnswerTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
 
-    private static Fleet sFleet;
+    private static LocalFleet sFleet;
     private static Node sEntry;
 
     private RawTarget mTarget;
 
     @BeforeAll
     static void startFleet() throws IOException {
-        sFleet = new Fleet();
+        sFleet = new LocalFleet();
         sEntry = sFleet.startNode("vm-a");
         sFleet.startNode("vm-b");
     }
