Keep a peer's or caller's bad input from ending the control plane

Cause: evidence over 512 bytes was checked on the control thread, where the exception ends it; a record constructor that refuses a peer's values would have done the same. Change: the caller's thread checks evidence and names; a message with refused values closes its link and is counted; incarnations and sequences have bounds that leave room to refute. First calls of a fresh node are spread over 2 s, not 0.5 s.

--- a/src/main/java/org/apricotgauge/control/ControlPlane.java
+++ b/src/main/java/org/apricotgauge/control/ControlPlane.java
@@ -198,24 +198,35 @@
 
     /** Tells the fleet that one target on this VM is leaving. */
     public void announceLeaving(String target) {
+        if (!target.equals(LeavingNotice.WHOLE_VM)) {
+            Checks.id("target", target);
+        }
         mLoop.execute(() -> mNode.announceLeaving(target, mTicker.millis()));
     }
 
     /**
      * Tells the fleet a piece of evidence.
      *
-     * <p>The fleet carries about five pieces a second in all; more are dropped and counted. It is
-     * for verdicts, not for single observations.
+     * <p>Each node takes part in carrying about 512 bytes a second for the whole fleet, each piece
+     * counted with 96 bytes more; beyond that, and a burst of 16 KB, pieces are not passed on but
+     * counted. It is for verdicts and digests, not for single observations.
      *
      * @param key tells the facts of this node apart; at most 64 at a time
      * @param sequence a later one replaces an earlier one of the same key
      * @param lifetimeMillis when it ceases to hold
      * @param payload at most {@link GossipItem#MAX_PAYLOAD_BYTES}
+     * @throws IllegalArgumentException if a part is out of its bounds
      */
     public void publishEvidence(String key, long sequence, long lifetimeMillis, byte[] payload) {
-        byte[] copy = payload.clone();
-        mLoop.execute(
-                () -> mNode.publishEvidence(key, sequence, lifetimeMillis, copy, mTicker.millis()));
+        GossipItem evidence =
+                new GossipItem(
+                        GossipItem.Kind.EVIDENCE,
+                        vm().id(),
+                        key,
+                        sequence,
+                        lifetimeMillis,
+                        payload.clone());
+        mLoop.execute(() -> mNode.publishEvidence(evidence, mTicker.millis()));
     }
 
     /** Ends; what the sockets take at once is still sent, a leaving notice too. */
--- a/src/main/java/org/apricotgauge/control/ControlSettings.java
+++ b/src/main/java/org/apricotgauge/control/ControlSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.apricotgauge.decision.gossip.GossipSettings;
+import org.apricotgauge.decision.gossip.NodeIdentity;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Vm;
@@ -36,14 +37,14 @@
         long seed) {
     private static final long WATCH_MILLIS = 20_000;
     private static final long PATIENCE_MILLIS = 10_000;
-    private static final long START_JITTER_MILLIS = 500;
+    private static final long START_JITTER_MILLIS = 2_000;
     private static final long MAX_MILLIS = 600_000;
 
     /** Checks the parts. */
     public ControlSettings {
         Checks.id("site", site);
         Checks.notNull("vm", vm);
-        Checks.inRange("incarnation", incarnation, 1, Long.MAX_VALUE / 4);
+        Checks.inRange("incarnation", incarnation, 1, NodeIdentity.MAX_INCARNATION);
         seeds = List.copyOf(Checks.notNull("seeds", seeds));
         Checks.notNull("gossip", gossip);
         Checks.inRange("watchMillis", watchMillis, 1, MAX_MILLIS);
--- a/src/main/java/org/apricotgauge/decision/gossip/Announcer.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/Announcer.java
@@ -88,6 +88,9 @@
      * notice back.
      */
     void refute(long heardIncarnation, long nowMillis) {
+        if (heardIncarnation >= NodeIdentity.MAX_INCARNATION) {
+            return; // no run of this node said that; there would be no later incarnation left
+        }
         mIncarnation = Math.max(mIncarnation, heardIncarnation) + 1;
         alive(nowMillis);
         Set.copyOf(mLeaving).forEach(target -> leaving(target, nowMillis));
--- a/src/main/java/org/apricotgauge/decision/gossip/GossipItem.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/GossipItem.java
@@ -17,6 +17,9 @@
     /** Largest content, in bytes. */
     public static final int MAX_PAYLOAD_BYTES = 512;
 
+    /** Highest sequence. */
+    public static final long MAX_SEQUENCE = Long.MAX_VALUE / 2;
+
     /** Longest lifetime, in milliseconds. */
     public static final long MAX_LIFETIME_MILLIS = 600_000;
 
@@ -40,7 +43,7 @@
         Checks.id("node", node);
         Checks.notNull("key", key);
         Checks.inRange("key length", key.length(), 0, MAX_KEY_CHARS);
-        Checks.inRange("sequence", sequence, 0, Long.MAX_VALUE);
+        Checks.inRange("sequence", sequence, 0, MAX_SEQUENCE);
         Checks.inRange("lifetimeMillis", lifetimeMillis, 0, MAX_LIFETIME_MILLIS);
         Checks.notNull("payload", payload);
         Checks.inRange("payload length", payload.length, 0, MAX_PAYLOAD_BYTES);
--- a/src/main/java/org/apricotgauge/decision/gossip/GossipNode.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/GossipNode.java
@@ -224,17 +224,8 @@
     }
 
     /** Tells the fleet a piece of evidence; a later sequence of the same key replaces it. */
-    public void publishEvidence(
-            String key, long sequence, long lifetimeMillis, byte[] payload, long nowMillis) {
-        GossipItem item =
-                new GossipItem(
-                        GossipItem.Kind.EVIDENCE,
-                        mIdentity.vm().id(),
-                        key,
-                        sequence,
-                        lifetimeMillis,
-                        payload);
-        mItems.publish(item, nowMillis);
+    public void publishEvidence(GossipItem evidence, long nowMillis) {
+        mItems.publish(evidence, nowMillis);
     }
 
     /** Time goes on; called about ten times a second. */
--- a/src/main/java/org/apricotgauge/decision/gossip/NodeIdentity.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/NodeIdentity.java
@@ -16,11 +16,14 @@
  */
 public record NodeIdentity(String site, Vm vm, long incarnation, List<Address> seeds) {
 
+    /** Highest incarnation; a node takes later ones when it has to refute what is said of it. */
+    public static final long MAX_INCARNATION = Long.MAX_VALUE / 8;
+
     /** Checks the parts. */
     public NodeIdentity {
         Checks.id("site", site);
         Checks.notNull("vm", vm);
-        Checks.inRange("incarnation", incarnation, 1, Long.MAX_VALUE / 4);
+        Checks.inRange("incarnation", incarnation, 1, MAX_INCARNATION);
         seeds = List.copyOf(Checks.notNull("seeds", seeds));
     }
 }
--- a/src/main/java/org/apricotgauge/peer/PeerLoop.java
+++ b/src/main/java/org/apricotgauge/peer/PeerLoop.java
@@ -330,16 +330,16 @@
 
         @Override
         public void onFrame(byte[] bytes, int offset, int length) throws IOException {
-            PeerMessage message;
             try {
-                message = MessageCodec.decode(bytes, offset, length);
+                PeerMessage message = MessageCodec.decode(bytes, offset, length);
+                if (message != null) {
+                    mHandler.onMessage(mConnection.link(), message);
+                }
             } catch (IOException | IllegalArgumentException e) {
+                // What a peer sends must not end this process, whatever it holds.
                 mCounters.badFrames().inc();
                 throw new IOException("unreadable frame", e);
             }
-            if (message != null) {
-                mHandler.onMessage(mConnection.link(), message);
-            }
         }
 
         @Override
