Show counters as counters, and events by their fields alone

Cause: the whole path's counters were typed gauge in /metrics, for which rate() has no meaning; and events showed "frequent":false, since Jackson took a method for a property. Ruled out: asking each counter's owner to use meters (ten parts of the tree; none of them ever lowers a counter). Change: a counter is a Prometheus counter with _total, as the project's counters only grow; the method has a name that is no property's. Conclusion: dashboards can use rate().

--- a/src/main/java/org/apricotgauge/event/EventBody.java
+++ b/src/main/java/org/apricotgauge/event/EventBody.java
@@ -41,7 +41,7 @@
     }
 
     /** Returns whether events of this kind come with requests, not with changes of state. */
-    default boolean isFrequent() {
+    default boolean comesWithRequests() {
         return false;
     }
 }
--- a/src/main/java/org/apricotgauge/event/EventRing.java
+++ b/src/main/java/org/apricotgauge/event/EventRing.java
@@ -57,7 +57,7 @@
     public EventId record(EventBody body, Cause cause) {
         Checks.notNull("body", body);
         Checks.notNull("cause", cause);
-        Lane lane = body.isFrequent() ? mFrequent : mRare;
+        Lane lane = body.comesWithRequests() ? mFrequent : mRare;
         synchronized (mLock) {
             EventId id = new EventId(mNode, mIncarnation, ++mLastSequence);
             lane.add(new Event(id, mClock.now(), mClock.wallMillis(), cause, body));
--- a/src/main/java/org/apricotgauge/event/FenceUsed.java
+++ b/src/main/java/org/apricotgauge/event/FenceUsed.java
@@ -38,7 +38,7 @@
     }
 
     @Override
-    public boolean isFrequent() {
+    public boolean comesWithRequests() {
         return true;
     }
 }
--- a/src/main/java/org/apricotgauge/operator/PrometheusText.java
+++ b/src/main/java/org/apricotgauge/operator/PrometheusText.java
@@ -18,9 +18,10 @@
 /**
  * Writes a registry in the text exposition format of Prometheus, version 0.0.4.
  *
- * <p>Meters become counters; counters become gauges, since Dropwizard's may fall; histograms and
- * timers become summaries, timers in seconds. Dropwizard keeps no sum of all values, so none is
- * given: one made from the decaying sample would go down now and then.
+ * <p>Counters and meters become counters; Dropwizard's counters could fall, but those of this
+ * project only grow, and what falls is a gauge. Histograms and timers become summaries, timers in
+ * seconds. Dropwizard keeps no sum of all values, so none is given: one made from the decaying
+ * sample would go down now and then.
  */
 final class PrometheusText {
     private static final String PREFIX = "apricotgauge_";
@@ -58,7 +59,7 @@
         if (metric instanceof Gauge<?> gauge) {
             addSample(name, "gauge", labels, value(gauge));
         } else if (metric instanceof Counter counter) {
-            addSample(name, "gauge", labels, String.valueOf(counter.getCount()));
+            addSample(name + "_total", "counter", labels, String.valueOf(counter.getCount()));
         } else if (metric instanceof Meter meter) {
             addSample(name + "_total", "counter", labels, String.valueOf(meter.getCount()));
         } else if (metric instanceof Timer timer) {
--- a/src/test/java/org/apricotgauge/event/EventCodecTest.java
+++ b/src/test/java/org/apricotgauge/event/EventCodecTest.java
@@ -44,6 +44,14 @@
         }
     }
 
+    @Test
+    void bodyHoldsTheFieldsAndNothingElse() {
+        assertThat(EventCodec.bodyJson(new FenceUsed("s", "t", "r", FenceResult.NOT_RUN)))
+                .isEqualTo(
+                        "{\"service\":\"s\",\"target\":\"t\",\"requestId\":\"r\","
+                                + "\"result\":\"NOT_RUN\"}");
+    }
+
     @Test
     void everyKindIsTried() {
         assertThat(bodies().size() + 1).isEqualTo(EventBody.class.getPermittedSubclasses().length);
