--- a/src/main/java/org/apricotgauge/node/DetectionService.java
+++ b/src/main/java/org/apricotgauge/node/DetectionService.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.node;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -14,6 +15,7 @@
 import org.apricotgauge.decision.detection.ServiceDetector;
 import org.apricotgauge.decision.detection.TargetPresence;
 import org.apricotgauge.decision.detection.Verdict;
+import org.apricotgauge.decision.detection.VerdictState;
 import org.apricotgauge.decision.detection.Verdicts;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Service;
@@ -28,6 +30,9 @@
  * threshold.
  */
 final class DetectionService {
+    /** Detectors held at once, those that hold a target out of service not counted. */
+    static final int MAX_DETECTORS = 256;
+
     private final ConcurrentMap<String, Entry> mDetectors = new ConcurrentHashMap<>();
     private final ConcurrentMap<String, Verdicts> mLast = new ConcurrentHashMap<>();
     private final RoutingState mState;
@@ -36,7 +41,24 @@
     private final VerdictListener mListener;
     private final Executor mExecutor;
 
-    private record Entry(Service service, ServiceDetector detector) {}
+    /** A detector, and whether it has seen anything since it last decided. */
+    private static final class Entry {
+        private final Service mService;
+        private final ServiceDetector mDetector;
+        private volatile boolean mNews = true;
+        private volatile long mUsedMillis;
+
+        private Entry(Service service, ServiceDetector detector, long nowMillis) {
+            mService = service;
+            mDetector = detector;
+            mUsedMillis = nowMillis;
+        }
+
+        private void used(long nowMillis) {
+            mUsedMillis = nowMillis;
+            mNews = true;
+        }
+    }
 
     /** Hears of verdicts. */
     @FunctionalInterface
@@ -66,7 +88,7 @@
         Observation observation =
                 new Observation(
                         target.id(), end, outcome, micros, mTicker.millis(), Observation.NO_KEY);
-        if (detectorOf(service).observe(observation)) {
+        if (detectorOf(service, true).observe(observation)) {
             mExecutor.execute(() -> decide(service.id()));
         }
     }
@@ -75,7 +97,7 @@
     void heard(String vm, String serviceId, EvidenceDigest digest) {
         Service service = mState.table().configuration().service(serviceId);
         if (service != null) {
-            detectorOf(service).mergeRemote(vm, digest, mTicker.millis());
+            detectorOf(service, true).mergeRemote(vm, digest, mTicker.millis());
         }
     }
 
@@ -85,7 +107,7 @@
         if (service == null) {
             return new EvidenceDigest(EvidenceDigest.FORMAT_VERSION, mIncarnation, 0, List.of());
         }
-        EvidenceDigest all = detectorOf(service).digest();
+        EvidenceDigest all = detectorOf(service, false).digest();
         List<EvidenceDigest.TargetEvidence> own =
                 all.targets().stream()
                         .filter(one -> one.guard() != null && one.targetId().equals(target.id()))
@@ -102,30 +124,68 @@
         return mLast.get(service);
     }
 
-    /** Decides about every service seen. */
+    /** Decides about the services of which something was seen or is amiss. */
     void tick() {
         Configuration configuration = mState.table().configuration();
         mDetectors.keySet().removeIf(id -> configuration.service(id) == null);
         mLast.keySet().removeIf(id -> configuration.service(id) == null);
-        mDetectors.keySet().forEach(this::decide);
+        mDetectors.forEach(
+                (service, entry) -> {
+                    if (entry.mNews || isAmiss(mLast.get(service))) {
+                        decide(service);
+                    }
+                });
+        evict();
     }
 
-    private ServiceDetector detectorOf(Service service) {
+    // A node is asked for any of thousands of services, and a detector takes some 50 to 200 KB.
+    // Without a bound a node would outgrow its slot within the hour. The longest unused go first;
+    // one that holds a target out of service stays, or the target would get work again.
+    private void evict() {
+        int excess = mDetectors.size() - MAX_DETECTORS;
+        if (excess <= 0) {
+            return;
+        }
+        mDetectors.entrySet().stream()
+                .filter(one -> !isAmiss(mLast.get(one.getKey())))
+                .sorted(Comparator.comparingLong(one -> one.getValue().mUsedMillis))
+                .limit(excess)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::forget);
+    }
+
+    private void forget(String service) {
+        mDetectors.remove(service);
+        mLast.remove(service);
+    }
+
+    private static boolean isAmiss(Verdicts verdicts) {
+        return verdicts == null
+                || verdicts.byTarget().values().stream()
+                        .anyMatch(one -> one.state() != VerdictState.HEALTHY);
+    }
+
+    private ServiceDetector detectorOf(Service service, boolean news) {
         Entry entry = mDetectors.get(service.id());
-        if (entry != null && entry.service() == service) {
-            return entry.detector();
+        if (entry == null || entry.mService != service) {
+            // A change of floor or odds starts the evidence afresh: it was weighed by other
+            // thresholds.
+            entry =
+                    mDetectors.compute(
+                            service.id(),
+                            (id, old) ->
+                                    new Entry(
+                                            service,
+                                            old != null && old.mService.equals(service)
+                                                    ? old.mDetector
+                                                    : new ServiceDetector(service, mIncarnation),
+                                            mTicker.millis()));
+        }
+        if (news) {
+            entry.used(mTicker.millis());
         }
-        // A change of floor or odds starts the evidence afresh: it was weighed by other thresholds.
-        return mDetectors
-                .compute(
-                        service.id(),
-                        (id, old) ->
-                                old != null && old.service().equals(service)
-                                        ? new Entry(service, old.detector())
-                                        : new Entry(
-                                                service,
-                                                new ServiceDetector(service, mIncarnation)))
-                .detector();
+        return entry.mDetector;
     }
 
     private void decide(String service) {
@@ -133,7 +193,8 @@
         if (entry == null) {
             return;
         }
-        Verdicts verdicts = entry.detector().decide(mTicker.millis(), membership(service));
+        entry.mNews = false;
+        Verdicts verdicts = entry.mDetector.decide(mTicker.millis(), membership(service));
         Verdicts before = mLast.put(service, verdicts);
         if (before == null || !sameWeights(before, verdicts)) {
             mState.verdictsChanged(service, verdicts);
