Record suspicions, changes of the watch and refused patches

Cause: four kinds of events were never recorded by a node, so that the time line did not show a killed peer, who watches, or a refused patch. Ruled out: reading them from counters (no time, no peer). Change: FleetRecorder, wired in Node; ConfigHistoryFold tells of refusals. Conclusion: every kind of event has its source.

--- a/src/main/java/org/apricotgauge/control/ConfigHistoryFold.java
+++ b/src/main/java/org/apricotgauge/control/ConfigHistoryFold.java
@@ -9,10 +9,30 @@
 import org.apricotgauge.config.SnapshotChunk;
 import org.apricotgauge.config.SnapshotCodec;
 import org.apricotgauge.decision.gossip.ConfigFold;
+import org.apricotgauge.model.Checks;
 import org.apricotgauge.platform.LogRecord;
 
 /** Folds the published log into the site's configuration. */
 public final class ConfigHistoryFold implements ConfigFold<ConfigHistory> {
+    private final RefusalListener mListener;
+
+    /** Creates a fold that tells nobody of refused entries. */
+    public ConfigHistoryFold() {
+        this((entry, refused) -> {});
+    }
+
+    /** Creates a fold; the listener is called on the thread that folds, and must not block. */
+    public ConfigHistoryFold(RefusalListener listener) {
+        mListener = Checks.notNull("listener", listener);
+    }
+
+    /** Is told of each entry that was refused as a whole. */
+    @FunctionalInterface
+    public interface RefusalListener {
+
+        /** Takes in the entry and the result that holds the reasons. */
+        void onRefused(LogEntry entry, FoldResult.Refused refused);
+    }
 
     @Override
     public ConfigHistory empty() {
@@ -36,7 +56,11 @@
 
     @Override
     public ConfigHistory apply(ConfigHistory history, LogRecord record) {
-        FoldResult result = history.apply(new LogEntry(record.position(), record.body()));
+        LogEntry entry = new LogEntry(record.position(), record.body());
+        FoldResult result = history.apply(entry);
+        if (result instanceof FoldResult.Refused refused) {
+            mListener.onRefused(entry, refused);
+        }
         if (result instanceof FoldResult.UnsupportedRules) {
             return null;
         }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/FleetRecorder.java
@@ -0,0 +1,79 @@
+package org.apricotgauge.node;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.apricotgauge.config.FoldResult;
+import org.apricotgauge.config.LogEntry;
+import org.apricotgauge.config.RefusalReason;
+import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.decision.gossip.WatcherElection;
+import org.apricotgauge.event.EventRecorder;
+import org.apricotgauge.event.PatchRefused;
+import org.apricotgauge.event.PeerAlive;
+import org.apricotgauge.event.PeerSuspected;
+import org.apricotgauge.event.WatchReleased;
+import org.apricotgauge.event.WatchTakenOver;
+import org.apricotgauge.model.Vm;
+
+/** Records what changes at the control plane: suspicions, the watch, refused patches. */
+final class FleetRecorder {
+    private final EventRecorder mEvents;
+    private Set<String> mSuspected = Set.of();
+    private WatcherElection.Role mRole = WatcherElection.Role.REST;
+
+    FleetRecorder(EventRecorder events) {
+        mEvents = events;
+    }
+
+    /** Records which peers became suspected, and which were heard of again. */
+    synchronized void view(LiveView view) {
+        Set<String> suspected = new HashSet<>();
+        for (Vm vm : view.nodes()) {
+            if (view.unreachable(vm.id())) {
+                suspected.add(vm.id());
+            }
+        }
+        for (String peer : suspected) {
+            if (!mSuspected.contains(peer)) {
+                mEvents.record(new PeerSuspected(peer, "no node that was asked reaches it"));
+            }
+        }
+        for (String peer : mSuspected) {
+            // One that is gone for good was not heard of again; it has left.
+            if (!suspected.contains(peer) && !view.leaving(peer) && view.vm(peer) != null) {
+                mEvents.record(new PeerAlive(peer, "a node reaches it"));
+            }
+        }
+        mSuspected = Set.copyOf(suspected);
+    }
+
+    /** Records whether this node took over or released the watch of the platform. */
+    synchronized void role(WatcherElection.Role role) {
+        boolean watched = mRole == WatcherElection.Role.WATCH;
+        boolean watches = role == WatcherElection.Role.WATCH;
+        if (watches && !watched) {
+            mEvents.record(new WatchTakenOver("elected in its failure domain"));
+        }
+        if (watched && !watches) {
+            boolean isLost = role == WatcherElection.Role.RETRY;
+            mEvents.record(new WatchReleased(isLost ? "platform lost" : "another node watches"));
+        }
+        mRole = role;
+    }
+
+    /** Records that an entry of the platform's list was refused as a whole. */
+    void refused(LogEntry entry, FoldResult.Refused refused) {
+        long currentVersion = refused.history().version();
+        RefusalReason first = refused.reasons().get(0);
+        long appliesTo =
+                first instanceof RefusalReason.NotOnCurrentVersion other
+                        ? other.baseVersion()
+                        : currentVersion;
+        mEvents.record(
+                new PatchRefused(
+                        "position " + entry.position(),
+                        Math.max(0, appliesTo),
+                        currentVersion,
+                        first.message()));
+    }
+}
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -63,6 +63,7 @@
     private final MetricRegistry mRegistry = new MetricRegistry();
     private final long mStartedMillis = System.currentTimeMillis();
     private final NodeEvents mEvents;
+    private final FleetRecorder mFleetRecorder;
     private final OutcomeWindows mWindows = new OutcomeWindows(mTicker, WINDOWS);
     private final NodeHttp mHttp;
     private final ScheduledExecutorService mWorker =
@@ -84,6 +85,7 @@
     private Node(NodeSettings settings) {
         mSettings = settings;
         mEvents = new NodeEvents(settings.vm(), mStartedMillis);
+        mFleetRecorder = new FleetRecorder(mEvents);
         mHttp = new NodeHttp(settings.vm());
         mState = new RoutingState(settings.vm(), settings.failureDomain(), mTicker);
         mProbes = new ProbeTokens(mTicker, () -> mState.vms().nodes().size());
@@ -182,18 +184,23 @@
         mControl =
                 ControlPlane.start(
                         control.withSeeds(mSettings.seedPeers()),
-                        new ConfigHistoryFold(),
+                        new ConfigHistoryFold(mFleetRecorder::refused),
                         mPlatform,
                         new FleetListener(),
                         mRegistry);
         mWorker.scheduleWithFixedDelay(
-                guarded(mDetection::tick),
+                guarded(this::tick),
                 DECIDE_EVERY_MILLIS,
                 DECIDE_EVERY_MILLIS,
                 TimeUnit.MILLISECONDS);
         mControl.opened().thenRunAsync(this::open, mWorker);
     }
 
+    private void tick() {
+        mDetection.tick();
+        mFleetRecorder.role(mControl.watcherRole());
+    }
+
     private Vm ownVm() {
         return new Vm(
                 mSettings.vm(),
@@ -260,6 +267,7 @@
 
         @Override
         public void onView(LiveView view) {
+            mFleetRecorder.view(view);
             mWorker.execute(guarded(() -> mState.vmsChanged(view)));
         }
 
