Observe requests that hang while they run

Cause: a hanging target answers nothing; its evidence came only at deadlines. Ruled out: crediting a running request again and again as it ages; its parts would have to be taken back at its end, also in other nodes. Change: ServiceDetector.overdueMicros tells from when a running request counts, once, as OVERDUE.

--- a/src/main/java/org/apricotgauge/decision/detection/Category.java
+++ b/src/main/java/org/apricotgauge/decision/detection/Category.java
@@ -22,6 +22,7 @@
     static int of(Observation observation) {
         switch (observation.outcome()) {
             case SUCCESS:
+            case OVERDUE:
                 return LatencyScale.bin(observation.serviceTimeMicros());
             case TARGET_ERROR:
             case TIMEOUT:
--- a/src/main/java/org/apricotgauge/decision/detection/EvidenceView.java
+++ b/src/main/java/org/apricotgauge/decision/detection/EvidenceView.java
@@ -17,6 +17,7 @@
     private static final long MIN_REFRESH_SAMPLES = 32;
     private static final double REFRESH_GROWTH = 0.1;
     private static final double MIN_BASELINE_SAMPLES = 60;
+    private static final double HIGH_ONE_IN = 1_000;
     private static final double REBASE_SHARE = 0.5;
     private static final double MAX_THRESHOLDS = 1.5;
     private static final double RATE_MEMORY_MILLIS = 60_000;
@@ -89,6 +90,28 @@
         mStreams.keySet().retainAll(targetIds);
     }
 
+    /**
+     * Returns the service time that nine hundred and ninety-nine in a thousand samples keep, or
+     * {@link Long#MAX_VALUE} while there are too few.
+     */
+    long highMicros() {
+        double[] counts = new double[Category.COUNT];
+        for (TargetStream stream : mStreams.values()) {
+            stream.addHistoryTo(counts);
+        }
+        double total = 0;
+        for (int bin = 0; bin < LatencyScale.BINS; bin++) {
+            total += counts[bin];
+        }
+        double above = 0;
+        int bin = LatencyScale.BINS;
+        while (bin > 0 && above + counts[bin - 1] <= total / HIGH_ONE_IN) {
+            bin--;
+            above += counts[bin];
+        }
+        return total < HIGH_ONE_IN ? Long.MAX_VALUE : LatencyScale.endMicros(bin - 1);
+    }
+
     /** Sets what a target's samples are used for. */
     void setMode(String targetId, TargetStream.Mode mode) {
         TargetStream stream = mStreams.get(targetId);
--- a/src/main/java/org/apricotgauge/decision/detection/LatencyScale.java
+++ b/src/main/java/org/apricotgauge/decision/detection/LatencyScale.java
@@ -18,8 +18,8 @@
         return Math.min(bin, BINS - 1);
     }
 
-    /** Returns how many bins a service time moves when it is multiplied by the factor. */
-    static double shift(double factor) {
-        return BINS_PER_NAT * Math.log(factor);
+    /** Returns the service time at which a bin ends, in microseconds. */
+    static long endMicros(int bin) {
+        return (long) (FIRST_EDGE_MICROS * Math.exp(bin / BINS_PER_NAT));
     }
 }
--- a/src/main/java/org/apricotgauge/decision/detection/Observation.java
+++ b/src/main/java/org/apricotgauge/decision/detection/Observation.java
@@ -13,7 +13,7 @@
  * @param end where it was seen
  * @param outcome how it ended
  * @param serviceTimeMicros time from the dispatch to the end of the answer, without the wait in a
- *     queue; read for {@link ObservedOutcome#SUCCESS} only
+ *     queue; read for {@link ObservedOutcome#SUCCESS} and {@link ObservedOutcome#OVERDUE} only
  * @param timeMillis when it ended, on the observing node's monotonic clock
  * @param keyHash hash of the route and member, or {@link #NO_KEY}
  */
--- a/src/main/java/org/apricotgauge/decision/detection/OwnCounts.java
+++ b/src/main/java/org/apricotgauge/decision/detection/OwnCounts.java
@@ -13,6 +13,7 @@
     void add(Observation observation) {
         switch (observation.outcome()) {
             case SUCCESS:
+            case OVERDUE:
                 mLatencyCounts[LatencyScale.bin(observation.serviceTimeMicros())]++;
                 break;
             case TARGET_ERROR:
--- a/src/main/java/org/apricotgauge/decision/detection/ServiceDetector.java
+++ b/src/main/java/org/apricotgauge/decision/detection/ServiceDetector.java
@@ -31,6 +31,7 @@
  * Readers on a request's path read the published {@link Verdicts} and never lock.
  */
 public final class ServiceDetector {
+    private static final long OVERDUE_FACTOR = 2;
     private static final long GUARD_FRESH_MILLIS = 30_000;
 
     /** A probe costs about 25 ms of a slot: one each 250 ms takes a tenth of one slot. */
@@ -102,6 +103,19 @@
         mRemote.setOdds(service.detection());
     }
 
+    /**
+     * Returns the service time after which a request should be observed as {@link
+     * ObservedOutcome#OVERDUE} though it still runs, or {@link Long#MAX_VALUE} while unknown.
+     *
+     * <p>A target that hangs answers nothing, so that all its evidence would come at the requests'
+     * deadlines. Twice the time that all but one in a thousand keep is rare enough that its bin
+     * speaks as clearly as a far longer time would.
+     */
+    public synchronized long overdueMicros(ObservationEnd end) {
+        long highMicros = (end == ObservationEnd.GUARD ? mGuards : mOwnEntry).highMicros();
+        return highMicros == Long.MAX_VALUE ? highMicros : OVERDUE_FACTOR * highMicros;
+    }
+
     /** Returns this node's own evidence, to be sent to the other nodes of the service. */
     public synchronized EvidenceDigest digest() {
         mSequence++;
--- a/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
+++ b/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
@@ -46,6 +46,29 @@
         assertThat(rounds).isLessThanOrEqualTo(20);
     }
 
+    /*
+     * A target hangs: it takes requests and answers none. With deadlines of many seconds callers
+     * would wait for all of them; observed as overdue while they run, four are enough.
+     */
+    @Test
+    void ejectsATargetThatHangs() {
+        long overdueMicros = mPool.mDetector.overdueMicros(ObservationEnd.GUARD);
+        assertThat(overdueMicros).isBetween(80_000L, 300_000L);
+        for (int i = 0; i < 4; i++) {
+            mPool.mNowMillis += 100;
+            mPool.mDetector.observe(
+                    new Observation(
+                            "t3",
+                            ObservationEnd.GUARD,
+                            ObservedOutcome.OVERDUE,
+                            overdueMicros,
+                            mPool.mNowMillis,
+                            Observation.NO_KEY));
+            mPool.decide();
+        }
+        assertThat(mPool.mVerdicts.isEligible("t3")).isFalse();
+    }
+
     /*
      * A partial fault: one member's requests, every fourth here, fail on one target alone. Most of
      * its answers are good, so there are never five errors in a row.
