--- a/src/main/java/org/apricotgauge/decision/detection/ServiceDetector.java
+++ b/src/main/java/org/apricotgauge/decision/detection/ServiceDetector.java
@@ -85,6 +85,10 @@
         if (category == Category.NONE) {
             return false;
         }
+        Standing standing = mStandings.get(targetId);
+        if (category == Category.FAILURE && standing != null) {
+            standing.failingKey().failed(observation.keyHash());
+        }
         EvidenceView view = isGuard ? mGuards : mOwnEntry;
         boolean isCrossed = view.add(targetId, category, observation.timeMillis());
         boolean isPassed = tried(view, targetId, category, 1, observation.timeMillis());
--- a/src/main/java/org/apricotgauge/decision/detection/Standing.java
+++ b/src/main/java/org/apricotgauge/decision/detection/Standing.java
@@ -4,6 +4,7 @@
 final class Standing {
     private final String mTargetId;
     private final Readmission mReadmission = new Readmission();
+    private final FailingKey mFailingKey = new FailingKey();
     private TargetPresence mPresence = TargetPresence.PRESENT;
     private Evidence mEvidence;
     private Evidence mEjectedFor;
@@ -29,6 +30,10 @@
         return mReadmission;
     }
 
+    FailingKey failingKey() {
+        return mFailingKey;
+    }
+
     TargetPresence presence() {
         return mPresence;
     }
@@ -56,6 +61,7 @@
 
     void readmit(long nowMillis) {
         mReadmission.readmit(nowMillis);
+        mFailingKey.clear();
         mReadmittedMillis = nowMillis;
     }
 
--- a/src/main/java/org/apricotgauge/decision/detection/VerdictFactory.java
+++ b/src/main/java/org/apricotgauge/decision/detection/VerdictFactory.java
@@ -72,6 +72,9 @@
             return NO_EVIDENCE;
         }
         String text = standing.evidence().text();
+        if (standing.failingKey().isMost()) {
+            text += "; most failures are of one route and member";
+        }
         if (isHeld) {
             return text + "; kept in service by the floor";
         }
