--- a/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
+++ b/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
@@ -46,22 +46,53 @@
         assertThat(rounds).isLessThanOrEqualTo(20);
     }
 
+    /*
+     * A target hangs: it takes requests and answers none. With deadlines of many seconds callers
+     * would wait for all of them; observed as overdue while they run, four are enough.
+     */
+    @Test
+    void ejectsATargetThatHangs() {
+        long overdueMicros = mPool.mDetector.overdueMicros(ObservationEnd.GUARD);
+        assertThat(overdueMicros).isBetween(80_000L, 300_000L);
+        for (int i = 0; i < 4; i++) {
+            mPool.mNowMillis += 100;
+            mPool.mDetector.observe(
+                    new Observation(
+                            "t3",
+                            ObservationEnd.GUARD,
+                            ObservedOutcome.OVERDUE,
+                            overdueMicros,
+                            mPool.mNowMillis,
+                            Observation.NO_KEY));
+            mPool.decide();
+        }
+        assertThat(mPool.mVerdicts.isEligible("t3")).isFalse();
+    }
+
     /*
      * A partial fault: one member's requests, every fourth here, fail on one target alone. Most of
      * its answers are good, so there are never five errors in a row.
      */
     @Test
     void ejectsATargetThatFailsOneMember() {
-        int[] request = {0};
-        int rounds =
-                mPool.roundsToEjection(
-                        "t3",
-                        60,
-                        id ->
-                                id.equals("t3") && ++request[0] % 4 == 0
-                                        ? FAILS
-                                        : mPool.healthyMicros());
-        assertThat(rounds).isLessThanOrEqualTo(40);
+        int round = 0;
+        while (mPool.mVerdicts.isEligible("t3") && round < 60) {
+            round++;
+            mPool.healthy(1);
+            if (round % 3 == 0) {
+                mPool.mDetector.observe(
+                        new Observation(
+                                "t3",
+                                ObservationEnd.GUARD,
+                                ObservedOutcome.TARGET_ERROR,
+                                5_000,
+                                mPool.mNowMillis,
+                                77));
+            }
+        }
+        assertThat(round).isLessThanOrEqualTo(40);
+        assertThat(mPool.mVerdicts.byTarget().get("t3").evidence())
+                .contains("one route and member");
     }
 
     /*
