--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.attempt.Attempt;
+import org.apricotgauge.decision.attempt.GuardSighting;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.Progress;
@@ -50,6 +52,8 @@
     private Progress mProgress;
     private Candidate mHome;
     private TargetAttempt mCurrent;
+    private boolean mCurrentBegun;
+    private Attempt mAtHome;
     private boolean mEnded;
     private volatile Scheduler.Task mDeadline;
 
@@ -118,6 +122,23 @@
         return mDeadlineMillis;
     }
 
+    /**
+     * Returns the address of the next attempt at the key's home.
+     *
+     * <p>Once one may have run there, the others keep its run and its latest start: addressed anew
+     * they could reach a home that no longer remembers the key.
+     */
+    Attempt addressAtHome(GuardSighting home, long untilMillis) {
+        synchronized (this) {
+            mAtHome =
+                    mProgress.mayHaveRun()
+                            ? mAtHome.again(mContext.ids().next())
+                            : home.address(
+                                    mContext.ids().next(), mContext.ticker().millis(), untilMillis);
+            return mAtHome;
+        }
+    }
+
     private void next() {
         if (mHome != null) {
             send(new KeyedAttempt(this, mHome, mAsked.key().orElseThrow()));
@@ -140,10 +161,28 @@
                 return;
             }
             mCurrent = attempt;
+            mCurrentBegun = false;
         }
         attempt.send();
     }
 
+    /**
+     * Asked by an attempt just before its first byte is written; false means to write nothing.
+     *
+     * <p>The deadline may pass between the decision to send and the first byte. Under one lock
+     * either the caller is told "not run" and no byte follows, or the byte comes first and the
+     * caller is told "unknown".
+     */
+    boolean mayBegin(TargetAttempt attempt) {
+        synchronized (this) {
+            if (mEnded || attempt != mCurrent) {
+                return false;
+            }
+            mCurrentBegun = true;
+            return true;
+        }
+    }
+
     private Optional<Candidate> choose() {
         if (mTried.isEmpty() && mAsked.repeatable()) {
             Optional<Candidate> probe =
@@ -285,7 +324,7 @@
                 return;
             }
             attempt = mCurrent;
-            mayHaveRun = mProgress.mayHaveRun() || (attempt != null && attempt.mayHaveRun());
+            mayHaveRun = mProgress.mayHaveRun() || (attempt != null && mCurrentBegun);
         }
         finish(
                 mayHaveRun
