Carry the hybrid clock ahead of news in the control protocol

Cause: the clock travelled in answers between hops only. Where a leaving notice, a version or a suspicion came by the control protocol, the order of the time line rested on wall clocks. Ruled out: a field in each message (fourteen records, old releases); a reading with every heartbeat (no event follows from one). ControlListener gives and takes readings; Node wires its clock. Conclusion: what a node does on any news of another stands after it.

--- a/src/main/java/org/apricotgauge/control/ControlListener.java
+++ b/src/main/java/org/apricotgauge/control/ControlListener.java
@@ -1,9 +1,11 @@
 package org.apricotgauge.control;
 
+import java.util.Optional;
 import org.apricotgauge.decision.gossip.GossipEvent;
 import org.apricotgauge.decision.gossip.GossipItem;
 import org.apricotgauge.decision.gossip.LeavingNotice;
 import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.event.HlcTimestamp;
 
 /**
  * Is told by the control plane what changed; all calls come on its one thread and must not block.
@@ -39,4 +41,14 @@
 
     /** An invariant broke and the control plane has ended; the process must end, too. */
     default void onBroken(RuntimeException failure) {}
+
+    /**
+     * Returns a reading of the node's hybrid logical clock to send ahead of news, if it has one.
+     */
+    default Optional<HlcTimestamp> clock() {
+        return Optional.empty();
+    }
+
+    /** Takes in the reading that came ahead of news. */
+    default void onClock(HlcTimestamp reading) {}
 }
--- a/src/main/java/org/apricotgauge/control/ControlPlane.java
+++ b/src/main/java/org/apricotgauge/control/ControlPlane.java
@@ -21,6 +21,7 @@
 import org.apricotgauge.decision.gossip.PeerMessage;
 import org.apricotgauge.decision.gossip.PeerPort;
 import org.apricotgauge.decision.gossip.WatcherElection;
+import org.apricotgauge.event.HlcTimestamp;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Vm;
@@ -263,6 +264,10 @@
         }
     }
 
+    private static PeerMessage message(HlcTimestamp reading) {
+        return new PeerMessage.ClockReading(reading.millis(), reading.logical());
+    }
+
     /** The loop as the platform's reader sees it. */
     private final class Loop implements PlatformReader.LoopExecutor {
         @Override
@@ -285,6 +290,9 @@
 
         @Override
         public void send(long link, PeerMessage message) {
+            if (message.isNews()) {
+                mListener.clock().ifPresent(reading -> mLoop.send(link, message(reading)));
+            }
             mLoop.send(link, message);
         }
 
@@ -339,7 +347,9 @@
 
         @Override
         public void onMessage(long link, PeerMessage message) {
-            if (mFilter == FrameFilter.NONE || passes(link, message)) {
+            if (message instanceof PeerMessage.ClockReading reading) {
+                mListener.onClock(new HlcTimestamp(reading.millis(), reading.logical()));
+            } else if (mFilter == FrameFilter.NONE || passes(link, message)) {
                 mNode.onMessage(link, message, mTicker.millis());
             }
         }
--- a/src/main/java/org/apricotgauge/decision/gossip/PeerMessage.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/PeerMessage.java
@@ -157,4 +157,27 @@
     private static <T> List<T> copy(List<T> list) {
         return list == null ? List.of() : List.copyOf(list);
     }
+
+    /**
+     * A reading of the sender's hybrid logical clock, ahead of news, so that what the receiver does
+     * on the news has a greater one.
+     */
+    record ClockReading(long millis, int logical) implements PeerMessage {
+        private static final int MAX_LOGICAL = 999_999_999;
+
+        /** Checks the parts. */
+        public ClockReading {
+            Checks.inRange("clock.millis", millis, 0, Long.MAX_VALUE);
+            Checks.inRange("clock.logical", logical, 0, MAX_LOGICAL);
+        }
+    }
+
+    /** Returns whether the receiver may act on this message in a way that operators see. */
+    default boolean isNews() {
+        return this instanceof Entries
+                || this instanceof SnapshotChunk
+                || this instanceof VmChanges
+                || this instanceof Items
+                || this instanceof ProbeResult;
+    }
 }
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -22,6 +23,7 @@
 import org.apricotgauge.decision.gossip.GossipItem;
 import org.apricotgauge.decision.gossip.LeavingNotice;
 import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.event.HlcTimestamp;
 import org.apricotgauge.event.NodeStarted;
 import org.apricotgauge.event.StopPhase;
 import org.apricotgauge.event.StopPhaseEntered;
@@ -284,6 +286,16 @@
                     .ifPresent(digest -> mDetection.heard(evidence.node(), evidence.key(), digest));
         }
 
+        @Override
+        public Optional<HlcTimestamp> clock() {
+            return Optional.of(mEvents.now());
+        }
+
+        @Override
+        public void onClock(HlcTimestamp reading) {
+            mEvents.observe(reading);
+        }
+
         @Override
         public void onBroken(RuntimeException failure) {
             mBroken.complete(failure);
--- a/src/main/java/org/apricotgauge/node/NodeEvents.java
+++ b/src/main/java/org/apricotgauge/node/NodeEvents.java
@@ -50,6 +50,16 @@
         return mClock.now().toString();
     }
 
+    /** Returns a reading to send ahead of news to another node. */
+    HlcTimestamp now() {
+        return mClock.now();
+    }
+
+    /** Takes in a reading that came ahead of news. */
+    void observe(HlcTimestamp reading) {
+        mClock.observe(reading);
+    }
+
     /** Takes in the reading that came with a message; a malformed one is left out. */
     void observe(HttpFields headers) {
         String text = headers.get(HeaderNames.CLOCK);
--- a/src/main/java/org/apricotgauge/peer/MessageType.java
+++ b/src/main/java/org/apricotgauge/peer/MessageType.java
@@ -21,7 +21,8 @@
     ITEMS(12, PeerMessage.Items.class),
     ITEMS_REQUEST(13, PeerMessage.ItemsRequest.class),
     PROBE_REQUEST(14, PeerMessage.ProbeRequest.class),
-    PROBE_RESULT(15, PeerMessage.ProbeResult.class);
+    PROBE_RESULT(15, PeerMessage.ProbeResult.class),
+    CLOCK_READING(16, PeerMessage.ClockReading.class);
 
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
 
