Wait for the fellows' answers before a target is ejected

Cause: at the onset of an overload the target that answered first was ejected on four requests, before its fellows had shown to be as slow. Change: since the statistic began to rise, the fellows must have answered 2.5 times each for slowness, half a time each for failures; 16 requests of its own are enough where they get no work. The test of a hanging target sent work to no fellow, which its own words do not say; now they answer too.

--- a/src/main/java/org/apricotgauge/decision/detection/EvidenceView.java
+++ b/src/main/java/org/apricotgauge/decision/detection/EvidenceView.java
@@ -18,6 +18,9 @@
     private static final double REFRESH_GROWTH = 0.1;
     private static final double MIN_BASELINE_SAMPLES = 60;
     private static final double HIGH_ONE_IN = 1_000;
+    private static final double FELLOW_SAMPLES_FOR_FAILURE = 0.5;
+    private static final double FELLOW_SAMPLES_FOR_SLOWNESS = 2.5;
+    private static final int ENOUGH_SAMPLES = 16;
     private static final double REBASE_SHARE = 0.5;
     private static final double MAX_THRESHOLDS = 1.5;
     private static final double RATE_MEMORY_MILLIS = 60_000;
@@ -52,7 +55,7 @@
     /** Takes in one sample; returns whether a target in service has crossed the threshold. */
     boolean add(String targetId, int category, long nowMillis) {
         TargetStream stream = streamFor(targetId, nowMillis);
-        stream.add(category, nowMillis);
+        stream.add(category, mSamples, nowMillis);
         mSamples++;
         return stream.isTested() && stream.suspicion() >= mThresholdNats;
     }
@@ -61,7 +64,7 @@
     void addBatch(String targetId, int[] counts, long nowMillis) {
         TargetStream stream = streamFor(targetId, nowMillis);
         long before = stream.samples();
-        stream.addBatch(counts, nowMillis);
+        stream.addBatch(counts, mSamples, nowMillis);
         mSamples += stream.samples() - before;
     }
 
@@ -138,7 +141,7 @@
                     rebase();
                     return Finding.none(mThresholdNats);
                 }
-                nats *= share;
+                nats = isComparable(stream, test) ? nats * share : 0;
             }
             if (nats > strongest.nats()) {
                 strongest = new Finding(test, nats, mThresholdNats, stream.natsPerSample(test));
@@ -147,6 +150,21 @@
         return strongest;
     }
 
+    /**
+     * Returns whether the fellows have answered often enough since a target's test began to rise.
+     *
+     * <p>At the onset of an overload the target that answers first would be ejected on four
+     * requests, before its fellows have shown that they are as slow; slow answers take longer to
+     * show than failures. Where they get no work, a few more requests of its own are enough.
+     */
+    private boolean isComparable(TargetStream stream, int test) {
+        int own = stream.samplesSinceRise(test);
+        long others = mSamples - stream.poolSamplesAtRise(test) - own;
+        boolean isFailure = Alternative.ALL.get(test).kind() == Alternative.Kind.FAILURE;
+        double each = isFailure ? FELLOW_SAMPLES_FOR_FAILURE : FELLOW_SAMPLES_FOR_SLOWNESS;
+        return others >= each * (mStreams.size() - 1) || own >= ENOUGH_SAMPLES;
+    }
+
     /**
      * Starts all comparisons anew, as the service as a whole has changed.
      *
--- a/src/main/java/org/apricotgauge/decision/detection/TargetStream.java
+++ b/src/main/java/org/apricotgauge/decision/detection/TargetStream.java
@@ -30,6 +30,7 @@
     private final double[] mHistory = new double[Category.COUNT];
     private final int[] mTotals = new int[Category.COUNT];
     private final int[][] mAnchors = new int[ScoreTable.TESTS][Category.COUNT];
+    private final long[] mPoolAnchors = new long[ScoreTable.TESTS];
     private final double[] mNats = new double[ScoreTable.TESTS];
     private final byte[] mLast = new byte[LAST_SAMPLES];
     private ScoreTable mScores;
@@ -91,11 +92,11 @@
         return mScores.nats(category)[test];
     }
 
-    /** Takes in one sample. */
-    void add(int category, long nowMillis) {
+    /** Takes in one sample; the pool's samples are those of all targets up to it. */
+    void add(int category, long poolSamples, long nowMillis) {
         mLastMillis = nowMillis;
         if (mMode != Mode.OUT) {
-            addToTests(mScores.nats(category));
+            addToTests(mScores.nats(category), poolSamples);
         }
         addToTotals(category, 1);
     }
@@ -106,7 +107,7 @@
      * <p>Their scores are added up before the test takes them. Taken in one by one, with the
      * failures last, a few among many successes would count as failures in a row.
      */
-    void addBatch(int[] counts, long nowMillis) {
+    void addBatch(int[] counts, long poolSamples, long nowMillis) {
         mLastMillis = nowMillis;
         if (mMode != Mode.OUT) {
             double[] scores = new double[ScoreTable.TESTS];
@@ -116,20 +117,21 @@
                     scores[test] += counts[category] * nats[test];
                 }
             }
-            addToTests(scores);
+            addToTests(scores, poolSamples);
         }
         for (int category = 0; category < counts.length; category++) {
             addToTotals(category, counts[category]);
         }
     }
 
-    private void addToTests(double[] scores) {
+    private void addToTests(double[] scores, long poolSamples) {
         double max = 0;
         for (int test = 0; test < scores.length; test++) {
             double nats = mNats[test];
             double score = scores[test];
             if (nats == 0 && score > 0) {
                 System.arraycopy(mTotals, 0, mAnchors[test], 0, Category.COUNT);
+                mPoolAnchors[test] = poolSamples;
             }
             nats = Math.max(0, nats + score);
             mNats[test] = nats;
@@ -174,6 +176,11 @@
         return samples;
     }
 
+    /** Returns how many samples the pool had when a test began to rise. */
+    long poolSamplesAtRise(int test) {
+        return mPoolAnchors[test];
+    }
+
     /** Returns how many of the samples since a test began to rise speak for its alternative. */
     int suspectSinceRise(int test) {
         int samples = 0;
--- a/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
+++ b/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
@@ -56,6 +56,11 @@
         assertThat(overdueMicros).isBetween(80_000L, 300_000L);
         for (int i = 0; i < 4; i++) {
             mPool.mNowMillis += 100;
+            for (String id : mPool.mIds) {
+                if (!id.equals("t3")) {
+                    mPool.observe(id, ObservationEnd.GUARD, mPool.healthyMicros());
+                }
+            }
             mPool.mDetector.observe(
                     new Observation(
                             "t3",
