--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -88,6 +88,7 @@
         mSettings = settings;
         mEvents = new NodeEvents(settings.vm(), mStartedMillis);
         mFleetRecorder = new FleetRecorder(mEvents);
+        mRegistry.gauge("clock.readings.refused", () -> mEvents::refusedReadings);
         mHttp = new NodeHttp(settings.vm());
         mState = new RoutingState(settings.vm(), settings.failureDomain(), mTicker);
         mProbes = new ProbeTokens(mTicker, () -> mState.vms().nodes().size());
--- a/src/main/java/org/apricotgauge/node/NodeEvents.java
+++ b/src/main/java/org/apricotgauge/node/NodeEvents.java
@@ -50,6 +50,11 @@
         return mClock.now().toString();
     }
 
+    /** Returns how many readings were left out, as they lay too far ahead of this node's clock. */
+    long refusedReadings() {
+        return mClock.refusedCount();
+    }
+
     /** Returns a reading to send ahead of news to another node. */
     HlcTimestamp now() {
         return mClock.now();
