--- a/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
+++ b/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
@@ -113,6 +113,20 @@
         }
     }
 
+    /*
+     * An overload begins, and by chance one target's slow answers come first. Its fellows are as
+     * slow, but their answers are still on the way; until they come, nobody is ejected.
+     */
+    @Test
+    void waitsForTheFellowsAnswers() {
+        for (int i = 0; i < 6; i++) {
+            mPool.mNowMillis += 20;
+            mPool.observe("t3", ObservationEnd.GUARD, 5 * mPool.healthyMicros());
+            mPool.decide();
+            assertThat(mPool.allEligible()).isTrue();
+        }
+    }
+
     /*
      * A failure domain of three targets slows down. They may be ejected as far as the floor lets,
      * but no target of another domain may.
