--- a/src/main/java/org/apricotgauge/standin/LoadGenerator.java
+++ b/src/main/java/org/apricotgauge/standin/LoadGenerator.java
@@ -56,6 +56,7 @@
     private final Map<Told, LongAdder> mTold = new EnumMap<>(Told.class);
     private final ConcurrentMap<String, Told> mOrders = new ConcurrentHashMap<>();
     private final ConcurrentMap<String, Long> mReasons = new ConcurrentHashMap<>();
+    private final ConcurrentMap<Address, Long> mBrokenAt = new ConcurrentHashMap<>();
     private final AtomicLong mOpen = new AtomicLong();
     private final LongAdder mRerouted = new LongAdder();
     private HttpClient mClient;
@@ -137,7 +138,8 @@
     private LoadReport report(long sent) {
         Map<Told, Long> told = new EnumMap<>(Told.class);
         mTold.forEach((what, count) -> told.put(what, count.sum()));
-        return new LoadReport(sent, told, mOrders, mReasons, mRerouted.sum(), mLatency.copy());
+        return new LoadReport(
+                sent, told, mOrders, mReasons, mBrokenAt, mRerouted.sum(), mLatency.copy());
     }
 
     /** One request of one caller. */
@@ -209,6 +211,8 @@
                     mRerouted.increment();
                     mSending.sendTo(mEntry + 1, mRefused + 1);
                 } else {
+                    List<Address> entries = mPlan.entries();
+                    mBrokenAt.merge(entries.get(mEntry % entries.size()), 1L, Long::sum);
                     mSending.ended(Told.BROKEN);
                 }
                 return;
--- a/src/main/java/org/apricotgauge/standin/LoadReport.java
+++ b/src/main/java/org/apricotgauge/standin/LoadReport.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import org.HdrHistogram.Histogram;
+import org.apricotgauge.model.Address;
 
 /**
  * What became of a load.
@@ -10,6 +11,7 @@
  * @param told how many were told what
  * @param orders what was told of each request that must not run twice, by its id
  * @param reasons how many were told which reason beside "not run" or "unknown"
+ * @param brokenAt connections that broke under a request, by the entry's address
  * @param rerouted connections refused before anything was sent, and another entry taken
  * @param latency time from the intended start to the end of the answer, in microseconds
  */
@@ -18,6 +20,7 @@
         Map<Told, Long> told,
         Map<String, Told> orders,
         Map<String, Long> reasons,
+        Map<Address, Long> brokenAt,
         long rerouted,
         Histogram latency) {
 
@@ -26,6 +29,7 @@
         told = Map.copyOf(told);
         orders = Map.copyOf(orders);
         reasons = Map.copyOf(reasons);
+        brokenAt = Map.copyOf(brokenAt);
     }
 
     /** Returns how many requests were told this. */
--- a/src/main/java/org/apricotgauge/standin/Trial.java
+++ b/src/main/java/org/apricotgauge/standin/Trial.java
@@ -69,7 +69,8 @@
         try {
             LoadReport fleetReport = fleet.get();
             LoadReport directReport = direct.get();
-            return new TrialResult(fleetReport, directReport, relief, runs(admin));
+            return new TrialResult(
+                    fleetReport, directReport, relief, runs(admin), mSettings.killed());
         } catch (ExecutionException e) {
             throw new IOException("load failed", e);
         }
--- a/src/main/java/org/apricotgauge/standin/TrialCommand.java
+++ b/src/main/java/org/apricotgauge/standin/TrialCommand.java
@@ -48,6 +48,12 @@
                     SettingKinds.decimal("factor", 1, 10_000),
                     4.0,
                     "How many times longer its work then takes.");
+    private static final Setting<List<Address>> KILLED =
+            Setting.withDefault(
+                    "killed-entries",
+                    SettingKinds.addresses(),
+                    List.of(),
+                    "Entries that are killed on the way; only there may connections break.");
     private static final Setting<Integer> RATE =
             Setting.withDefault(
                     "rate",
@@ -88,6 +94,7 @@
      * @param gray target that falls ill
      * @param grayAfterSeconds when it does
      * @param fault what is then wrong with it
+     * @param killed entries that are killed on the way
      * @param log settings of the log
      */
     record Settings(
@@ -97,6 +104,7 @@
             Optional<Address> gray,
             int grayAfterSeconds,
             Fault fault,
+            List<Address> killed,
             LogSettings log) {
 
         static Settings of(SettingValues values) {
@@ -118,6 +126,7 @@
                     values.get(GRAY),
                     values.get(GRAY_AFTER),
                     fault,
+                    values.get(KILLED),
                     LogSettings.of(values));
         }
     }
@@ -128,7 +137,7 @@
         List<Setting<?>> declared = new ArrayList<>();
         declared.addAll(List.of(ENTRIES, TARGETS, DIRECT, GRAY, GRAY_AFTER));
         declared.addAll(List.of(GRAY_ERRORS, GRAY_SLOW, RATE, SECONDS, ORDERS));
-        declared.addAll(List.of(READ_PATH, ORDER_PATH, TIMEOUT));
+        declared.addAll(List.of(READ_PATH, ORDER_PATH, TIMEOUT, KILLED));
         declared.addAll(LogSettings.declared());
         return new Command<>(
                 "apricotgauge-standin trial",
--- a/src/main/java/org/apricotgauge/standin/TrialResult.java
+++ b/src/main/java/org/apricotgauge/standin/TrialResult.java
@@ -1,7 +1,9 @@
 package org.apricotgauge.standin;
 
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import org.apricotgauge.model.Address;
 
 /**
  * What a trial showed, judged against what must always hold.
@@ -10,12 +12,14 @@
  * @param direct load at the targets themselves, or null
  * @param secondsToRelief time until the gray target got no more work, if one fell ill
  * @param runs how often each request ran, over all targets, by the request's id
+ * @param killed entries that were killed on the way
  */
 record TrialResult(
         LoadReport fleet,
         LoadReport direct,
         OptionalDouble secondsToRelief,
-        Map<String, Integer> runs) {
+        Map<String, Integer> runs,
+        List<Address> killed) {
     private static final double P50 = 50.0;
     private static final double P99 = 99.0;
 
@@ -45,6 +49,14 @@
         return fleet.sent() - fleet.told().values().stream().mapToLong(Long::longValue).sum();
     }
 
+    /** Returns connections that broke under a request at entries that were not killed. */
+    long brokenWithoutKill() {
+        return fleet.brokenAt().entrySet().stream()
+                .filter(broken -> !killed.contains(broken.getKey()))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
     /** Returns whether everything that must be zero is zero. */
     boolean isSound() {
         return fleet.count(Told.WRONG) == 0
@@ -52,7 +64,8 @@
                 && ordersRunTwice() == 0
                 && ranThoughToldNot() == 0
                 && answeredThoughNotRun() == 0
-                && untold() == 0;
+                && untold() == 0
+                && brokenWithoutKill() == 0;
     }
 
     private int ranTimes(String id) {
@@ -71,6 +84,7 @@
                 .sorted(Map.Entry.comparingByKey())
                 .forEach(reason -> row(table, "  " + reason.getKey(), reason.getValue()));
         row(table, "connection broke (counted as unknown)", fleet.count(Told.BROKEN));
+        row(table, "connection broke without a kill (must be 0)", brokenWithoutKill());
         row(table, "connections refused, other entry taken", fleet.rerouted());
         row(table, "wrong or mixed answers (must be 0)", fleet.count(Told.WRONG));
         row(table, "requests refused as bad (must be 0)", fleet.count(Told.REFUSED));
