Keep standard error open when the log is configured

Cause: Logback closes an appender's stream when the log is configured anew. Since the default configuration writes to standard error too, every program was mute after Logs.configure: no log, no reason for exiting. Ruled out: dropping the default configuration (Jetty's DEBUG lines on standard output were its cause). Change: the stream outlives its appender; a reason for not starting ends with what the system said. Figures: before, LogsTest.configuringAnewLeavesTheStreamOpen fails, Expecting AtomicBoolean(true) to have value: false and apricotgauge-node at a port in use exits 3 without a line. After, it prints "cannot run: ... Failed to bind to /127.0.0.1:23999 (Address already in use)"; mvn -B verify passes, 304 tests.

--- a/src/main/java/org/apricotgauge/cli/CommandRunner.java
+++ b/src/main/java/org/apricotgauge/cli/CommandRunner.java
@@ -36,11 +36,15 @@
         System.exit(code.code());
     }
 
+    /** Returns the message with that of its root cause, which tells what the system said. */
     private static String reason(Exception e) {
-        Throwable cause = e.getCause();
+        Throwable root = e;
+        while (root.getCause() != null) {
+            root = root.getCause();
+        }
         String message = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
-        boolean saysMore = cause != null && cause.getMessage() != null;
-        String whole = saysMore ? message + " (" + cause.getMessage() + ')' : message;
+        boolean saysMore = root.getMessage() != null && !message.contains(root.getMessage());
+        String whole = saysMore ? message + " (" + root.getMessage() + ')' : message;
         return whole.replaceAll("\\p{Cntrl}+", " ");
     }
 }
--- a/src/main/java/org/apricotgauge/log/Logs.java
+++ b/src/main/java/org/apricotgauge/log/Logs.java
@@ -48,7 +48,7 @@
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
         appender.setContext(context);
         appender.setEncoder(encoder);
-        appender.setOutputStream(stream);
+        appender.setOutputStream(new OpenStream(stream));
         appender.start();
         Level level = Level.valueOf(settings.level().name());
         ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
--- a/src/test/java/org/apricotgauge/log/LogsTest.java
+++ b/src/test/java/org/apricotgauge/log/LogsTest.java
@@ -5,8 +5,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.jboss.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -42,6 +45,27 @@
         assertThat(broken.has("change")).isFalse();
     }
 
+    /**
+     * A second configuration stops the first one's appender, which closes its stream: were that
+     * standard error, the process would be mute from then on, its reason for exiting too.
+     */
+    @Test
+    void configuringAnewLeavesTheStreamOpen() {
+        AtomicBoolean isClosed = new AtomicBoolean();
+        OutputStream stream =
+                new FilterOutputStream(mStream) {
+                    @Override
+                    public void close() {
+                        isClosed.set(true);
+                    }
+                };
+        Logs.configure(new LogSettings(LogFormat.TEXT, LogLevel.INFO), stream);
+
+        Logs.configure(new LogSettings(LogFormat.JSON, LogLevel.INFO), mStream);
+
+        assertThat(isClosed).isFalse();
+    }
+
     @Test
     void textLinesEndWithTheFieldsOfTheChange() {
         Logs.configure(new LogSettings(LogFormat.TEXT, LogLevel.INFO), mStream);
