Refuse a key whose home is not seen instead of running it unremembered

Cause: whether a target has a node beside it is each entry's view of the live VMs, which lags. An entry that saw none beside a key's home ran the request without the memory of the key; another entry that saw it could run it again. Ruled out: another home among the seen ones: two entries with different views would choose different homes. Change: such a key is told "not run" (key-home-unreachable). Where no target of the service has a node there is no memory, and the key runs as before; both are written down. Conclusion: costs availability where some targets of a service stand without a node for good.

--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -37,6 +37,8 @@
  * <p>Each request reads the routing table once and keeps what it read to its end.
  */
 public final class EntryHandler extends Handler.Abstract.NonBlocking {
+    private static final long NO_HOME_RETRY_AFTER_MILLIS = 1_000;
+
     private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 1_000;
 
     private final Supplier<RoutingTable> mTable;
@@ -136,6 +138,17 @@
             return true;
         }
         Optional<Candidate> home = homeOf(routed);
+        if (home.isPresent() && home.get().guard() == null) {
+            // Run without the memory of its home, the key could run once more through an entry
+            // that sees the home.
+            mContext.metrics().notRun().inc();
+            Outcomes.write(
+                    response,
+                    counted,
+                    new Outcome.NotRun(
+                            NotRunReason.KEY_HOME_UNREACHABLE, NO_HOME_RETRY_AFTER_MILLIS));
+            return true;
+        }
         CallerExchange exchange =
                 new CallerExchange(
                         mContext,
@@ -207,19 +220,18 @@
         }
     }
 
-    /** Returns the node that remembers the request's key; nothing if no memory is needed. */
+    /**
+     * Returns the home of the request's key, with or without a node that is seen; nothing if no
+     * memory is needed, or if no target of the service has a node, so that there is no memory.
+     */
     private static Optional<Candidate> homeOf(Routed routed) {
-        if (routed.asked().repeatable() || routed.asked().key().isEmpty()) {
-            return Optional.empty();
-        }
-        List<String> ids = KeyHomes.targetIds(routed.table());
-        if (ids.isEmpty()) {
+        List<Candidate> all = routed.table().all();
+        boolean hasMemory = all.stream().anyMatch(one -> one.guard() != null);
+        if (routed.asked().repeatable() || routed.asked().key().isEmpty() || !hasMemory) {
             return Optional.empty();
         }
-        String home = KeyHome.of(routed.asked().key().get(), ids);
-        return routed.table().all().stream()
-                .filter(one -> one.target().id().equals(home) && one.guard() != null)
-                .findFirst();
+        String home = KeyHome.of(routed.asked().key().get(), KeyHomes.targetIds(routed.table()));
+        return all.stream().filter(one -> one.target().id().equals(home)).findFirst();
     }
 
     private Callback counted(Callback callback) {
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -24,6 +24,8 @@
     STATE_UNCONFIRMED,
     /** The guard of its Idempotency-Key restarted too lately to know whether the key was used. */
     KEY_HISTORY_UNKNOWN,
+    /** The node that would remember its Idempotency-Key is not to be seen from here. */
+    KEY_HOME_UNREACHABLE,
     /** The guard has no room to remember one more attempt or key. */
     LEDGER_FULL
 }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -129,7 +129,8 @@
     }
 
     private Address guardOf(Target target) {
-        return new Address("127.0.0.1", mVms.get(target.vm()).mRelay.port());
+        HopVm vm = mVms.get(target.vm());
+        return vm == null ? null : new Address("127.0.0.1", vm.mRelay.port());
     }
 
     /** Waits until so many connections to guards are open and unused. */
--- a/src/test/java/org/apricotgauge/functional/LimitsTest.java
+++ b/src/test/java/org/apricotgauge/functional/LimitsTest.java
@@ -114,6 +114,22 @@
         assertThat(mTarget.runs()).isEqualTo(1);
     }
 
+    @Test
+    void aKeyWhoseHomeIsNotSeenIsNotRun() throws Exception {
+        // Some callers are told "not run" and to come back. No node is seen beside one of the two
+        // targets, so its keys have no memory here; another entry may see it and run them.
+        mHops.target("t1", "vm-a", mTarget.port(), 3).target("t2", "vm-unseen", mTarget.port(), 3);
+        int ran = 0;
+        for (int i = 0; i < 12; i++) {
+            String answer = ask("vm-b", post("/once/x", "ride", "Idempotency-Key: k" + i));
+            boolean ok = answer.startsWith("HTTP/1.1 200");
+            assertThat(ok || answer.contains("not-run: key-home-unreachable")).isTrue();
+            ran += ok ? 1 : 0;
+        }
+        assertThat(ran).isBetween(1, 11);
+        assertThat(mTarget.runs()).isEqualTo(ran);
+    }
+
     @Test
     void aKeyedRequestForAnEarlierRunOfItsHomeIsNotRun() throws Exception {
         // An entry sends a booking a second time to the key's home. The home restarted, or slept
