--- a/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -127,6 +127,9 @@
     private CompletableFuture<String> ask(
             Address guard, String question, Attempt attempt, long timeoutMillis) {
         CompletableFuture<String> future = new CompletableFuture<>();
+        // A spare connection from before may be as silent as the one that is asked about; a fence
+        // sent over it would go unanswered, and a booking that did not run be told "unknown".
+        HttpClientFactory.dropIdleConnections(mFencing, guard);
         mFencing.newRequest(guard.host(), guard.port())
                 .path("/")
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
