--- a/src/main/java/org/apricotgauge/control/ConfigHistoryFold.java
+++ b/src/main/java/org/apricotgauge/control/ConfigHistoryFold.java
@@ -1,12 +1,12 @@
 package org.apricotgauge.control;
 
-import java.nio.charset.StandardCharsets;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.util.List;
 import org.apricotgauge.config.ConfigHistory;
 import org.apricotgauge.config.FoldResult;
 import org.apricotgauge.config.LogEntry;
 import org.apricotgauge.config.SnapshotAssembler;
-import org.apricotgauge.config.SnapshotChunk;
 import org.apricotgauge.config.SnapshotCodec;
 import org.apricotgauge.decision.gossip.ConfigFold;
 import org.apricotgauge.platform.LogRecord;
@@ -46,18 +46,18 @@
     @Override
     public List<byte[]> encode(ConfigHistory history) {
         return SnapshotCodec.encode(history).stream()
-                .map(chunk -> SnapshotCodec.toJson(chunk).getBytes(StandardCharsets.UTF_8))
+                .map(chunk -> SnapshotCodec.toJson(chunk).getBytes(UTF_8))
                 .toList();
     }
 
     @Override
     public ConfigHistory decode(List<byte[]> chunks) {
-        List<SnapshotChunk> parsed =
-                chunks.stream()
-                        .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
-                        .map(SnapshotCodec::fromJson)
-                        .toList();
-        SnapshotAssembler.Result result = SnapshotCodec.decode(parsed);
+        // One chunk at a time: the parsed form of a whole snapshot is several times its bytes.
+        SnapshotAssembler assembler = new SnapshotAssembler();
+        SnapshotAssembler.Result result = new SnapshotAssembler.Incomplete(0);
+        for (byte[] bytes : chunks) {
+            result = assembler.add(SnapshotCodec.fromJson(new String(bytes, UTF_8)));
+        }
         if (result instanceof SnapshotAssembler.Restored restored) {
             return restored.history();
         }
--- a/src/main/java/org/apricotgauge/control/PlatformReader.java
+++ b/src/main/java/org/apricotgauge/control/PlatformReader.java
@@ -58,6 +58,7 @@
     private long mPeerlessSinceMillis;
     private long mElectedSinceMillis;
     private boolean mLost;
+    private long mWakes;
     private boolean mHeadWanted = true;
     private boolean mVmsWanted = true;
     private boolean mFailed;
@@ -114,6 +115,7 @@
 
     /** The process woke from a pause: one call tells whether the platform has gone on. */
     void onWoke() {
+        mWakes++;
         mHeadWanted = true;
     }
 
@@ -149,7 +151,11 @@
     private void readHead(long nowMillis) {
         if (mHeadWanted && mHead.due(nowMillis)) {
             long from = mNode.position() + 1;
-            call(mHead, () -> mClient.readLog(from, 0, 0), this::onHead);
+            long wakes = mWakes;
+            call(
+                    mHead,
+                    () -> mClient.readLog(from, 0, 0),
+                    (page, now) -> onHead(page, wakes == mWakes));
         }
     }
 
@@ -194,13 +200,14 @@
         return !mHeadWanted && (elected || peerless);
     }
 
-    private boolean onHead(LogPage page, long nowMillis) {
+    private boolean onHead(LogPage page, boolean askedSinceWaking) {
         mPlatformHead = Math.max(mPlatformHead, page.head());
-        mHeadWanted = false;
-        if (mNode.onPublished(page) && page.head() <= mNode.position()) {
+        mHeadWanted = !askedSinceWaking;
+        boolean fresh = mNode.onPublished(page);
+        if (fresh && askedSinceWaking && page.head() <= mNode.position()) {
             mNode.onPlatformConfirmed();
         }
-        return true;
+        return fresh;
     }
 
     private boolean onVms(long since, VmPage page, long nowMillis) {
--- a/src/main/java/org/apricotgauge/decision/gossip/Neighbours.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/Neighbours.java
@@ -114,7 +114,7 @@
         }
         if (chosen != null) {
             dial(chosen, nowMillis);
-        } else if (mContext.links().established().isEmpty()) {
+        } else if (missing() > 0) {
             dialAnybody(nowMillis);
         }
     }
@@ -122,7 +122,7 @@
     private Vm choose(long nowMillis) {
         GossipSettings settings = mContext.settings();
         int missingOther = settings.otherDomainLinks() - countDialled(false);
-        int missing = missingOther + settings.ownDomainLinks() - countDialled(true);
+        int missing = missing();
         Vm chosen = null;
         if (missingOther > 0) {
             chosen = candidate(false, nowMillis);
@@ -136,14 +136,21 @@
         return chosen;
     }
 
+    /**
+     * Looks for nodes beyond those it knows, while it has fewer links than it wants.
+     *
+     * <p>Two nodes that start at once may find only each other. Were one link enough, they would
+     * stay an island for as long as the platform's list does not come.
+     */
     private void dialAnybody(long nowMillis) {
         if (nowMillis < mNextAnybodyMillis) {
             return;
         }
         mNextAnybodyMillis = nowMillis + ANYBODY_MILLIS;
-        Vm anybody = mContext.pick(linkable(nodes()));
+        boolean alone = mContext.links().established().isEmpty();
+        Vm anybody = alone ? mContext.pick(linkable(nodes())) : null;
         Vm hint = mContext.pick(linkable(List.copyOf(mHints.values())));
-        Address seed = mContext.pick(mSeeds);
+        Address seed = mContext.pick(mSeeds.stream().filter(this::notLinked).toList());
         if (hint != null && mContext.random().nextBoolean()) {
             dial(hint, nowMillis);
         } else if (anybody != null && mContext.random().nextBoolean()) {
@@ -155,6 +162,25 @@
         }
     }
 
+    private boolean notLinked(Address seed) {
+        Vm self = mContext.self();
+        boolean own = seed.equals(new Address(self.host(), self.peerPort()));
+        return !own
+                && mContext.links()
+                                .count(
+                                        link ->
+                                                link.mRemote != null
+                                                        && link.mRemote.peerPort() == seed.port()
+                                                        && link.mRemote.host().equals(seed.host()))
+                        == 0;
+    }
+
+    private int missing() {
+        GossipSettings settings = mContext.settings();
+        int wanted = settings.ownDomainLinks() + settings.otherDomainLinks();
+        return wanted - countDialled(true) - countDialled(false);
+    }
+
     private Vm healing(long nowMillis) {
         // In a partition the whole other side ends up suspected. Were it never dialled again, the
         // two sides would stay apart after the partition has healed. The chance keeps the dials
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/gossip/NeighboursTest.java
@@ -0,0 +1,57 @@
+package org.apricotgauge.decision.gossip;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Vm;
+import org.junit.jupiter.api.Test;
+
+class NeighboursTest {
+    private static final Address SEED = new Address("10.0.0.1", 7);
+    private static final long NOW_MILLIS = 1_000_000;
+
+    private final LinkTable mLinks = new LinkTable();
+    private final GossipContext mContext =
+            new GossipContext(
+                    vm("self", "10.0.0.9"),
+                    GossipSettings.DEFAULT,
+                    mLinks,
+                    new SplittableRandom(1),
+                    event -> {});
+    private final List<Address> mDialled = new ArrayList<>();
+    private final Neighbours mNeighbours =
+            new Neighbours(
+                    mContext,
+                    () -> LiveView.EMPTY,
+                    new Liveness(mContext, null, new LocalHealth(), (vm, nowMillis) -> {}),
+                    List.of(SEED),
+                    (vm, address, nowMillis) -> mDialled.add(address));
+
+    private static Vm vm(String id, String host) {
+        return new Vm(id, "d1", host, 1, 1, 7, 1);
+    }
+
+    private void linkFrom(Vm remote) {
+        mLinks.add(new Link(-1, Link.Role.NEIGHBOUR, Link.State.ESTABLISHED, remote, NOW_MILLIS));
+    }
+
+    @Test
+    void aNodeWithOneLinkLooksForMore() {
+        // Caller: two nodes of a thousand serve an old version until the platform is back. All
+        // start at once and the seeds are full for a while; two find each other and nobody else.
+        // Were one link enough, they would look no further and stay an island.
+        linkFrom(vm("other", "10.0.0.2"));
+        mNeighbours.fill(NOW_MILLIS);
+        assertThat(mDialled).containsExactly(SEED);
+    }
+
+    @Test
+    void aSeedThatIsLinkedIsNotDialledAgain() {
+        linkFrom(vm("seed", SEED.host()));
+        mNeighbours.fill(NOW_MILLIS);
+        assertThat(mDialled).isEmpty();
+    }
+}
