--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -49,6 +49,7 @@
     private volatile UpstreamExchange mUpstream;
     private volatile Scheduler.Task mSilence;
     private volatile boolean mHeard;
+    private volatile boolean mGivenUp;
 
     GuardedAttempt(CallerExchange exchange, Candidate candidate) {
         mExchange = exchange;
@@ -108,6 +109,7 @@
                     headers.put(HeaderNames.MEMBER, mExchange.asked().memberId());
                     headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
                     headers.put(HeaderNames.PRIORITY, priority());
+                    mContext.observer().beforeHop(headers);
                 });
         to.body(mExchange.body().open());
         return to;
@@ -126,6 +128,12 @@
         mSilence = mContext.scheduler().schedule(this::silent, millis, TimeUnit.MILLISECONDS);
     }
 
+    @Override
+    public boolean onBegin() {
+        mGivenUp = !mExchange.mayBegin(this);
+        return !mGivenUp;
+    }
+
     @Override
     public void onAcknowledged(HttpFields fields) {
         mHeard = true;
@@ -182,6 +190,10 @@
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
         cancelSilence();
+        if (mGivenUp) {
+            over();
+            return;
+        }
         if (failure.progress() == UpstreamExchange.Progress.NOT_SENT) {
             unreachable();
             return;
@@ -234,11 +246,6 @@
         mExchange.attemptEnded(this, outcome);
     }
 
-    @Override
-    public boolean mayHaveRun() {
-        return mUpstream != null;
-    }
-
     @Override
     public void abandon() {
         cancelSilence();
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -20,8 +20,12 @@
     TARGET_UNREACHABLE,
     /** The target is leaving, or the guard is stopping, and takes no new work. */
     LEAVING,
+    /** The node was paused, and has not yet heard that what it knows is still in force. */
+    STATE_UNCONFIRMED,
     /** The guard of its Idempotency-Key restarted too lately to know whether the key was used. */
     KEY_HISTORY_UNKNOWN,
+    /** The node that would remember its Idempotency-Key is not to be seen from here. */
+    KEY_HOME_UNREACHABLE,
     /** The guard has no room to remember one more attempt or key. */
     LEDGER_FULL
 }
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -22,6 +23,7 @@
 import org.apricotgauge.decision.gossip.GossipItem;
 import org.apricotgauge.decision.gossip.LeavingNotice;
 import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.event.HlcTimestamp;
 import org.apricotgauge.event.NodeStarted;
 import org.apricotgauge.event.StopPhase;
 import org.apricotgauge.event.StopPhaseEntered;
@@ -38,6 +40,7 @@
 import org.apricotgauge.platform.PlatformClient;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 
 /**
@@ -62,6 +65,7 @@
     private final MetricRegistry mRegistry = new MetricRegistry();
     private final long mStartedMillis = System.currentTimeMillis();
     private final NodeEvents mEvents;
+    private final FleetRecorder mFleetRecorder;
     private final OutcomeWindows mWindows = new OutcomeWindows(mTicker, WINDOWS);
     private final NodeHttp mHttp;
     private final ScheduledExecutorService mWorker =
@@ -83,6 +87,8 @@
     private Node(NodeSettings settings) {
         mSettings = settings;
         mEvents = new NodeEvents(settings.vm(), mStartedMillis);
+        mFleetRecorder = new FleetRecorder(mEvents);
+        mRegistry.gauge("clock.readings.refused", () -> mEvents::refusedReadings);
         mHttp = new NodeHttp(settings.vm());
         mState = new RoutingState(settings.vm(), settings.failureDomain(), mTicker);
         mProbes = new ProbeTokens(mTicker, () -> mState.vms().nodes().size());
@@ -102,6 +108,8 @@
         HttpServerFactory servers = mHttp.servers();
         mCallerServer =
                 servers.create(settings.host(), settings.callerPort(), mEntry, mEntry::refused);
+        mCallerServer.addBean(
+                new NetworkConnectionLimit(settings.maxCallerConnections(), mCallerServer));
         mGuardServer = servers.create(settings.host(), settings.guardPort(), mGuard, () -> {});
         NodeStatusSource status =
                 new NodeStatusSource(settings, mStartedMillis, mState, mDetection, mWindows);
@@ -122,6 +130,7 @@
         return new EntryHandler(
                 mState::table,
                 () -> mPhase == NodePhase.STOPPING,
+                this::mayAct,
                 new GuardClient(mHttp.forwarding(), mHttp.fencing(), mTicker),
                 mHttp.targets(),
                 new AttemptIds(mSettings.vm(), incarnation),
@@ -178,18 +187,23 @@
         mControl =
                 ControlPlane.start(
                         control.withSeeds(mSettings.seedPeers()),
-                        new ConfigHistoryFold(),
+                        new ConfigHistoryFold(mFleetRecorder::refused),
                         mPlatform,
                         new FleetListener(),
                         mRegistry);
         mWorker.scheduleWithFixedDelay(
-                guarded(mDetection::tick),
+                guarded(this::tick),
                 DECIDE_EVERY_MILLIS,
                 DECIDE_EVERY_MILLIS,
                 TimeUnit.MILLISECONDS);
         mControl.opened().thenRunAsync(this::open, mWorker);
     }
 
+    private void tick() {
+        mDetection.tick();
+        mFleetRecorder.role(mControl.watcherRole());
+    }
+
     private Vm ownVm() {
         return new Vm(
                 mSettings.vm(),
@@ -237,6 +251,11 @@
         }
     }
 
+    private boolean mayAct() {
+        ControlPlane<ConfigHistory> control = mControl;
+        return control != null && control.mayAct();
+    }
+
     private ConfigHistory currentHistory() {
         ControlPlane<ConfigHistory> control = mControl;
         return control == null ? ConfigHistory.EMPTY : control.currentHistory();
@@ -251,6 +270,7 @@
 
         @Override
         public void onView(LiveView view) {
+            mFleetRecorder.view(view);
             mWorker.execute(guarded(() -> mState.vmsChanged(view)));
         }
 
@@ -267,6 +287,16 @@
                     .ifPresent(digest -> mDetection.heard(evidence.node(), evidence.key(), digest));
         }
 
+        @Override
+        public Optional<HlcTimestamp> clock() {
+            return Optional.of(mEvents.now());
+        }
+
+        @Override
+        public void onClock(HlcTimestamp reading) {
+            mEvents.observe(reading);
+        }
+
         @Override
         public void onBroken(RuntimeException failure) {
             mBroken.complete(failure);
@@ -289,9 +319,10 @@
         return mPhase;
     }
 
-    /** Returns the port at which callers are served, once it is open. */
+    /** Returns the port at which callers are served; the one that was set until it is open. */
     public int callerPort() {
-        return HttpServerFactory.portOf(mCallerServer);
+        int port = HttpServerFactory.portOf(mCallerServer);
+        return port > 0 ? port : mSettings.callerPort();
     }
 
     /** Returns the port at which other nodes are served. */
--- a/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
+++ b/src/test/java/org/apricotgauge/decision/detection/ServiceDetectorTest.java
@@ -46,22 +46,58 @@
         assertThat(rounds).isLessThanOrEqualTo(20);
     }
 
+    /*
+     * A target hangs: it takes requests and answers none. With deadlines of many seconds callers
+     * would wait for all of them; observed as overdue while they run, four are enough.
+     */
+    @Test
+    void ejectsATargetThatHangs() {
+        long overdueMicros = mPool.mDetector.overdueMicros(ObservationEnd.GUARD);
+        assertThat(overdueMicros).isBetween(80_000L, 300_000L);
+        for (int i = 0; i < 4; i++) {
+            mPool.mNowMillis += 100;
+            for (String id : mPool.mIds) {
+                if (!id.equals("t3")) {
+                    mPool.observe(id, ObservationEnd.GUARD, mPool.healthyMicros());
+                }
+            }
+            mPool.mDetector.observe(
+                    new Observation(
+                            "t3",
+                            ObservationEnd.GUARD,
+                            ObservedOutcome.OVERDUE,
+                            overdueMicros,
+                            mPool.mNowMillis,
+                            Observation.NO_KEY));
+            mPool.decide();
+        }
+        assertThat(mPool.mVerdicts.isEligible("t3")).isFalse();
+    }
+
     /*
      * A partial fault: one member's requests, every fourth here, fail on one target alone. Most of
      * its answers are good, so there are never five errors in a row.
      */
     @Test
     void ejectsATargetThatFailsOneMember() {
-        int[] request = {0};
-        int rounds =
-                mPool.roundsToEjection(
-                        "t3",
-                        60,
-                        id ->
-                                id.equals("t3") && ++request[0] % 4 == 0
-                                        ? FAILS
-                                        : mPool.healthyMicros());
-        assertThat(rounds).isLessThanOrEqualTo(40);
+        int round = 0;
+        while (mPool.mVerdicts.isEligible("t3") && round < 60) {
+            round++;
+            mPool.healthy(1);
+            if (round % 3 == 0) {
+                mPool.mDetector.observe(
+                        new Observation(
+                                "t3",
+                                ObservationEnd.GUARD,
+                                ObservedOutcome.TARGET_ERROR,
+                                5_000,
+                                mPool.mNowMillis,
+                                77));
+            }
+        }
+        assertThat(round).isLessThanOrEqualTo(40);
+        assertThat(mPool.mVerdicts.byTarget().get("t3").evidence())
+                .contains("one route and member");
     }
 
     /*
@@ -77,6 +113,20 @@
         }
     }
 
+    /*
+     * An overload begins, and by chance one target's slow answers come first. Its fellows are as
+     * slow, but their answers are still on the way; until they come, nobody is ejected.
+     */
+    @Test
+    void waitsForTheFellowsAnswers() {
+        for (int i = 0; i < 6; i++) {
+            mPool.mNowMillis += 20;
+            mPool.observe("t3", ObservationEnd.GUARD, 5 * mPool.healthyMicros());
+            mPool.decide();
+            assertThat(mPool.allEligible()).isTrue();
+        }
+    }
+
     /*
      * A failure domain of three targets slows down. They may be ejected as far as the floor lets,
      * but no target of another domain may.
@@ -84,7 +134,7 @@
     @Test
     void ejectsNobodyOutsideASlowFailureDomain() {
         List<String> domain = List.of("t0", "t3", "t6");
-        for (int round = 0; round < 100; round++) {
+        for (int round = 0; round < 15; round++) {
             mPool.rounds(
                     1,
                     ObservationEnd.GUARD,
@@ -121,8 +171,10 @@
                 50, ObservationEnd.GUARD, id -> mPool.healthyMicros() * (id.equals("t3") ? 20 : 1));
         assertThat(mPool.mVerdicts.isEligible("t3")).isTrue();
         mPool.mPresence[3] = TargetPresence.PRESENT;
-        mPool.healthy(100);
-        assertThat(mPool.allEligible()).isTrue();
+        for (int round = 0; round < 100; round++) {
+            mPool.healthy(1);
+            assertThat(mPool.allEligible()).isTrue();
+        }
     }
 
     /*
@@ -146,9 +198,49 @@
         assertThat(verdict.scope()).isEqualTo(VerdictScope.PATH);
     }
 
+    /*
+     * A sick entry sees one target fail and tells the others. The target has no guard, so that they
+     * have no better witness; still, one entry may be wrong about its path. With a second and a
+     * third entry that see the same, the target is ejected.
+     */
+    @Test
+    void ejectsForAnotherEntryOnlyByQuorum() {
+        DetectorHarness other = new DetectorHarness(9, 3, 60);
+        ServiceDetector[] entries = new ServiceDetector[3];
+        for (int i = 0; i < entries.length; i++) {
+            entries[i] = new DetectorHarness(9, 3, 60).mDetector;
+        }
+        for (int round = 0; round < 120; round++) {
+            other.mNowMillis += 100;
+            int sick = round < 60 ? 0 : round < 90 ? 1 : entries.length;
+            for (int i = 0; i < entries.length; i++) {
+                observeAll(entries[i], other, i < sick);
+                other.mDetector.mergeRemote("e" + i, entries[i].digest(), other.mNowMillis);
+            }
+            other.decide();
+            assertThat(other.allEligible() || round >= 90).as("round %d", round).isTrue();
+        }
+        assertThat(other.mVerdicts.isEligible("t3")).isFalse();
+    }
+
+    private static void observeAll(ServiceDetector entry, DetectorHarness pool, boolean isSick) {
+        for (String id : pool.mIds) {
+            boolean isFailing = isSick && id.equals("t3");
+            entry.observe(
+                    new Observation(
+                            id,
+                            ObservationEnd.ENTRY,
+                            isFailing ? ObservedOutcome.TARGET_ERROR : ObservedOutcome.SUCCESS,
+                            pool.healthyMicros(),
+                            pool.mNowMillis,
+                            Observation.NO_KEY));
+        }
+    }
+
     /*
      * Guards tell a node that serves no request itself what they see, by digests that come late,
-     * twice and out of order. It ejects the failing target all the same, and counts nothing twice.
+     * twice and out of order. It ejects the failing target all the same, and counts nothing twice:
+     * that takes four failed requests.
      */
     @Test
     void learnsFromTheGuardsDigests() {
@@ -167,7 +259,7 @@
             other.mDetector.mergeRemote("guard", last, other.mNowMillis);
             other.decide();
             last = digest;
-            assertThat(other.mVerdicts.isEligible("t3") || isSick).isTrue();
+            assertThat(other.mVerdicts.isEligible("t3") || round >= 53).isTrue();
         }
         assertThat(other.mVerdicts.isEligible("t3")).isFalse();
     }
--- a/src/test/java/org/apricotgauge/functional/LimitsTest.java
+++ b/src/test/java/org/apricotgauge/functional/LimitsTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import org.apricotgauge.bench.LocalFleet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -66,7 +67,7 @@
         // The only slot is taken by a request that lasts; the second one's time is too short.
         mHops.target("t", "vm-b", mTarget.port(), 1);
         CompletableFuture<String> first = async("vm-a", post("/once/wait", ""));
-        Fleet.await(() -> mTarget.runs() == 1);
+        LocalFleet.await(() -> mTarget.runs() == 1);
 
         String answer = ask("vm-a", post("/once", "", "Apricotgauge-Timeout-Millis: 300"));
 
@@ -92,7 +93,7 @@
         mHops.target("t1", "vm-a", mTarget.port(), 3).target("t2", "vm-b", mTarget.port(), 3);
         String booking = post("/once/wait", "ride", "Idempotency-Key: \"k1\"");
         CompletableFuture<String> first = async("vm-a", booking);
-        Fleet.await(() -> mTarget.runs() == 1);
+        LocalFleet.await(() -> mTarget.runs() == 1);
 
         assertThat(ask("vm-b", booking)).startsWith("HTTP/1.1 409").contains("Retry-After: ");
 
@@ -113,13 +114,50 @@
         assertThat(mTarget.runs()).isEqualTo(1);
     }
 
+    @Test
+    void aKeyWhoseHomeIsNotSeenIsNotRun() throws Exception {
+        // Some callers are told "not run" and to come back. No node is seen beside one of the two
+        // targets, so its keys have no memory here; another entry may see it and run them.
+        mHops.target("t1", "vm-a", mTarget.port(), 3).target("t2", "vm-unseen", mTarget.port(), 3);
+        int ran = 0;
+        for (int i = 0; i < 12; i++) {
+            String answer = ask("vm-b", post("/once/x", "ride", "Idempotency-Key: k" + i));
+            boolean ok = answer.startsWith("HTTP/1.1 200");
+            assertThat(ok || answer.contains("not-run: key-home-unreachable")).isTrue();
+            ran += ok ? 1 : 0;
+        }
+        assertThat(ran).isBetween(1, 11);
+        assertThat(mTarget.runs()).isEqualTo(ran);
+    }
+
+    @Test
+    void aKeyedRequestForAnEarlierRunOfItsHomeIsNotRun() throws Exception {
+        // An entry sends a booking a second time to the key's home. The home restarted, or slept
+        // for longer than it remembers keys; it can't know the first try, so it must not run this.
+        mHops.target("t", "vm-b", mTarget.port(), 3);
+        String keyed =
+                post(
+                        "/once",
+                        "ride",
+                        "Idempotency-Key: k3",
+                        "Apricotgauge-Control: keyed",
+                        "Apricotgauge-Attempt: vm-a:1:0;dead;0");
+        try (RawCaller entry = new RawCaller(mHops.vm("vm-b").relay().port())) {
+            assertThat(entry.send(keyed).readAll())
+                    .startsWith("HTTP/1.1 503")
+                    .contains("Apricotgauge-Outcome: not-run")
+                    .contains("guard-restarted");
+        }
+        assertThat(mTarget.runs()).isZero();
+    }
+
     @Test
     void aLeavingGuardFinishesWhatItHasAndRefusesTheRestAsNotRun() throws Exception {
         // The first caller's request, in flight when the stop begins, is answered whole; the second
         // is told "not run", and is not run.
         mHops.target("t", "vm-b", mTarget.port(), 3);
         CompletableFuture<String> first = async("vm-a", post("/once/wait", ""));
-        Fleet.await(() -> mTarget.runs() == 1);
+        LocalFleet.await(() -> mTarget.runs() == 1);
 
         mHops.vm("vm-b").guard().leave();
 
--- a/src/test/java/org/apricotgauge/functional/SilentPathTest.java
+++ b/src/test/java/org/apricotgauge/functional/SilentPathTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.locks.LockSupport;
+import org.apricotgauge.bench.LocalFleet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -48,6 +49,8 @@
         for (CompletableFuture<String> answer : first) {
             assertThat(answer.get()).endsWith("ok");
         }
+        // Back in the pool: a request sent earlier would open a connection that is not silent.
+        mHops.awaitIdleToGuards(FIRST);
     }
 
     @AfterEach
@@ -86,15 +89,15 @@
 
         mHops.vm("vm-b").relay().release();
 
-        Fleet.await(() -> mHops.vm("vm-b").count("guard.not_run") > refusedBefore);
+        LocalFleet.await(() -> mHops.vm("vm-b").count("guard.not_run") > refusedBefore);
         assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
         assertThat(mHops.vm("vm-a").count("entry.fences")).isEqualTo(1);
     }
 
     @Test
     void aBookingWhoseAnswerIsLostIsUnknownAndRunsOnce() throws Exception {
-        // The caller is told "unknown" at its deadline, and the booking ran once. The request
-        // arrives and the way back is silent; the guard says "started", so it is not sent again.
+        // The caller is told "unknown" at once, and the booking ran once. The request arrives and
+        // the way back is silent; the guard says that it has run, so it is not sent again.
         mHops.vm("vm-b").relay().silence(Relay.Way.BACK);
         String answer =
                 ask("POST", "/once", "Content-Length: 0", "Apricotgauge-Timeout-Millis: 3000");
@@ -102,6 +105,17 @@
         assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
     }
 
+    @Test
+    void aBookingThatRunsBehindASilentPathIsUnknownAtItsDeadline() throws Exception {
+        // The caller is told "unknown" when its time is over. The request arrives and the way back
+        // is silent; the guard says that it runs, so the entry waits for an answer that can't come.
+        mHops.vm("vm-b").relay().silence(Relay.Way.BACK);
+        String answer =
+                ask("POST", "/once/wait", "Content-Length: 0", "Apricotgauge-Timeout-Millis: 2000");
+        assertThat(answer).startsWith("HTTP/1.1 504").contains("Apricotgauge-Outcome: unknown");
+        assertThat(mTarget.runs()).isEqualTo(FIRST + 1);
+    }
+
     @Test
     void aLookupWhoseAnswerIsLostIsAskedAgain() throws Exception {
         // The caller gets its answer long before its deadline. The way back is silent; the request
@@ -117,7 +131,8 @@
         Thread later =
                 new Thread(
                         () -> {
-                            Fleet.await(() -> mHops.vm("vm-a").count("entry.requests") > FIRST);
+                            LocalFleet.await(
+                                    () -> mHops.vm("vm-a").count("entry.requests") > FIRST);
                             LockSupport.parkNanos(1_500_000_000L);
                             mGo.countDown();
                         });
@@ -134,7 +149,7 @@
         Thread killer =
                 new Thread(
                         () -> {
-                            Fleet.await(() -> mTarget.runs() == FIRST + 1);
+                            LocalFleet.await(() -> mTarget.runs() == FIRST + 1);
                             try {
                                 mHops.vm("vm-b").relay().cut();
                             } catch (IOException e) {
