Let the older routing system serve its share

Cause: fleetSharePercent was ignored; every request went to the fleet. Change: a bucket by hash of the request key decides; the older system's share is forwarded as it came, its answer passes as it is. A repeatable request that it takes no connection for goes to the fleet; any other is told "not run".

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -20,6 +20,8 @@
 import org.apricotgauge.http.Outcomes;
 import org.apricotgauge.http.ReplayableBody;
 import org.apricotgauge.http.WatchedSource;
+import org.apricotgauge.model.Service;
+import org.apricotgauge.predecessor.SharePolicy;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -51,6 +53,7 @@
     private final Set<String> mTried = new HashSet<>();
     private Progress mProgress;
     private Candidate mHome;
+    private volatile boolean mAtPredecessor;
     private TargetAttempt mCurrent;
     private boolean mCurrentBegun;
     private Attempt mAtHome;
@@ -86,7 +89,12 @@
     }
 
     void start() {
-        mBudget.onRequest();
+        mAtPredecessor = mHome == null && isPredecessors();
+        if (mAtPredecessor) {
+            mContext.metrics().predecessorRequests().inc();
+        } else {
+            mBudget.onRequest();
+        }
         mDeadline =
                 mContext.scheduler()
                         .schedule(
@@ -97,6 +105,21 @@
         next();
     }
 
+    private boolean isPredecessors() {
+        Service service = mTable.service();
+        int bucket =
+                mAsked.key()
+                        .map(SharePolicy::bucketOf)
+                        .orElseGet(
+                                () ->
+                                        SharePolicy.bucketOf(
+                                                service.id(),
+                                                mAsked.memberId(),
+                                                Request.getServerName(mRequest),
+                                                mRequest.getHttpURI().getPathQuery()));
+        return !SharePolicy.isFleets(bucket, service.fleetSharePercent());
+    }
+
     EntryContext context() {
         return mContext;
     }
@@ -144,6 +167,10 @@
             send(new KeyedAttempt(this, mHome, mAsked.key().orElseThrow()));
             return;
         }
+        if (mAtPredecessor) {
+            send(new PredecessorAttempt(this, mTable.service().predecessor()));
+            return;
+        }
         Optional<Candidate> choice = choose();
         if (choice.isEmpty()) {
             endWithoutTarget();
@@ -223,6 +250,35 @@
                                 NotRunReason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_MILLIS));
     }
 
+    /**
+     * Takes the end of an attempt at the older system that brought no answer.
+     *
+     * @param notSent whether no byte of it was written
+     */
+    void predecessorFailed(TargetAttempt attempt, boolean notSent) {
+        boolean fleetServes = notSent && mAsked.repeatable() && mBody.canReplay();
+        synchronized (this) {
+            if (mEnded || attempt != mCurrent) {
+                return;
+            }
+            mCurrent = null;
+            mAtPredecessor = !fleetServes;
+        }
+        if (fleetServes) {
+            mContext.metrics().predecessorFallbacks().inc();
+            mBudget.onRequest();
+            next();
+            return;
+        }
+        // The fleet must not take a booking that the older system may have run for an earlier
+        // submission: it would be booked twice. Not run is proven for this submission only.
+        finish(
+                notSent
+                        ? new Outcome.NotRun(
+                                NotRunReason.PREDECESSOR_UNREACHABLE, NO_TARGET_RETRY_AFTER_MILLIS)
+                        : new Outcome.Unknown(UnknownReason.NO_GUARD));
+    }
+
     /** Takes the end of an attempt that brought no answer of the target. */
     void attemptEnded(TargetAttempt attempt, Outcome outcome) {
         RetryDecision decision;
@@ -267,7 +323,8 @@
                 return;
             }
             mProgress = mProgress.after(outcome);
-            again = !(decide() instanceof RetryDecision.Finish);
+            // What the older system serves only it retries; with both, retries would multiply.
+            again = !mAtPredecessor && !(decide() instanceof RetryDecision.Finish);
             if (again) {
                 mCurrent = null;
             } else {
--- a/src/main/java/org/apricotgauge/caller/EntryMetrics.java
+++ b/src/main/java/org/apricotgauge/caller/EntryMetrics.java
@@ -16,6 +16,8 @@
     private final Counter mMismatched;
     private final Counter mBadRequests;
     private final Counter mBrokenAnswers;
+    private final Counter mPredecessorRequests;
+    private final Counter mPredecessorFallbacks;
     private final Timer mTotal;
 
     EntryMetrics(MetricRegistry registry) {
@@ -29,6 +31,8 @@
         mMismatched = registry.counter("entry.mismatched_answers");
         mBadRequests = registry.counter("entry.bad_requests");
         mBrokenAnswers = registry.counter("entry.broken_answers");
+        mPredecessorRequests = registry.counter("entry.predecessor_requests");
+        mPredecessorFallbacks = registry.counter("entry.predecessor_fallbacks");
         mTotal = registry.timer("entry.total_time");
     }
 
@@ -72,6 +76,16 @@
         return mBrokenAnswers;
     }
 
+    /** Requests that were for the older system, whatever became of them. */
+    Counter predecessorRequests() {
+        return mPredecessorRequests;
+    }
+
+    /** Those of them that the fleet served, since the older system took no connection. */
+    Counter predecessorFallbacks() {
+        return mPredecessorFallbacks;
+    }
+
     Timer total() {
         return mTotal;
     }
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -18,6 +18,8 @@
     GUARD_RESTARTED,
     /** The guard could not connect to the target. */
     TARGET_UNREACHABLE,
+    /** The older routing system, whose share it falls into, took no connection. */
+    PREDECESSOR_UNREACHABLE,
     /** The target is leaving, or the guard is stopping, and takes no new work. */
     LEAVING,
     /** The node was paused, and has not yet heard that what it knows is still in force. */
--- a/src/main/java/org/apricotgauge/standin/LoadGenerator.java
+++ b/src/main/java/org/apricotgauge/standin/LoadGenerator.java
@@ -154,13 +154,18 @@
             mBody = order ? AnswerBody.of(id, ORDER_BYTES) : new byte[0];
         }
 
+        private String path() {
+            String path = mOrder ? mPlan.orderPath() : mPlan.readPath();
+            return path.replace(LoadPlan.ID, mId);
+        }
+
         private void sendTo(int entry, int refused) {
             List<Address> entries = mPlan.entries();
             Address address = entries.get(entry % entries.size());
             Request request =
                     mClient.newRequest(address.host(), address.port())
                             .method(mOrder ? HttpMethod.POST : HttpMethod.GET)
-                            .path(mOrder ? mPlan.orderPath() : mPlan.readPath())
+                            .path(path())
                             .timeout(mPlan.timeoutMillis(), TimeUnit.MILLISECONDS)
                             .headers(
                                     headers -> {
--- a/src/main/java/org/apricotgauge/standin/LoadPlan.java
+++ b/src/main/java/org/apricotgauge/standin/LoadPlan.java
@@ -25,6 +25,9 @@
         String orderPath,
         int answerBytes,
         long timeoutMillis) {
+    /** Stands for the request's id in a path, so that paths differ. */
+    public static final String ID = "{id}";
+
     private static final int MAX_RATE = 200_000;
     private static final int MAX_SECONDS = 3_600;
     private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
