Remember keys of the older system's share at their home, too; test the move

Cause: a key that ran at the older system would run at the fleet again once its bucket moves. Change: the key's home decides the side and remembers the key whichever side runs it.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -89,7 +89,7 @@
     }
 
     void start() {
-        mAtPredecessor = mHome == null && isPredecessors();
+        mAtPredecessor = mHome == null && isPredecessors(mTable.service(), mAsked, mRequest);
         if (mAtPredecessor) {
             mContext.metrics().predecessorRequests().inc();
         } else {
@@ -105,18 +105,18 @@
         next();
     }
 
-    private boolean isPredecessors() {
-        Service service = mTable.service();
+    /** Returns whether the older system serves a request. */
+    static boolean isPredecessors(Service service, CallerRequest asked, Request request) {
         int bucket =
-                mAsked.key()
+                asked.key()
                         .map(SharePolicy::bucketOf)
                         .orElseGet(
                                 () ->
                                         SharePolicy.bucketOf(
                                                 service.id(),
-                                                mAsked.memberId(),
-                                                Request.getServerName(mRequest),
-                                                mRequest.getHttpURI().getPathQuery()));
+                                                asked.memberId(),
+                                                Request.getServerName(request),
+                                                request.getHttpURI().getPathQuery()));
         return !SharePolicy.isFleets(bucket, service.fleetSharePercent());
     }
 
--- a/src/main/java/org/apricotgauge/caller/KeyedRequests.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedRequests.java
@@ -31,6 +31,7 @@
     private static final int RETRY_AFTER_SECONDS = 1;
 
     private final EntryContext mContext;
+    private final KeyLimits.NewHomePolicy mNewHomePolicy;
     private final IdempotencyLedger mLedger;
     private final KeyHomes mHomes;
 
@@ -43,21 +44,37 @@
 
     KeyedRequests(EntryContext context, KeyLimits limits) {
         mContext = context;
+        mNewHomePolicy = limits.newHomePolicy();
         mLedger = new IdempotencyLedger(limits, context.ticker().millis());
         mHomes = new KeyHomes(limits.retentionMillis());
     }
 
-    /** Decides on a submission that this node is the home of. */
+    /**
+     * Decides on a submission that this node is the home of.
+     *
+     * <p>One for the older system is remembered as well, so that the key does not run at the fleet
+     * too once its bucket has moved. It is never refused for want of memory: what ran before this
+     * node remembered ran over there, and the older system answers for it as it always did.
+     *
+     * @param predecessors whether the older system serves it
+     */
     void handle(
             IdempotencyKey key,
             ServiceTable table,
+            boolean predecessors,
             Request request,
             Response response,
             Callback callback,
             Runner runner) {
         long nowMillis = mContext.ticker().millis();
         long sinceMillis = mHomes.homeSinceMillis(key, table, nowMillis);
-        KeyVerdict verdict = mLedger.begin(key, fingerprint(request), sinceMillis, nowMillis);
+        KeyVerdict verdict =
+                mLedger.begin(
+                        key,
+                        fingerprint(request),
+                        sinceMillis,
+                        nowMillis,
+                        predecessors ? KeyLimits.NewHomePolicy.RUN : mNewHomePolicy);
         if (verdict instanceof KeyVerdict.Run) {
             acknowledge(response, () -> run(key, request, response, callback, runner));
         } else if (verdict instanceof KeyVerdict.Done done) {
--- a/src/main/java/org/apricotgauge/decision/attempt/IdempotencyLedger.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/IdempotencyLedger.java
@@ -65,6 +65,16 @@
      */
     public synchronized KeyVerdict begin(
             IdempotencyKey key, long fingerprint, long homeSinceMillis, long nowMillis) {
+        return begin(key, fingerprint, homeSinceMillis, nowMillis, mLimits.newHomePolicy());
+    }
+
+    /** Decides on a submission as the other form does, with a policy for this one submission. */
+    public synchronized KeyVerdict begin(
+            IdempotencyKey key,
+            long fingerprint,
+            long homeSinceMillis,
+            long nowMillis,
+            KeyLimits.NewHomePolicy newHomePolicy) {
         advance(nowMillis);
         Entry known = mEntries.get(key);
         if (known != null) {
@@ -74,8 +84,7 @@
         // it would book twice; refusing costs this key's share of traffic for the retention.
         long knowsFromMillis =
                 Math.max(mStartedAtMillis, homeSinceMillis) + mLimits.retentionMillis();
-        if (mLimits.newHomePolicy() == KeyLimits.NewHomePolicy.REFUSE
-                && mNowMillis < knowsFromMillis) {
+        if (newHomePolicy == KeyLimits.NewHomePolicy.REFUSE && mNowMillis < knowsFromMillis) {
             return new KeyVerdict.HistoryUnknown(knowsFromMillis - mNowMillis);
         }
         if (mEntries.size() >= mLimits.maxKeys()) {
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -120,6 +120,17 @@
         return this;
     }
 
+    /** Gives the fleet a share of the service; the older system at the port has the rest. */
+    Hops share(int percent, int olderPort) {
+        mConfiguration =
+                mConfiguration.withService(
+                        mConfiguration
+                                .service(SERVICE)
+                                .withPredecessor(new Address("127.0.0.1", olderPort))
+                                .withFleetSharePercent(percent));
+        return this;
+    }
+
     /** Builds the table anew for each reading; tests change the site between requests only. */
     private RoutingTable table(String entryVm) {
         RoutingTableFactory.View view =
--- /dev/null
+++ b/src/test/java/org/apricotgauge/functional/MovingInTest.java
@@ -0,0 +1,138 @@
+package org.apricotgauge.functional;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apricotgauge.bench.LocalFleet;
+import org.apricotgauge.config.PatchOperation;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.node.Node;
+import org.apricotgauge.standin.Fault;
+import org.apricotgauge.standin.LoadGenerator;
+import org.apricotgauge.standin.LoadPlan;
+import org.apricotgauge.standin.LoadReport;
+import org.apricotgauge.standin.PredecessorStandin;
+import org.apricotgauge.standin.TargetStandin;
+import org.apricotgauge.standin.Told;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The whole move from the older system to the fleet, with whole nodes under load. */
+class MovingInTest {
+    private static final int RATE_PER_SECOND = 80;
+    private static final int SECONDS = 1;
+    private static final int SENT = RATE_PER_SECOND * SECONDS;
+
+    private final List<TargetStandin> mTargets = new ArrayList<>();
+    private final Map<String, Told> mOrders = new TreeMap<>();
+    private LocalFleet mFleet;
+    private PredecessorStandin mOlder;
+    private List<Address> mEntries;
+
+    @BeforeEach
+    void start() throws IOException {
+        mFleet = new LocalFleet();
+        List<Node> nodes = new ArrayList<>();
+        for (String vm : List.of("vm-a", "vm-b")) {
+            nodes.add(mFleet.startNode(vm));
+            TargetStandin target =
+                    TargetStandin.start(
+                            new TargetStandin.Settings("t-" + vm, "127.0.0.1", 0, 200, 2_000, 7));
+            mTargets.add(target);
+            mFleet.putTarget("t-" + vm, vm, target.port(), 100);
+        }
+        mFleet.settle();
+        mEntries = nodes.stream().map(node -> new Address("127.0.0.1", node.callerPort())).toList();
+        mOlder =
+                PredecessorStandin.start(
+                        "127.0.0.1",
+                        0,
+                        mTargets.stream()
+                                .map(target -> new Address("127.0.0.1", target.port()))
+                                .toList());
+        mFleet.publish(
+                new PatchOperation.SetPredecessor(
+                        LocalFleet.SERVICE, new Address("127.0.0.1", mOlder.port())),
+                new PatchOperation.SetFleetShare(LocalFleet.SERVICE, 0));
+        mFleet.settle();
+    }
+
+    @AfterEach
+    void stop() {
+        mFleet.close();
+        mOlder.close();
+        mTargets.forEach(TargetStandin::close);
+    }
+
+    /** Sends a load whose requests all differ in their paths; the share moves meanwhile. */
+    private int serve(String name, Integer newSharePercent) throws InterruptedException {
+        int before = mOlder.served();
+        LoadPlan plan =
+                new LoadPlan(
+                        mEntries,
+                        RATE_PER_SECOND,
+                        SECONDS,
+                        50,
+                        "/read/" + LoadPlan.ID,
+                        "/once/" + LoadPlan.ID,
+                        500,
+                        20_000);
+        if (newSharePercent != null) {
+            mFleet.publish(new PatchOperation.SetFleetShare(LocalFleet.SERVICE, newSharePercent));
+        }
+        LoadReport report = new LoadGenerator(name, plan, 7).run();
+        mFleet.settle();
+        assertThat(report.sent()).isEqualTo(SENT);
+        assertThat(report.count(Told.ANSWERED)).as("%s", report.told()).isEqualTo(SENT);
+        mOrders.putAll(report.orders());
+        return mOlder.served() - before;
+    }
+
+    @Test
+    void theWholeMoveIsNotSeenByCallers() throws Exception {
+        // Callers send reads and bookings at 0, 1, 50 and 100 percent, while the share moves, one
+        // step back, and after the older system was switched off; one target is slow all the time.
+        // Every answer is whole and right, and every booking has run exactly once.
+        mTargets.get(0).setFault(new Fault(0, 0, 3.0, 0, 0));
+        assertThat(serve("at0", null)).isEqualTo(SENT);
+        serve("to1", 1);
+        serve("to50", 50);
+        assertThat(serve("at50", null)).isBetween(1, SENT - 1);
+        serve("to100", 100);
+        assertThat(serve("at100", null)).isZero();
+        serve("backTo50", 50);
+        assertThat(serve("backAt50", null)).isBetween(1, SENT - 1);
+        serve("again100", 100);
+        mOlder.close();
+        serve("off", null);
+        mFleet.publish(new PatchOperation.SetPredecessor(LocalFleet.SERVICE, null));
+        mFleet.settle();
+        serve("gone", null);
+
+        assertThat(runsOfOrders()).isEqualTo(expectedOnce());
+    }
+
+    private Map<String, Integer> expectedOnce() {
+        Map<String, Integer> once = new TreeMap<>();
+        mOrders.keySet().forEach(id -> once.put(id, 1));
+        return once;
+    }
+
+    private Map<String, Integer> runsOfOrders() {
+        Map<String, Integer> runs = new TreeMap<>();
+        for (TargetStandin target : mTargets) {
+            for (String line : target.runs().lines().toList()) {
+                String[] parts = line.split(" ");
+                if (mOrders.containsKey(parts[0])) {
+                    runs.merge(parts[0], Integer.parseInt(parts[1]), Integer::sum);
+                }
+            }
+        }
+        return runs;
+    }
+}
