--- a/src/main/java/org/apricotgauge/caller/KeyedRequests.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedRequests.java
@@ -13,7 +13,6 @@
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.Outcomes;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
@@ -76,7 +75,7 @@
                         nowMillis,
                         predecessors ? KeyLimits.NewHomePolicy.RUN : mNewHomePolicy);
         if (verdict instanceof KeyVerdict.Run) {
-            acknowledge(response, () -> run(key, request, response, callback, runner));
+            run(key, request, response, callback, runner);
         } else if (verdict instanceof KeyVerdict.Done done) {
             replay(done.answer(), response, callback);
         } else {
@@ -84,29 +83,27 @@
         }
     }
 
-    private static void acknowledge(Response response, Runnable then) {
-        response.writeInterim(HttpStatus.PROCESSING_102, HttpFields.EMPTY)
-                .whenComplete((written, failure) -> then.run());
-    }
-
     private void run(
             IdempotencyKey key,
             Request request,
             Response response,
             Callback callback,
             Runner runner) {
-        AnswerKeeper keeper = new AnswerKeeper(request, response, KEPT_BODY_BYTES);
-        runner.run(
-                keeper,
+        AnswerKeeper keeper =
+                new AnswerKeeper(request, response, KEPT_BODY_BYTES, mContext.scheduler());
+        Callback ended =
                 Callback.from(
                         () -> {
+                            keeper.stopHeartbeat();
                             ended(key, keeper);
                             callback.succeeded();
                         },
                         cause -> {
+                            keeper.stopHeartbeat();
                             mLedger.uncertain(key, mContext.ticker().millis());
                             callback.failed(cause);
-                        }));
+                        });
+        keeper.acknowledge().whenComplete((written, failure) -> runner.run(keeper, ended));
     }
 
     private void ended(IdempotencyKey key, AnswerKeeper keeper) {
