--- a/src/test/java/org/apricotgauge/functional/PredecessorTest.java
+++ b/src/test/java/org/apricotgauge/functional/PredecessorTest.java
@@ -82,6 +82,7 @@
     @Test
     void aBrokenConnectionOfTheOlderSystemIsUnknown() throws Exception {
         // The older system takes the request and breaks off. It may have run it, or be running it.
+        // Nobody sends it again, the key's home and the entry that asks it included.
         try (RawTarget older = RawTarget.start((head, body, out) -> false)) {
             mHops.share(0, older.port());
 
@@ -89,6 +90,11 @@
                     .startsWith("HTTP/1.1 504")
                     .contains("Apricotgauge-Outcome: unknown");
             assertThat(older.runs()).isEqualTo(1);
+            assertThat(ask("a", "POST", "/once", "Content-Length: 0", "Idempotency-Key: k-2"))
+                    .startsWith("HTTP/1.1 504");
+            assertThat(older.runs()).isEqualTo(2);
+            assertThat(ask("a", "GET", "/x")).startsWith("HTTP/1.1 504");
+            assertThat(older.runs()).isEqualTo(3);
             assertThat(mTarget.runs()).isZero();
         }
     }
