Observe hangs while they last; keep evidence when odds change; speak less

Cause: a target that hangs was seen only at its requests' deadlines; a change of floor or odds threw the evidence away; a target that is out could use more than the fleet's evidence bound of 512 bytes a second with ten VMs like it. Ruled out: shorter deadlines. Change: OVERDUE observed at the guard once a request runs past twice the time that 999 in 1,000 keep; ServiceDetector.update; EvidencePublisher every 3 s and only with something new; key retention checked against attempt lifetimes. Detection of hangs on real sockets not measured.

--- a/src/main/java/org/apricotgauge/node/DetectionService.java
+++ b/src/main/java/org/apricotgauge/node/DetectionService.java
@@ -93,6 +93,12 @@
         }
     }
 
+    /** Returns after which service time a request at a target of this VM counts as overdue. */
+    long overdueMicros(Target target) {
+        Entry entry = mDetectors.get(target.service());
+        return entry == null ? Long.MAX_VALUE : entry.mDetector.overdueMicros(ObservationEnd.GUARD);
+    }
+
     /** Takes in the evidence that another node's guard gave with an answer, or by gossip. */
     void heard(String vm, String serviceId, EvidenceDigest digest) {
         Service service = mState.table().configuration().service(serviceId);
@@ -169,18 +175,7 @@
     private ServiceDetector detectorOf(Service service, boolean news) {
         Entry entry = mDetectors.get(service.id());
         if (entry == null || entry.mService != service) {
-            // A change of floor or odds starts the evidence afresh: it was weighed by other
-            // thresholds.
-            entry =
-                    mDetectors.compute(
-                            service.id(),
-                            (id, old) ->
-                                    new Entry(
-                                            service,
-                                            old != null && old.mService.equals(service)
-                                                    ? old.mDetector
-                                                    : new ServiceDetector(service, mIncarnation),
-                                            mTicker.millis()));
+            entry = mDetectors.compute(service.id(), (id, old) -> renewed(old, service));
         }
         if (news) {
             entry.used(mTicker.millis());
@@ -188,6 +183,15 @@
         return entry.mDetector;
     }
 
+    /** Keeps the evidence when floor or odds change; the next decisions weigh it anew. */
+    private Entry renewed(Entry old, Service service) {
+        if (old == null) {
+            return new Entry(service, new ServiceDetector(service, mIncarnation), mTicker.millis());
+        }
+        old.mDetector.update(service);
+        return new Entry(service, old.mDetector, mTicker.millis());
+    }
+
     private void decide(String service) {
         Entry entry = mDetectors.get(service);
         if (entry == null) {
--- a/src/main/java/org/apricotgauge/node/EvidencePublisher.java
+++ b/src/main/java/org/apricotgauge/node/EvidencePublisher.java
@@ -16,11 +16,12 @@
  * Spreads the guard's evidence about a target that is out of service.
  *
  * <p>Evidence travels on answers, and a target that gets no work gives none: without this, entries
- * that don't try the target themselves would never learn that it is well again. Spoken at most once
- * a second for each service, only while one of this VM's targets is out or was until just now.
+ * that don't try the target themselves would never learn that it is well again. Spoken at most
+ * every three seconds for each service, only if something new was seen, and only while one of this
+ * VM's targets is out or was until just now.
  */
 final class EvidencePublisher {
-    private static final long INTERVAL_MILLIS = 1_000;
+    private static final long INTERVAL_MILLIS = 3_000;
     private static final long LIFETIME_MILLIS = 60_000;
 
     /** Evidence goes on this long after a target came back, so that the last entry hears of it. */
@@ -32,6 +33,7 @@
     private final Ticker mTicker;
     private final Map<String, Long> mOutMillis = new HashMap<>();
     private final Map<String, Long> mSpokenMillis = new HashMap<>();
+    private final Map<String, List<EvidenceDigest.TargetEvidence>> mSpoken = new HashMap<>();
 
     /** Carries evidence to the fleet; see {@code ControlPlane.publishEvidence}. */
     @FunctionalInterface
@@ -63,8 +65,14 @@
         if (own.isEmpty() || tooSoon) {
             return;
         }
+        List<EvidenceDigest.TargetEvidence> targets = new ArrayList<>();
+        own.forEach(digest -> targets.addAll(digest.targets()));
+        // All nodes together may speak 512 bytes a second; nothing new is not worth saying.
+        if (targets.equals(mSpoken.put(service, targets))) {
+            return;
+        }
         mSpokenMillis.put(service, nowMillis);
-        publish(service, own, channel);
+        publish(service, own.get(own.size() - 1), targets, channel);
     }
 
     private boolean isOutOrWas(Verdict verdict, long nowMillis) {
@@ -83,10 +91,11 @@
         return true;
     }
 
-    private static void publish(String service, List<EvidenceDigest> own, Channel channel) {
-        List<EvidenceDigest.TargetEvidence> targets = new ArrayList<>();
-        own.forEach(digest -> targets.addAll(digest.targets()));
-        EvidenceDigest last = own.get(own.size() - 1);
+    private static void publish(
+            String service,
+            EvidenceDigest last,
+            List<EvidenceDigest.TargetEvidence> targets,
+            Channel channel) {
         EvidenceDigest all =
                 new EvidenceDigest(
                         last.formatVersion(), last.incarnation(), last.sequence(), targets);
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -104,6 +104,7 @@
         mPublisher = new EvidencePublisher(settings.vm(), mState, mDetection, mTicker);
         NodeObserver observer = new NodeObserver(mDetection, mWindows, mEvents, mTicker);
         long incarnation = new SecureRandom().nextLong();
+        KeyLimits.DEFAULT.requireCovers(AttemptLimits.DEFAULT);
         mEntry = entry(observer, incarnation);
         mGuard = guard(observer, incarnation);
         HttpServerFactory servers = mHttp.servers();
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -54,6 +54,11 @@
         headers.put(HeaderNames.CLOCK, mEvents.stamp());
     }
 
+    @Override
+    public long overdueMicros(Target target) {
+        return mDetection.overdueMicros(target);
+    }
+
     @Override
     public void attemptArrived(HttpFields headers) {
         mEvents.observe(headers);
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -16,6 +16,13 @@
      */
     void observed(Target target, ObservedOutcome outcome, long serviceMicros);
 
+    /**
+     * Returns the service time after which a request that still runs is observed as overdue.
+     *
+     * @return microseconds; {@link Long#MAX_VALUE} while nothing is known of the service
+     */
+    long overdueMicros(Target target);
+
     /** Called with the head of each attempt that arrives. */
     void attemptArrived(HttpFields headers);
 
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apricotgauge.decision.admission.Refusal;
 import org.apricotgauge.decision.admission.RefusalReason;
@@ -51,6 +52,8 @@
     private volatile UpstreamExchange mExchange;
     private volatile Scheduler.Task mTimeout;
     private volatile Scheduler.Task mHeartbeat;
+    private volatile Scheduler.Task mOverdue;
+    private final AtomicBoolean mObserved = new AtomicBoolean();
     private volatile boolean mTimedOut;
     private volatile boolean mFenced;
     private volatile boolean mAbandoned;
@@ -143,6 +146,26 @@
         long leftMillis = Math.max(1, mTicket.deadlineMillis() - mContext.ticker().millis());
         mTimeout = mContext.scheduler().schedule(this::timedOut, leftMillis, TimeUnit.MILLISECONDS);
         mExchange = UpstreamExchange.send(targetRequest(leftMillis), this);
+        watchForHang(TimeUnit.MILLISECONDS.toMicros(leftMillis));
+    }
+
+    // A target that hangs would be seen only at the deadlines of its requests, seconds late.
+    private void watchForHang(long leftMicros) {
+        long overdueMicros = mContext.observer().overdueMicros(mGate.target());
+        if (overdueMicros < leftMicros) {
+            mOverdue =
+                    mContext.scheduler()
+                            .schedule(
+                                    () -> observe(ObservedOutcome.OVERDUE, overdueMicros),
+                                    overdueMicros,
+                                    TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void observe(ObservedOutcome outcome, long serviceMicros) {
+        if (mObserved.compareAndSet(false, true)) {
+            mContext.observer().observed(mGate.target(), outcome, serviceMicros);
+        }
     }
 
     private org.eclipse.jetty.client.Request targetRequest(long leftMillis) {
@@ -270,7 +293,8 @@
         long serviceNanos = Math.max(0, mContext.ticker().nanos() - mSentAtNanos);
         long serviceMicros = TimeUnit.NANOSECONDS.toMicros(serviceNanos);
         mContext.metrics().service().update(serviceNanos, TimeUnit.NANOSECONDS);
-        mContext.observer().observed(mGate.target(), outcome, serviceMicros);
+        cancel(mOverdue);
+        observe(outcome, serviceMicros);
         mGate.leave(mTicket, result, serviceMicros);
     }
 
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -235,6 +235,11 @@
         @Override
         public void beforeHop(HttpFields.Mutable headers) {}
 
+        @Override
+        public long overdueMicros(Target target) {
+            return Long.MAX_VALUE;
+        }
+
         @Override
         public void attemptArrived(HttpFields headers) {}
 
