Bound the evidence on answers to 5 KB a second

Ruled out: evidence on changes only (a healthy target's counts change with every answer, and the baseline needs them). Change: a token bucket for all texts of a guard; TokenBucket shared with the gossip instead of a second one. Figures: EvidenceShareTest: 1,000 answers carry at most 5,000 bytes.

--- a/src/main/java/org/apricotgauge/decision/gossip/ItemGossip.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/ItemGossip.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.apricotgauge.decision.TokenBucket;
 
 /** Floods small items along all links, and compares stores by hash to mend what was missed. */
 final class ItemGossip {
--- /dev/null
+++ b/src/test/java/org/apricotgauge/node/EvidenceShareTest.java
@@ -0,0 +1,66 @@
+package org.apricotgauge.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.apricotgauge.decision.detection.EvidenceDigest;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.time.ManualTicker;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+
+class EvidenceShareTest {
+    private static final Target TARGET = new Target("t", "s", "vm", "d", "127.0.0.1", 80, 3);
+    private static final EvidenceDigest DIGEST =
+            new EvidenceDigest(
+                    EvidenceDigest.FORMAT_VERSION,
+                    7,
+                    9,
+                    List.of(
+                            new EvidenceDigest.TargetEvidence(
+                                    "t",
+                                    new EvidenceDigest.EndEvidence(3, 0, 1, 5, List.of(4L, 8L)),
+                                    null)));
+
+    private final ManualTicker mTicker = new ManualTicker();
+    private final EvidenceShare mShare = new EvidenceShare(mTicker, target -> DIGEST);
+
+    @Test
+    void whatIsWrittenIsReadBack() {
+        HttpFields.Mutable headers = HttpFields.build();
+        mShare.write(TARGET, headers);
+        assertThat(EvidenceShare.read(headers)).contains(DIGEST);
+    }
+
+    @Test
+    void whatCannotBeReadIsLeftOut() {
+        HttpFields headers = HttpFields.build().put(HeaderNames.EVIDENCE, "!!");
+        assertThat(EvidenceShare.read(headers)).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void answersOfOneSecondCarryABoundedNumberOfBytes() {
+        // Callers see nothing of it. A thousand answers a second go out; evidence on each would
+        // cost
+        // more than control may, so most go without, and the next second brings more.
+        mTicker.advanceMillis(1_000);
+        int firstBytes = bytesOnAnswers(1_000);
+        assertThat(firstBytes).isBetween(1, EvidenceShare.BYTES_PER_SECOND);
+        assertThat(bytesOnAnswers(1_000)).isZero();
+        mTicker.advanceMillis(1_000);
+        assertThat(bytesOnAnswers(1_000)).isBetween(1, EvidenceShare.BYTES_PER_SECOND);
+    }
+
+    private int bytesOnAnswers(int answers) {
+        int bytes = 0;
+        for (int i = 0; i < answers; i++) {
+            HttpFields.Mutable headers = HttpFields.build();
+            mShare.write(TARGET, headers);
+            String text = headers.get(HeaderNames.EVIDENCE);
+            bytes += text == null ? 0 : text.length();
+        }
+        return bytes;
+    }
+}
