--- a/src/test/java/org/apricotgauge/functional/MovingInTest.java
+++ b/src/test/java/org/apricotgauge/functional/MovingInTest.java
@@ -16,6 +16,7 @@
 import org.apricotgauge.standin.LoadPlan;
 import org.apricotgauge.standin.LoadReport;
 import org.apricotgauge.standin.PredecessorStandin;
+import org.apricotgauge.standin.StandinHeaders;
 import org.apricotgauge.standin.TargetStandin;
 import org.apricotgauge.standin.Told;
 import org.junit.jupiter.api.AfterEach;
@@ -28,6 +29,9 @@
     private static final int SECONDS = 1;
     private static final int SENT = RATE_PER_SECOND * SECONDS;
 
+    /** What the stand-in answers to request b-1 in 9 bytes. */
+    private static final String ANSWER = "b-1c.2d/3";
+
     private final List<TargetStandin> mTargets = new ArrayList<>();
     private final Map<String, Told> mOrders = new TreeMap<>();
     private LocalFleet mFleet;
@@ -117,6 +121,32 @@
         assertThat(runsOfOrders()).isEqualTo(expectedOnce());
     }
 
+    @Test
+    void aKeyBookedBeforeTheMoveIsNotBookedAgainAfterIt() throws Exception {
+        // The nodes have only just started and know no history of keys. The older system's share is
+        // served all the same; after the move the same key gets the first answer at another node.
+        String first = book(0);
+        assertThat(first).startsWith("HTTP/1.1 200").endsWith(ANSWER);
+        mFleet.publish(new PatchOperation.SetFleetShare(LocalFleet.SERVICE, 100));
+        mFleet.settle();
+
+        assertThat(book(1)).startsWith("HTTP/1.1 200").endsWith(ANSWER);
+        assertThat(mTargets.stream().mapToLong(target -> target.stats().runs()).sum()).isOne();
+    }
+
+    private String book(int entry) throws IOException {
+        try (RawCaller caller = new RawCaller(mEntries.get(entry).port())) {
+            return caller.request(
+                            "POST",
+                            "/once",
+                            "Content-Length: 0",
+                            "Idempotency-Key: k-1",
+                            StandinHeaders.REQUEST_ID + ": b-1",
+                            StandinHeaders.ANSWER_BYTES + ": 9")
+                    .readAll();
+        }
+    }
+
     private Map<String, Integer> expectedOnce() {
         Map<String, Integer> once = new TreeMap<>();
         mOrders.keySet().forEach(id -> once.put(id, 1));
