Test routing and replay of bodies

Cause: routes, balancing and the replay of small bodies had no tests of their own. Ruled out: that the functional tests cover them (a longest-prefix fault or a stolen chunk would pass them).

--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/routing/RouteIndexTest.java
@@ -0,0 +1,85 @@
+package org.apricotgauge.decision.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.apricotgauge.model.Priority;
+import org.apricotgauge.model.Repeatability;
+import org.apricotgauge.model.Route;
+import org.junit.jupiter.api.Test;
+
+class RouteIndexTest {
+
+    private static Route route(String id, String host, String prefix) {
+        return new Route(id, host, prefix, "s", Priority.NORMAL, Repeatability.BY_METHOD, 1_000);
+    }
+
+    @Test
+    void anExactHostGoesBeforeAnyHost() {
+        RouteIndex index = RouteIndex.of(List.of(route("a", "*", "/x/y"), route("b", "h", "/")));
+        assertThat(index.find("H", "/x/y").orElseThrow().id()).isEqualTo("b");
+        assertThat(index.find("other", "/x/y/z").orElseThrow().id()).isEqualTo("a");
+        assertThat(index.find(null, "/w")).isEmpty();
+    }
+
+    @Test
+    void aPrefixEndsAtASlash() {
+        RouteIndex index = RouteIndex.of(List.of(route("a", "*", "/book")));
+        assertThat(index.find("h", "/book")).isPresent();
+        assertThat(index.find("h", "/book/1")).isPresent();
+        assertThat(index.find("h", "/booking")).isEmpty();
+    }
+
+    @Test
+    void ofEqualRoutesTheFirstByNameWins() {
+        List<Route> routes = List.of(route("b", "*", "/x"), route("a", "*", "/x/"));
+        assertThat(RouteIndex.of(routes).find("h", "/x").orElseThrow().id()).isEqualTo("a");
+    }
+
+    @Property(seed = "11", tries = 500)
+    void agreesWithASearchThroughAllRoutes(
+            @ForAll("paths") List<String> prefixes, @ForAll("path") String path) {
+        List<Route> routes = new ArrayList<>();
+        for (int i = 0; i < prefixes.size(); i++) {
+            routes.add(route("r" + i, "*", prefixes.get(i)));
+        }
+        Optional<Integer> expected =
+                prefixes.stream()
+                        .filter(prefix -> covers(prefix, path))
+                        .map(RouteIndexTest::lengthOf)
+                        .max(Integer::compare);
+        Optional<Integer> found =
+                RouteIndex.of(routes).find("h", path).map(one -> lengthOf(one.pathPrefix()));
+        assertThat(found).isEqualTo(expected);
+    }
+
+    private static int lengthOf(String prefix) {
+        return prefix.endsWith("/") ? prefix.length() - 1 : prefix.length();
+    }
+
+    private static boolean covers(String prefix, String path) {
+        String start = prefix.substring(0, lengthOf(prefix));
+        return path.equals(start) || path.startsWith(start + '/');
+    }
+
+    @Provide
+    Arbitrary<String> path() {
+        return Arbitraries.of("a", "b", "ab")
+                .list()
+                .ofMinSize(0)
+                .ofMaxSize(4)
+                .map(parts -> "/" + String.join("/", parts));
+    }
+
+    @Provide
+    Arbitrary<List<String>> paths() {
+        return path().list().ofMaxSize(8);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/http/ReplayableBodyTest.java
@@ -0,0 +1,71 @@
+package org.apricotgauge.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.io.Content;
+import org.junit.jupiter.api.Test;
+
+class ReplayableBodyTest {
+
+    private static ReplayableBody body(int limitBytes, String... parts) {
+        ByteBuffer[] buffers = new ByteBuffer[parts.length];
+        for (int i = 0; i < parts.length; i++) {
+            buffers[i] = ByteBuffer.wrap(parts[i].getBytes(StandardCharsets.US_ASCII));
+        }
+        return new ReplayableBody(Content.Source.from(buffers), limitBytes);
+    }
+
+    private static String read(Request.Content view, int chunks) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < chunks; i++) {
+            Content.Chunk chunk = view.read();
+            text.append(StandardCharsets.US_ASCII.decode(chunk.getByteBuffer()));
+            if (chunk.isLast()) {
+                return text.append('.').toString();
+            }
+        }
+        return text.toString();
+    }
+
+    @Test
+    void aSmallBodyIsSentAgainFromItsStart() {
+        ReplayableBody body = body(100, "ab", "cd", "ef");
+        assertThat(read(body.open(), 2)).isEqualTo("abcd");
+        assertThat(body.canReplay()).isTrue();
+        assertThat(read(body.open(), 10)).isEqualTo("abcdef.");
+        assertThat(read(body.open(), 10)).isEqualTo("abcdef.");
+    }
+
+    @Test
+    void aLargeBodyStreamsAndGoesOutOnce() {
+        ReplayableBody body = body(3, "ab", "cd", "ef");
+        assertThat(read(body.open(), 10)).isEqualTo("abcdef.");
+        assertThat(body.canReplay()).isFalse();
+        assertThatIllegalStateException().isThrownBy(body::open);
+    }
+
+    @Test
+    void anAbandonedAttemptReadsNothingMore() {
+        // The caller's bytes must reach the attempt that is under way, and no other. The first
+        // attempt is given up and still reads; it gets an error, and takes nothing from the second.
+        ReplayableBody body = body(100, "ab", "cd");
+        Request.Content first = body.open();
+        assertThat(read(first, 1)).isEqualTo("ab");
+        Request.Content second = body.open();
+        assertThat(Content.Chunk.isFailure(first.read())).isTrue();
+        assertThat(read(second, 10)).isEqualTo("abcd.");
+    }
+
+    @Test
+    void aFailedAttemptDoesNotFailTheNext() {
+        ReplayableBody body = body(100, "ab", "cd");
+        Request.Content first = body.open();
+        first.fail(new IllegalStateException("connection broke"));
+        assertThat(Content.Chunk.isFailure(first.read())).isTrue();
+        assertThat(read(body.open(), 10)).isEqualTo("abcd.");
+    }
+}
