Don't wait for a fence before a lookup goes elsewhere; tidy the attempts

Cause: a repeatable request whose guard was silent waited for the fence's answer, up to a second, though its outcome did not matter. DirectAttempt and GuardedAttempt kept the same accounts twice. Ruled out: skipping the fence for bookings (only the guard can prove "not run"); their fence may now take 2 s, since a busy guard answered late. Change: goElsewhere; AttemptAccount, TargetChoice out of the exchange. The soak waits for a restarted node's readiness.

--- a/src/main/java/org/apricotgauge/bench/SoakResult.java
+++ b/src/main/java/org/apricotgauge/bench/SoakResult.java
@@ -10,6 +10,7 @@
  * @param load what callers were told
  * @param runs how often each request ran, over all targets
  * @param steps how often each kind of fault was made
+ * @param notReady restarted nodes that were not ready within 20 s
  * @param versionFalls readings of a node's version below an earlier one
  * @param brokenInvariants invariants that a node found broken
  */
@@ -17,6 +18,7 @@
         LoadReport load,
         Map<String, Integer> runs,
         Map<SoakStep, Integer> steps,
+        int notReady,
         int versionFalls,
         int brokenInvariants) {
 
@@ -58,6 +60,7 @@
     String table() {
         StringBuilder table = new StringBuilder();
         steps.forEach((step, count) -> row(table, "made: " + step, count));
+        row(table, "restarted nodes not ready in 20 s", notReady);
         row(table, "requests", load.sent());
         for (Told told : Told.values()) {
             row(table, "told " + told, load.count(told));
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/AttemptAccount.java
@@ -0,0 +1,69 @@
+package org.apricotgauge.caller;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.http.UpstreamExchange;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * What an entry keeps of one attempt at a target: its place in the target's load, and its one
+ * observation. Thread-safe.
+ */
+final class AttemptAccount {
+    private final EntryContext mContext;
+    private final Candidate mCandidate;
+    private final AtomicBoolean mOver = new AtomicBoolean();
+    private final AtomicBoolean mObserved = new AtomicBoolean();
+    private volatile long mSentNanos;
+
+    AttemptAccount(EntryContext context, Candidate candidate) {
+        mContext = context;
+        mCandidate = candidate;
+    }
+
+    /** Counts the attempt as under way. */
+    void begin() {
+        mCandidate.load().begin();
+        mSentNanos = mContext.ticker().nanos();
+    }
+
+    /** Counts the attempt as ended; later calls do nothing. */
+    void over() {
+        if (mOver.compareAndSet(false, true)) {
+            mCandidate.load().end();
+        }
+    }
+
+    boolean isOver() {
+        return mOver.get();
+    }
+
+    /** Tells the observer how the attempt ended; later calls do nothing. */
+    void observed(ObservedOutcome outcome) {
+        if (!mObserved.compareAndSet(false, true)) {
+            return;
+        }
+        long micros = TimeUnit.NANOSECONDS.toMicros(mContext.ticker().nanos() - mSentNanos);
+        mContext.observer().attempted(mCandidate.target(), outcome, micros);
+    }
+
+    /** Returns what the status of a target's answer says of the target. */
+    static ObservedOutcome outcomeOf(int status) {
+        if (status == HttpStatus.SERVICE_UNAVAILABLE_503) {
+            return ObservedOutcome.SHED;
+        }
+        return HttpStatus.isServerError(status)
+                ? ObservedOutcome.TARGET_ERROR
+                : ObservedOutcome.SUCCESS;
+    }
+
+    /** Ends an exchange that may not have begun. */
+    static void abort(UpstreamExchange upstream) {
+        if (upstream != null) {
+            upstream.abort(new TimeoutException("attempt given up"));
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -1,9 +1,6 @@
 package org.apricotgauge.caller;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.decision.attempt.GuardSighting;
@@ -13,7 +10,6 @@
 import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.decision.attempt.RetryDecision;
 import org.apricotgauge.decision.attempt.UnknownReason;
-import org.apricotgauge.decision.routing.BalancingPolicy;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.http.AnswerStream;
@@ -50,7 +46,7 @@
     private final ReplayableBody mBody;
     private final long mStartNanos;
     private final long mDeadlineMillis;
-    private final Set<String> mTried = new HashSet<>();
+    private final TargetChoice mChoice;
     private Progress mProgress;
     private Candidate mHome;
     private volatile boolean mAtPredecessor;
@@ -75,6 +71,7 @@
         mRequest = request;
         mResponse = response;
         mCallback = callback;
+        mChoice = new TargetChoice(context, table, asked.repeatable());
         mBody = new ReplayableBody(request, REPLAY_LIMIT_BYTES);
         mStartNanos = context.ticker().nanos();
         mDeadlineMillis = context.ticker().millis() + asked.timeoutMillis();
@@ -171,14 +168,13 @@
             send(new PredecessorAttempt(this, mTable.service().predecessor()));
             return;
         }
-        Optional<Candidate> choice = choose();
+        Optional<Candidate> choice = mChoice.next(mProgress.last());
         if (choice.isEmpty()) {
             endWithoutTarget();
             return;
         }
         Candidate candidate = choice.get();
         boolean direct = candidate.guard() == null || mContext.guards().isDown(candidate.guard());
-        mTried.add(candidate.target().id());
         send(direct ? new DirectAttempt(this, candidate) : new GuardedAttempt(this, candidate));
     }
 
@@ -210,34 +206,6 @@
         }
     }
 
-    private Optional<Candidate> choose() {
-        if (mTried.isEmpty() && mAsked.repeatable()) {
-            Optional<Candidate> probe =
-                    mContext.probes().take(mTable.service().id()).flatMap(mTable::candidate);
-            if (probe.isPresent()) {
-                return probe;
-            }
-        }
-        Optional<Candidate> untried =
-                BalancingPolicy.choose(
-                        mTable, mTried, ThreadLocalRandom.current(), mContext.ticker().nanos());
-        if (untried.isPresent() || !isPathAtFault(mProgress.last())) {
-            return untried;
-        }
-        // The only targets left are those whose path failed; a new connection may reach them.
-        return BalancingPolicy.choose(
-                mTable, Set.of(), ThreadLocalRandom.current(), mContext.ticker().nanos());
-    }
-
-    private static boolean isPathAtFault(Outcome last) {
-        if (last instanceof Outcome.NotRun notRun) {
-            return notRun.reason() == NotRunReason.FENCED
-                    || notRun.reason() == NotRunReason.GUARD_RESTARTED
-                    || notRun.reason() == NotRunReason.NEVER_SENT;
-        }
-        return last instanceof Outcome.Unknown;
-    }
-
     private void endWithoutTarget() {
         boolean mayHaveRun;
         synchronized (this) {
--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -1,8 +1,5 @@
 package org.apricotgauge.caller;
 
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.UnknownReason;
@@ -13,7 +10,6 @@
 import org.apricotgauge.http.UpstreamExchange;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
 /**
@@ -25,21 +21,19 @@
     private final CallerExchange mExchange;
     private final EntryContext mContext;
     private final Candidate mCandidate;
-    private final AtomicBoolean mCounted = new AtomicBoolean();
-    private final AtomicBoolean mObserved = new AtomicBoolean();
-    private volatile long mSentNanos;
+    private final AttemptAccount mAccount;
     private volatile UpstreamExchange mUpstream;
 
     DirectAttempt(CallerExchange exchange, Candidate candidate) {
         mExchange = exchange;
         mContext = exchange.context();
         mCandidate = candidate;
+        mAccount = new AttemptAccount(mContext, candidate);
     }
 
     @Override
     public void send() {
-        mCandidate.load().begin();
-        mSentNanos = mContext.ticker().nanos();
+        mAccount.begin();
         org.eclipse.jetty.server.Request from = mExchange.request();
         Request to =
                 mContext.direct()
@@ -63,20 +57,14 @@
 
     @Override
     public void onAnswer(Response answer, Content.Source body) {
-        int status = answer.getStatus();
-        boolean shed = status == HttpStatus.SERVICE_UNAVAILABLE_503;
-        ObservedOutcome seen =
-                HttpStatus.isServerError(status)
-                        ? ObservedOutcome.TARGET_ERROR
-                        : ObservedOutcome.SUCCESS;
-        observed(shed ? ObservedOutcome.SHED : seen);
+        mAccount.observed(AttemptAccount.outcomeOf(answer.getStatus()));
         mExchange.answered(this, answer, body);
     }
 
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
         over();
-        observed(ObservedOutcome.PATH_FAULT);
+        mAccount.observed(ObservedOutcome.PATH_FAULT);
         mContext.metrics().pathFaults().inc();
         mExchange.attemptEnded(
                 this,
@@ -88,25 +76,12 @@
     @Override
     public void abandon() {
         over();
-        observed(ObservedOutcome.TIMEOUT);
-        UpstreamExchange upstream = mUpstream;
-        if (upstream != null) {
-            upstream.abort(new TimeoutException("attempt given up"));
-        }
+        mAccount.observed(ObservedOutcome.TIMEOUT);
+        AttemptAccount.abort(mUpstream);
     }
 
     @Override
     public void over() {
-        if (mCounted.compareAndSet(false, true)) {
-            mCandidate.load().end();
-        }
-    }
-
-    private void observed(ObservedOutcome outcome) {
-        if (!mObserved.compareAndSet(false, true)) {
-            return;
-        }
-        long micros = TimeUnit.NANOSECONDS.toMicros(mContext.ticker().nanos() - mSentNanos);
-        mContext.observer().attempted(mCandidate.target(), outcome, micros);
+        mAccount.over();
     }
 }
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -3,7 +3,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.decision.attempt.FenceAnswer;
@@ -20,7 +19,6 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -33,7 +31,7 @@
  */
 final class GuardedAttempt implements TargetAttempt, UpstreamExchange.Listener {
     /** Longest wait for the answer to a fence, a new connection included. */
-    static final long FENCE_MILLIS = 1_000;
+    static final long FENCE_MILLIS = 2_000;
 
     /** Part of the time left that a guard may not use, so that its word arrives before the end. */
     private static final long MARGIN_MILLIS = 10;
@@ -41,10 +39,8 @@
     private final CallerExchange mExchange;
     private final EntryContext mContext;
     private final Candidate mCandidate;
-    private final AtomicBoolean mCounted = new AtomicBoolean();
-    private final AtomicBoolean mObserved = new AtomicBoolean();
+    private final AttemptAccount mAccount;
     private final AtomicBoolean mFencing = new AtomicBoolean();
-    private volatile long mSentNanos;
     private volatile Attempt mAttempt;
     private volatile UpstreamExchange mUpstream;
     private volatile Scheduler.Task mSilence;
@@ -55,12 +51,12 @@
         mExchange = exchange;
         mContext = exchange.context();
         mCandidate = candidate;
+        mAccount = new AttemptAccount(mContext, candidate);
     }
 
     @Override
     public void send() {
-        mCandidate.load().begin();
-        mSentNanos = mContext.ticker().nanos();
+        mAccount.begin();
         long waitMillis = Math.max(1, Math.min(firstWordMillis(), mExchange.leftMillis()));
         mContext.guards()
                 .sighting(mCandidate.guard(), waitMillis)
@@ -76,7 +72,7 @@
 
     private void unreachable() {
         over();
-        observed(ObservedOutcome.PATH_FAULT);
+        mAccount.observed(ObservedOutcome.PATH_FAULT);
         mContext.metrics().pathFaults().inc();
         mContext.guards().connectFailed(mCandidate.guard());
         mExchange.attemptEnded(this, new Outcome.NotRun(NotRunReason.NEVER_SENT, 0));
@@ -138,7 +134,7 @@
     public void onAcknowledged(HttpFields fields) {
         mHeard = true;
         mContext.guards().sighted(mCandidate.guard(), fields);
-        if (!mCounted.get()) {
+        if (!mAccount.isOver()) {
             awaitWord(SilencePolicy.DEFAULT.silenceMillis(mContext.lag().lagMillis()));
         }
     }
@@ -154,7 +150,7 @@
         if (outcome.isPresent()) {
             over();
             body.fail(new IllegalStateException("an outcome has no body of interest"));
-            observed(ObservedOutcome.CANCELLED);
+            mAccount.observed(ObservedOutcome.CANCELLED);
             mExchange.attemptEnded(this, outcome.get());
             return;
         }
@@ -163,23 +159,14 @@
             over();
             body.fail(new IllegalStateException("answer to another attempt"));
             mContext.metrics().mismatched().inc();
-            observed(ObservedOutcome.PATH_FAULT);
+            mAccount.observed(ObservedOutcome.PATH_FAULT);
             mExchange.attemptEnded(this, new Outcome.Unknown(UnknownReason.ANSWER_LOST));
             return;
         }
-        observed(seen(answer.getStatus()));
+        mAccount.observed(AttemptAccount.outcomeOf(answer.getStatus()));
         mExchange.answered(this, answer, body);
     }
 
-    private static ObservedOutcome seen(int status) {
-        if (status == HttpStatus.SERVICE_UNAVAILABLE_503) {
-            return ObservedOutcome.SHED;
-        }
-        return HttpStatus.isServerError(status)
-                ? ObservedOutcome.TARGET_ERROR
-                : ObservedOutcome.SUCCESS;
-    }
-
     private void reportLoad(HttpFields headers) {
         long loadPermille = headers.getLongField(HeaderNames.LOAD_PERMILLE);
         if (loadPermille >= 0) {
@@ -213,6 +200,10 @@
         if (!mFencing.compareAndSet(false, true)) {
             return;
         }
+        if (mExchange.asked().repeatable()) {
+            goElsewhere(connectionOpen);
+            return;
+        }
         mContext.metrics().fences().inc();
         mContext.guards()
                 .fence(
@@ -222,26 +213,33 @@
                 .whenComplete((answer, failure) -> fenced(answer, connectionOpen));
     }
 
+    /** Leaves the guard to itself: what may repeat need not wait for its word. */
+    private void goElsewhere(boolean connectionOpen) {
+        over();
+        mAccount.observed(ObservedOutcome.PATH_FAULT);
+        if (connectionOpen) {
+            AttemptAccount.abort(mUpstream);
+        }
+        mContext.guards().abandon(mCandidate.guard(), mAttempt, FENCE_MILLIS);
+        mExchange.attemptEnded(this, new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
+    }
+
     private void fenced(FenceAnswer answer, boolean connectionOpen) {
         mContext.observer().fenced(mCandidate.target(), mAttempt.id().toString(), answer);
         boolean started = answer != null && answer.state() == FenceAnswer.State.STARTED;
-        if (started && connectionOpen && !mExchange.asked().repeatable()) {
+        if (started && connectionOpen) {
             // It runs, and must not run twice: the answer may still come over the old connection.
             mFencing.set(false);
             return;
         }
         over();
-        observed(answer == null ? ObservedOutcome.PATH_FAULT : ObservedOutcome.CANCELLED);
+        mAccount.observed(answer == null ? ObservedOutcome.PATH_FAULT : ObservedOutcome.CANCELLED);
         Outcome outcome =
                 answer == null
                         ? new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE)
                         : answer.toOutcome();
         if (connectionOpen) {
-            abortUpstream();
-        }
-        if (started) {
-            // The request goes out again; the first run is of no more use to anybody.
-            mContext.guards().abandon(mCandidate.guard(), mAttempt, FENCE_MILLIS);
+            AttemptAccount.abort(mUpstream);
         }
         mExchange.attemptEnded(this, outcome);
     }
@@ -250,35 +248,18 @@
     public void abandon() {
         cancelSilence();
         over();
-        observed(mHeard ? ObservedOutcome.TIMEOUT : ObservedOutcome.PATH_FAULT);
+        mAccount.observed(mHeard ? ObservedOutcome.TIMEOUT : ObservedOutcome.PATH_FAULT);
         Attempt attempt = mAttempt;
         if (attempt != null) {
             mContext.guards().abandon(mCandidate.guard(), attempt, FENCE_MILLIS);
         }
-        abortUpstream();
-    }
-
-    private void abortUpstream() {
-        UpstreamExchange upstream = mUpstream;
-        if (upstream != null) {
-            upstream.abort(new TimeoutException("attempt given up"));
-        }
+        AttemptAccount.abort(mUpstream);
     }
 
     @Override
     public void over() {
         cancelSilence();
-        if (mCounted.compareAndSet(false, true)) {
-            mCandidate.load().end();
-        }
-    }
-
-    private void observed(ObservedOutcome outcome) {
-        if (!mObserved.compareAndSet(false, true)) {
-            return;
-        }
-        long micros = TimeUnit.NANOSECONDS.toMicros(mContext.ticker().nanos() - mSentNanos);
-        mContext.observer().attempted(mCandidate.target(), outcome, micros);
+        mAccount.over();
     }
 
     private void cancelSilence() {
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.decision.attempt.GuardSighting;
 import org.apricotgauge.decision.attempt.IdempotencyKey;
@@ -94,7 +93,7 @@
     private void silent() {
         mContext.metrics().pathFaults().inc();
         mContext.guards().wentSilent(mHome);
-        abort();
+        AttemptAccount.abort(mUpstream);
         mExchange.attemptEnded(this, new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
     }
 
@@ -136,14 +135,7 @@
     @Override
     public void abandon() {
         cancelSilence();
-        abort();
-    }
-
-    private void abort() {
-        UpstreamExchange upstream = mUpstream;
-        if (upstream != null) {
-            upstream.abort(new TimeoutException("attempt given up"));
-        }
+        AttemptAccount.abort(mUpstream);
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/caller/PredecessorAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/PredecessorAttempt.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.caller;
 
-import java.util.concurrent.TimeoutException;
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.UpstreamExchange;
 import org.apricotgauge.model.Address;
@@ -56,10 +55,7 @@
 
     @Override
     public void abandon() {
-        UpstreamExchange upstream = mUpstream;
-        if (upstream != null) {
-            upstream.abort(new TimeoutException("attempt given up"));
-        }
+        AttemptAccount.abort(mUpstream);
     }
 
     @Override
