Restart the soak's nodes at the port that they had

A trace of when and where showed "connection refused" at all three ports once all three nodes had been restarted: the port was read after the stop, when a node answers with the port that was set, 0, and so each came back at another free one. Change: the port is read before the stop. Conclusion: a fault of the soak, not of the fleet.

--- a/src/main/java/org/apricotgauge/bench/SoakFleet.java
+++ b/src/main/java/org/apricotgauge/bench/SoakFleet.java
@@ -160,19 +160,20 @@
     private void restart(boolean gently) throws IOException, InterruptedException {
         int vm = mRandom.nextInt(VMS);
         Node node = mNodes.get(vm);
+        // Read while it is open: a node that has stopped no longer knows which free port it had.
+        int callerPort = node.callerPort();
         if (gently) {
             node.drain();
         } else {
             node.close();
         }
-        Node fresh = mFleet.restartNode(nameOf(vm), node.callerPort());
+        Node fresh = mFleet.restartNode(nameOf(vm), callerPort);
         mNodes.set(vm, fresh);
         awaitServing(fresh);
     }
 
-    // As whoever restarts a fleet waits for each node's readiness. Were all nodes to end before one
-    // of them is ready again while the platform is down, nobody would know the configuration, and
-    // the fleet would rightly stay closed for the rest of the run.
+    // As whoever restarts a fleet waits for each node's readiness: were all nodes to end before one
+    // is ready again while the platform is down, nobody would know the configuration.
     private void awaitServing(Node node) throws InterruptedException {
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
         while (node.phase() != NodePhase.SERVING && System.nanoTime() < untilNanos) {
