--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -181,6 +183,7 @@
     }
 
     private void startParts() throws Exception {
+        requireFree(mSettings.host(), mSettings.callerPort());
         mEvents.record(new NodeStarted(mSettings.failureDomain(), ProductVersion.text()));
         mHttp.start();
         mAdmin.start();
@@ -206,6 +209,18 @@
         mFleetRecorder.role(mControl.watcherRole());
     }
 
+    // The caller port opens only once the configuration is known. Were it found in use only then,
+    // the
+    // node would have joined the fleet, and seem to have broken rather than be set up wrongly.
+    private static void requireFree(String host, int callerPort) throws IOException {
+        try (ServerSocket probe = new ServerSocket()) {
+            probe.setReuseAddress(true);
+            probe.bind(new InetSocketAddress(host, callerPort));
+        } catch (IOException e) {
+            throw new IOException("--caller-port " + callerPort + ": " + e.getMessage(), e);
+        }
+    }
+
     private Vm ownVm() {
         return new Vm(
                 mSettings.vm(),
