Drop a decision that nobody asks; counters as records

Cause: ProberChoice was described as the way a target is tried, but the nodes use a common pause; the two classes of counters were accessors only. Ruled out: wiring ProberChoice (the chosen node may have no request to try with). Change: ProberChoice removed, its page corrected; EntryMetrics and GuardMetrics are records.

--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -92,7 +92,7 @@
                         observer,
                         probes,
                         new LagMeter(scheduler, ticker),
-                        new EntryMetrics(registry));
+                        EntryMetrics.of(registry));
         mKeyed = new KeyedRequests(mContext, keyLimits);
     }
 
--- a/src/main/java/org/apricotgauge/decision/detection/Verdicts.java
+++ b/src/main/java/org/apricotgauge/decision/detection/Verdicts.java
@@ -16,8 +16,8 @@
  * @param byTarget verdict of each configured target
  * @param floorSlots the floor that held at the decision
  * @param eligibleSlots slots of the present targets that are not ejected
- * @param probesDue targets of which one repeatable request should be sent now by the target's
- *     prober (see {@link ProberChoice}); at most one a decision
+ * @param probesDue targets of which one repeatable request should be sent now, if the entries'
+ *     common pause allows; at most one a decision
  */
 public record Verdicts(
         long timeMillis,
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -97,7 +97,7 @@
         mKeyed = keyed;
         mContext =
                 new GuardContext(
-                        client, ledger, scheduler, ticker, observer, new GuardMetrics(registry));
+                        client, ledger, scheduler, ticker, observer, GuardMetrics.of(registry));
         mGates = new TargetGates(ticker);
         scheduleExpiry();
     }
