Measure relief in a window: the allowance hid it

Cause: at 10 requests a second a quick ejection leaves fewer requests than the eleven seconds of tries that were allowed, so that every row read 0.0 s. Ruled out: that the targets got no work (they did before the fault). Change: relief is the start of two seconds with at most three requests.

--- a/src/main/java/org/apricotgauge/bench/MeasureDetection.java
+++ b/src/main/java/org/apricotgauge/bench/MeasureDetection.java
@@ -22,8 +22,9 @@
 /**
  * Measures detection over real sockets: whole nodes, targets with gray faults, an open loop.
  *
- * <p>For each row the seconds from the fault until the target got no more work than the tries for
- * its readmission, in several episodes; each has a fresh fleet.
+ * <p>For each row the seconds from the fault until two seconds follow in which the target ran no
+ * more than three requests (it is tried about once a second), in several episodes; each has a fresh
+ * fleet.
  */
 public final class MeasureDetection {
     private static final int VMS = 3;
@@ -31,8 +32,8 @@
     private static final int WARM_SECONDS = 12;
     private static final int WATCH_SECONDS = 12;
     private static final long SAMPLE_MILLIS = 20;
-    private static final double TRIES_PER_SECOND = 1.5;
-    private static final int SLACK = 2;
+    private static final long WINDOW_MILLIS = 2_000;
+    private static final int TRIES_IN_WINDOW = 3;
     private static final long SERVICE_MICROS = 20_000;
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
@@ -160,11 +161,11 @@
             samples.add(new Sample(System.currentTimeMillis(), target.stats().runs()));
             TimeUnit.MILLISECONDS.sleep(SAMPLE_MILLIS);
         }
-        Sample last = samples.get(samples.size() - 1);
-        for (Sample sample : samples) {
-            double restSeconds = (last.atMillis() - sample.atMillis()) / MILLIS_PER_SECOND;
-            if (last.runs() - sample.runs() <= restSeconds * TRIES_PER_SECOND + SLACK) {
-                return (sample.atMillis() - startMillis) / MILLIS_PER_SECOND;
+        int ahead = (int) (WINDOW_MILLIS / SAMPLE_MILLIS);
+        for (int i = 0; i + ahead < samples.size(); i++) {
+            long runs = samples.get(i + ahead).runs() - samples.get(i).runs();
+            if (runs <= TRIES_IN_WINDOW) {
+                return (samples.get(i).atMillis() - startMillis) / MILLIS_PER_SECOND;
             }
         }
         return Double.POSITIVE_INFINITY;
