Give up what waits past its time in a guard's queue

Cause: the guard's timer was set in its constructor, before the scheduler was started; Jetty's scheduler then drops the task without a word, so that no waiting request was ever given up in a running node. Found by reading. The test harness had started its scheduler first and hid it. Ruled out: the queue itself (the guard refused in time once the timer ran). The first test still failed: the refusal came 14 ms before the caller's deadline, and the entry told "unknown" on a busy run.

--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -34,7 +34,10 @@
     static final long FENCE_MILLIS = 2_000;
 
     /** Part of the time left that a guard may not use, so that its word arrives before the end. */
-    private static final long MARGIN_MILLIS = 10;
+    private static final long MARGIN_MILLIS = 100;
+
+    /** The margin is at most this part of the time left. */
+    private static final long MARGIN_PART = 10;
 
     private final CallerExchange mExchange;
     private final EntryContext mContext;
@@ -84,7 +87,8 @@
             over();
             return;
         }
-        long untilMillis = mExchange.deadlineMillis() - Math.min(MARGIN_MILLIS, leftMillis / 2);
+        long untilMillis =
+                mExchange.deadlineMillis() - Math.min(MARGIN_MILLIS, leftMillis / MARGIN_PART);
         mAttempt = sighting.address(mContext.ids().next(), mContext.ticker().millis(), untilMillis);
         awaitWord(firstWordMillis());
         mUpstream = UpstreamExchange.send(hopRequest(leftMillis), this);
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -187,6 +187,7 @@
         mEvents.record(new NodeStarted(mSettings.failureDomain(), ProductVersion.text()));
         mHttp.start();
         mAdmin.start();
+        mGuard.open();
         mGuardServer.start();
         ControlSettings control = ControlSettings.of(SITE, ownVm());
         mControl =
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -99,6 +99,13 @@
                 new GuardContext(
                         client, ledger, scheduler, ticker, observer, GuardMetrics.of(registry));
         mGates = new TargetGates(ticker);
+    }
+
+    /**
+     * Starts what runs beside the requests; the scheduler must have been started, since one that
+     * has not drops what it is given without a word.
+     */
+    public void open() {
         scheduleExpiry();
     }
 
@@ -108,8 +115,11 @@
     }
 
     private void expireAndGoOn() {
-        mGates.forEach(TargetGate::expire);
-        scheduleExpiry();
+        try {
+            mGates.forEach(TargetGate::expire);
+        } finally {
+            scheduleExpiry();
+        }
     }
 
     /** Refuses attempts that arrive from now on, as not run; those that are here go on. */
