--- a/src/main/java/org/apricotgauge/node/DetectionService.java
+++ b/src/main/java/org/apricotgauge/node/DetectionService.java
@@ -46,6 +46,7 @@
         private final Service mService;
         private final ServiceDetector mDetector;
         private volatile boolean mNews = true;
+        private volatile long mOverdueMicros = Long.MAX_VALUE;
         private volatile long mUsedMillis;
 
         private Entry(Service service, ServiceDetector detector, long nowMillis) {
@@ -96,7 +97,7 @@
     /** Returns after which service time a request at a target of this VM counts as overdue. */
     long overdueMicros(Target target) {
         Entry entry = mDetectors.get(target.service());
-        return entry == null ? Long.MAX_VALUE : entry.mDetector.overdueMicros(ObservationEnd.GUARD);
+        return entry == null ? Long.MAX_VALUE : entry.mOverdueMicros;
     }
 
     /** Takes in the evidence that another node's guard gave with an answer, or by gossip. */
@@ -198,6 +199,8 @@
             return;
         }
         entry.mNews = false;
+        // Worked out at decisions, not for each request, which would wait for the detector's lock.
+        entry.mOverdueMicros = entry.mDetector.overdueMicros(ObservationEnd.GUARD);
         Verdicts verdicts = entry.mDetector.decide(mTicker.millis(), membership(service));
         Verdicts before = mLast.put(service, verdicts);
         if (before == null || !sameWeights(before, verdicts)) {
