--- /dev/null
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -0,0 +1,345 @@
+package org.apricotgauge.directory;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.apricotgauge.decision.gossip.FreshnessGuard;
+import org.apricotgauge.log.StateLog;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.time.Ticker;
+import org.jboss.logging.Logger;
+
+/**
+ * Keeps a node's picture of the site true: watches the platform, and asks other nodes while it
+ * cannot.
+ *
+ * <pre>{@code
+ * DirectoryFeed feed = new DirectoryFeed(parts, listener);
+ * feed.start();
+ * feed.hint(revisionOfPeer, peer);      // from any hop
+ * feed.tick();                          // every 100 ms or so, on the worker
+ * }</pre>
+ *
+ * <p>The platform's revisions order all changes, so that whoever has the higher one is right. Every
+ * hop between nodes carries the sender's: a node whose watch has gone silent, or that the platform
+ * turns away, learns within {@link #HINT_PATIENCE_MILLIS} that it lags, and fetches what it misses
+ * from the node that said so. All work is done on one worker thread.
+ */
+public final class DirectoryFeed implements AutoCloseable {
+    /**
+     * How long one watch waits at the platform, in milliseconds. A watch costs a call each time,
+     * and a connection that went silent is found out only at its end.
+     */
+    static final long WATCH_MILLIS = 5_000;
+
+    /** Longest wait for an answer beyond what was asked for; answers take 4 ms, slow ones 250. */
+    static final long ANSWER_MILLIS = 1_000;
+
+    /** Pause after a page with changes: those of the next tenth of a second come in one call. */
+    static final long GAP_MILLIS = 100;
+
+    /** How long a peer may be ahead before it is asked; the own watch usually answers sooner. */
+    static final long HINT_PATIENCE_MILLIS = 200;
+
+    /** Pause between two tries at a platform that does not answer. */
+    static final long RETRY_MILLIS = 300;
+
+    /** Pause between two questions to peers while the platform does not answer. */
+    static final long PEER_PAUSE_MILLIS = 400;
+
+    /**
+     * How long after the platform was away an ended registration is in doubt; targets need 2 s to
+     * register anew.
+     */
+    static final long DOUBT_MILLIS = 3_000;
+
+    /**
+     * So many registrations that end at once without a word have run out while the platform was
+     * away, which a node with a waiting watch does not notice otherwise.
+     */
+    static final int DOUBTFUL_AT_ONCE = 3;
+
+    /** A longer gap between two ticks counts as a pause of the process. */
+    private static final long PAUSE_MILLIS = 1_500;
+
+    /** After a pause a node waits so long for somebody to confirm what it knows. */
+    private static final long CONFIRM_MILLIS = 1_000;
+
+    private static final int MAX_PEERS = 64;
+
+    private final Parts mParts;
+    private final Listener mListener;
+    private final FreshnessGuard mFreshness;
+    private final SiteDirectory mDirectory = new SiteDirectory();
+    private final AtomicReference<ItemTable> mItems = new AtomicReference<>(ItemTable.EMPTY);
+    private final CompletableFuture<Void> mOpened = new CompletableFuture<>();
+    private final StateLog mLog = new StateLog(Logger.getLogger(DirectoryFeed.class));
+    private final List<Address> mPeers = new ArrayList<>();
+    private long mCall;
+    private boolean mCalling;
+    private long mCallDueMillis;
+    private long mNextCallMillis;
+    private boolean mPlatformLost;
+    private long mTroubleMillis = Long.MIN_VALUE / 2;
+    private long mNextPeerMillis;
+    private volatile long mHintedRevision;
+    private volatile long mHintedAtMillis;
+    private volatile Address mHinter;
+
+    /** Hears what became of the site, on the worker thread. */
+    @FunctionalInterface
+    public interface Listener {
+        /** Something that requests depend on is different. */
+        void onSite(SiteDirectory directory);
+    }
+
+    /**
+     * What a feed works with.
+     *
+     * @param platform the platform
+     * @param peers another node as a source, by the address of its guard
+     * @param decoder reads items
+     * @param worker the one thread that all work is done on
+     * @param ticker time of intervals
+     * @param wallMillis time of day in milliseconds; it goes on while the VM is suspended
+     * @param random chooses peers
+     */
+    public record Parts(
+            PublishedSource platform,
+            Function<Address, PublishedSource> peers,
+            SiteDecoder decoder,
+            ScheduledExecutorService worker,
+            Ticker ticker,
+            LongSupplier wallMillis,
+            RandomGenerator random) {
+
+        /** Checks the parts. */
+        public Parts {
+            Checks.notNull("platform", platform);
+            Checks.notNull("peers", peers);
+            Checks.notNull("decoder", decoder);
+            Checks.notNull("worker", worker);
+            Checks.notNull("ticker", ticker);
+            Checks.notNull("wallMillis", wallMillis);
+            Checks.notNull("random", random);
+        }
+    }
+
+    /** Creates a feed that is not started. */
+    public DirectoryFeed(Parts parts, Listener listener) {
+        mParts = Checks.notNull("parts", parts);
+        mListener = Checks.notNull("listener", listener);
+        mFreshness =
+                new FreshnessGuard(PAUSE_MILLIS, CONFIRM_MILLIS, parts.wallMillis().getAsLong());
+    }
+
+    /** Begins to read. */
+    public void start() {
+        mParts.worker().execute(this::callIfDue);
+    }
+
+    /** Returns the items as known now, for peers that ask. */
+    public ItemTable items() {
+        return mItems.get();
+    }
+
+    /** Returns a future that completes once a configuration is known. */
+    public CompletableFuture<Void> opened() {
+        return mOpened;
+    }
+
+    /** Returns whether what is known may be acted on: it is there, and confirmed after a pause. */
+    public boolean mayAct() {
+        return mOpened.isDone() && mFreshness.mayAct(mParts.wallMillis().getAsLong());
+    }
+
+    /** Notes the newest change that a peer knows; cheap, from any thread. */
+    public void hint(long newestRevision, Address peer) {
+        if (newestRevision > mHintedRevision || !mOpened.isDone()) {
+            mHintedRevision = Math.max(newestRevision, mHintedRevision);
+            mHintedAtMillis = mParts.ticker().millis();
+            mHinter = peer;
+        }
+    }
+
+    /** Does what is due; called on the worker. */
+    public void tick() {
+        long nowMillis = mParts.ticker().millis();
+        if (mFreshness.onTick(mParts.wallMillis().getAsLong())) {
+            mLog.warn("woke from a pause", new Woke(mItems.get().revision()));
+            restartCall(nowMillis);
+            askPeer(anyPeer(), nowMillis);
+        }
+        if (mCalling && nowMillis >= mCallDueMillis) {
+            failed(mCall, "no answer in time", nowMillis);
+        }
+        if (mDirectory.expire(nowMillis)) {
+            mListener.onSite(mDirectory);
+        }
+        followHint(nowMillis);
+        if (mPlatformLost || !mOpened.isDone()) {
+            askPeer(anyPeer(), nowMillis);
+        }
+        callIfDue();
+    }
+
+    private void followHint(long nowMillis) {
+        boolean lags = mHintedRevision > newestRevision();
+        if (lags && nowMillis - mHintedAtMillis >= HINT_PATIENCE_MILLIS) {
+            mHintedAtMillis = nowMillis;
+            askPeer(mHinter, nowMillis);
+            restartCall(nowMillis);
+        }
+    }
+
+    /** Returns the revision of the newest change that is known. */
+    public long newestRevision() {
+        return mItems.get().newest();
+    }
+
+    // The waiting call may hang on a connection that is silent for good; a new one asks at once.
+    private void restartCall(long nowMillis) {
+        mCalling = false;
+        mNextCallMillis = nowMillis;
+        call(nowMillis, 0);
+    }
+
+    private void callIfDue() {
+        long nowMillis = mParts.ticker().millis();
+        if (!mCalling && nowMillis >= mNextCallMillis) {
+            call(nowMillis, mItems.get().isKnown() && !mPlatformLost ? WATCH_MILLIS : 0);
+        }
+    }
+
+    private void call(long nowMillis, long waitMillis) {
+        long call = ++mCall;
+        mCalling = true;
+        mCallDueMillis = nowMillis + waitMillis + ANSWER_MILLIS;
+        mParts.platform()
+                .read(mItems.get().revision(), waitMillis)
+                .whenCompleteAsync((page, failure) -> settle(call, page, failure), mParts.worker());
+    }
+
+    private void settle(long call, PublishedPage page, Throwable failure) {
+        long nowMillis = mParts.ticker().millis();
+        if (failure != null) {
+            failed(call, failure.toString(), nowMillis);
+            return;
+        }
+        take(page, nowMillis);
+        if (call != mCall) {
+            return;
+        }
+        mCalling = false;
+        if (mPlatformLost) {
+            mPlatformLost = false;
+            mLog.info("platform regained", new Regained(mItems.get().revision()));
+        }
+        mNextCallMillis = nowMillis + (page.items().isEmpty() ? 0 : GAP_MILLIS);
+        mParts.worker()
+                .schedule(this::callIfDue, mNextCallMillis - nowMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void failed(long call, String reason, long nowMillis) {
+        if (call != mCall || !mCalling) {
+            return;
+        }
+        mCalling = false;
+        mCall++;
+        mTroubleMillis = nowMillis;
+        mNextCallMillis = nowMillis + RETRY_MILLIS;
+        if (!mPlatformLost) {
+            mPlatformLost = true;
+            mLog.warn("platform lost", new Lost(reason, mItems.get().revision()));
+        }
+    }
+
+    private void take(PublishedPage page, long nowMillis) {
+        ItemTable before = mItems.get();
+        ItemTable after = before.with(page);
+        if (page.revision() >= before.revision()) {
+            mFreshness.onConfirmed();
+        }
+        if (after == before) {
+            return;
+        }
+        mItems.set(after);
+        List<SiteChange> changes = new ArrayList<>();
+        for (PublishedItem item : after.changesAfter(before.newest()).items()) {
+            SiteChange change = mParts.decoder().decode(item);
+            if (change instanceof SiteChange.Unreadable unreadable) {
+                mLog.warn("published item is unreadable", unreadable);
+            }
+            changes.add(change);
+        }
+        if (mDirectory.take(changes, nowMillis, doubt(changes, nowMillis))) {
+            mListener.onSite(mDirectory);
+        }
+        if (mDirectory.configuration() != null) {
+            mOpened.complete(null);
+        }
+    }
+
+    private SiteDirectory.LapseDoubt doubt(List<SiteChange> changes, long nowMillis) {
+        long ended = changes.stream().filter(SiteChange.Unregistered.class::isInstance).count();
+        boolean wasAway = nowMillis - mTroubleMillis < DOUBT_MILLIS || ended >= DOUBTFUL_AT_ONCE;
+        return wasAway ? SiteDirectory.LapseDoubt.PLATFORM_WAS_AWAY : SiteDirectory.LapseDoubt.NONE;
+    }
+
+    /** Sets the peers that may be asked; called on the worker. */
+    public void setPeers(List<Address> peers) {
+        mPeers.clear();
+        mPeers.addAll(peers.subList(0, Math.min(MAX_PEERS, peers.size())));
+    }
+
+    private Address anyPeer() {
+        Address hinter = mHinter;
+        if (mPeers.isEmpty() || (hinter != null && mParts.random().nextBoolean())) {
+            return hinter;
+        }
+        return mPeers.get(mParts.random().nextInt(mPeers.size()));
+    }
+
+    private void askPeer(Address peer, long nowMillis) {
+        if (peer == null || nowMillis < mNextPeerMillis) {
+            return;
+        }
+        mNextPeerMillis = nowMillis + PEER_PAUSE_MILLIS;
+        mParts.peers()
+                .apply(peer)
+                .read(mItems.get().revision(), 0)
+                .whenCompleteAsync(
+                        (page, failure) -> {
+                            if (failure == null) {
+                                take(page, mParts.ticker().millis());
+                            } else {
+                                mLog.warn(
+                                        "peer does not tell what it knows",
+                                        new PeerFailed(peer.toString(), failure.toString()));
+                            }
+                        },
+                        mParts.worker());
+    }
+
+    /** Calls nobody any more; the worker stays its owner's. */
+    @Override
+    public void close() {
+        mCalling = true;
+        mCallDueMillis = Long.MAX_VALUE;
+    }
+
+    private record Woke(long revision) {}
+
+    private record Lost(String reason, long revision) {}
+
+    private record Regained(long revision) {}
+
+    private record PeerFailed(String peer, String reason) {}
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/directory/PublishedConfiguration.java
@@ -0,0 +1,31 @@
+package org.apricotgauge.directory;
+
+import java.util.List;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Route;
+
+/**
+ * A version of the configuration as it is published whole.
+ *
+ * @param version its number; versions rise, not always by one
+ * @param baseVersion the version that the operator's patch was made against
+ * @param services names of the services
+ * @param routes all routes
+ * @param idleMillis how long a caller's connection may stay unused, in milliseconds
+ */
+public record PublishedConfiguration(
+        long version,
+        long baseVersion,
+        List<String> services,
+        List<Route> routes,
+        long idleMillis) {
+
+    /** Checks the parts and copies the lists. */
+    public PublishedConfiguration {
+        Checks.inRange("configuration.version", version, 1, Long.MAX_VALUE);
+        Checks.inRange("configuration.baseVersion", baseVersion, 0, Long.MAX_VALUE);
+        Checks.inRange("configuration.idleMillis", idleMillis, 1, Long.MAX_VALUE);
+        services = List.copyOf(Checks.notNull("configuration.services", services));
+        routes = List.copyOf(Checks.notNull("configuration.routes", routes));
+    }
+}
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -40,6 +40,12 @@
     /** Hops: a question about the guard instead of a request for a target; see {@code peer.hop}. */
     public static final String CONTROL = "Apricotgauge-Control";
 
+    /**
+     * Hops: newest revision of what the platform published that the sender knows, and the address
+     * of its guard; on a question, the revision that the asker has.
+     */
+    public static final String DIRECTORY = "Apricotgauge-Directory";
+
     /** Value of {@link #OUTCOME}: the request was proven not to have run. */
     public static final String OUTCOME_NOT_RUN = "not-run";
 
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -0,0 +1,264 @@
+package org.apricotgauge.node;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
+import java.util.function.IntConsumer;
+import org.apricotgauge.directory.DirectoryFeed;
+import org.apricotgauge.directory.PublishedConfiguration;
+import org.apricotgauge.directory.PublishedPage;
+import org.apricotgauge.directory.PublishedSource;
+import org.apricotgauge.directory.Registration;
+import org.apricotgauge.directory.SiteDecoder;
+import org.apricotgauge.directory.SiteDirectory;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.Route;
+import org.apricotgauge.model.Target;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * The control of a fleet whose platform publishes the configuration whole and lets targets register
+ * themselves.
+ *
+ * <p>A node's guard stands at the same port on every VM, so that a target's registration also tells
+ * where its guard is. There is no gossip: the revision on each hop tells who lags, see {@link
+ * DirectoryFeed}.
+ */
+final class DirectoryControl implements NodeControl {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(new MessagePackFactory())
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    private static final char SEPARATOR = ';';
+
+    private final Parts mParts;
+    private final SiteDefaults mDefaults;
+    private final IntConsumer mNodes;
+    private final DirectoryFeed mFeed;
+    private Configuration mConfiguration = Configuration.EMPTY;
+    private List<Route> mRoutes = List.of();
+    private volatile Mark mMark = new Mark("", "", 0);
+
+    private DirectoryControl(
+            Parts parts,
+            PublishedSource platform,
+            SiteDecoder decoder,
+            SiteDefaults defaults,
+            IntConsumer nodes) {
+        mParts = parts;
+        mNodes = nodes;
+        mDefaults = defaults;
+        mFeed =
+                new DirectoryFeed(
+                        new DirectoryFeed.Parts(
+                                platform,
+                                peer -> new PeerSource(parts.questions(), peer),
+                                decoder,
+                                parts.worker(),
+                                parts.ticker(),
+                                System::currentTimeMillis,
+                                ThreadLocalRandom.current()),
+                        this::onSite);
+        mFeed.start();
+    }
+
+    /** Returns what starts the control of a node that reads published keys. */
+    static Factory factory(
+            Function<HttpClient, PublishedSource> platform,
+            SiteDecoder decoder,
+            SiteDefaults defaults,
+            IntConsumer nodes) {
+        return parts ->
+                new DirectoryControl(
+                        parts, platform.apply(parts.questions()), decoder, defaults, nodes);
+    }
+
+    static byte[] encode(PublishedPage page) {
+        try {
+            return MAPPER.writeValueAsBytes(page);
+        } catch (IOException e) {
+            throw new IllegalStateException("a page can always be written", e);
+        }
+    }
+
+    /** Reads a page. */
+    static PublishedPage decode(byte[] bytes) throws IOException {
+        return MAPPER.readValue(bytes, PublishedPage.class);
+    }
+
+    private void onSite(SiteDirectory directory) {
+        PublishedConfiguration published = directory.configuration();
+        if (published == null) {
+            return;
+        }
+        followRoutes(published);
+        Set<String> leaving = followTargets(directory.registrations());
+        String version = "r" + published.version();
+        mMark = new Mark(version, version, mFeed.newestRevision());
+        mParts.listener().onConfiguration(published.version(), mConfiguration, mMark);
+        List<Address> guards = guards();
+        mParts.listener().onMembers(new Members(leaving, guards));
+        mFeed.setPeers(guards);
+        mNodes.accept(guards.size() + 1);
+    }
+
+    private void followRoutes(PublishedConfiguration published) {
+        for (String service : published.services()) {
+            if (mConfiguration.service(service) == null) {
+                mConfiguration = mConfiguration.withService(mDefaults.service(service));
+            }
+        }
+        if (published.routes().equals(mRoutes)) {
+            return;
+        }
+        mRoutes = published.routes();
+        Map<String, Route> wanted = new HashMap<>();
+        mRoutes.forEach(route -> wanted.put(route.id(), route));
+        for (Route route : new ArrayList<>(mConfiguration.routes())) {
+            if (!wanted.containsKey(route.id())) {
+                mConfiguration = mConfiguration.withoutRoute(route.id());
+            }
+        }
+        for (Route route : mRoutes) {
+            if (!route.equals(mConfiguration.route(route.id()))) {
+                mConfiguration = mConfiguration.withRoute(route);
+            }
+        }
+    }
+
+    private Set<String> followTargets(List<Registration> registrations) {
+        Set<String> present = new HashSet<>();
+        Set<String> leaving = new HashSet<>();
+        for (Registration registration : registrations) {
+            Target target = registration.target();
+            present.add(target.id());
+            if (registration.leaving()) {
+                leaving.add(target.id());
+            }
+            if (!target.equals(mConfiguration.target(target.id()))) {
+                mConfiguration = mConfiguration.withTarget(target);
+            }
+        }
+        for (Target known : new ArrayList<>(mConfiguration.targets())) {
+            if (!present.contains(known.id())) {
+                mConfiguration = mConfiguration.withoutTarget(known.id());
+            }
+        }
+        return Set.copyOf(leaving);
+    }
+
+    private List<Address> guards() {
+        return mConfiguration.targets().stream()
+                .map(target -> new Address(target.host(), mParts.vm().guardPort()))
+                .filter(guard -> !guard.host().equals(mParts.vm().host()))
+                .distinct()
+                .toList();
+    }
+
+    @Override
+    public CompletableFuture<Void> opened() {
+        return mFeed.opened();
+    }
+
+    @Override
+    public boolean mayAct() {
+        return mFeed.mayAct();
+    }
+
+    /**
+     * Peers learn it from the guard's refusals, which prove "not run", and from its closed port.
+     */
+    @Override
+    public void announceLeaving() {}
+
+    /** Evidence travels on answers alone. */
+    @Override
+    public void publishEvidence(String key, long sequence, long lifetimeMillis, byte[] payload) {}
+
+    @Override
+    public void tick() {
+        mFeed.tick();
+    }
+
+    @Override
+    public int peerPort() {
+        return 0;
+    }
+
+    @Override
+    public Mark mark() {
+        return mMark;
+    }
+
+    @Override
+    public void beforeHop(HttpFields.Mutable headers) {
+        Address guard = new Address(mParts.vm().host(), mParts.vm().guardPort());
+        headers.put(
+                HeaderNames.DIRECTORY, mFeed.newestRevision() + String.valueOf(SEPARATOR) + guard);
+    }
+
+    @Override
+    public void hopArrived(HttpFields headers) {
+        String text = headers.get(HeaderNames.DIRECTORY);
+        int at = text == null ? -1 : text.indexOf(SEPARATOR);
+        int colon = text == null ? -1 : text.lastIndexOf(':');
+        if (at < 0 || colon < at) {
+            return;
+        }
+        try {
+            long revision = Long.parseLong(text, 0, at, 10);
+            int port = Integer.parseInt(text, colon + 1, text.length(), 10);
+            mFeed.hint(revision, new Address(text.substring(at + 1, colon), port));
+        } catch (IllegalArgumentException e) {
+            mParts.metrics().counter("directory.unreadable_hints").inc();
+        }
+    }
+
+    @Override
+    public byte[] publishedSince(long revision) {
+        return encode(mFeed.items().changesAfter(revision));
+    }
+
+    @Override
+    public void close() {
+        mFeed.close();
+    }
+
+    /** The members as the targets registered. */
+    private final class Members implements SiteMembers {
+        private final Set<String> mLeavingIds;
+        private final List<Address> mGuards;
+
+        private Members(Set<String> leavingIds, List<Address> guards) {
+            mLeavingIds = leavingIds;
+            mGuards = guards;
+        }
+
+        @Override
+        public Address guardOf(Target target) {
+            return new Address(target.host(), mParts.vm().guardPort());
+        }
+
+        @Override
+        public boolean isLeaving(Target target) {
+            return mLeavingIds.contains(target.id());
+        }
+
+        @Override
+        public int nodes() {
+            return mGuards.size() + 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/GossipControl.java
@@ -0,0 +1,149 @@
+package org.apricotgauge.node;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.apricotgauge.config.ConfigHistory;
+import org.apricotgauge.control.ConfigHistoryFold;
+import org.apricotgauge.control.ControlListener;
+import org.apricotgauge.control.ControlPlane;
+import org.apricotgauge.control.ControlSettings;
+import org.apricotgauge.decision.gossip.GossipItem;
+import org.apricotgauge.decision.gossip.LeavingNotice;
+import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.event.HlcTimestamp;
+import org.apricotgauge.event.VmLeaving;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.platform.HttpPlatformClient;
+import org.apricotgauge.platform.PlatformClient;
+import org.eclipse.jetty.http.HttpFields;
+
+/** The control plane of a fleet whose platform publishes patches in an ordered list. */
+final class GossipControl implements NodeControl {
+    private static final String SITE = "site";
+    private static final byte[] NOTHING = {};
+
+    private final Parts mParts;
+    private final FleetRecorder mRecorder;
+    private final PlatformClient mPlatform;
+    private final ControlPlane<ConfigHistory> mPlane;
+
+    private GossipControl(Parts parts, URI platform, List<Address> seeds) throws IOException {
+        mParts = parts;
+        mRecorder = new FleetRecorder(parts.events());
+        mPlatform = HttpPlatformClient.open(platform);
+        mPlane =
+                ControlPlane.start(
+                        ControlSettings.of(SITE, parts.vm()).withSeeds(seeds),
+                        new ConfigHistoryFold(mRecorder::refused),
+                        mPlatform,
+                        new FleetListener(),
+                        parts.metrics());
+    }
+
+    /** Returns what starts the control of a node that reads the platform's list of patches. */
+    static Factory factory(URI platform, List<Address> seeds) {
+        return parts -> new GossipControl(parts, platform, seeds);
+    }
+
+    @Override
+    public CompletableFuture<Void> opened() {
+        return mPlane.opened();
+    }
+
+    @Override
+    public boolean mayAct() {
+        return mPlane.mayAct();
+    }
+
+    @Override
+    public void announceLeaving() {
+        mPlane.announceLeaving();
+    }
+
+    @Override
+    public void publishEvidence(String key, long sequence, long lifetimeMillis, byte[] payload) {
+        mPlane.publishEvidence(key, sequence, lifetimeMillis, payload);
+    }
+
+    @Override
+    public void tick() {
+        mRecorder.role(mPlane.watcherRole());
+    }
+
+    @Override
+    public int peerPort() {
+        return mPlane.vm().peerPort();
+    }
+
+    @Override
+    public Mark mark() {
+        return markOf(mPlane.currentHistory());
+    }
+
+    private static Mark markOf(ConfigHistory history) {
+        String digest = history.version() == 0 ? "" : history.versionDigest().toString();
+        return new Mark(digest, history.digest().toString(), history.position());
+    }
+
+    @Override
+    public void beforeHop(HttpFields.Mutable headers) {}
+
+    @Override
+    public void hopArrived(HttpFields headers) {}
+
+    @Override
+    public byte[] publishedSince(long revision) {
+        return NOTHING;
+    }
+
+    @Override
+    public void close() {
+        NodeHttp.stop(mPlane::close);
+        NodeHttp.stop(mPlatform::close);
+    }
+
+    /** Hears what the fleet and the platform say. */
+    private final class FleetListener implements ControlListener<ConfigHistory> {
+        @Override
+        public void onHistory(ConfigHistory history) {
+            mParts.listener()
+                    .onConfiguration(history.version(), history.configuration(), markOf(history));
+        }
+
+        @Override
+        public void onView(LiveView view) {
+            mRecorder.view(view);
+            mParts.listener().onMembers(SiteMembers.of(view));
+        }
+
+        @Override
+        public void onLeaving(LeavingNotice notice) {
+            if (notice.wholeVm()) {
+                mParts.events().record(new VmLeaving(notice.vm(), "peer"));
+            }
+        }
+
+        @Override
+        public void onEvidence(GossipItem evidence) {
+            mParts.listener().onEvidence(evidence.node(), evidence.key(), evidence.payload());
+        }
+
+        @Override
+        public Optional<HlcTimestamp> clock() {
+            return Optional.of(mParts.events().now());
+        }
+
+        @Override
+        public void onClock(HlcTimestamp reading) {
+            mParts.events().observe(reading);
+        }
+
+        @Override
+        public void onBroken(RuntimeException failure) {
+            mParts.listener().onBroken(failure);
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -5,43 +5,29 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.security.SecureRandom;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.caller.EntryHandler;
-import org.apricotgauge.caller.EntryOptions;
 import org.apricotgauge.cli.ProductVersion;
-import org.apricotgauge.config.ConfigHistory;
-import org.apricotgauge.control.ConfigHistoryFold;
-import org.apricotgauge.control.ControlListener;
-import org.apricotgauge.control.ControlPlane;
-import org.apricotgauge.control.ControlSettings;
 import org.apricotgauge.decision.attempt.AttemptIds;
 import org.apricotgauge.decision.attempt.AttemptLedger;
 import org.apricotgauge.decision.attempt.AttemptLimits;
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.detection.Verdicts;
-import org.apricotgauge.decision.gossip.GossipItem;
-import org.apricotgauge.decision.gossip.LeavingNotice;
-import org.apricotgauge.decision.gossip.LiveView;
-import org.apricotgauge.event.HlcTimestamp;
 import org.apricotgauge.event.NodeStarted;
 import org.apricotgauge.event.StopPhase;
 import org.apricotgauge.event.StopPhaseEntered;
 import org.apricotgauge.event.VersionInForce;
-import org.apricotgauge.event.VmLeaving;
-import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.HttpServerFactory;
+import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Vm;
 import org.apricotgauge.operator.AdminServer;
 import org.apricotgauge.operator.AdminSources;
 import org.apricotgauge.operator.NodePhase;
 import org.apricotgauge.operator.OutcomeWindows;
 import org.apricotgauge.peer.hop.GuardClient;
-import org.apricotgauge.platform.HttpPlatformClient;
-import org.apricotgauge.platform.PlatformClient;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
@@ -56,20 +42,19 @@
  * }</pre>
  */
 public final class Node implements AutoCloseable {
-    private static final String SITE = "site";
     private static final long DECIDE_EVERY_MILLIS = 100;
     private static final long DRAIN_POLL_MILLIS = 20;
     private static final int WINDOWS = 64;
 
     /** Peers hear of a stop within this time; until then they still send, and are served. */
-    private static final long ANNOUNCE_MILLIS = 1_500;
+    static final long ANNOUNCE_MILLIS = 1_500;
 
-    private final NodeSettings mSettings;
+    private final NodeProfile mProfile;
+    private final NodeControl.Factory mControlFactory;
     private final Ticker mTicker = Ticker.system();
     private final MetricRegistry mRegistry = new MetricRegistry();
     private final long mStartedMillis = System.currentTimeMillis();
     private final NodeEvents mEvents;
-    private final FleetRecorder mFleetRecorder;
     private final OutcomeWindows mWindows = new OutcomeWindows(mTicker, WINDOWS);
     private final NodeHttp mHttp;
     private final ScheduledExecutorService mWorker =
@@ -83,20 +68,20 @@
     private final Server mCallerServer;
     private final Server mGuardServer;
     private final AdminServer mAdmin;
-    private final PlatformClient mPlatform;
     private final CompletableFuture<RuntimeException> mBroken = new CompletableFuture<>();
-    private volatile ControlPlane<ConfigHistory> mControl;
+    private volatile NodeControl mControl = new UnstartedControl();
     private volatile NodePhase mPhase = NodePhase.STARTING;
     private volatile boolean mDraining;
 
-    private Node(NodeSettings settings) {
-        mSettings = settings;
-        mEvents = new NodeEvents(settings.vm(), mStartedMillis);
-        mFleetRecorder = new FleetRecorder(mEvents);
+    private Node(NodeProfile profile, NodeControl.Factory controlFactory) {
+        mProfile = profile;
+        mControlFactory = controlFactory;
+        Vm vm = profile.vm();
+        mEvents = new NodeEvents(vm.id(), mStartedMillis);
         mRegistry.gauge("clock.readings.refused", () -> mEvents::refusedReadings);
-        mHttp = new NodeHttp(settings.vm());
-        mState = new RoutingState(settings.vm(), settings.failureDomain(), mTicker);
-        mProbes = new ProbeTokens(mTicker, () -> mState.vms().nodes().size());
+        mHttp = new NodeHttp(vm.id());
+        mState = new RoutingState(vm.id(), vm.failureDomain(), mTicker);
+        mProbes = new ProbeTokens(mTicker, mState::nodes);
         VerdictRecorder recorder = new VerdictRecorder(mEvents, mWindows);
         mDetection =
                 new DetectionService(
@@ -105,31 +90,31 @@
                         mStartedMillis,
                         (service, before, after) -> decided(recorder, service, before, after),
                         mWorker);
-        mPublisher = new EvidencePublisher(settings.vm(), mState, mDetection, mTicker);
-        NodeObserver observer = new NodeObserver(mDetection, mWindows, mEvents, mTicker);
+        mPublisher = new EvidencePublisher(vm.id(), mState, mDetection, mTicker);
+        NodeObserver observer =
+                new NodeObserver(mDetection, mWindows, mEvents, mTicker, () -> mControl);
         long incarnation = new SecureRandom().nextLong();
         KeyLimits.DEFAULT.requireCovers(AttemptLimits.DEFAULT);
         mEntry = entry(observer, incarnation);
         mGuard = guard(observer, incarnation);
         HttpServerFactory servers = mHttp.servers();
-        mCallerServer =
-                servers.create(settings.host(), settings.callerPort(), mEntry, mEntry::refused);
+        mCallerServer = servers.create(vm.host(), vm.callerPort(), mEntry, mEntry::refused);
         mCallerServer.addBean(
-                new NetworkConnectionLimit(settings.maxCallerConnections(), mCallerServer));
-        mGuardServer = servers.create(settings.host(), settings.guardPort(), mGuard, () -> {});
+                new NetworkConnectionLimit(profile.maxCallerConnections(), mCallerServer));
+        mGuardServer = servers.create(vm.host(), vm.guardPort(), mGuard, () -> {});
         NodeStatusSource status =
-                new NodeStatusSource(settings, mStartedMillis, mState, mDetection, mWindows);
+                new NodeStatusSource(vm, mStartedMillis, mState, mDetection, mWindows);
         mAdmin =
                 new AdminServer(
                         new AdminSources(
                                 () -> NodeStatusSource.readiness(mPhase),
-                                () -> status.read(mPhase, currentHistory()),
+                                () -> status.read(mPhase, mControl.mark()),
                                 mEvents::read,
                                 mRegistry),
-                        settings.host(),
-                        settings.adminPort(),
+                        vm.host(),
+                        vm.adminPort(),
+                        profile.readyPaths(),
                         mTicker);
-        mPlatform = HttpPlatformClient.open(settings.platform());
     }
 
     private EntryHandler entry(NodeObserver observer, long incarnation) {
@@ -139,18 +124,18 @@
                 this::mayAct,
                 new GuardClient(mHttp.forwarding(), mHttp.fencing(), mTicker),
                 mHttp.targets(),
-                new AttemptIds(mSettings.vm(), incarnation),
+                new AttemptIds(mProfile.vm().id(), incarnation),
                 mHttp.scheduler(),
                 mTicker,
                 observer,
                 mProbes::take,
-                EntryOptions.of(KeyLimits.DEFAULT),
+                mProfile.entry(),
                 mRegistry);
     }
 
     private GuardHandler guard(NodeObserver observer, long incarnation) {
         return new GuardHandler(
-                mSettings.vm(),
+                mProfile.vm().id(),
                 mState::table,
                 mHttp.targets(),
                 new AttemptLedger(incarnation, AttemptLimits.DEFAULT),
@@ -158,7 +143,8 @@
                 mTicker,
                 observer,
                 mEntry::handleKeyed,
-                FleetDialect.INSTANCE,
+                mProfile.entry().dialect(),
+                revision -> mControl.publishedSince(revision),
                 mRegistry);
     }
 
@@ -174,32 +160,43 @@
      * @throws IOException if it cannot listen at one of its ports
      */
     public static Node start(NodeSettings settings) throws IOException {
-        Node node = new Node(settings);
+        return start(
+                settings.profile(),
+                GossipControl.factory(settings.platform(), settings.seedPeers()));
+    }
+
+    static Node start(NodeProfile profile, NodeControl.Factory control) throws IOException {
+        Node node = new Node(profile, control);
         try {
             node.startParts();
         } catch (Exception e) {
             node.close();
             throw new IOException(
-                    "node of " + settings.vm() + " does not start: " + e.getMessage(), e);
+                    "node of " + profile.vm().id() + " does not start: " + e.getMessage(), e);
         }
         return node;
     }
 
     private void startParts() throws Exception {
-        requireFree(mSettings.host(), mSettings.callerPort());
-        mEvents.record(new NodeStarted(mSettings.failureDomain(), ProductVersion.text()));
+        requireFree(mProfile.vm().host(), mProfile.vm().callerPort());
+        mEvents.record(new NodeStarted(mProfile.vm().failureDomain(), ProductVersion.text()));
         mHttp.start();
         mAdmin.start();
         mGuard.open();
         mGuardServer.start();
-        ControlSettings control = ControlSettings.of(SITE, ownVm());
         mControl =
-                ControlPlane.start(
-                        control.withSeeds(mSettings.seedPeers()),
-                        new ConfigHistoryFold(mFleetRecorder::refused),
-                        mPlatform,
-                        new FleetListener(),
-                        mRegistry);
+                mControlFactory.start(
+                        new NodeControl.Parts(
+                                ownVm(),
+                                new ControlEvents(),
+                                mEvents,
+                                mRegistry,
+                                mWorker,
+                                mTicker,
+                                mHttp.fencing()));
+        if (mProfile.opensEarly()) {
+            openCallerPort();
+        }
         mWorker.scheduleWithFixedDelay(
                 guarded(this::tick),
                 DECIDE_EVERY_MILLIS,
@@ -210,7 +207,7 @@
 
     private void tick() {
         mDetection.tick();
-        mFleetRecorder.role(mControl.watcherRole());
+        mControl.tick();
     }
 
     // The caller port opens only once the configuration is known. Were it found in use only then,
@@ -226,23 +223,30 @@
     }
 
     private Vm ownVm() {
+        Vm vm = mProfile.vm();
         return new Vm(
-                mSettings.vm(),
-                mSettings.failureDomain(),
-                mSettings.host(),
-                mSettings.callerPort(),
+                vm.id(),
+                vm.failureDomain(),
+                vm.host(),
+                vm.callerPort(),
                 HttpServerFactory.portOf(mGuardServer),
-                mSettings.peerPort(),
+                vm.peerPort(),
                 mAdmin.port());
     }
 
+    private void openCallerPort() throws Exception {
+        mEntry.open();
+        mCallerServer.start();
+    }
+
     private void open() {
         if (mPhase != NodePhase.STARTING) {
             return;
         }
         try {
-            mEntry.open();
-            mCallerServer.start();
+            if (!mProfile.opensEarly()) {
+                openCallerPort();
+            }
             mPhase = NodePhase.SERVING;
         } catch (Exception e) {
             mBroken.complete(new IllegalStateException("caller port does not open", e));
@@ -266,56 +270,30 @@
             VerdictRecorder recorder, String service, Verdicts before, Verdicts after) {
         recorder.record(service, before, after);
         mProbes.due(service, after.probesDue());
-        ControlPlane<ConfigHistory> control = mControl;
-        if (control != null) {
-            mPublisher.decided(service, after, control::publishEvidence);
-        }
+        mPublisher.decided(service, after, mControl::publishEvidence);
     }
 
     private boolean mayAct() {
-        ControlPlane<ConfigHistory> control = mControl;
-        return control != null && control.mayAct();
-    }
-
-    private ConfigHistory currentHistory() {
-        ControlPlane<ConfigHistory> control = mControl;
-        return control == null ? ConfigHistory.EMPTY : control.currentHistory();
+        return mControl.mayAct();
     }
 
-    /** Hears what the fleet and the platform say; does the work on the node's own thread. */
-    private final class FleetListener implements ControlListener<ConfigHistory> {
-        @Override
-        public void onHistory(ConfigHistory history) {
-            mWorker.execute(guarded(() -> versionInForce(history)));
-        }
-
-        @Override
-        public void onView(LiveView view) {
-            mFleetRecorder.view(view);
-            mWorker.execute(guarded(() -> mState.vmsChanged(view)));
-        }
-
+    /** Hears what is in force; does the work on the node's own thread. */
+    private final class ControlEvents implements NodeControl.Listener {
         @Override
-        public void onLeaving(LeavingNotice notice) {
-            if (notice.wholeVm()) {
-                mEvents.record(new VmLeaving(notice.vm(), "peer"));
-            }
+        public void onConfiguration(
+                long version, Configuration configuration, NodeControl.Mark mark) {
+            mWorker.execute(guarded(() -> inForce(version, configuration, mark)));
         }
 
         @Override
-        public void onEvidence(GossipItem evidence) {
-            EvidenceCodec.decode(evidence.payload())
-                    .ifPresent(digest -> mDetection.heard(evidence.node(), evidence.key(), digest));
+        public void onMembers(SiteMembers members) {
+            mWorker.execute(guarded(() -> mState.membersChanged(members)));
         }
 
         @Override
-        public Optional<HlcTimestamp> clock() {
-            return Optional.of(mEvents.now());
-        }
-
-        @Override
-        public void onClock(HlcTimestamp reading) {
-            mEvents.observe(reading);
+        public void onEvidence(String vm, String service, byte[] payload) {
+            EvidenceCodec.decode(payload)
+                    .ifPresent(digest -> mDetection.heard(vm, service, digest));
         }
 
         @Override
@@ -324,15 +302,17 @@
         }
     }
 
-    private void versionInForce(ConfigHistory history) {
-        if (history.version() <= mState.table().version()) {
+    // Targets that register themselves change the configuration within a version.
+    private void inForce(long version, Configuration configuration, NodeControl.Mark mark) {
+        long before = mState.table().version();
+        if (version < before || configuration == mState.table().configuration()) {
             return;
         }
-        mState.configurationChanged(history);
-        mWindows.versionInForce(history.version());
-        mEvents.record(
-                new VersionInForce(
-                        history.version(), history.digest().toString(), history.position()));
+        mState.configurationChanged(version, configuration);
+        if (version > before) {
+            mWindows.versionInForce(version);
+            mEvents.record(new VersionInForce(version, mark.historyDigest(), mark.position()));
+        }
     }
 
     /** Returns what the node does for callers now. */
@@ -343,7 +323,7 @@
     /** Returns the port at which callers are served; the one that was set until it is open. */
     public int callerPort() {
         int port = HttpServerFactory.portOf(mCallerServer);
-        return port > 0 ? port : mSettings.callerPort();
+        return port > 0 ? port : mProfile.vm().callerPort();
     }
 
     /** Returns the port at which other nodes are served. */
@@ -353,7 +333,7 @@
 
     /** Returns the port of the control protocol between nodes. */
     public int peerPort() {
-        return mControl.vm().peerPort();
+        return mControl.peerPort();
     }
 
     /** Returns the version of the configuration that requests are routed by. */
@@ -393,13 +373,10 @@
         }
         mPhase = NodePhase.STOPPING;
         stopPhase(StopPhase.ANNOUNCED);
-        ControlPlane<ConfigHistory> control = mControl;
-        if (control != null) {
-            control.announceLeaving();
-        }
+        mControl.announceLeaving();
         long startMillis = mTicker.millis();
-        long untilMillis = startMillis + mSettings.drainMillis();
-        awaitQuiet(Math.min(untilMillis, startMillis + ANNOUNCE_MILLIS), false);
+        long untilMillis = startMillis + mProfile.drainMillis();
+        awaitQuiet(Math.min(untilMillis, startMillis + mProfile.serveOnMillis()), false);
         stopPhase(StopPhase.DRAINING);
         mGuard.leave();
         mDraining = true;
@@ -429,14 +406,10 @@
     @Override
     public void close() {
         mPhase = NodePhase.STOPPING;
-        ControlPlane<ConfigHistory> control = mControl;
-        if (control != null) {
-            NodeHttp.stop(control::close);
-        }
+        NodeHttp.stop(mControl::close);
         mWorker.shutdownNow();
         NodeHttp.stop(mCallerServer::stop);
         NodeHttp.stop(mGuardServer::stop);
-        NodeHttp.stop(mPlatform::close);
         NodeHttp.stop(mAdmin::stop);
         mHttp.stop();
     }
--- a/src/main/java/org/apricotgauge/node/NodeMain.java
+++ b/src/main/java/org/apricotgauge/node/NodeMain.java
@@ -9,6 +9,8 @@
 /** The program {@code apricotgauge-node}; a SIGTERM drains it. */
 public final class NodeMain {
 
+    private static final Logger LOGGER = Logger.getLogger(NodeMain.class);
+
     private NodeMain() {}
 
     /** Runs the program. */
@@ -18,7 +20,13 @@
 
     private static ExitCode run(NodeSettings settings) throws IOException, InterruptedException {
         Logs.configure(settings.log());
-        Node node = Node.start(settings);
+        return serve(Node.start(settings));
+    }
+
+    /** Serves until a signal ends the process; a SIGTERM drains the node first. */
+    static ExitCode serve(Node node) throws InterruptedException {
+        // Settings are flags, which a running process can't be given anew.
+        Signals.handle("HUP", () -> LOGGER.info("SIGHUP: flags do not change, nothing to reload"));
         CountDownLatch drained = new CountDownLatch(1);
         Thread drain =
                 new Thread(
@@ -36,7 +44,7 @@
         node.broken()
                 .thenAccept(
                         failure -> {
-                            Logger.getLogger(NodeMain.class).fatal("invariant broken", failure);
+                            LOGGER.fatal("invariant broken", failure);
                             Runtime.getRuntime().halt(ExitCode.INVARIANT_BROKEN.code());
                         });
         drained.await();
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.node;
 
 import java.util.Locale;
+import java.util.function.Supplier;
 import org.apricotgauge.caller.EntryObserver;
 import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.Outcome;
@@ -24,9 +25,15 @@
     private final EvidenceShare mShare;
     private final OutcomeWindows mWindows;
     private final NodeEvents mEvents;
+    private final Supplier<NodeControl> mControl;
 
     NodeObserver(
-            DetectionService detection, OutcomeWindows windows, NodeEvents events, Ticker ticker) {
+            DetectionService detection,
+            OutcomeWindows windows,
+            NodeEvents events,
+            Ticker ticker,
+            Supplier<NodeControl> control) {
+        mControl = control;
         mDetection = detection;
         mShare = new EvidenceShare(ticker, detection::guardDigest);
         mWindows = windows;
@@ -46,12 +53,13 @@
     @Override
     public void beforeAnswer(Target target, HttpFields.Mutable headers) {
         mShare.write(target, headers);
-        headers.put(HeaderNames.CLOCK, mEvents.stamp());
+        beforeHop(headers);
     }
 
     @Override
     public void beforeHop(HttpFields.Mutable headers) {
         headers.put(HeaderNames.CLOCK, mEvents.stamp());
+        mControl.get().beforeHop(headers);
     }
 
     @Override
@@ -62,11 +70,13 @@
     @Override
     public void attemptArrived(HttpFields headers) {
         mEvents.observe(headers);
+        mControl.get().hopArrived(headers);
     }
 
     @Override
     public void guardAnswered(Target target, HttpFields headers) {
         mEvents.observe(headers);
+        mControl.get().hopArrived(headers);
         EvidenceShare.read(headers)
                 .ifPresent(digest -> mDetection.heard(target.vm(), target.service(), digest));
     }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/NodeProfile.java
@@ -0,0 +1,34 @@
+package org.apricotgauge.node;
+
+import java.util.Set;
+import org.apricotgauge.caller.EntryOptions;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Vm;
+
+/**
+ * What a node is, whatever platform it runs on.
+ *
+ * @param vm the node's own VM, with the ports that are set; 0 for any free one
+ * @param drainMillis longest time that a stop takes
+ * @param serveOnMillis how long a stopping node serves as before, until callers and peers know
+ * @param maxCallerConnections callers' connections that the node accepts at once
+ * @param readyPaths paths of the administration API that tell readiness, beside its own
+ * @param opensEarly whether callers are let in before a configuration is known, and refused
+ * @param entry what differs between sites on the way from callers
+ */
+record NodeProfile(
+        Vm vm,
+        long drainMillis,
+        long serveOnMillis,
+        int maxCallerConnections,
+        Set<String> readyPaths,
+        boolean opensEarly,
+        EntryOptions entry) {
+
+    /** Checks the parts. */
+    NodeProfile {
+        Checks.notNull("vm", vm);
+        Checks.notNull("entry", entry);
+        readyPaths = Set.copyOf(readyPaths);
+    }
+}
--- a/src/main/java/org/apricotgauge/node/NodeSettings.java
+++ b/src/main/java/org/apricotgauge/node/NodeSettings.java
@@ -3,15 +3,19 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import org.apricotgauge.caller.EntryOptions;
 import org.apricotgauge.cli.Command;
 import org.apricotgauge.cli.CommandCheck;
 import org.apricotgauge.cli.Setting;
 import org.apricotgauge.cli.SettingFault;
 import org.apricotgauge.cli.SettingKinds;
 import org.apricotgauge.cli.SettingValues;
+import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.log.LogSettings;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Vm;
 
 /**
  * The settings of one node.
@@ -112,6 +116,18 @@
         seedPeers = List.copyOf(seedPeers);
     }
 
+    /** Returns what the node is, apart from its platform. */
+    NodeProfile profile() {
+        return new NodeProfile(
+                new Vm(vm, failureDomain, host, callerPort, guardPort, peerPort, adminPort),
+                drainMillis,
+                Node.ANNOUNCE_MILLIS,
+                maxCallerConnections,
+                Set.of(),
+                false,
+                EntryOptions.of(KeyLimits.DEFAULT));
+    }
+
     /** Returns the command that reads these settings. */
     public static Command<NodeSettings> command() {
         return new Command<>(
--- a/src/main/java/org/apricotgauge/node/NodeStatusSource.java
+++ b/src/main/java/org/apricotgauge/node/NodeStatusSource.java
@@ -3,10 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.apricotgauge.cli.ProductVersion;
-import org.apricotgauge.config.ConfigHistory;
 import org.apricotgauge.decision.detection.Verdicts;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.ServiceTable;
+import org.apricotgauge.model.Vm;
 import org.apricotgauge.operator.NodePhase;
 import org.apricotgauge.operator.NodeStatus;
 import org.apricotgauge.operator.OutcomeWindows;
@@ -15,19 +15,19 @@
 
 /** Tells operators what the node is and does. */
 final class NodeStatusSource {
-    private final NodeSettings mSettings;
+    private final Vm mVm;
     private final long mIncarnation;
     private final RoutingState mState;
     private final DetectionService mDetection;
     private final OutcomeWindows mWindows;
 
     NodeStatusSource(
-            NodeSettings settings,
+            Vm vm,
             long incarnation,
             RoutingState state,
             DetectionService detection,
             OutcomeWindows windows) {
-        mSettings = settings;
+        mVm = vm;
         mIncarnation = incarnation;
         mState = state;
         mDetection = detection;
@@ -42,16 +42,16 @@
         };
     }
 
-    NodeStatus read(NodePhase phase, ConfigHistory history) {
+    NodeStatus read(NodePhase phase, NodeControl.Mark mark) {
         return new NodeStatus(
-                mSettings.vm(),
-                mSettings.failureDomain(),
+                mVm.id(),
+                mVm.failureDomain(),
                 ProductVersion.text(),
                 mIncarnation,
                 phase,
                 mState.table().version(),
-                history.version() == 0 ? "" : history.versionDigest().toString(),
-                history.position(),
+                mark.versionDigest(),
+                mark.position(),
                 services(),
                 mWindows.read());
     }
--- a/src/main/java/org/apricotgauge/node/RoutingState.java
+++ b/src/main/java/org/apricotgauge/node/RoutingState.java
@@ -6,7 +6,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
-import org.apricotgauge.config.ConfigHistory;
 import org.apricotgauge.decision.detection.Verdicts;
 import org.apricotgauge.decision.gossip.LiveView;
 import org.apricotgauge.decision.routing.Candidate;
@@ -14,15 +13,15 @@
 import org.apricotgauge.decision.routing.RoutingTableFactory;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Target;
-import org.apricotgauge.model.Vm;
 import org.apricotgauge.time.Ticker;
 
 /**
  * Keeps the routing table true to the configuration, the VMs and the verdicts.
  *
  * <pre>{@code
- * state.configurationChanged(history);
+ * state.configurationChanged(version, configuration);
  * RoutingTable table = state.table();   // on a request's path
  * }</pre>
  *
@@ -35,7 +34,7 @@
     private final Ticker mTicker;
     private final RoutingTableFactory.View mView;
     private final Map<String, Verdicts> mVerdicts = new HashMap<>();
-    private volatile LiveView mVms = LiveView.EMPTY;
+    private volatile SiteMembers mMembers = SiteMembers.of(LiveView.EMPTY);
 
     RoutingState(String vm, String failureDomain, Ticker ticker) {
         mFactory = new RoutingTableFactory(vm, failureDomain);
@@ -48,19 +47,13 @@
         return mTable.get();
     }
 
-    synchronized void configurationChanged(ConfigHistory history) {
-        mTable.set(
-                mFactory.create(
-                        mTable.get(),
-                        history.version(),
-                        history.configuration(),
-                        mView,
-                        mTicker.nanos()));
+    synchronized void configurationChanged(long version, Configuration configuration) {
+        mTable.set(mFactory.create(mTable.get(), version, configuration, mView, mTicker.nanos()));
     }
 
-    /** Takes what is known of the VMs and builds anew the services that it changes. */
-    synchronized void vmsChanged(LiveView vms) {
-        mVms = vms;
+    /** Takes what is known of the members and builds anew the services that it changes. */
+    synchronized void membersChanged(SiteMembers members) {
+        mMembers = members;
         Set<String> services = new HashSet<>();
         for (ServiceTable service : mTable.get().services().values()) {
             if (service.all().stream().anyMatch(this::isOutdated)) {
@@ -83,12 +76,12 @@
 
     /** Returns whether a target must get no new work, by membership and not by detection. */
     boolean isLeaving(Target target) {
-        return mVms.leaving(target.vm(), target.id());
+        return mMembers.isLeaving(target);
     }
 
-    /** Returns what is known of the VMs. */
-    LiveView vms() {
-        return mVms;
+    /** Returns how many nodes there are. */
+    int nodes() {
+        return mMembers.nodes();
     }
 
     private void refresh(String service) {
@@ -96,8 +89,7 @@
     }
 
     private Address guardOf(Target target) {
-        Vm vm = mVms.vm(target.vm());
-        return vm == null || !vm.hasNode() ? null : new Address(vm.host(), vm.guardPort());
+        return mMembers.guardOf(target);
     }
 
     private double weightOf(Target target) {
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/SidecarMain.java
@@ -0,0 +1,36 @@
+package org.apricotgauge.node;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apricotgauge.caller.RetryPool;
+import org.apricotgauge.cli.ExitCode;
+import org.apricotgauge.log.Logs;
+import org.apricotgauge.platform.kv.KvDecoder;
+import org.apricotgauge.platform.kv.KvDialect;
+import org.apricotgauge.platform.kv.KvSource;
+
+/** The program {@code apricotgauge-sidecar}; a SIGTERM drains it, a SIGHUP changes nothing. */
+public final class SidecarMain {
+
+    private SidecarMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] args) {
+        SidecarSettings.command().runAndExit(args, SidecarMain::run);
+    }
+
+    private static ExitCode run(SidecarSettings settings) throws IOException, InterruptedException {
+        Logs.configure(settings.log());
+        AtomicInteger nodes = new AtomicInteger(1);
+        RetryPool pool = RetryPool.ofFleet((int) settings.retryBurst(), nodes::get);
+        NodeProfile profile =
+                settings.profile(new KvDialect(settings.service()), KvDialect.READY_PATH, pool);
+        NodeControl.Factory control =
+                DirectoryControl.factory(
+                        client -> new KvSource(client, settings.platform()),
+                        new KvDecoder(),
+                        settings.defaults(),
+                        nodes::set);
+        return NodeMain.serve(Node.start(profile, control));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -0,0 +1,198 @@
+package org.apricotgauge.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.apricotgauge.caller.EntryOptions;
+import org.apricotgauge.caller.RetryPool;
+import org.apricotgauge.cli.Command;
+import org.apricotgauge.cli.Setting;
+import org.apricotgauge.cli.SettingKind;
+import org.apricotgauge.cli.SettingKinds;
+import org.apricotgauge.cli.SettingValues;
+import org.apricotgauge.decision.attempt.KeyLimits;
+import org.apricotgauge.http.SiteDialect;
+import org.apricotgauge.log.LogSettings;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.DetectionOdds;
+import org.apricotgauge.model.Vm;
+
+/**
+ * The settings of a node whose platform publishes keys and where targets register themselves.
+ *
+ * <pre>{@code
+ * SidecarSettings.command().runAndExit(args, SidecarMain::run);
+ * }</pre>
+ *
+ * @param failureDomain failure domain of the VM
+ * @param service service of the target beside the node
+ * @param callers address for callers
+ * @param guard address for other nodes' requests; the same port on every VM
+ * @param admin address of the administration API
+ * @param platform address of the platform's store
+ * @param floorShare least share of healthy capacity that ejections may leave
+ * @param retryRatio most retries of the fleet for each request
+ * @param retryBurst retries that the whole fleet may save up
+ * @param stopSeconds longest time that a stop takes
+ * @param log settings of the log
+ */
+public record SidecarSettings(
+        String failureDomain,
+        String service,
+        Address callers,
+        Address guard,
+        Address admin,
+        Address platform,
+        double floorShare,
+        double retryRatio,
+        double retryBurst,
+        double stopSeconds,
+        LogSettings log) {
+    private static final double ALL_PERCENT = 100.0;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final int CALLER_CONNECTIONS = 3_000;
+
+    /** A stop ends this long before the platform kills the process, in milliseconds. */
+    private static final long STOP_MARGIN_MILLIS = 600;
+
+    /**
+     * How long a stopping node serves as before, in milliseconds: the platform asks for readiness
+     * once a second and sends callers elsewhere after two misses; half a second is for the last.
+     */
+    private static final long SERVE_ON_MILLIS = 2_700;
+
+    /**
+     * Part of the fleet's retry ratio that nodes use: requests that targets make while they serve
+     * others reach the nodes like any, yet the platform counts them on one side only.
+     */
+    private static final double RATIO_PART = 0.5;
+
+    /** A false ejection costs what 300 s of work at a sick target cost; see the design's page. */
+    private static final DetectionOdds ODDS = new DetectionOdds(300, 1);
+
+    private static final Setting<String> FAILURE_DOMAIN =
+            Setting.required(
+                    "failure-domain", SettingKinds.id(), "Failure domain that the VM stands in.");
+    private static final Setting<String> SERVICE =
+            Setting.required(
+                    "service", SettingKinds.id(), "Service of the target beside the node.");
+    private static final Setting<Address> CALLERS =
+            Setting.required("caller-address", SettingKinds.address(), "Address for callers.");
+    private static final Setting<Address> GUARD =
+            Setting.required(
+                    "guard-address",
+                    SettingKinds.address(),
+                    "Address for other nodes' requests; the same port on every VM.");
+    private static final Setting<Address> ADMIN =
+            Setting.required(
+                    "admin-address",
+                    SettingKinds.address(),
+                    "Address of the administration API, which tells readiness.");
+    private static final Setting<Address> PLATFORM =
+            Setting.required(
+                    "store-address", SettingKinds.address(), "Address of the platform's store.");
+    private static final Setting<Double> FLOOR =
+            Setting.withDefault(
+                    "floor-share",
+                    orDefault(SettingKinds.decimal("share", 0, 1), 0.7),
+                    0.7,
+                    "Least share of a service's healthy capacity that ejections may leave.");
+    private static final Setting<Double> RETRY_RATIO =
+            Setting.withDefault(
+                    "retry-ratio",
+                    orDefault(SettingKinds.decimal("retries for each request", 0, 1), 0.2),
+                    0.2,
+                    "Most retries of the whole fleet for each request.");
+    private static final Setting<Double> RETRY_BURST =
+            Setting.withDefault(
+                    "retry-burst",
+                    orDefault(SettingKinds.decimal("retries", 1, 1_000_000), 60.0),
+                    60.0,
+                    "Retries that the whole fleet may save up.");
+    private static final Setting<Double> STOP =
+            Setting.withDefault(
+                    "stop-seconds",
+                    orDefault(SettingKinds.decimal("seconds", 1, 600), 6.0),
+                    6.0,
+                    "Longest time that a stop takes, until the platform kills the process.");
+
+    /** Checks the parts. */
+    public SidecarSettings {
+        Checks.id("failureDomain", failureDomain);
+        Checks.id("service", service);
+        Checks.notNull("callers", callers);
+        Checks.notNull("guard", guard);
+        Checks.notNull("admin", admin);
+        Checks.notNull("platform", platform);
+        Checks.notNull("log", log);
+    }
+
+    /** A platform that bounds something leaves the value empty where the bound is not in force. */
+    private static SettingKind<Double> orDefault(SettingKind<Double> kind, double otherwise) {
+        return new SettingKind<>(
+                kind.allowed() + ", or nothing",
+                text -> text.isBlank() ? otherwise : kind.parser().apply(text),
+                kind.formatter());
+    }
+
+    /** Returns the command that reads these settings. */
+    public static Command<SidecarSettings> command() {
+        return new Command<>(
+                "apricotgauge-sidecar",
+                "Serves callers and guards the target beside it on the users' platform.",
+                declared(),
+                SidecarSettings::of);
+    }
+
+    private static List<Setting<?>> declared() {
+        List<Setting<?>> settings = new ArrayList<>();
+        settings.addAll(List.of(FAILURE_DOMAIN, SERVICE, CALLERS, GUARD, ADMIN, PLATFORM));
+        settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, STOP));
+        settings.addAll(LogSettings.declared());
+        return List.copyOf(settings);
+    }
+
+    private static SidecarSettings of(SettingValues values) {
+        return new SidecarSettings(
+                values.get(FAILURE_DOMAIN),
+                values.get(SERVICE),
+                values.get(CALLERS),
+                values.get(GUARD),
+                values.get(ADMIN),
+                values.get(PLATFORM),
+                values.get(FLOOR),
+                values.get(RETRY_RATIO),
+                values.get(RETRY_BURST),
+                values.get(STOP),
+                LogSettings.of(values));
+    }
+
+    /** Returns what the node is, with the dialect and the readiness path of its platform. */
+    NodeProfile profile(SiteDialect dialect, String readyPath, RetryPool pool) {
+        long stopMillis = (long) (stopSeconds * MILLIS_PER_SECOND) - STOP_MARGIN_MILLIS;
+        return new NodeProfile(
+                new Vm(
+                        guard.host(),
+                        failureDomain,
+                        guard.host(),
+                        callers.port(),
+                        guard.port(),
+                        0,
+                        admin.port()),
+                stopMillis,
+                Math.min(SERVE_ON_MILLIS, stopMillis / 2),
+                CALLER_CONNECTIONS,
+                Set.of(readyPath),
+                true,
+                new EntryOptions(dialect, EntryOptions.Reach.GUARDS_ONLY, KeyLimits.DEFAULT, pool));
+    }
+
+    /** Returns the settings of services. */
+    SiteDefaults defaults() {
+        return new SiteDefaults(
+                (int) Math.ceil(floorShare * ALL_PERCENT),
+                ODDS,
+                (int) Math.floor(retryRatio * RATIO_PART * ALL_PERCENT));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/SiteMembers.java
@@ -0,0 +1,40 @@
+package org.apricotgauge.node;
+
+import org.apricotgauge.decision.gossip.LiveView;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.model.Vm;
+
+/** Which nodes there are, and which targets leave, beside what the configuration says. */
+interface SiteMembers {
+
+    /** Returns the address of the node beside a target, or null if there is none. */
+    Address guardOf(Target target);
+
+    /** Returns whether a target must get no new work. */
+    boolean isLeaving(Target target);
+
+    /** Returns how many nodes there are. */
+    int nodes();
+
+    /** Returns the members as the platform's list of VMs and the nodes' gossip tell them. */
+    static SiteMembers of(LiveView view) {
+        return new SiteMembers() {
+            @Override
+            public Address guardOf(Target target) {
+                Vm vm = view.vm(target.vm());
+                return vm == null || !vm.hasNode() ? null : new Address(vm.host(), vm.guardPort());
+            }
+
+            @Override
+            public boolean isLeaving(Target target) {
+                return view.leaving(target.vm(), target.id());
+            }
+
+            @Override
+            public int nodes() {
+                return view.nodes().size();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/UnstartedControl.java
@@ -0,0 +1,52 @@
+package org.apricotgauge.node;
+
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpFields;
+
+/** Stands for a node's control until it is started: nothing is known, and nothing may be done. */
+final class UnstartedControl implements NodeControl {
+    private static final byte[] NOTHING = {};
+
+    @Override
+    public CompletableFuture<Void> opened() {
+        return new CompletableFuture<>();
+    }
+
+    @Override
+    public boolean mayAct() {
+        return false;
+    }
+
+    @Override
+    public void announceLeaving() {}
+
+    @Override
+    public void publishEvidence(String key, long sequence, long lifetimeMillis, byte[] payload) {}
+
+    @Override
+    public void tick() {}
+
+    @Override
+    public int peerPort() {
+        return 0;
+    }
+
+    @Override
+    public Mark mark() {
+        return new Mark("", "", 0);
+    }
+
+    @Override
+    public void beforeHop(HttpFields.Mutable headers) {}
+
+    @Override
+    public void hopArrived(HttpFields headers) {}
+
+    @Override
+    public byte[] publishedSince(long revision) {
+        return NOTHING;
+    }
+
+    @Override
+    public void close() {}
+}
--- a/src/main/java/org/apricotgauge/operator/AdminHandler.java
+++ b/src/main/java/org/apricotgauge/operator/AdminHandler.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -41,21 +42,29 @@
     private final AdminSources mSources;
     private final Map<String, Endpoint> mEndpoints;
 
-    AdminHandler(AdminSources sources, Ticker ticker) {
+    AdminHandler(AdminSources sources, Set<String> readyPaths, Ticker ticker) {
         mSources = sources;
         RateBound pages = new RateBound(ticker, PAGES_PER_SECOND, PAGES_BURST);
         RateBound metrics = new RateBound(ticker, METRICS_PER_SECOND, METRICS_BURST);
-        mEndpoints =
-                Map.of(
-                        "/live", Endpoint.free(query -> AdminAnswer.line(200, "live")),
-                        "/ready", Endpoint.free(this::ready),
-                        "/status", new Endpoint(Set.of("service"), pages::tryTake, this::status),
-                        "/events",
-                                new Endpoint(
-                                        Set.of("since", "limit"), pages::tryTake, this::events),
-                        "/metrics", new Endpoint(Set.of(), metrics::tryTake, this::metrics),
-                        "/metrics.json",
-                                new Endpoint(Set.of(), metrics::tryTake, this::metricsJson));
+        Map<String, Endpoint> endpoints =
+                new HashMap<>(
+                        Map.of(
+                                "/live", Endpoint.free(query -> AdminAnswer.line(200, "live")),
+                                "/ready", Endpoint.free(this::ready),
+                                "/status",
+                                        new Endpoint(
+                                                Set.of("service"), pages::tryTake, this::status),
+                                "/events",
+                                        new Endpoint(
+                                                Set.of("since", "limit"),
+                                                pages::tryTake,
+                                                this::events),
+                                "/metrics", new Endpoint(Set.of(), metrics::tryTake, this::metrics),
+                                "/metrics.json",
+                                        new Endpoint(
+                                                Set.of(), metrics::tryTake, this::metricsJson)));
+        readyPaths.forEach(path -> endpoints.put(path, Endpoint.free(this::ready)));
+        mEndpoints = Map.copyOf(endpoints);
     }
 
     /** A path: what it may be asked, whether it may be answered now, and its answer. */
--- a/src/main/java/org/apricotgauge/operator/AdminServer.java
+++ b/src/main/java/org/apricotgauge/operator/AdminServer.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.operator;
 
 import java.io.IOException;
+import java.util.Set;
 import org.apricotgauge.http.RefusalHandler;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.time.Ticker;
@@ -42,6 +43,12 @@
 
     /** Creates a server that is not started yet; port 0 stands for any free one. */
     public AdminServer(AdminSources sources, String host, int port, Ticker ticker) {
+        this(sources, host, port, Set.of(), ticker);
+    }
+
+    /** As above; {@code readyPaths} tell readiness, too. */
+    public AdminServer(
+            AdminSources sources, String host, int port, Set<String> readyPaths, Ticker ticker) {
         Checks.notNull("sources", sources);
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName("admin");
@@ -59,7 +66,7 @@
         mServer.addBean(new NetworkConnectionLimit(MAX_CONNECTIONS, mServer));
         mServer.setStopTimeout(STOP_MILLIS);
         mServer.setErrorHandler(new RefusalHandler(() -> {}));
-        mServer.setHandler(new AdminHandler(sources, Checks.notNull("ticker", ticker)));
+        mServer.setHandler(new AdminHandler(sources, readyPaths, Checks.notNull("ticker", ticker)));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
@@ -0,0 +1,105 @@
+package org.apricotgauge.platform.kv;
+
+import java.util.Locale;
+import java.util.OptionalLong;
+import org.apricotgauge.http.SiteDialect;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Route;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * The headers of the platform's callers and targets.
+ *
+ * <pre>{@code
+ * SiteDialect dialect = new KvDialect("booking");
+ * }</pre>
+ */
+public final class KvDialect implements SiteDialect {
+    /** Path at which the platform asks a node whether callers shall be sent to it. */
+    public static final String READY_PATH = "/apricotgauge/readiness";
+
+    /** The caller's identifier of one request; targets repeat it in their answers. */
+    static final String REQUEST_ID = "X-Attempt-Id";
+
+    /** Milliseconds left, from callers and to targets. */
+    static final String TIMEOUT = "X-Timeout-Remaining";
+
+    /** The one run of a target that may take the request. */
+    static final String TARGET_RUN = "X-Expected-Instance";
+
+    /** Service of the VM where the request began. */
+    static final String ORIGIN = "X-Caller-Service";
+
+    /** A target's mark on its answers. */
+    static final String TARGET_MARK = "X-Server-Signature";
+
+    /** On a target's refusal: the request was not run. */
+    static final String NOT_RUN = "X-Not-Executed";
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private final String mService;
+
+    /** Creates the dialect of a node beside a target of the service. */
+    public KvDialect(String service) {
+        mService = Checks.id("service", service);
+    }
+
+    @Override
+    public OptionalLong timeoutMillis(HttpFields headers) {
+        HttpField field = headers.getField(TIMEOUT);
+        if (field == null) {
+            return OptionalLong.empty();
+        }
+        try {
+            long millis = (long) Double.parseDouble(field.getValue().strip());
+            return OptionalLong.of(Math.max(1, Math.min(Route.MAX_DEADLINE_MILLIS, millis)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(TIMEOUT + " must be a number of milliseconds", e);
+        }
+    }
+
+    @Override
+    public String requestId(HttpFields headers) {
+        String id = headers.get(REQUEST_ID);
+        return id == null ? "" : id;
+    }
+
+    @Override
+    public void markOrigin(HttpFields.Mutable headers) {
+        headers.put(ORIGIN, mService);
+    }
+
+    @Override
+    public void towardsTarget(HttpFields.Mutable headers, String targetId, long leftMillis) {
+        headers.put(TIMEOUT, leftMillis);
+        headers.put(TARGET_RUN, targetId);
+    }
+
+    @Override
+    public AnswerKind kindOf(HttpFields request, int status, HttpFields answer) {
+        String echo = answer.get(REQUEST_ID);
+        if (echo != null && !echo.equals(request.get(REQUEST_ID))) {
+            return AnswerKind.FOREIGN;
+        }
+        if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
+            return AnswerKind.OTHER_TARGET;
+        }
+        boolean isLoad =
+                status == HttpStatus.SERVICE_UNAVAILABLE_503
+                        || status == HttpStatus.TOO_MANY_REQUESTS_429;
+        if (isLoad && answer.contains(NOT_RUN)) {
+            return AnswerKind.SHED;
+        }
+        boolean unmarked = echo == null || !answer.contains(TARGET_MARK);
+        return HttpStatus.isSuccess(status) && unmarked ? AnswerKind.FOREIGN : AnswerKind.ANSWER;
+    }
+
+    /** Returns seconds with their fraction. */
+    @Override
+    public String retryAfter(long millis) {
+        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/platform/kv/KvSource.java
@@ -0,0 +1,134 @@
+package org.apricotgauge.platform.kv;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.directory.PublishedItem;
+import org.apricotgauge.directory.PublishedPage;
+import org.apricotgauge.directory.PublishedSource;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.platform.PlatformException;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * The platform's store of keys, read over HTTP.
+ *
+ * <pre>{@code
+ * PublishedSource store = new KvSource(client, new Address("10.0.0.7", 8309));
+ * }</pre>
+ *
+ * <p>One watch with the empty prefix covers the configuration and the targets: a call each is what
+ * the platform counts. A store that has forgotten the changes asked for (410) is read whole.
+ */
+public final class KvSource implements PublishedSource {
+    private static final String RANGE = "/apricotgauge/kv-range?pathPrefix=";
+    private static final String WATCH = "/apricotgauge/kv-watch?pathPrefix=";
+
+    /** The store holds a watch no longer than this. */
+    private static final long MAX_WAIT_MILLIS = 30_000;
+
+    /** Answers take 4 ms, on a slow day some 250; a silent connection is given up after this. */
+    private static final long ANSWER_MILLIS = 900;
+
+    /** A page holds at most 500 items or 1 MB of values, half as much again in base64. */
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+
+    private static final ObjectMapper JSON =
+            new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private final HttpClient mHttp;
+    private final Address mStore;
+
+    /** Creates a source on a client that stays its owner's. */
+    public KvSource(HttpClient http, Address store) {
+        mHttp = Checks.notNull("http", http);
+        mStore = Checks.notNull("store", store);
+    }
+
+    /** An item or event on the wire; values are base64. */
+    private record ItemLine(String key, byte[] value, long revision, boolean tombstone) {
+        PublishedItem item() {
+            return tombstone || value == null
+                    ? PublishedItem.removed(key, revision)
+                    : new PublishedItem(key, value, revision, false);
+        }
+    }
+
+    private record RangeAnswer(List<ItemLine> items, boolean hasMore, long at) {}
+
+    private record WatchAnswer(List<ItemLine> events, long at) {}
+
+    @Override
+    public CompletableFuture<PublishedPage> read(long afterRevision, long waitMillis) {
+        if (afterRevision == 0) {
+            return readWhole(new ArrayList<>(), "", 0);
+        }
+        long wait = Math.max(1, Math.min(MAX_WAIT_MILLIS, waitMillis));
+        String path = WATCH + "&after=" + afterRevision + "&waitMs=" + wait;
+        return get(path, wait)
+                .thenCompose(
+                        answer -> {
+                            if (answer.getStatus() == HttpStatus.GONE_410) {
+                                return readWhole(new ArrayList<>(), "", 0);
+                            }
+                            WatchAnswer watch = parse(path, answer, WatchAnswer.class);
+                            return CompletableFuture.completedFuture(
+                                    new PublishedPage(watch.at(), false, items(watch.events())));
+                        });
+    }
+
+    // Pages are not a snapshot: what changes between them shows in a watch from the first one on.
+    private CompletableFuture<PublishedPage> readWhole(
+            List<PublishedItem> read, String afterKey, long firstAt) {
+        String path =
+                RANGE
+                        + (afterKey.isEmpty()
+                                ? ""
+                                : "&after=" + URLEncoder.encode(afterKey, StandardCharsets.UTF_8));
+        return get(path, 0)
+                .thenCompose(
+                        answer -> {
+                            RangeAnswer range = parse(path, answer, RangeAnswer.class);
+                            read.addAll(items(range.items()));
+                            long at = firstAt == 0 ? range.at() : firstAt;
+                            if (range.hasMore() && !read.isEmpty()) {
+                                return readWhole(read, read.get(read.size() - 1).key(), at);
+                            }
+                            return CompletableFuture.completedFuture(
+                                    new PublishedPage(at, true, read));
+                        });
+    }
+
+    private static List<PublishedItem> items(List<ItemLine> lines) {
+        return lines == null ? List.of() : lines.stream().map(ItemLine::item).toList();
+    }
+
+    private CompletableFuture<ContentResponse> get(String path, long waitMillis) {
+        var request =
+                mHttp.newRequest(mStore.host(), mStore.port())
+                        .path(path)
+                        .timeout(waitMillis + ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        return new CompletableResponseListener(request, MAX_ANSWER_BYTES).send();
+    }
+
+    private static <T> T parse(String path, ContentResponse answer, Class<T> type) {
+        if (answer.getStatus() != HttpStatus.OK_200) {
+            throw new PlatformException("status " + answer.getStatus() + " to " + path);
+        }
+        try {
+            return JSON.readValue(answer.getContent(), type);
+        } catch (IOException e) {
+            throw new PlatformException("unreadable answer to " + path, e);
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.target;
 
 import com.codahale.metrics.MetricRegistry;
+import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -58,6 +59,9 @@
      */
     public static final String CONTROL_KEYED = "keyed";
 
+    /** Value of {@link HeaderNames#CONTROL}: what the platform published, as this node knows it. */
+    public static final String CONTROL_DIRECTORY = "directory";
+
     private static final long EXPIRE_EVERY_MILLIS = 10;
 
     private final Supplier<RoutingTable> mTable;
@@ -68,8 +72,16 @@
     private final AtomicInteger mInFlight = new AtomicInteger();
     private final ConcurrentMap<Attempt, GuardedRequest> mRequests = new ConcurrentHashMap<>();
     private final Request.Handler mKeyed;
+    private final DirectoryPages mDirectory;
     private volatile boolean mLeaving;
 
+    /** Tells a peer what the platform published. */
+    @FunctionalInterface
+    public interface DirectoryPages {
+        /** Returns the encoded changes after a revision; empty bytes if nothing is read so. */
+        byte[] publishedSince(long revision);
+    }
+
     /**
      * Creates the handler of one VM.
      *
@@ -82,6 +94,7 @@
      * @param observer hears how requests ended
      * @param keyed serves requests whose Idempotency-Key this node remembers
      * @param dialect headers of the site's targets
+     * @param directory tells peers what the platform published
      * @param registry takes the counters
      */
     public GuardHandler(
@@ -94,8 +107,10 @@
             GuardObserver observer,
             Request.Handler keyed,
             SiteDialect dialect,
+            DirectoryPages directory,
             MetricRegistry registry) {
         mVm = vm;
+        mDirectory = directory;
         mTable = table;
         mKeyed = keyed;
         mContext =
@@ -151,6 +166,13 @@
             Bodies.writeText(response, callback, HttpStatus.OK_200, "");
             return true;
         }
+        if (CONTROL_DIRECTORY.equals(control)) {
+            long afterRevision =
+                    Math.max(0, request.getHeaders().getLongField(HeaderNames.DIRECTORY));
+            ByteBuffer page = ByteBuffer.wrap(mDirectory.publishedSince(afterRevision));
+            response.write(true, page, callback);
+            return true;
+        }
         Optional<Attempt> attempt =
                 Optional.ofNullable(request.getHeaders().get(Attempt.HEADER))
                         .flatMap(Attempt::parse);
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -190,6 +190,7 @@
                         new Blind(),
                         vm.mEntry::handleKeyed,
                         FleetDialect.INSTANCE,
+                        revision -> new byte[0],
                         vm.mRegistry);
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
         vm.mGuardServer = servers.create("127.0.0.1", 0, vm.mGuard, () -> {});
