Keep what must not repeat away from targets in a sick spell

Ruled out: the CUSUM detector alone (it waits for two or three failures and holds for seconds; a spell is over by then). Change: HealthBelief (two states, Bayes) at the guard, which sees all of its target's requests; it refuses what must not repeat while the target is suspect, lets one repeatable request in 300 ms try it, and tells entries on its answers; entries weigh it like load.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -10,6 +10,7 @@
 import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.decision.attempt.RetryDecision;
 import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.http.AnswerStream;
@@ -140,6 +141,16 @@
         return mDeadlineMillis - mContext.ticker().millis();
     }
 
+    /** Returns how much of a risk the present attempt may run. */
+    HealthGate.Caution caution() {
+        synchronized (this) {
+            if (mProgress.attempts() + 1 >= mContext.repeatPolicy().maxAttempts()) {
+                return HealthGate.Caution.NONE;
+            }
+        }
+        return mAsked.repeatable() ? HealthGate.Caution.MAY_TRY : HealthGate.Caution.STEADY;
+    }
+
     long deadlineMillis() {
         return mDeadlineMillis;
     }
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -12,7 +12,6 @@
 import org.apricotgauge.decision.attempt.KeyHome;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
-import org.apricotgauge.decision.attempt.RepeatPolicy;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
@@ -87,7 +86,7 @@
                         guards,
                         direct,
                         ids,
-                        RepeatPolicy.DEFAULT,
+                        options.repeatPolicy(),
                         scheduler,
                         ticker,
                         observer,
--- a/src/main/java/org/apricotgauge/caller/EntryOptions.java
+++ b/src/main/java/org/apricotgauge/caller/EntryOptions.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.caller;
 
 import org.apricotgauge.decision.attempt.KeyLimits;
+import org.apricotgauge.decision.attempt.RepeatPolicy;
 import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.model.Checks;
@@ -14,11 +15,16 @@
  *
  * @param dialect headers of the site's callers and targets
  * @param reach whether targets can be reached past their guards
+ * @param repeatPolicy how often a request is sent
  * @param keyLimits bounds of the memory of Idempotency-Keys
  * @param retryPool how many retries this entry may save up
  */
 public record EntryOptions(
-        SiteDialect dialect, Reach reach, KeyLimits keyLimits, RetryPool retryPool) {
+        SiteDialect dialect,
+        Reach reach,
+        RepeatPolicy repeatPolicy,
+        KeyLimits keyLimits,
+        RetryPool retryPool) {
 
     /** Which ways lead to a target. */
     public enum Reach {
@@ -32,6 +38,7 @@
     public EntryOptions {
         Checks.notNull("dialect", dialect);
         Checks.notNull("reach", reach);
+        Checks.notNull("repeatPolicy", repeatPolicy);
         Checks.notNull("keyLimits", keyLimits);
         Checks.notNull("retryPool", retryPool);
     }
@@ -39,6 +46,10 @@
     /** Returns the options of a site that speaks the fleet's own dialect. */
     public static EntryOptions of(KeyLimits keyLimits) {
         return new EntryOptions(
-                FleetDialect.INSTANCE, Reach.ANY_WAY, keyLimits, RetryPool.PER_NODE);
+                FleetDialect.INSTANCE,
+                Reach.ANY_WAY,
+                RepeatPolicy.DEFAULT,
+                keyLimits,
+                RetryPool.PER_NODE);
     }
 }
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -110,6 +110,9 @@
                     headers.put(HeaderNames.MEMBER, mExchange.asked().memberId());
                     headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
                     headers.put(HeaderNames.PRIORITY, priority());
+                    headers.put(
+                            HeaderNames.CAUTION,
+                            mExchange.caution().name().toLowerCase(Locale.ROOT));
                     mContext.dialect().markOrigin(headers);
                     mContext.observer().beforeHop(headers);
                 });
@@ -178,6 +181,10 @@
         if (loadPermille >= 0) {
             mCandidate.load().report((int) loadPermille, mContext.ticker().nanos());
         }
+        long sickPermille = headers.getLongField(HeaderNames.SICK_PERMILLE);
+        if (sickPermille >= 0) {
+            mCandidate.load().reportSick((int) sickPermille, mContext.ticker().millis());
+        }
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -20,6 +20,8 @@
     TARGET_UNREACHABLE,
     /** The target refused it for load and said that it did not run it. */
     TARGET_SHED,
+    /** The target may be in a sick spell, and the request must not take the risk. */
+    TARGET_SUSPECT,
     /** Another target has the address by now, and did not run it. */
     TARGET_REPLACED,
     /** The older routing system, whose share it falls into, took no connection. */
--- a/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.apricotgauge.decision.health.HealthBelief;
 
 /**
  * Chooses the target of a request: power of two choices on load per slot, own failure domain first.
@@ -27,6 +28,12 @@
     /** How much busier per slot the own failure domain may be before others are taken. */
     static final double LOCAL_ADVANTAGE = 0.25;
 
+    /**
+     * Load per slot that a certainly sick target is charged: with it a target that is known to be
+     * sick is taken only before one with three full rounds of work waiting.
+     */
+    static final double SICK_LOAD = 3;
+
     private static final int DRAWS = 8;
 
     private BalancingPolicy() {}
@@ -110,7 +117,9 @@
     }
 
     private static double loadOf(Candidate candidate, long nowNanos) {
-        return candidate.load().perSlot(candidate.target().slots(), nowNanos);
+        double load = candidate.load().perSlot(candidate.target().slots(), nowNanos);
+        double sick = candidate.load().sick(nowNanos) - HealthBelief.USUALLY_SICK;
+        return load + SICK_LOAD * sick;
     }
 
     static double weightOf(Candidate candidate, long nowNanos) {
--- a/src/main/java/org/apricotgauge/decision/routing/TargetLoad.java
+++ b/src/main/java/org/apricotgauge/decision/routing/TargetLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.apricotgauge.decision.health.HealthBelief;
 
 /**
  * The load of one target as one entry sees it; survives changes of the routing table.
@@ -23,6 +24,8 @@
     private final AtomicInteger mInFlight = new AtomicInteger();
     private volatile Report mReport = new Report(0, Long.MIN_VALUE / 2);
 
+    private volatile HealthBelief mHealth = HealthBelief.UNKNOWN;
+
     private record Report(int loadPermille, long atNanos) {}
 
     /** Counts a request that starts. */
@@ -50,6 +53,22 @@
         mReport = new Report(loadPermille, nowNanos);
     }
 
+    /**
+     * Takes how likely the target is to be sick, as its guard told.
+     *
+     * @param sickPermille probability in permille
+     * @param nowMillis time of the report
+     */
+    public void reportSick(int sickPermille, long nowMillis) {
+        double sick = Math.max(0, Math.min(1, sickPermille / PERMILLE));
+        mHealth = new HealthBelief(sick, nowMillis);
+    }
+
+    /** Returns the probability that the target is sick now. */
+    public double sick(long nowNanos) {
+        return mHealth.sickAt(TimeUnit.NANOSECONDS.toMillis(nowNanos));
+    }
+
     /**
      * Returns the load as a share of the slots; 1.0 is all slots busy.
      *
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -31,6 +31,12 @@
     /** Hops: load of the target as the guard sees it, in permille of its slots. */
     public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
 
+    /** Hops: how much of a risk the request may run; see {@code HealthGate.Caution}. */
+    public static final String CAUTION = "Apricotgauge-Caution";
+
+    /** Hops: probability that the target is sick as the guard sees it, in permille. */
+    public static final String SICK_PERMILLE = "Apricotgauge-Sick-Permille";
+
     /** Hops: the guard's evidence about the target; see {@code node.EvidenceCodec}. */
     public static final String EVIDENCE = "Apricotgauge-Evidence";
 
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -11,6 +11,7 @@
 import org.apricotgauge.cli.SettingKinds;
 import org.apricotgauge.cli.SettingValues;
 import org.apricotgauge.decision.attempt.KeyLimits;
+import org.apricotgauge.decision.attempt.RepeatPolicy;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.log.LogSettings;
 import org.apricotgauge.model.Address;
@@ -71,6 +72,12 @@
     /** A false ejection costs what 300 s of work at a sick target cost; see the design's page. */
     private static final DetectionOdds ODDS = new DetectionOdds(300, 1);
 
+    /**
+     * Refusals by guards of suspect targets count as attempts: with a third of the targets suspect,
+     * five tries miss a good one in 1 of 240 requests, three in 1 of 27.
+     */
+    private static final RepeatPolicy REPEATS = new RepeatPolicy(5, 20);
+
     private static final Setting<String> FAILURE_DOMAIN =
             Setting.required(
                     "failure-domain", SettingKinds.id(), "Failure domain that the VM stands in.");
@@ -185,7 +192,8 @@
                 CALLER_CONNECTIONS,
                 Set.of(readyPath),
                 true,
-                new EntryOptions(dialect, EntryOptions.Reach.GUARDS_ONLY, KeyLimits.DEFAULT, pool));
+                new EntryOptions(
+                        dialect, EntryOptions.Reach.GUARDS_ONLY, REPEATS, KeyLimits.DEFAULT, pool));
     }
 
     /** Returns the settings of services. */
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -19,6 +19,7 @@
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.HeaderNames;
@@ -252,7 +253,15 @@
                         });
         TargetGate gate = mGates.of(target);
         GuardedRequest guarded =
-                new GuardedRequest(mContext, gate, attempt, ticket, request, response, counted);
+                new GuardedRequest(
+                        mContext,
+                        gate,
+                        attempt,
+                        ticket,
+                        request,
+                        response,
+                        counted,
+                        cautionOf(request));
         mRequests.put(attempt, guarded);
         guarded.begin();
     }
@@ -278,6 +287,17 @@
                 attempt.latestStartMillis());
     }
 
+    // An entry of an older release names none, and is served as before.
+    private static HealthGate.Caution cautionOf(Request request) {
+        String word = request.getHeaders().get(HeaderNames.CAUTION);
+        for (HealthGate.Caution caution : HealthGate.Caution.values()) {
+            if (caution.name().toLowerCase(Locale.ROOT).equals(word)) {
+                return caution;
+            }
+        }
+        return HealthGate.Caution.NONE;
+    }
+
     private static Priority priorityOf(Request request) {
         String word = request.getHeaders().get(HeaderNames.PRIORITY);
         for (Priority priority : Priority.values()) {
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -14,6 +14,7 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.http.AnswerStream;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.ForwardedHeaders;
@@ -50,6 +51,7 @@
     private final Request mRequest;
     private final Response mResponse;
     private final Callback mCallback;
+    private final HealthGate.Caution mCaution;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
     private volatile long mSentAtNanos;
     private volatile UpstreamExchange mExchange;
@@ -80,7 +82,9 @@
             Ticket ticket,
             Request request,
             Response response,
-            Callback callback) {
+            Callback callback,
+            HealthGate.Caution caution) {
+        mCaution = caution;
         mContext = context;
         mGate = gate;
         mAttempt = attempt;
@@ -149,6 +153,10 @@
 
     @Override
     public void admitted() {
+        if (!mGate.health().mayPass(mCaution, mContext.ticker().millis())) {
+            refuseSuspect();
+            return;
+        }
         if (!mPhase.compareAndSet(Phase.WAITING, Phase.SENDING)) {
             mGate.leave(mTicket, Result.CANCELLED, 0);
             return;
@@ -163,6 +171,14 @@
         watchForHang(TimeUnit.MILLISECONDS.toMicros(leftMillis));
     }
 
+    private void refuseSuspect() {
+        if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+            mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
+            endNotRun(NotRunReason.TARGET_SUSPECT, 0);
+        }
+        mGate.leave(mTicket, Result.CANCELLED, 0);
+    }
+
     // A target that hangs would be seen only at the deadlines of its requests, seconds late.
     private void watchForHang(long leftMicros) {
         long overdueMicros = mContext.observer().overdueMicros(mGate.target());
@@ -178,6 +194,14 @@
 
     private void observe(ObservedOutcome outcome, long serviceMicros) {
         if (mObserved.compareAndSet(false, true)) {
+            switch (outcome) {
+                case SUCCESS -> mGate.health().ended(false, mContext.ticker().millis());
+                case TARGET_ERROR, TIMEOUT, OVERDUE ->
+                        mGate.health().ended(true, mContext.ticker().millis());
+                default -> {
+                    // Load, the path or the caller: nothing about the target's health.
+                }
+            }
             mContext.observer().observed(mGate.target(), outcome, serviceMicros);
         }
     }
@@ -261,7 +285,7 @@
         }
         AnswerStream.copyHead(answer, mResponse);
         mResponse.getHeaders().put(Attempt.HEADER, mAttempt.toString());
-        mResponse.getHeaders().put(HeaderNames.LOAD_PERMILLE, mGate.loadPermille());
+        tellTarget();
         mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
         WatchedSource watched = new WatchedSource(body);
         Callback whenCopied =
@@ -345,12 +369,17 @@
     private void endNotRun(NotRunReason reason, long retryAfterMillis) {
         stopTimers();
         mContext.metrics().notRun().inc();
-        mResponse.getHeaders().put(HeaderNames.LOAD_PERMILLE, mGate.loadPermille());
+        tellTarget();
         mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
         Outcome.NotRun outcome = new Outcome.NotRun(reason, retryAfterMillis);
         afterInterim(() -> Outcomes.write(mResponse, mCallback, outcome));
     }
 
+    private void tellTarget() {
+        mResponse.getHeaders().put(HeaderNames.LOAD_PERMILLE, mGate.loadPermille());
+        mResponse.getHeaders().put(HeaderNames.SICK_PERMILLE, mGate.sickPermille());
+    }
+
     private void stopTimers() {
         HangUpEndPoint.release(mRequest);
         cancel(mTimeout);
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -9,6 +9,7 @@
 import org.apricotgauge.decision.admission.Refusal;
 import org.apricotgauge.decision.admission.Result;
 import org.apricotgauge.decision.admission.Ticket;
+import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 
@@ -29,6 +30,7 @@
     private final Target mTarget;
     private final AdmissionQueue mQueue;
     private final Ticker mTicker;
+    private final HealthGate mHealth = new HealthGate();
     private final ConcurrentMap<Long, Work> mWaiting = new ConcurrentHashMap<>();
 
     /** Something that needs a slot. */
@@ -50,6 +52,15 @@
         return mTarget;
     }
 
+    HealthGate health() {
+        return mHealth;
+    }
+
+    /** Returns the probability that the target is sick, in permille. */
+    int sickPermille() {
+        return (int) Math.round(PERMILLE * mHealth.belief().sickAt(mTicker.millis()));
+    }
+
     void enter(Ticket ticket, Work work) {
         // Noted before it is offered: a slot may come free, on another thread, before offer
         // returns.
