Bound retries by the fleet's window, tell how bad requests ended, let timers rest

Change: RetryPool.ofFleet (savings and income half each, saved since the process started), DecisionLog, expiry timer only while something waits, lag meter every 100 ms, watch of 10 s and a gap of 0.3 s, silent guards left alone for 1.5 s.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -20,6 +20,7 @@
 import org.apricotgauge.http.WatchedSource;
 import org.apricotgauge.model.Service;
 import org.apricotgauge.predecessor.SharePolicy;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -40,7 +41,9 @@
 
     private final EntryContext mContext;
     private final ServiceTable mTable;
+    private final long mVersion;
     private final RetryBudget mBudget;
+    private final DecisionLog.Steps mSteps = new DecisionLog.Steps();
     private final CallerRequest mAsked;
     private final Request mRequest;
     private final Response mResponse;
@@ -61,6 +64,7 @@
     CallerExchange(
             EntryContext context,
             ServiceTable table,
+            long version,
             RetryBudget budget,
             CallerRequest asked,
             Request request,
@@ -68,6 +72,7 @@
             Callback callback) {
         mContext = context;
         mTable = table;
+        mVersion = version;
         mBudget = budget;
         mAsked = asked;
         mRequest = request;
@@ -187,6 +192,12 @@
             return;
         }
         Candidate candidate = choice.get();
+        mSteps.add(
+                candidate.target().id()
+                        + " at "
+                        + candidate.target().host()
+                        + ' '
+                        + caution().name());
         boolean direct =
                 mContext.reach() == EntryOptions.Reach.ANY_WAY && !mContext.hasGuardUp(candidate);
         send(direct ? new DirectAttempt(this, candidate) : new GuardedAttempt(this, candidate));
@@ -270,6 +281,7 @@
             }
             mCurrent = null;
             mProgress = mProgress.after(outcome);
+            mSteps.add(outcome.toString());
             decision = decide();
         }
         if (decision instanceof RetryDecision.Finish finish) {
@@ -307,6 +319,7 @@
                 return;
             }
             mProgress = mProgress.after(outcome);
+            mSteps.add(outcome.toString());
             // What the older system serves only it retries; with both, retries would multiply.
             again = !mAtPredecessor && !(decide() instanceof RetryDecision.Finish);
             if (again) {
@@ -414,7 +427,29 @@
         }
     }
 
+    private void log(Outcome outcome) {
+        boolean well =
+                outcome instanceof Outcome.Answered answered
+                        && !HttpStatus.isServerError(answered.status());
+        if (well && !mContext.log().samples()) {
+            return;
+        }
+        long tookNanos = mContext.ticker().nanos() - mStartNanos;
+        mContext.log()
+                .ended(
+                        new DecisionLog.Ended(
+                                mContext.dialect().requestId(mRequest.getHeaders()),
+                                mAsked.route().id(),
+                                mTable.service().id(),
+                                outcome.toString(),
+                                mSteps.list(),
+                                TimeUnit.NANOSECONDS.toMillis(tookNanos),
+                                mVersion,
+                                Request.getRemoteAddr(mRequest)));
+    }
+
     private void count(Outcome outcome) {
+        log(outcome);
         mContext.observer().told(mTable.service().id(), outcome);
         mContext.metrics()
                 .total()
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/DecisionLog.java
@@ -0,0 +1,95 @@
+package org.apricotgauge.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apricotgauge.decision.TokenBucket;
+import org.apricotgauge.log.StateLog;
+import org.apricotgauge.time.Ticker;
+import org.jboss.logging.Logger;
+
+/**
+ * Writes one line for each request that ended badly and for a sample of the others.
+ *
+ * <pre>{@code
+ * log.ended(new DecisionLog.Ended(id, route, service, "not-run", steps, tookMillis, version));
+ * }</pre>
+ *
+ * <p>An engineer on call starts from a request's id. The line tells what each attempt was sent to
+ * and what became of it, so that the guard's lines, which bear the same id, need only be looked up
+ * at the node that is named. At most {@link #LINES_PER_SECOND} are written; the next line tells how
+ * many were left out. Thread-safe.
+ */
+final class DecisionLog {
+    /** Lines of one node in a second: about 10 KB, whatever the load. */
+    static final int LINES_PER_SECOND = 40;
+
+    /** One in so many requests that ended well leaves a line. */
+    static final int SAMPLE = 16;
+
+    private final StateLog mLog = new StateLog(Logger.getLogger("org.apricotgauge.requests"));
+    private final Ticker mTicker;
+    private final TokenBucket mLines;
+    private final AtomicLong mWell = new AtomicLong();
+    private long mLeftOut;
+
+    /**
+     * How a request ended.
+     *
+     * @param id identifier that the caller gave it
+     * @param route its route
+     * @param service the service that was chosen for it
+     * @param outcome what its caller was told
+     * @param steps what was tried, in order
+     * @param tookMillis time from its head to the decision, in milliseconds
+     * @param version version of the configuration that it was routed by
+     * @param origin address of the caller
+     */
+    record Ended(
+            String id,
+            String route,
+            String service,
+            String outcome,
+            List<String> steps,
+            long tookMillis,
+            long version,
+            String origin) {}
+
+    private record Line(Ended request, long leftOut) {}
+
+    DecisionLog(Ticker ticker) {
+        mTicker = ticker;
+        mLines = new TokenBucket(LINES_PER_SECOND, LINES_PER_SECOND, ticker.millis());
+    }
+
+    /** Returns whether a request that ended well is in the sample. */
+    boolean samples() {
+        return mWell.getAndIncrement() % SAMPLE == 0;
+    }
+
+    void ended(Ended request) {
+        long leftOut;
+        synchronized (mLines) {
+            if (!mLines.take(1, mTicker.millis())) {
+                mLeftOut++;
+                return;
+            }
+            leftOut = mLeftOut;
+            mLeftOut = 0;
+        }
+        mLog.info("request ended", new Line(request, leftOut));
+    }
+
+    /** The steps of one request, in the order in which they were taken; thread-safe. */
+    static final class Steps {
+        private final List<String> mSteps = new ArrayList<>(2);
+
+        synchronized void add(String step) {
+            mSteps.add(step);
+        }
+
+        synchronized List<String> list() {
+            return List.copyOf(mSteps);
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -23,6 +23,7 @@
  * @param lag how late this process runs
  * @param dialect headers of the site's callers and targets
  * @param reach which ways lead to a target
+ * @param log tells how requests ended
  * @param metrics counters
  */
 record EntryContext(
@@ -37,6 +38,7 @@
         LagMeter lag,
         SiteDialect dialect,
         EntryOptions.Reach reach,
+        DecisionLog log,
         EntryMetrics metrics) {
 
     /**
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -94,9 +94,10 @@
                         new LagMeter(scheduler, ticker),
                         options.dialect(),
                         options.reach(),
+                        new DecisionLog(ticker),
                         EntryMetrics.of(registry));
         mKeyed = new KeyedRequests(mContext, options.keyLimits());
-        mBudgets = new RetryBudgets(options.retryPool());
+        mBudgets = new RetryBudgets(options.retryPool(), ticker.millis());
     }
 
     /** Starts what runs beside the requests; the scheduler must have been started. */
@@ -158,6 +159,7 @@
                 new CallerExchange(
                         mContext,
                         routed.table(),
+                        routed.version(),
                         mBudgets.of(routed.table().service()),
                         routed.asked(),
                         request,
@@ -193,6 +195,7 @@
                         new CallerExchange(
                                         mContext,
                                         routed.table(),
+                                        routed.version(),
                                         mBudgets.of(routed.table().service()),
                                         routed.asked(),
                                         request,
@@ -203,7 +206,7 @@
     }
 
     /** What a request asks for, and the service that shall answer it. */
-    private record Routed(CallerRequest asked, ServiceTable table) {}
+    private record Routed(CallerRequest asked, ServiceTable table, long version) {}
 
     /** Finds the route and checks the head; answers and returns null if that fails. */
     private Routed route(Request request, Response response, Callback callback) {
@@ -225,7 +228,7 @@
                             request.getHeaders(),
                             route.get(),
                             mContext.dialect());
-            return new Routed(asked, service.get());
+            return new Routed(asked, service.get(), table.version());
         } catch (IllegalArgumentException e) {
             refuse(response, callback, HttpStatus.BAD_REQUEST_400, e.getMessage());
             return null;
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -40,6 +40,9 @@
     /** The margin is at most this part of the time left. */
     private static final long MARGIN_PART = 10;
 
+    /** As sick as a target counts right after a failure. */
+    private static final int DISTRUSTED_PERMILLE = 950;
+
     private final CallerExchange mExchange;
     private final EntryContext mContext;
     private final Candidate mCandidate;
@@ -76,6 +79,7 @@
 
     private void unreachable() {
         over();
+        distrust();
         mAccount.observed(ObservedOutcome.PATH_FAULT);
         mContext.metrics().pathFaults().inc();
         mContext.guards().connectFailed(mCandidate.guard());
@@ -229,6 +233,7 @@
     /** Leaves the guard to itself: what may repeat need not wait for its word. */
     private void goElsewhere(boolean connectionOpen) {
         over();
+        distrust();
         mAccount.observed(ObservedOutcome.PATH_FAULT);
         if (connectionOpen) {
             AttemptAccount.abort(mUpstream);
@@ -237,7 +242,15 @@
         mExchange.attemptEnded(this, new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
     }
 
+    // Whatever is wrong on the way counts, for some seconds, as if the target were sick: requests
+    // of
+    // this entry that must not repeat would meet the same silence.
+    private void distrust() {
+        mCandidate.load().reportSick(DISTRUSTED_PERMILLE, mContext.ticker().millis());
+    }
+
     private void fenced(FenceAnswer answer, boolean connectionOpen) {
+        distrust();
         mContext.observer().fenced(mCandidate.target(), mAttempt.id().toString(), answer);
         boolean started = answer != null && answer.state() == FenceAnswer.State.STARTED;
         if (started && connectionOpen) {
--- a/src/main/java/org/apricotgauge/caller/LagMeter.java
+++ b/src/main/java/org/apricotgauge/caller/LagMeter.java
@@ -5,13 +5,13 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Measures how late this process gets to run: the lateness of a task that is due every 20 ms.
+ * Measures how late this process gets to run: the lateness of a task that is due every 100 ms.
  *
  * <p>The reading follows a rise at once and falls by half in about a second.
  */
 final class LagMeter {
-    private static final long PERIOD_MILLIS = 20;
-    private static final double KEEP = 0.986;
+    private static final long PERIOD_MILLIS = 100;
+    private static final double KEEP = 0.932;
 
     private final Scheduler mScheduler;
     private final Ticker mTicker;
--- a/src/main/java/org/apricotgauge/caller/RetryBudgets.java
+++ b/src/main/java/org/apricotgauge/caller/RetryBudgets.java
@@ -10,23 +10,22 @@
     private static final double ALL_PERCENT = 100.0;
 
     private final RetryPool mPool;
+    private final long mStartedMillis;
     private final ConcurrentMap<String, Entry> mBudgets = new ConcurrentHashMap<>();
 
-    private record Entry(int percent, int burst, RetryBudget budget) {}
+    private record Entry(int percent, RetryPool.Extra extra, RetryBudget budget) {}
 
-    RetryBudgets(RetryPool pool) {
+    RetryBudgets(RetryPool pool, long startedMillis) {
+        mStartedMillis = startedMillis;
         mPool = pool;
     }
 
     RetryBudget of(Service service) {
         int percent = service.retryBudgetPercent();
-        int burst = mPool.burst().getAsInt();
+        RetryPool.Extra extra = mPool.extra();
         Entry entry = mBudgets.get(service.id());
-        if (entry == null || entry.percent() != percent || entry.burst() != burst) {
-            RetryBudget fresh =
-                    new RetryBudget(
-                            percent / ALL_PERCENT, burst, mPool.minPerSecond(), mPool.startsFull());
-            entry = new Entry(percent, burst, fresh);
+        if (entry == null || entry.percent() != percent || !entry.extra().equals(extra)) {
+            entry = new Entry(percent, extra, extra.budget(percent / ALL_PERCENT, mStartedMillis));
             mBudgets.put(service.id(), entry);
         }
         return entry.budget();
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
@@ -33,17 +33,28 @@
      * @param burst retries that may come at once after a quiet time
      * @param minPerSecond retries allowed each second whatever the traffic
      */
-    public RetryBudget(double share, int burst, int minPerSecond) {
-        this(share, burst, minPerSecond, true);
-    }
-
-    /** As above; {@code startsFull} tells whether the burst is there from the beginning. */
-    public RetryBudget(double share, int burst, int minPerSecond, boolean startsFull) {
+    public RetryBudget(double share, double burst, double minPerSecond) {
         mDeposit = Math.round(Checks.inRange("share", share, 0, 1) * TOKEN);
-        mCapacity = Checks.inRange("burst", burst, 1, 100_000) * TOKEN;
+        mCapacity = Math.round(Checks.inRange("burst", burst, 1.0, 100_000.0) * TOKEN);
         mTricklePerMilli =
-                Checks.inRange("minPerSecond", minPerSecond, 0, 1_000) * TOKEN / MILLIS_PER_SECOND;
-        mTokens = new AtomicLong(startsFull ? mCapacity : 0);
+                Math.round(
+                        Checks.inRange("minPerSecond", minPerSecond, 0.0, 1_000.0)
+                                * TOKEN
+                                / MILLIS_PER_SECOND);
+        mTokens = new AtomicLong(mCapacity);
+    }
+
+    /**
+     * Takes the bounds of a budget that starts with what came in since a moment.
+     *
+     * @param sinceMillis since when retries have been saved up; the process's start
+     */
+    public static RetryBudget savingSince(
+            long sinceMillis, double share, double burst, double minPerSecond) {
+        RetryBudget budget = new RetryBudget(share, burst, minPerSecond);
+        budget.mTokens.set(0);
+        budget.mTrickledAtMillis.set(sinceMillis);
+        return budget;
     }
 
     /** Counts a first attempt. */
--- a/src/main/java/org/apricotgauge/decision/health/HealthGate.java
+++ b/src/main/java/org/apricotgauge/decision/health/HealthGate.java
@@ -17,9 +17,15 @@
  * that may repeat find out when the spell is over, one at a time. Thread-safe.
  */
 public final class HealthGate {
-    /** From this probability on a target counts as suspect. */
+    /** From this probability on a target is only tried. */
     public static final double SUSPECT = 0.5;
 
+    /**
+     * From this probability on a target gets nothing that must not repeat; a failure keeps it above
+     * for 3.6 s without better news, which is longer than three spells in four.
+     */
+    public static final double UNSTEADY = 0.4;
+
     /** Pause between two tries of a suspect target, in milliseconds. */
     static final long TRY_PAUSE_MILLIS = 300;
 
@@ -39,10 +45,14 @@
     /** Returns whether a request may start at the target now. */
     public synchronized boolean mayPass(Caution caution, long nowMillis) {
         Checks.notNull("caution", caution);
-        if (caution == Caution.NONE || mBelief.sickAt(nowMillis) < SUSPECT) {
+        double sick = mBelief.sickAt(nowMillis);
+        if (caution == Caution.STEADY) {
+            return sick < UNSTEADY;
+        }
+        if (caution == Caution.NONE || sick < SUSPECT) {
             return true;
         }
-        if (caution == Caution.STEADY || nowMillis - mTriedMillis < TRY_PAUSE_MILLIS) {
+        if (nowMillis - mTriedMillis < TRY_PAUSE_MILLIS) {
             return false;
         }
         mTriedMillis = nowMillis;
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -37,13 +37,16 @@
      * How long one watch waits at the platform, in milliseconds. A watch costs a call each time,
      * and a connection that went silent is found out only at its end.
      */
-    static final long WATCH_MILLIS = 5_000;
+    static final long WATCH_MILLIS = 10_000;
 
     /** Longest wait for an answer beyond what was asked for; answers take 4 ms, slow ones 250. */
     static final long ANSWER_MILLIS = 1_000;
 
-    /** Pause after a page with changes: those of the next tenth of a second come in one call. */
-    static final long GAP_MILLIS = 100;
+    /**
+     * Pause after a page with changes: those of the next 0.3 s come in one call, for every node. A
+     * version still is in force well within the 2 s that it may take.
+     */
+    static final long GAP_MILLIS = 300;
 
     /** How long a peer may be ahead before it is asked; the own watch usually answers sooner. */
     static final long HINT_PATIENCE_MILLIS = 200;
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -182,7 +182,6 @@
         mEvents.record(new NodeStarted(mProfile.vm().failureDomain(), ProductVersion.text()));
         mHttp.start();
         mAdmin.start();
-        mGuard.open();
         mGuardServer.start();
         mControl =
                 mControlFactory.start(
--- a/src/main/java/org/apricotgauge/node/NodeHttp.java
+++ b/src/main/java/org/apricotgauge/node/NodeHttp.java
@@ -11,7 +11,10 @@
 /** The threads, timers and HTTP clients that a node's entry and guard share. */
 final class NodeHttp {
     private static final int MAX_THREADS = 48;
-    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    /** A SYN that was lost is sent again after 1 s; another guard is tried sooner. */
+    private static final long CONNECT_TIMEOUT_MILLIS = 400;
+
     private static final long KEEP_IDLE_MILLIS = 30_000;
     private static final int PER_GUARD = 256;
     private static final int PER_TARGET = 64;
--- a/src/main/java/org/apricotgauge/node/SidecarMain.java
+++ b/src/main/java/org/apricotgauge/node/SidecarMain.java
@@ -22,7 +22,7 @@
     private static ExitCode run(SidecarSettings settings) throws IOException, InterruptedException {
         Logs.configure(settings.log());
         AtomicInteger nodes = new AtomicInteger(1);
-        RetryPool pool = RetryPool.ofFleet((int) settings.retryBurst(), nodes::get);
+        RetryPool pool = settings.retryPool(nodes::get);
         NodeProfile profile =
                 settings.profile(new KvDialect(settings.service()), KvDialect.READY_PATH, pool);
         NodeControl.Factory control =
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import org.apricotgauge.caller.EntryOptions;
 import org.apricotgauge.caller.RetryPool;
 import org.apricotgauge.cli.Command;
@@ -34,7 +35,8 @@
  * @param platform address of the platform's store
  * @param floorShare least share of healthy capacity that ejections may leave
  * @param retryRatio most retries of the fleet for each request
- * @param retryBurst retries that the whole fleet may save up
+ * @param retryBurst retries that the whole fleet may make in a window beside its ratio
+ * @param retryWindowSeconds length of the window that bounds retries
  * @param stopSeconds longest time that a stop takes
  * @param log settings of the log
  */
@@ -48,6 +50,7 @@
         double floorShare,
         double retryRatio,
         double retryBurst,
+        double retryWindowSeconds,
         double stopSeconds,
         LogSettings log) {
     private static final double ALL_PERCENT = 100.0;
@@ -64,10 +67,14 @@
     private static final long SERVE_ON_MILLIS = 2_700;
 
     /**
-     * Part of the fleet's retry ratio that nodes use: requests that targets make while they serve
-     * others reach the nodes like any, yet the platform counts them on one side only.
+     * Part of the allowed ratio that nodes use. Requests that targets make while they serve others
+     * come from the same address as callers' and cannot be told from them; at the busiest service
+     * they are two in three, and the platform counts only callers' requests.
      */
-    private static final double RATIO_PART = 0.5;
+    private static final double RATIO_PART = 0.4;
+
+    /** Part of the retries beside the ratio; the rest is for calls that a repeated run makes. */
+    private static final double EXTRA_PART = 0.85;
 
     /** A false ejection costs what 300 s of work at a sick target cost; see the design's page. */
     private static final DetectionOdds ODDS = new DetectionOdds(300, 1);
@@ -114,9 +121,15 @@
     private static final Setting<Double> RETRY_BURST =
             Setting.withDefault(
                     "retry-burst",
-                    orDefault(SettingKinds.decimal("retries", 1, 1_000_000), 60.0),
+                    orDefault(SettingKinds.decimal("retries", 0, 1_000_000), 60.0),
                     60.0,
-                    "Retries that the whole fleet may save up.");
+                    "Retries that the whole fleet may make in a window beside its ratio.");
+    private static final Setting<Double> RETRY_WINDOW =
+            Setting.withDefault(
+                    "retry-window-seconds",
+                    orDefault(SettingKinds.decimal("seconds", 1, 3_600), 10.0),
+                    10.0,
+                    "Length of the window that bounds retries.");
     private static final Setting<Double> STOP =
             Setting.withDefault(
                     "stop-seconds",
@@ -155,7 +168,7 @@
     private static List<Setting<?>> declared() {
         List<Setting<?>> settings = new ArrayList<>();
         settings.addAll(List.of(FAILURE_DOMAIN, SERVICE, CALLERS, GUARD, ADMIN, PLATFORM));
-        settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, STOP));
+        settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, RETRY_WINDOW, STOP));
         settings.addAll(LogSettings.declared());
         return List.copyOf(settings);
     }
@@ -171,6 +184,7 @@
                 values.get(FLOOR),
                 values.get(RETRY_RATIO),
                 values.get(RETRY_BURST),
+                values.get(RETRY_WINDOW),
                 values.get(STOP),
                 LogSettings.of(values));
     }
@@ -196,6 +210,11 @@
                         dialect, EntryOptions.Reach.GUARDS_ONLY, REPEATS, KeyLimits.DEFAULT, pool));
     }
 
+    /** Returns the node's part of the retries that the whole fleet may make. */
+    RetryPool retryPool(IntSupplier nodes) {
+        return RetryPool.ofFleet(retryBurst * EXTRA_PART, retryWindowSeconds, nodes);
+    }
+
     /** Returns the settings of services. */
     SiteDefaults defaults() {
         return new SiteDefaults(
--- a/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -43,6 +43,9 @@
     /** How long a guard that refused a connection is left alone. */
     private static final long DOWN_MILLIS = 500;
 
+    /** How long a guard that went silent is left alone; a cut seldom heals within a second. */
+    private static final long SILENT_MILLIS = 1_500;
+
     private final HttpClient mForwarding;
     private final HttpClient mFencing;
     private final Ticker mTicker;
@@ -108,6 +111,7 @@
     /** Notes that a connection to the guard went silent; the unused ones are not trusted either. */
     public void wentSilent(Address guard) {
         HttpClientFactory.dropIdleConnections(mForwarding, guard);
+        mDownUntilMillis.put(guard, mTicker.millis() + SILENT_MILLIS);
     }
 
     /** Asks the guard, over a new connection, to refuse the attempt should it arrive late. */
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -74,6 +75,7 @@
     private final ConcurrentMap<Attempt, GuardedRequest> mRequests = new ConcurrentHashMap<>();
     private final Request.Handler mKeyed;
     private final DirectoryPages mDirectory;
+    private final AtomicBoolean mExpiring = new AtomicBoolean();
     private volatile boolean mLeaving;
 
     /** Tells a peer what the platform published. */
@@ -123,15 +125,14 @@
                         observer,
                         dialect,
                         GuardMetrics.of(registry));
-        mGates = new TargetGates(ticker);
+        mGates = new TargetGates(ticker, this::expireWhileQueued);
     }
 
-    /**
-     * Starts what runs beside the requests; the scheduler must have been started, since one that
-     * has not drops what it is given without a word.
-     */
-    public void open() {
-        scheduleExpiry();
+    // Waiting requests are looked at every few milliseconds; while none waits, no timer runs.
+    private void expireWhileQueued() {
+        if (mExpiring.compareAndSet(false, true)) {
+            scheduleExpiry();
+        }
     }
 
     private void scheduleExpiry() {
@@ -140,10 +141,19 @@
     }
 
     private void expireAndGoOn() {
+        boolean queued = true;
         try {
-            mGates.forEach(TargetGate::expire);
+            queued = mGates.expire();
         } finally {
-            scheduleExpiry();
+            if (queued) {
+                scheduleExpiry();
+            } else {
+                mExpiring.set(false);
+                // One that was queued after the look and before the mark has found the mark set.
+                if (mGates.expire()) {
+                    expireWhileQueued();
+                }
+            }
         }
     }
 
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -30,6 +30,7 @@
     private final Target mTarget;
     private final AdmissionQueue mQueue;
     private final Ticker mTicker;
+    private final Runnable mOnQueued;
     private final HealthGate mHealth = new HealthGate();
     private final ConcurrentMap<Long, Work> mWaiting = new ConcurrentHashMap<>();
 
@@ -42,7 +43,8 @@
         void refused(Refusal refusal);
     }
 
-    TargetGate(Target target, Ticker ticker) {
+    TargetGate(Target target, Ticker ticker, Runnable onQueued) {
+        mOnQueued = onQueued;
         mTarget = target;
         mQueue = new AdmissionQueue(AdmissionConfig.forSlots(target.slots()));
         mTicker = ticker;
@@ -72,6 +74,7 @@
             refuse(refused.refusal());
         } else if (offer instanceof Offer.Queued queued) {
             queued.displaced().forEach(this::refuse);
+            mOnQueued.run();
         }
     }
 
--- a/src/main/java/org/apricotgauge/target/TargetGates.java
+++ b/src/main/java/org/apricotgauge/target/TargetGates.java
@@ -1,10 +1,7 @@
 package org.apricotgauge.target;
 
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.function.Consumer;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 
@@ -12,8 +9,11 @@
 final class TargetGates {
     private final ConcurrentMap<String, TargetGate> mGates = new ConcurrentHashMap<>();
     private final Ticker mTicker;
+    private final Runnable mOnQueued;
 
-    TargetGates(Ticker ticker) {
+    /** Creates the gates; {@code onQueued} runs whenever a request has to wait at one of them. */
+    TargetGates(Ticker ticker, Runnable onQueued) {
+        mOnQueued = onQueued;
         mTicker = ticker;
     }
 
@@ -28,11 +28,16 @@
                 (id, old) ->
                         old != null && old.target().equals(target)
                                 ? old
-                                : new TargetGate(target, mTicker));
+                                : new TargetGate(target, mTicker, mOnQueued));
     }
 
-    void forEach(Consumer<TargetGate> action) {
-        Collection<TargetGate> gates = new ArrayList<>(mGates.values());
-        gates.forEach(action);
+    /** Refuses what can't be served in time any more; returns whether requests still wait. */
+    boolean expire() {
+        boolean queued = false;
+        for (TargetGate gate : mGates.values()) {
+            gate.expire();
+            queued |= gate.queued() > 0;
+        }
+        return queued;
     }
 }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -195,7 +195,6 @@
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
         vm.mGuardServer = servers.create("127.0.0.1", 0, vm.mGuard, () -> {});
         vm.mEntryServer = servers.create("127.0.0.1", 0, vm.mEntry, vm.mEntry::refused);
-        vm.mGuard.open();
         vm.mGuardServer.start();
         vm.mEntry.open();
         vm.mEntryServer.start();
