--- /dev/null
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
@@ -0,0 +1,88 @@
+package org.apricotgauge.platform.kv;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import org.apricotgauge.directory.PublishedItem;
+import org.apricotgauge.directory.SiteChange;
+import org.apricotgauge.model.Priority;
+import org.apricotgauge.model.Repeatability;
+import org.apricotgauge.model.Route;
+import org.apricotgauge.model.ServiceShare;
+import org.junit.jupiter.api.Test;
+
+/** What the store holds, as the product's types. */
+class KvDecoderTest {
+    private static final String CONFIG =
+            """
+            {"version":"r7","services":[{"name":"a","healthPath":"/health"},{"name":"b"}],
+             "limits":{"headerBytes":16384,"idleTimeoutMs":15000},"baseVersion":"r5",
+             "hosts":[{"host":"One.example","paths":[
+              {"name":"r-1","pathPrefix":"/x/","kind":"idempotent","timeoutMs":1200,
+               "targetLatencyMs":800,"priority":2,"maxAttempts":2,
+               "weightedServices":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+              {"name":"r-2","pathPrefix":"/y/","kind":"non_idempotent","timeoutMs":1500,
+               "priority":1,"service":"b","maxAttempts":2,"new":"field"}]}]}
+            """;
+
+    @Test
+    void readsAConfiguration() {
+        SiteChange change = decode("op/config", CONFIG);
+
+        assertThat(change).isInstanceOf(SiteChange.Configured.class);
+        var configuration = ((SiteChange.Configured) change).configuration();
+        assertThat(configuration.version()).isEqualTo(7);
+        assertThat(configuration.baseVersion()).isEqualTo(5);
+        assertThat(configuration.services()).containsExactly("a", "b");
+        Route split = configuration.routes().get(0);
+        assertThat(split.host()).isEqualTo("one.example");
+        assertThat(split.shares())
+                .containsExactly(new ServiceShare("a", 90), new ServiceShare("b", 10));
+        assertThat(split.repeatability()).isEqualTo(Repeatability.ALWAYS);
+        assertThat(split.priority()).isEqualTo(Priority.NORMAL);
+        Route single = configuration.routes().get(1);
+        assertThat(single.repeatability()).isEqualTo(Repeatability.NEVER);
+        assertThat(single.priority()).isEqualTo(Priority.URGENT);
+        assertThat(single.maxRunsOr(9)).isEqualTo(2);
+    }
+
+    @Test
+    void readsATarget() {
+        SiteChange change =
+                decode(
+                        "servers/i-1",
+                        """
+                        {"address":"10.1.0.9:8080","info":{"service":"a","version":"v1",
+                         "zone":"hall","slots":3},
+                         "status":{"state":"draining","sequence":4,"coldRemainingMs":200}}
+                        """);
+
+        var registration = ((SiteChange.Registered) change).registration();
+        assertThat(registration.leaving()).isTrue();
+        assertThat(registration.coldMillis()).isEqualTo(200);
+        assertThat(registration.target().id()).isEqualTo("i-1");
+        assertThat(registration.target().vm()).isEqualTo("10.1.0.9");
+        assertThat(registration.target().port()).isEqualTo(8_080);
+        assertThat(registration.target().slots()).isEqualTo(3);
+    }
+
+    @Test
+    void aRemovedTargetIsUnregistered() {
+        assertThat(new KvDecoder().decode(PublishedItem.removed("servers/i-1", 3)))
+                .isEqualTo(new SiteChange.Unregistered("i-1"));
+    }
+
+    @Test
+    void whatCannotBeReadIsSaidAndChangesNothing() {
+        assertThat(decode("op/config", "{\"version\":7"))
+                .isInstanceOf(SiteChange.Unreadable.class);
+        assertThat(decode("op/config", CONFIG.replace("r7", "7")))
+                .isInstanceOf(SiteChange.Unreadable.class);
+        assertThat(decode("other/key", "")).isInstanceOf(SiteChange.Ignored.class);
+    }
+
+    private static SiteChange decode(String key, String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        return new KvDecoder().decode(new PublishedItem(key, bytes, 1, false));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
@@ -0,0 +1,83 @@
+package org.apricotgauge.platform.kv;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.apricotgauge.http.SiteDialect.AnswerKind;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+
+/** The headers of the platform's callers and targets. */
+class KvDialectTest {
+    private final KvDialect mDialect = new KvDialect("booking");
+    private final HttpFields mRequest = HttpFields.build().put("X-Attempt-Id", "one");
+
+    @Test
+    void anAnswerToAnotherRequestIsForeign() {
+        // A target's second answer to the request before arrives where the next one is expected.
+        assertThat(kind(200, "X-Attempt-Id", "zero", "X-Server-Signature", "s"))
+                .isEqualTo(AnswerKind.FOREIGN);
+        assertThat(kind(503, "X-Attempt-Id", "zero", "X-Not-Executed", "1"))
+                .isEqualTo(AnswerKind.FOREIGN);
+    }
+
+    @Test
+    void aSuccessNeedsTheTargetsMark() {
+        assertThat(kind(200, "X-Attempt-Id", "one")).isEqualTo(AnswerKind.FOREIGN);
+        assertThat(kind(200, "X-Server-Signature", "s")).isEqualTo(AnswerKind.FOREIGN);
+        assertThat(kind(200, "X-Attempt-Id", "one", "X-Server-Signature", "s"))
+                .isEqualTo(AnswerKind.ANSWER);
+    }
+
+    @Test
+    void onlyAMarkedRefusalProvesThatNothingRan() {
+        assertThat(kind(503, "X-Not-Executed", "1")).isEqualTo(AnswerKind.SHED);
+        assertThat(kind(429, "X-Not-Executed", "1")).isEqualTo(AnswerKind.SHED);
+        assertThat(kind(503, "X-Attempt-Id", "one")).isEqualTo(AnswerKind.ANSWER);
+        assertThat(kind(500, "X-Attempt-Id", "one")).isEqualTo(AnswerKind.ANSWER);
+        assertThat(kind(421, "X-Instance-Id", "i-2")).isEqualTo(AnswerKind.OTHER_TARGET);
+    }
+
+    @Test
+    void theOriginIsWrittenOverWhatACallerClaims() {
+        HttpFields.Mutable headers = HttpFields.build().put("X-Caller-Service", "forged");
+
+        mDialect.markOrigin(headers);
+
+        assertThat(headers.getValuesList("X-Caller-Service")).containsExactly("booking");
+    }
+
+    @Test
+    void aTargetIsToldWhichRunIsMeantAndWhatIsLeft() {
+        HttpFields.Mutable headers =
+                HttpFields.build().put("X-Timeout-Remaining", "9000").put("X-Expected-Instance", "x");
+
+        mDialect.towardsTarget(headers, "i-1", 250);
+
+        assertThat(headers.getValuesList("X-Timeout-Remaining")).containsExactly("250");
+        assertThat(headers.getValuesList("X-Expected-Instance")).containsExactly("i-1");
+    }
+
+    @Test
+    void readsTheCallersTimeAndNamesTheHeaderAtFault() {
+        assertThat(mDialect.timeoutMillis(HttpFields.EMPTY)).isEmpty();
+        assertThat(mDialect.timeoutMillis(HttpFields.build().put("X-Timeout-Remaining", "1500")))
+                .hasValue(1_500);
+        HttpFields bad = HttpFields.build().put("X-Timeout-Remaining", "soon");
+        assertThatThrownBy(() -> mDialect.timeoutMillis(bad))
+                .hasMessageContaining("X-Timeout-Remaining");
+    }
+
+    @Test
+    void aCallerMayComeBackAfterAFractionOfASecond() {
+        assertThat(mDialect.retryAfter(250)).isEqualTo("0.250");
+    }
+
+    private AnswerKind kind(int status, String... headers) {
+        HttpFields.Mutable answer = HttpFields.build();
+        for (int i = 0; i < headers.length; i += 2) {
+            answer.put(headers[i], headers[i + 1]);
+        }
+        return mDialect.kindOf(mRequest, status, answer);
+    }
+}
