Count retries at the guards, keep a failed answer while another target is tried, tell health by datagram

Ruled out: larger parts at the entries (a service that fails as a whole would spend all of them at once and break the sum).

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -20,7 +20,6 @@
 import org.apricotgauge.http.WatchedSource;
 import org.apricotgauge.model.Service;
 import org.apricotgauge.predecessor.SharePolicy;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -41,15 +40,13 @@
 
     private final EntryContext mContext;
     private final ServiceTable mTable;
-    private final long mVersion;
     private final RetryBudget mBudget;
-    private final DecisionLog.Steps mSteps = new DecisionLog.Steps();
+    private final ExchangeReport mReport;
     private final CallerRequest mAsked;
     private final Request mRequest;
     private final Response mResponse;
     private final Callback mCallback;
     private final ReplayableBody mBody;
-    private final long mStartNanos;
     private final long mDeadlineMillis;
     private final TargetChoice mChoice;
     private Progress mProgress;
@@ -57,6 +54,8 @@
     private volatile boolean mAtPredecessor;
     private TargetAttempt mCurrent;
     private boolean mCurrentBegun;
+    private boolean mReachedTarget;
+    private KeptAnswer mKept;
     private Attempt mAtHome;
     private boolean mEnded;
     private volatile Scheduler.Task mDeadline;
@@ -72,7 +71,7 @@
             Callback callback) {
         mContext = context;
         mTable = table;
-        mVersion = version;
+        mReport = new ExchangeReport(context, asked, table.service().id(), version, request);
         mBudget = budget;
         mAsked = asked;
         mRequest = request;
@@ -80,7 +79,6 @@
         mCallback = callback;
         mChoice = new TargetChoice(context, table, asked.repeatable());
         mBody = new ReplayableBody(request, REPLAY_LIMIT_BYTES);
-        mStartNanos = context.ticker().nanos();
         mDeadlineMillis = context.ticker().millis() + asked.timeoutMillis();
         mProgress = Progress.of(asked.repeatable(), false);
     }
@@ -146,6 +144,13 @@
         return mDeadlineMillis - mContext.ticker().millis();
     }
 
+    /** Returns whether a target was sent the request before. */
+    boolean isRepeat() {
+        synchronized (this) {
+            return mReachedTarget;
+        }
+    }
+
     /** Returns how much of a risk the present attempt may run. */
     HealthGate.Caution caution() {
         synchronized (this) {
@@ -192,12 +197,7 @@
             return;
         }
         Candidate candidate = choice.get();
-        mSteps.add(
-                candidate.target().id()
-                        + " at "
-                        + candidate.target().host()
-                        + ' '
-                        + caution().name());
+        mReport.sending(candidate, caution().name());
         boolean direct =
                 mContext.reach() == EntryOptions.Reach.ANY_WAY && !mContext.hasGuardUp(candidate);
         send(direct ? new DirectAttempt(this, candidate) : new GuardedAttempt(this, candidate));
@@ -281,7 +281,8 @@
             }
             mCurrent = null;
             mProgress = mProgress.after(outcome);
-            mSteps.add(outcome.toString());
+            mReachedTarget |= reachedTarget(outcome);
+            mReport.step(outcome.toString());
             decision = decide();
         }
         if (decision instanceof RetryDecision.Finish finish) {
@@ -292,14 +293,17 @@
         next();
     }
 
+    private static boolean reachedTarget(Outcome outcome) {
+        return !(outcome instanceof Outcome.NotRun notRun)
+                || notRun.reason() == NotRunReason.TARGET_SHED
+                || notRun.reason() == NotRunReason.TARGET_REPLACED;
+    }
+
     private RetryDecision decide() {
         boolean canReplay = mBody.canReplay();
         // What reached no target cost none; charging it to the budget would turn the loss of one VM
         // into refusals while the other targets idle.
-        boolean free =
-                mProgress.last() instanceof Outcome.NotRun notRun
-                        && notRun.reason() != NotRunReason.TARGET_SHED
-                        && notRun.reason() != NotRunReason.TARGET_REPLACED;
+        boolean free = !reachedTarget(mProgress.last());
         return mContext.repeatPolicy()
                 .decide(
                         mProgress,
@@ -319,9 +323,10 @@
                 return;
             }
             mProgress = mProgress.after(outcome);
-            mSteps.add(outcome.toString());
+            mReport.step(outcome.toString());
             // What the older system serves only it retries; with both, retries would multiply.
             again = !mAtPredecessor && !(decide() instanceof RetryDecision.Finish);
+            mReachedTarget = true;
             if (again) {
                 mCurrent = null;
             } else {
@@ -329,14 +334,34 @@
             }
         }
         if (again) {
-            body.fail(new IllegalStateException("another target is tried"));
+            attempt.over();
             mContext.metrics().retries().inc();
-            next();
+            keep(answer, body);
             return;
         }
         pass(attempt, answer, body);
     }
 
+    private void keep(org.eclipse.jetty.client.Response answer, Content.Source body) {
+        KeptAnswer.read(answer, body)
+                .whenComplete(
+                        (kept, failure) -> {
+                            if (failure != null) {
+                                mReport.step("answer not kept: " + failure.getMessage());
+                            }
+                            synchronized (this) {
+                                mKept = kept;
+                            }
+                            next();
+                        });
+    }
+
+    private void deliver(KeptAnswer kept) {
+        mReport.told(new Outcome.Answered(kept.status()));
+        mContext.metrics().answered().inc();
+        kept.write(mResponse, mCallback);
+    }
+
     private void pass(
             TargetAttempt attempt, org.eclipse.jetty.client.Response answer, Content.Source body) {
         cancelDeadline();
@@ -353,14 +378,14 @@
     private void passed(TargetAttempt attempt) {
         attempt.over();
         mContext.metrics().answered().inc();
-        count(new Outcome.Answered(mResponse.getStatus()));
+        mReport.told(new Outcome.Answered(mResponse.getStatus()));
         mCallback.succeeded();
     }
 
     private void passBroken(TargetAttempt attempt, WatchedSource body, Throwable cause) {
         attempt.over();
         mContext.metrics().brokenAnswers().inc();
-        count(new Outcome.Unknown(UnknownReason.ANSWER_LOST));
+        mReport.told(new Outcome.Unknown(UnknownReason.ANSWER_LOST));
         if (body.hasFailed() && !mResponse.isCommitted()) {
             mResponse.reset();
             Outcomes.write(mResponse, mCallback, new Outcome.Unknown(UnknownReason.ANSWER_LOST));
@@ -415,7 +440,15 @@
         }
         cancelDeadline();
         HangUpEndPoint.release(mRequest);
-        count(outcome);
+        KeptAnswer kept;
+        synchronized (this) {
+            kept = mKept;
+        }
+        if (kept != null) {
+            deliver(kept);
+            return;
+        }
+        mReport.told(outcome);
         if (outcome instanceof Outcome.NotRun notRun) {
             mContext.metrics().notRun().inc();
             Outcomes.write(mResponse, mCallback, notRun, mContext.dialect());
@@ -427,35 +460,6 @@
         }
     }
 
-    private void log(Outcome outcome) {
-        boolean well =
-                outcome instanceof Outcome.Answered answered
-                        && !HttpStatus.isServerError(answered.status());
-        if (well && !mContext.log().samples()) {
-            return;
-        }
-        long tookNanos = mContext.ticker().nanos() - mStartNanos;
-        mContext.log()
-                .ended(
-                        new DecisionLog.Ended(
-                                mContext.dialect().requestId(mRequest.getHeaders()),
-                                mAsked.route().id(),
-                                mTable.service().id(),
-                                outcome.toString(),
-                                mSteps.list(),
-                                TimeUnit.NANOSECONDS.toMillis(tookNanos),
-                                mVersion,
-                                Request.getRemoteAddr(mRequest)));
-    }
-
-    private void count(Outcome outcome) {
-        log(outcome);
-        mContext.observer().told(mTable.service().id(), outcome);
-        mContext.metrics()
-                .total()
-                .update(mContext.ticker().nanos() - mStartNanos, TimeUnit.NANOSECONDS);
-    }
-
     private void cancelDeadline() {
         Scheduler.Task deadline = mDeadline;
         if (deadline != null) {
--- a/src/main/java/org/apricotgauge/caller/DecisionLog.java
+++ b/src/main/java/org/apricotgauge/caller/DecisionLog.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.caller;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apricotgauge.decision.TokenBucket;
@@ -79,17 +78,4 @@
         }
         mLog.info("request ended", new Line(request, leftOut));
     }
-
-    /** The steps of one request, in the order in which they were taken; thread-safe. */
-    static final class Steps {
-        private final List<String> mSteps = new ArrayList<>(2);
-
-        synchronized void add(String step) {
-            mSteps.add(step);
-        }
-
-        synchronized List<String> list() {
-            return List.copyOf(mSteps);
-        }
-    }
 }
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.decision.attempt.KeyHome;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.RetryBudgets;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
@@ -97,7 +98,7 @@
                         new DecisionLog(ticker),
                         EntryMetrics.of(registry));
         mKeyed = new KeyedRequests(mContext, options.keyLimits());
-        mBudgets = new RetryBudgets(options.retryPool(), ticker.millis());
+        mBudgets = new RetryBudgets(options.entryRetries(), ticker.millis());
     }
 
     /** Starts what runs beside the requests; the scheduler must have been started. */
@@ -160,7 +161,7 @@
                         mContext,
                         routed.table(),
                         routed.version(),
-                        mBudgets.of(routed.table().service()),
+                        mBudgets.of(routed.table().service(), 1),
                         routed.asked(),
                         request,
                         response,
@@ -196,7 +197,7 @@
                                         mContext,
                                         routed.table(),
                                         routed.version(),
-                                        mBudgets.of(routed.table().service()),
+                                        mBudgets.of(routed.table().service(), 1),
                                         routed.asked(),
                                         request,
                                         keeper,
--- a/src/main/java/org/apricotgauge/caller/EntryOptions.java
+++ b/src/main/java/org/apricotgauge/caller/EntryOptions.java
@@ -2,6 +2,7 @@
 
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
+import org.apricotgauge.decision.attempt.RetryPool;
 import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.model.Checks;
@@ -17,14 +18,16 @@
  * @param reach whether targets can be reached past their guards
  * @param repeatPolicy how often a request is sent
  * @param keyLimits bounds of the memory of Idempotency-Keys
- * @param retryPool how many retries this entry may save up
+ * @param entryRetries which retries the entry may send
+ * @param guardRetries which retries the guard lets through to a target
  */
 public record EntryOptions(
         SiteDialect dialect,
         Reach reach,
         RepeatPolicy repeatPolicy,
         KeyLimits keyLimits,
-        RetryPool retryPool) {
+        RetryPool entryRetries,
+        RetryPool guardRetries) {
 
     /** Which ways lead to a target. */
     public enum Reach {
@@ -40,7 +43,8 @@
         Checks.notNull("reach", reach);
         Checks.notNull("repeatPolicy", repeatPolicy);
         Checks.notNull("keyLimits", keyLimits);
-        Checks.notNull("retryPool", retryPool);
+        Checks.notNull("entryRetries", entryRetries);
+        Checks.notNull("guardRetries", guardRetries);
     }
 
     /** Returns the options of a site that speaks the fleet's own dialect. */
@@ -50,6 +54,7 @@
                 Reach.ANY_WAY,
                 RepeatPolicy.DEFAULT,
                 keyLimits,
-                RetryPool.PER_NODE);
+                RetryPool.PER_NODE,
+                RetryPool.UNBOUNDED);
     }
 }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/ExchangeReport.java
@@ -0,0 +1,72 @@
+package org.apricotgauge.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.routing.Candidate;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+
+/** What one exchange tells counters and the log: the steps that it took, and how it ended. */
+final class ExchangeReport {
+    private final EntryContext mContext;
+    private final CallerRequest mAsked;
+    private final String mService;
+    private final long mVersion;
+    private final Request mRequest;
+    private final long mStartNanos;
+    private final List<String> mSteps = new ArrayList<>(2);
+
+    ExchangeReport(
+            EntryContext context,
+            CallerRequest asked,
+            String service,
+            long version,
+            Request request) {
+        mContext = context;
+        mAsked = asked;
+        mService = service;
+        mVersion = version;
+        mRequest = request;
+        mStartNanos = context.ticker().nanos();
+    }
+
+    /** Notes that the request goes to a target. */
+    void sending(Candidate candidate, String caution) {
+        step(candidate.target().id() + " at " + candidate.target().host() + ' ' + caution);
+    }
+
+    /** Notes a step that is neither a sending nor an outcome. */
+    synchronized void step(String step) {
+        mSteps.add(step);
+    }
+
+    /** Tells what the caller is told. */
+    void told(Outcome outcome) {
+        long tookNanos = mContext.ticker().nanos() - mStartNanos;
+        mContext.observer().told(mService, outcome);
+        mContext.metrics().total().update(tookNanos, TimeUnit.NANOSECONDS);
+        boolean well =
+                outcome instanceof Outcome.Answered answered
+                        && !HttpStatus.isServerError(answered.status());
+        if (well && !mContext.log().samples()) {
+            return;
+        }
+        mContext.log()
+                .ended(
+                        new DecisionLog.Ended(
+                                mContext.dialect().requestId(mRequest.getHeaders()),
+                                mAsked.route().id(),
+                                mService,
+                                outcome.toString(),
+                                steps(),
+                                TimeUnit.NANOSECONDS.toMillis(tookNanos),
+                                mVersion,
+                                Request.getRemoteAddr(mRequest)));
+    }
+
+    private synchronized List<String> steps() {
+        return List.copyOf(mSteps);
+    }
+}
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -117,6 +117,9 @@
                     headers.put(
                             HeaderNames.CAUTION,
                             mExchange.caution().name().toLowerCase(Locale.ROOT));
+                    if (mExchange.isRepeat()) {
+                        headers.put(HeaderNames.REPEAT, "1");
+                    }
                     mContext.dialect().markOrigin(headers);
                     mContext.observer().beforeHop(headers);
                 });
@@ -164,6 +167,11 @@
             over();
             Bodies.discard(body);
             mAccount.observed(ObservedOutcome.CANCELLED);
+            if (outcome.get() instanceof Outcome.NotRun notRun
+                    && notRun.reason() == NotRunReason.LEAVING) {
+                // It stops, and its port closes in a moment.
+                mContext.guards().connectFailed(mCandidate.guard());
+            }
             mExchange.attemptEnded(this, outcome.get());
             return;
         }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/KeptAnswer.java
@@ -0,0 +1,46 @@
+package org.apricotgauge.caller;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import org.apricotgauge.http.AnswerStream;
+import org.apricotgauge.http.Bodies;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * A target's failed answer, held while another target is tried.
+ *
+ * <p>Should no other take the request, its caller gets the answer that there was, with the target's
+ * mark, rather than one of the fleet's own that tells less.
+ */
+final class KeptAnswer {
+    /** Failed answers are short; a longer one is not kept. */
+    private static final int MAX_BYTES = 16_384;
+
+    private final org.eclipse.jetty.client.Response mHead;
+    private final byte[] mBody;
+
+    private KeptAnswer(org.eclipse.jetty.client.Response head, byte[] body) {
+        mHead = head;
+        mBody = body;
+    }
+
+    /** Reads the answer whole; fails if it breaks off or is too long to be kept. */
+    static CompletableFuture<KeptAnswer> read(
+            org.eclipse.jetty.client.Response head, Content.Source body) {
+        return Bodies.readAll(body, MAX_BYTES).thenApply(bytes -> new KeptAnswer(head, bytes));
+    }
+
+    int status() {
+        return mHead.getStatus();
+    }
+
+    /** Writes it as the final answer. */
+    void write(Response response, Callback callback) {
+        AnswerStream.copyHead(mHead, response);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, mBody.length);
+        response.write(true, ByteBuffer.wrap(mBody), callback);
+    }
+}
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -22,6 +22,8 @@
     TARGET_SHED,
     /** The target may be in a sick spell, and the request must not take the risk. */
     TARGET_SUSPECT,
+    /** It was sent before, and the service has no more retries left for now. */
+    RETRIES_SPENT,
     /** Another target has the address by now, and did not run it. */
     TARGET_REPLACED,
     /** The older routing system, whose share it falls into, took no connection. */
--- a/src/main/java/org/apricotgauge/caller/RetryBudgets.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryBudgets.java
@@ -1,12 +1,11 @@
-package org.apricotgauge.caller;
+package org.apricotgauge.decision.attempt;
 
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.model.Service;
 
 /** The retry budget of each service; a service whose bounds change starts a new one. */
-final class RetryBudgets {
+public final class RetryBudgets {
     private static final double ALL_PERCENT = 100.0;
 
     private final RetryPool mPool;
@@ -15,14 +14,20 @@
 
     private record Entry(int percent, RetryPool.Extra extra, RetryBudget budget) {}
 
-    RetryBudgets(RetryPool pool, long startedMillis) {
+    /** Creates budgets that save up since the process started. */
+    public RetryBudgets(RetryPool pool, long startedMillis) {
         mStartedMillis = startedMillis;
         mPool = pool;
     }
 
-    RetryBudget of(Service service) {
+    /**
+     * Returns the budget of a service.
+     *
+     * @param sharers how many nodes share what the fleet may retry
+     */
+    public RetryBudget of(Service service, int sharers) {
         int percent = service.retryBudgetPercent();
-        RetryPool.Extra extra = mPool.extra();
+        RetryPool.Extra extra = mPool.extra(sharers);
         Entry entry = mBudgets.get(service.id());
         if (entry == null || entry.percent() != percent || !entry.extra().equals(extra)) {
             entry = new Entry(percent, extra, extra.budget(percent / ALL_PERCENT, mStartedMillis));
--- a/src/main/java/org/apricotgauge/caller/RetryPool.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryPool.java
@@ -1,26 +1,33 @@
-package org.apricotgauge.caller;
+package org.apricotgauge.decision.attempt;
 
-import java.util.function.IntSupplier;
-import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.model.Checks;
 
 /**
- * Which retries of a service an entry may make beside its share of the requests.
+ * Which retries of a service a node may let through beside its share of the requests.
  *
  * <pre>{@code
- * RetryPool pool = RetryPool.ofFleet(62, 10, nodes::get);
+ * RetryPool pool = RetryPool.ofFleet(62, 10);
  * }</pre>
  *
  * <p>Nodes share no counter. What the operator allows the whole fleet holds in sum only if every
- * node keeps to its equal part, whichever node the callers are at.
+ * node keeps to its equal part. The guards count, where a platform bounds the sum: a service has
+ * six or nine of them, the fleet 24 entries, and a part of two retries in ten seconds stood unused
+ * at one entry while another was out of it (used were 15 in 100 of what was allowed).
  */
 @FunctionalInterface
 public interface RetryPool {
     /** Bounds for a site that bounds no sum: ten at once and one a second for each node. */
-    RetryPool PER_NODE = () -> new Extra(10, 1, Saving.AT_ONCE);
+    RetryPool PER_NODE = sharers -> new Extra(10, 1, Saving.AT_ONCE);
 
-    /** Returns what a node may retry at present beside its share of the requests. */
-    Extra extra();
+    /** Bounds nothing; for the end of the path where somebody else counts. */
+    RetryPool UNBOUNDED = sharers -> new Extra(100_000, 1_000, Saving.AT_ONCE);
+
+    /**
+     * Returns what a node may let through at present beside its share of the requests.
+     *
+     * @param sharers how many nodes share the fleet's part
+     */
+    Extra extra(int sharers);
 
     /**
      * What a node may retry beside its share of the requests.
@@ -60,13 +67,12 @@
      *
      * @param perWindow retries that all nodes together may make in a window
      * @param windowSeconds length of the window
-     * @param nodes how many nodes there are
      */
-    static RetryPool ofFleet(double perWindow, double windowSeconds, IntSupplier nodes) {
+    static RetryPool ofFleet(double perWindow, double windowSeconds) {
         Checks.inRange("perWindow", perWindow, 0.0, 1_000_000.0);
         Checks.inRange("windowSeconds", windowSeconds, 1.0, 3_600.0);
-        return () -> {
-            double part = perWindow / Math.max(1, nodes.getAsInt());
+        return sharers -> {
+            double part = perWindow / Math.max(1, sharers);
             return new Extra(Math.max(1, part / 2), part / 2 / windowSeconds, Saving.SINCE_START);
         };
     }
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -28,9 +28,15 @@
     /** Answers: why the outcome is what it is, one word. */
     public static final String REASON = "Apricotgauge-Reason";
 
+    /** Hops: when a request that was not run may come back, in milliseconds. */
+    public static final String RETRY_AFTER_MILLIS = "Apricotgauge-Retry-After-Millis";
+
     /** Hops: load of the target as the guard sees it, in permille of its slots. */
     public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
 
+    /** Hops: a target was sent the request before, which did not end it. */
+    public static final String REPEAT = "Apricotgauge-Repeat";
+
     /** Hops: how much of a risk the request may run; see {@code HealthGate.Caution}. */
     public static final String CAUTION = "Apricotgauge-Caution";
 
--- a/src/main/java/org/apricotgauge/http/Outcomes.java
+++ b/src/main/java/org/apricotgauge/http/Outcomes.java
@@ -24,7 +24,6 @@
  * from every answer of a target.
  */
 public final class Outcomes {
-    private static final long MILLIS_PER_SECOND = 1_000;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
     private Outcomes() {}
@@ -38,7 +37,13 @@
     public static void write(
             Response response, Callback callback, Outcome.NotRun outcome, SiteDialect dialect) {
         // Without a hint the caller would ask again at once, into the same overload.
-        long retryAfterMillis = Math.max(1, outcome.retryAfterMillis());
+        long retryAfterMillis =
+                outcome.retryAfterMillis() > 0
+                        ? outcome.retryAfterMillis()
+                        : DEFAULT_RETRY_AFTER_MILLIS;
+        if (outcome.retryAfterMillis() > 0) {
+            response.getHeaders().put(HeaderNames.RETRY_AFTER_MILLIS, outcome.retryAfterMillis());
+        }
         response.getHeaders().put(HttpHeader.RETRY_AFTER, dialect.retryAfter(retryAfterMillis));
         write(
                 response,
@@ -77,9 +82,7 @@
                     new Outcome.Unknown(
                             parse(UnknownReason.class, reason, UnknownReason.FORGOTTEN)));
         }
-        long seconds = headers.getLongField(HttpHeader.RETRY_AFTER);
-        long retryAfterMillis =
-                seconds < 0 ? DEFAULT_RETRY_AFTER_MILLIS : seconds * MILLIS_PER_SECOND;
+        long retryAfterMillis = Math.max(0, headers.getLongField(HeaderNames.RETRY_AFTER_MILLIS));
         // A newer guard may give a reason that this release does not know; "not run" still holds.
         return Optional.of(
                 new Outcome.NotRun(
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
-import java.util.function.IntConsumer;
 import org.apricotgauge.directory.DirectoryFeed;
 import org.apricotgauge.directory.PublishedConfiguration;
 import org.apricotgauge.directory.PublishedPage;
@@ -45,20 +44,14 @@
 
     private final Parts mParts;
     private final SiteDefaults mDefaults;
-    private final IntConsumer mNodes;
     private final DirectoryFeed mFeed;
     private Configuration mConfiguration = Configuration.EMPTY;
     private List<Route> mRoutes = List.of();
     private volatile Mark mMark = new Mark("", "", 0);
 
     private DirectoryControl(
-            Parts parts,
-            PublishedSource platform,
-            SiteDecoder decoder,
-            SiteDefaults defaults,
-            IntConsumer nodes) {
+            Parts parts, PublishedSource platform, SiteDecoder decoder, SiteDefaults defaults) {
         mParts = parts;
-        mNodes = nodes;
         mDefaults = defaults;
         mFeed =
                 new DirectoryFeed(
@@ -78,11 +71,9 @@
     static Factory factory(
             Function<HttpClient, PublishedSource> platform,
             SiteDecoder decoder,
-            SiteDefaults defaults,
-            IntConsumer nodes) {
+            SiteDefaults defaults) {
         return parts ->
-                new DirectoryControl(
-                        parts, platform.apply(parts.questions()), decoder, defaults, nodes);
+                new DirectoryControl(parts, platform.apply(parts.questions()), decoder, defaults);
     }
 
     static byte[] encode(PublishedPage page) {
@@ -111,7 +102,6 @@
         List<Address> guards = guards();
         mParts.listener().onMembers(new Members(leaving, guards));
         mFeed.setPeers(guards);
-        mNodes.accept(guards.size() + 1);
     }
 
     private void followRoutes(PublishedConfiguration published) {
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -70,6 +71,7 @@
     private final AdminServer mAdmin;
     private final CompletableFuture<RuntimeException> mBroken = new CompletableFuture<>();
     private volatile NodeControl mControl = new UnstartedControl();
+    private volatile Optional<HealthNews> mNews = Optional.empty();
     private volatile NodePhase mPhase = NodePhase.STARTING;
     private volatile boolean mDraining;
 
@@ -92,7 +94,8 @@
                         mWorker);
         mPublisher = new EvidencePublisher(vm.id(), mState, mDetection, mTicker);
         NodeObserver observer =
-                new NodeObserver(mDetection, mWindows, mEvents, mTicker, () -> mControl);
+                new NodeObserver(
+                        mDetection, mWindows, mEvents, mTicker, () -> mControl, () -> mNews);
         long incarnation = new SecureRandom().nextLong();
         KeyLimits.DEFAULT.requireCovers(AttemptLimits.DEFAULT);
         mEntry = entry(observer, incarnation);
@@ -144,6 +147,7 @@
                 observer,
                 mEntry::handleKeyed,
                 mProfile.entry().dialect(),
+                mProfile.entry().guardRetries(),
                 revision -> mControl.publishedSince(revision),
                 mRegistry);
     }
@@ -183,6 +187,15 @@
         mHttp.start();
         mAdmin.start();
         mGuardServer.start();
+        if (mProfile.news() != null) {
+            mNews =
+                    Optional.of(
+                            HealthNews.start(
+                                    mProfile.news(),
+                                    mState,
+                                    mTicker,
+                                    mProfile.vm().failureDomain()));
+        }
         mControl =
                 mControlFactory.start(
                         new NodeControl.Parts(
@@ -406,6 +419,7 @@
     public void close() {
         mPhase = NodePhase.STOPPING;
         NodeHttp.stop(mControl::close);
+        mNews.ifPresent(HealthNews::close);
         mWorker.shutdownNow();
         NodeHttp.stop(mCallerServer::stop);
         NodeHttp.stop(mGuardServer::stop);
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.node;
 
 import java.util.Locale;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.apricotgauge.caller.EntryObserver;
 import org.apricotgauge.decision.attempt.FenceAnswer;
@@ -26,13 +27,16 @@
     private final OutcomeWindows mWindows;
     private final NodeEvents mEvents;
     private final Supplier<NodeControl> mControl;
+    private final Supplier<Optional<HealthNews>> mNews;
 
     NodeObserver(
             DetectionService detection,
             OutcomeWindows windows,
             NodeEvents events,
             Ticker ticker,
-            Supplier<NodeControl> control) {
+            Supplier<NodeControl> control,
+            Supplier<Optional<HealthNews>> news) {
+        mNews = news;
         mControl = control;
         mDetection = detection;
         mShare = new EvidenceShare(ticker, detection::guardDigest);
@@ -68,11 +72,17 @@
     }
 
     @Override
-    public void attemptArrived(HttpFields headers) {
+    public void attemptArrived(Target target, String entryHost, HttpFields headers) {
+        mNews.get().ifPresent(news -> news.seen(target, entryHost));
         mEvents.observe(headers);
         mControl.get().hopArrived(headers);
     }
 
+    @Override
+    public void healthSeen(Target target, int sickPermille, int loadPermille) {
+        mNews.get().ifPresent(news -> news.tell(target, sickPermille, loadPermille));
+    }
+
     @Override
     public void guardAnswered(Target target, HttpFields headers) {
         mEvents.observe(headers);
--- a/src/main/java/org/apricotgauge/node/NodeProfile.java
+++ b/src/main/java/org/apricotgauge/node/NodeProfile.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import org.apricotgauge.caller.EntryOptions;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Vm;
 
@@ -14,6 +15,7 @@
  * @param maxCallerConnections callers' connections that the node accepts at once
  * @param readyPaths paths of the administration API that tell readiness, beside its own
  * @param opensEarly whether callers are let in before a configuration is known, and refused
+ * @param news address at which the node hears of targets' health; null if nobody tells it
  * @param entry what differs between sites on the way from callers
  */
 record NodeProfile(
@@ -23,6 +25,7 @@
         int maxCallerConnections,
         Set<String> readyPaths,
         boolean opensEarly,
+        Address news,
         EntryOptions entry) {
 
     /** Checks the parts. */
--- a/src/main/java/org/apricotgauge/node/NodeSettings.java
+++ b/src/main/java/org/apricotgauge/node/NodeSettings.java
@@ -125,6 +125,7 @@
                 maxCallerConnections,
                 Set.of(),
                 false,
+                null,
                 EntryOptions.of(KeyLimits.DEFAULT));
     }
 
--- a/src/main/java/org/apricotgauge/node/SidecarMain.java
+++ b/src/main/java/org/apricotgauge/node/SidecarMain.java
@@ -1,8 +1,6 @@
 package org.apricotgauge.node;
 
 import java.io.IOException;
-import java.util.concurrent.atomic.AtomicInteger;
-import org.apricotgauge.caller.RetryPool;
 import org.apricotgauge.cli.ExitCode;
 import org.apricotgauge.log.Logs;
 import org.apricotgauge.platform.kv.KvDecoder;
@@ -21,16 +19,13 @@
 
     private static ExitCode run(SidecarSettings settings) throws IOException, InterruptedException {
         Logs.configure(settings.log());
-        AtomicInteger nodes = new AtomicInteger(1);
-        RetryPool pool = settings.retryPool(nodes::get);
         NodeProfile profile =
-                settings.profile(new KvDialect(settings.service()), KvDialect.READY_PATH, pool);
+                settings.profile(new KvDialect(settings.service()), KvDialect.READY_PATH);
         NodeControl.Factory control =
                 DirectoryControl.factory(
                         client -> new KvSource(client, settings.platform()),
                         new KvDecoder(),
-                        settings.defaults(),
-                        nodes::set);
+                        settings.defaults());
         return NodeMain.serve(Node.start(profile, control));
     }
 }
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.function.IntSupplier;
 import org.apricotgauge.caller.EntryOptions;
-import org.apricotgauge.caller.RetryPool;
 import org.apricotgauge.cli.Command;
 import org.apricotgauge.cli.Setting;
 import org.apricotgauge.cli.SettingKind;
@@ -13,6 +11,7 @@
 import org.apricotgauge.cli.SettingValues;
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
+import org.apricotgauge.decision.attempt.RetryPool;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.log.LogSettings;
 import org.apricotgauge.model.Address;
@@ -33,6 +32,7 @@
  * @param guard address for other nodes' requests; the same port on every VM
  * @param admin address of the administration API
  * @param platform address of the platform's store
+ * @param news address for datagrams on targets' health; the same port on every VM
  * @param floorShare least share of healthy capacity that ejections may leave
  * @param retryRatio most retries of the fleet for each request
  * @param retryBurst retries that the whole fleet may make in a window beside its ratio
@@ -47,6 +47,7 @@
         Address guard,
         Address admin,
         Address platform,
+        Address news,
         double floorShare,
         double retryRatio,
         double retryBurst,
@@ -106,6 +107,11 @@
     private static final Setting<Address> PLATFORM =
             Setting.required(
                     "store-address", SettingKinds.address(), "Address of the platform's store.");
+    private static final Setting<Address> NEWS =
+            Setting.required(
+                    "news-address",
+                    SettingKinds.address(),
+                    "Address for datagrams on targets' health; the same port on every VM.");
     private static final Setting<Double> FLOOR =
             Setting.withDefault(
                     "floor-share",
@@ -145,6 +151,7 @@
         Checks.notNull("guard", guard);
         Checks.notNull("admin", admin);
         Checks.notNull("platform", platform);
+        Checks.notNull("news", news);
         Checks.notNull("log", log);
     }
 
@@ -167,7 +174,7 @@
 
     private static List<Setting<?>> declared() {
         List<Setting<?>> settings = new ArrayList<>();
-        settings.addAll(List.of(FAILURE_DOMAIN, SERVICE, CALLERS, GUARD, ADMIN, PLATFORM));
+        settings.addAll(List.of(FAILURE_DOMAIN, SERVICE, CALLERS, GUARD, ADMIN, PLATFORM, NEWS));
         settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, RETRY_WINDOW, STOP));
         settings.addAll(LogSettings.declared());
         return List.copyOf(settings);
@@ -181,6 +188,7 @@
                 values.get(GUARD),
                 values.get(ADMIN),
                 values.get(PLATFORM),
+                values.get(NEWS),
                 values.get(FLOOR),
                 values.get(RETRY_RATIO),
                 values.get(RETRY_BURST),
@@ -190,7 +198,7 @@
     }
 
     /** Returns what the node is, with the dialect and the readiness path of its platform. */
-    NodeProfile profile(SiteDialect dialect, String readyPath, RetryPool pool) {
+    NodeProfile profile(SiteDialect dialect, String readyPath) {
         long stopMillis = (long) (stopSeconds * MILLIS_PER_SECOND) - STOP_MARGIN_MILLIS;
         return new NodeProfile(
                 new Vm(
@@ -206,13 +214,19 @@
                 CALLER_CONNECTIONS,
                 Set.of(readyPath),
                 true,
+                news,
                 new EntryOptions(
-                        dialect, EntryOptions.Reach.GUARDS_ONLY, REPEATS, KeyLimits.DEFAULT, pool));
+                        dialect,
+                        EntryOptions.Reach.GUARDS_ONLY,
+                        REPEATS,
+                        KeyLimits.DEFAULT,
+                        RetryPool.UNBOUNDED,
+                        retryPool()));
     }
 
     /** Returns the node's part of the retries that the whole fleet may make. */
-    RetryPool retryPool(IntSupplier nodes) {
-        return RetryPool.ofFleet(retryBurst * EXTRA_PART, retryWindowSeconds, nodes);
+    private RetryPool retryPool() {
+        return RetryPool.ofFleet(retryBurst * EXTRA_PART, retryWindowSeconds);
     }
 
     /** Returns the settings of services. */
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apricotgauge.decision.admission.Ticket;
 import org.apricotgauge.decision.attempt.Arrival;
@@ -19,9 +20,13 @@
 import org.apricotgauge.decision.attempt.GuardStamp;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.RetryBudget;
+import org.apricotgauge.decision.attempt.RetryBudgets;
+import org.apricotgauge.decision.attempt.RetryPool;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.routing.RoutingTable;
+import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.Outcomes;
@@ -75,6 +80,7 @@
     private final ConcurrentMap<Attempt, GuardedRequest> mRequests = new ConcurrentHashMap<>();
     private final Request.Handler mKeyed;
     private final DirectoryPages mDirectory;
+    private final RetryBudgets mRetries;
     private final AtomicBoolean mExpiring = new AtomicBoolean();
     private volatile boolean mLeaving;
 
@@ -97,6 +103,7 @@
      * @param observer hears how requests ended
      * @param keyed serves requests whose Idempotency-Key this node remembers
      * @param dialect headers of the site's targets
+     * @param retries which retries are let through to targets
      * @param directory tells peers what the platform published
      * @param registry takes the counters
      */
@@ -110,10 +117,12 @@
             GuardObserver observer,
             Request.Handler keyed,
             SiteDialect dialect,
+            RetryPool retries,
             DirectoryPages directory,
             MetricRegistry registry) {
         mVm = vm;
         mDirectory = directory;
+        mRetries = new RetryBudgets(retries, ticker.millis());
         mTable = table;
         mKeyed = keyed;
         mContext =
@@ -236,7 +245,6 @@
 
     private void forward(Attempt attempt, Request request, Response response, Callback callback) {
         mContext.metrics().requests().inc();
-        mContext.observer().attemptArrived(request.getHeaders());
         if (mLeaving) {
             refuse(response, callback, NotRunReason.LEAVING);
             return;
@@ -246,6 +254,8 @@
             refuse(response, callback, NotRunReason.TARGET_UNREACHABLE);
             return;
         }
+        mContext.observer()
+                .attemptArrived(target, Request.getRemoteAddr(request), request.getHeaders());
         long nowMillis = mContext.ticker().millis();
         Arrival arrival = mContext.ledger().admit(attempt, nowMillis);
         if (arrival != Arrival.ADMITTED) {
@@ -271,7 +281,8 @@
                         request,
                         response,
                         counted,
-                        cautionOf(request));
+                        cautionOf(request),
+                        passOf(target, request));
         mRequests.put(attempt, guarded);
         guarded.begin();
     }
@@ -297,6 +308,22 @@
                 attempt.latestStartMillis());
     }
 
+    /** Returns what is asked just before a request goes to its target. */
+    private BooleanSupplier passOf(Target target, Request request) {
+        Optional<ServiceTable> table = mTable.get().service(target.service());
+        if (table.isEmpty()) {
+            return () -> true;
+        }
+        RetryBudget budget = mRetries.of(table.get().service(), table.get().all().size());
+        if (request.getHeaders().contains(HeaderNames.REPEAT)) {
+            return () -> budget.tryRetry(mContext.ticker().millis());
+        }
+        return () -> {
+            budget.onRequest();
+            return true;
+        };
+    }
+
     // An entry of an older release names none, and is served as before.
     private static HealthGate.Caution cautionOf(Request request) {
         String word = request.getHeaders().get(HeaderNames.CAUTION);
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -23,8 +23,20 @@
      */
     long overdueMicros(Target target);
 
-    /** Called with the head of each attempt that arrives. */
-    void attemptArrived(HttpFields headers);
+    /**
+     * Called with the head of each attempt that arrives.
+     *
+     * @param entryHost IP number of the entry that sent it
+     */
+    void attemptArrived(Target target, String entryHost, HttpFields headers);
+
+    /**
+     * Called after each request that showed something of the target's health.
+     *
+     * @param sickPermille probability that the target is sick, in permille
+     * @param loadPermille requests running and waiting, in permille of its slots
+     */
+    void healthSeen(Target target, int sickPermille, int loadPermille);
 
     /** Called before each answer, to add what entries should learn with it. */
     void beforeAnswer(Target target, HttpFields.Mutable headers);
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.apricotgauge.decision.admission.Refusal;
 import org.apricotgauge.decision.admission.RefusalReason;
 import org.apricotgauge.decision.admission.Result;
@@ -52,6 +53,7 @@
     private final Response mResponse;
     private final Callback mCallback;
     private final HealthGate.Caution mCaution;
+    private final BooleanSupplier mPass;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
     private volatile long mSentAtNanos;
     private volatile UpstreamExchange mExchange;
@@ -83,8 +85,10 @@
             Request request,
             Response response,
             Callback callback,
-            HealthGate.Caution caution) {
+            HealthGate.Caution caution,
+            BooleanSupplier pass) {
         mCaution = caution;
+        mPass = pass;
         mContext = context;
         mGate = gate;
         mAttempt = attempt;
@@ -154,7 +158,11 @@
     @Override
     public void admitted() {
         if (!mGate.health().mayPass(mCaution, mContext.ticker().millis())) {
-            refuseSuspect();
+            refuseAtSlot(NotRunReason.TARGET_SUSPECT);
+            return;
+        }
+        if (!mPass.getAsBoolean()) {
+            refuseAtSlot(NotRunReason.RETRIES_SPENT);
             return;
         }
         if (!mPhase.compareAndSet(Phase.WAITING, Phase.SENDING)) {
@@ -171,10 +179,10 @@
         watchForHang(TimeUnit.MILLISECONDS.toMicros(leftMillis));
     }
 
-    private void refuseSuspect() {
+    private void refuseAtSlot(NotRunReason reason) {
         if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
-            endNotRun(NotRunReason.TARGET_SUSPECT, 0);
+            endNotRun(reason, 0);
         }
         mGate.leave(mTicket, Result.CANCELLED, 0);
     }
@@ -195,9 +203,8 @@
     private void observe(ObservedOutcome outcome, long serviceMicros) {
         if (mObserved.compareAndSet(false, true)) {
             switch (outcome) {
-                case SUCCESS -> mGate.health().ended(false, mContext.ticker().millis());
-                case TARGET_ERROR, TIMEOUT, OVERDUE ->
-                        mGate.health().ended(true, mContext.ticker().millis());
+                case SUCCESS -> showedHealth(false);
+                case TARGET_ERROR, TIMEOUT, OVERDUE -> showedHealth(true);
                 default -> {
                     // Load, the path or the caller: nothing about the target's health.
                 }
@@ -206,6 +213,11 @@
         }
     }
 
+    private void showedHealth(boolean failed) {
+        mGate.health().ended(failed, mContext.ticker().millis());
+        mContext.observer().healthSeen(mGate.target(), mGate.sickPermille(), mGate.loadPermille());
+    }
+
     private org.eclipse.jetty.client.Request targetRequest(long leftMillis) {
         org.eclipse.jetty.client.Request request =
                 mContext.client()
--- a/src/test/java/org/apricotgauge/decision/health/HealthGateTest.java
+++ b/src/test/java/org/apricotgauge/decision/health/HealthGateTest.java
@@ -19,11 +19,11 @@
         gate.ended(false, 0);
         assertThat(gate.mayPass(Caution.STEADY, 1)).isTrue();
 
-        gate.ended(true, 10);
+        gate.ended(true, 2 * SECOND);
 
-        assertThat(gate.mayPass(Caution.STEADY, 11)).isFalse();
-        assertThat(gate.mayPass(Caution.STEADY, 3 * SECOND)).isFalse();
-        assertThat(gate.mayPass(Caution.STEADY, 6 * SECOND)).isTrue();
+        assertThat(gate.mayPass(Caution.STEADY, 2 * SECOND)).isFalse();
+        assertThat(gate.mayPass(Caution.STEADY, 5 * SECOND)).isFalse();
+        assertThat(gate.mayPass(Caution.STEADY, 8 * SECOND)).isTrue();
     }
 
     @Test
@@ -60,8 +60,7 @@
         HealthBelief failed = HealthBelief.UNKNOWN.afterFailure(0);
 
         assertThat(failed.sick()).isGreaterThan(0.9);
-        assertThat(failed.sickAt(60 * SECOND))
-                .isCloseTo(HealthBelief.USUALLY_SICK, within(0.001));
+        assertThat(failed.sickAt(60 * SECOND)).isCloseTo(HealthBelief.USUALLY_SICK, within(0.001));
     }
 
     @Test
--- a/src/test/java/org/apricotgauge/directory/ItemTableTest.java
+++ b/src/test/java/org/apricotgauge/directory/ItemTableTest.java
@@ -37,8 +37,7 @@
     @Test
     void aPeerThatLagsCatchesUpByTheChanges() {
         ItemTable old = ItemTable.EMPTY.with(whole(10, item("a", 9), item("b", 10)));
-        ItemTable ahead =
-                old.with(changes(12, item("a", 11), PublishedItem.removed("b", 12)));
+        ItemTable ahead = old.with(changes(12, item("a", 11), PublishedItem.removed("b", 12)));
 
         ItemTable caughtUp = old.with(ahead.changesAfter(old.revision()));
 
--- a/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
+++ b/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
@@ -16,7 +16,9 @@
         take(registered("a", false), 0);
         take(registered("a", true), 10);
 
-        assertThat(mDirectory.registrations()).extracting(Registration::leaving).containsExactly(true);
+        assertThat(mDirectory.registrations())
+                .extracting(Registration::leaving)
+                .containsExactly(true);
         assertThat(take(new SiteChange.Unregistered("a"), 20)).isTrue();
         assertThat(mDirectory.registrations()).isEmpty();
     }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -16,6 +16,7 @@
 import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.RetryPool;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
@@ -190,6 +191,7 @@
                         new Blind(),
                         vm.mEntry::handleKeyed,
                         FleetDialect.INSTANCE,
+                        RetryPool.UNBOUNDED,
                         revision -> new byte[0],
                         vm.mRegistry);
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
@@ -245,7 +247,10 @@
         }
 
         @Override
-        public void attemptArrived(HttpFields headers) {}
+        public void attemptArrived(Target target, String entryHost, HttpFields headers) {}
+
+        @Override
+        public void healthSeen(Target target, int sickPermille, int loadPermille) {}
 
         @Override
         public void guardAnswered(Target target, HttpFields headers) {}
--- a/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
@@ -74,8 +74,7 @@
 
     @Test
     void whatCannotBeReadIsSaidAndChangesNothing() {
-        assertThat(decode("op/config", "{\"version\":7"))
-                .isInstanceOf(SiteChange.Unreadable.class);
+        assertThat(decode("op/config", "{\"version\":7")).isInstanceOf(SiteChange.Unreadable.class);
         assertThat(decode("op/config", CONFIG.replace("r7", "7")))
                 .isInstanceOf(SiteChange.Unreadable.class);
         assertThat(decode("other/key", "")).isInstanceOf(SiteChange.Ignored.class);
--- a/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
@@ -50,7 +50,9 @@
     @Test
     void aTargetIsToldWhichRunIsMeantAndWhatIsLeft() {
         HttpFields.Mutable headers =
-                HttpFields.build().put("X-Timeout-Remaining", "9000").put("X-Expected-Instance", "x");
+                HttpFields.build()
+                        .put("X-Timeout-Remaining", "9000")
+                        .put("X-Expected-Instance", "x");
 
         mDialect.towardsTarget(headers, "i-1", 250);
 
