--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -154,11 +154,12 @@
     /** Returns how much of a risk the present attempt may run. */
     HealthGate.Caution caution() {
         synchronized (this) {
-            if (mProgress.attempts() + 1 >= mContext.repeatPolicy().maxAttempts()) {
-                return HealthGate.Caution.NONE;
-            }
+            return mContext.repeatPolicy().caution(mProgress, maxRuns());
         }
-        return mAsked.repeatable() ? HealthGate.Caution.MAY_TRY : HealthGate.Caution.STEADY;
+    }
+
+    private int maxRuns() {
+        return mAsked.route().maxRunsOr(mContext.repeatPolicy().maxAttempts());
     }
 
     long deadlineMillis() {
@@ -308,7 +309,7 @@
                 .decide(
                         mProgress,
                         leftMillis(),
-                        mAsked.route().maxRunsOr(mContext.repeatPolicy().maxAttempts()),
+                        maxRuns(),
                         () -> canReplay && (free || mBudget.tryRetry(mContext.ticker().millis())));
     }
 
--- a/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Repeatability;
 
@@ -77,6 +78,23 @@
         return mayGoOn ? wish : finish(progress);
     }
 
+    /**
+     * Returns how much of a risk the next attempt may run.
+     *
+     * <p>What may repeat can find out for all whether a suspect target is well again, as long as a
+     * further run is left to it; its last run goes where a booking would go. An attempt beyond
+     * which there is none takes whatever target there is: a refusal would help nobody.
+     *
+     * @param maxRuns most targets that may run the request, as its route says
+     */
+    public HealthGate.Caution caution(Progress progress, int maxRuns) {
+        if (progress.attempts() + 1 >= maxAttempts) {
+            return HealthGate.Caution.NONE;
+        }
+        boolean mayFailOnce = progress.repeatable() && progress.runs() + 1 < maxRuns;
+        return mayFailOnce ? HealthGate.Caution.MAY_TRY : HealthGate.Caution.STEADY;
+    }
+
     private static RetryDecision wish(Progress progress) {
         Outcome last = progress.last();
         if (last instanceof Outcome.Answered answered) {
--- a/src/main/java/org/apricotgauge/node/NodeHttp.java
+++ b/src/main/java/org/apricotgauge/node/NodeHttp.java
@@ -21,6 +21,9 @@
     private static final int FENCES_PER_GUARD = 64;
     private static final int QUEUED = 4_096;
 
+    /** A stopped node has no work left; Jetty's own 5 s would outlast a platform's grace time. */
+    private static final long STOP_MILLIS = 200;
+
     private final QueuedThreadPool mThreads = new QueuedThreadPool(MAX_THREADS);
     private final ScheduledExecutorScheduler mScheduler =
             new ScheduledExecutorScheduler("node-timer", true);
@@ -30,6 +33,7 @@
 
     NodeHttp(String vm) {
         mThreads.setName("node-" + vm);
+        mThreads.setStopTimeout(STOP_MILLIS);
         HttpClientFactory clients = new HttpClientFactory(mThreads, mScheduler);
         mForwarding = clients.create("forwarding", limits(PER_GUARD));
         mFencing = clients.create("fencing", limits(FENCES_PER_GUARD));
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -58,8 +58,11 @@
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final int CALLER_CONNECTIONS = 3_000;
 
-    /** A stop ends this long before the platform kills the process, in milliseconds. */
-    private static final long STOP_MARGIN_MILLIS = 600;
+    /**
+     * The wait for requests in flight ends this long before the platform kills the process, in
+     * milliseconds: the rest of the stop takes some 0.3 s on a machine that is not slowed.
+     */
+    private static final long STOP_MARGIN_MILLIS = 1_000;
 
     /**
      * How long a stopping node serves as before, in milliseconds: the platform asks for readiness
--- a/src/test/java/org/apricotgauge/decision/attempt/RepeatPolicyTest.java
+++ b/src/test/java/org/apricotgauge/decision/attempt/RepeatPolicyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.model.Repeatability;
 import org.junit.jupiter.api.Test;
 
@@ -68,6 +69,28 @@
         assertThat(budget.tryRetry(60_000)).isTrue();
     }
 
+    @Test
+    void theLastRunOfALookupGoesWhereABookingWouldGo() {
+        // A lookup may fail at a suspect target and be served by another. If that one fails it too,
+        // its caller gets a failure though steady targets were there.
+        Progress fresh = Progress.of(true, false);
+        Progress failedOnce = fresh.after(new Outcome.Answered(500));
+        Progress booking = Progress.of(false, false);
+
+        assertThat(POLICY.caution(fresh, 2)).isEqualTo(HealthGate.Caution.MAY_TRY);
+        assertThat(POLICY.caution(failedOnce, 2)).isEqualTo(HealthGate.Caution.STEADY);
+        assertThat(POLICY.caution(booking, 2)).isEqualTo(HealthGate.Caution.STEADY);
+        assertThat(POLICY.caution(fresh, 1)).isEqualTo(HealthGate.Caution.STEADY);
+    }
+
+    @Test
+    void anAttemptBeyondWhichThereIsNoneTakesAnyTarget() {
+        Outcome bounced = new Outcome.NotRun(NotRunReason.TARGET_SUSPECT, 0);
+        Progress bouncedTwice = Progress.of(false, false).after(bounced).after(bounced);
+
+        assertThat(POLICY.caution(bouncedTwice, 2)).isEqualTo(HealthGate.Caution.NONE);
+    }
+
     private static RetryDecision decide(Progress progress) {
         return POLICY.decide(progress, 500, () -> true);
     }
--- /dev/null
+++ b/src/test/java/org/apricotgauge/node/SidecarSettingsTest.java
@@ -0,0 +1,54 @@
+package org.apricotgauge.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.apricotgauge.cli.CommandOutcome;
+import org.junit.jupiter.api.Test;
+
+/** The flags of a node on a platform that fills them in. */
+class SidecarSettingsTest {
+    private static final List<String> FLAGS =
+            List.of(
+                    "--failure-domain=hall",
+                    "--service=booking",
+                    "--caller-address=10.0.0.1:80",
+                    "--guard-address=10.0.0.1:81",
+                    "--admin-address=10.0.0.1:82",
+                    "--store-address=10.0.0.9:83",
+                    "--news-address=10.0.0.1:84");
+
+    @Test
+    void aBoundThatIsNotInForceIsLeftEmptyAndHasItsDefault() {
+        List<String> flags = new ArrayList<>(FLAGS);
+        flags.add("--floor-share=");
+        flags.add("--retry-burst=62");
+
+        SidecarSettings settings = ready(flags);
+
+        assertThat(settings.floorShare()).isEqualTo(0.7);
+        assertThat(settings.retryBurst()).isEqualTo(62);
+        assertThat(settings.defaults().floorPercent()).isEqualTo(70);
+    }
+
+    @Test
+    void aBadValueIsToldInOneLineThatNamesItsFlag() {
+        List<String> flags = new ArrayList<>(FLAGS);
+        flags.add("--stop-seconds=soon");
+
+        CommandOutcome<SidecarSettings> outcome = SidecarSettings.command().parse(flags, Map.of());
+
+        assertThat(outcome).isInstanceOf(CommandOutcome.Finished.class);
+        String error = ((CommandOutcome.Finished<SidecarSettings>) outcome).errors();
+        assertThat(error.lines()).hasSize(1);
+        assertThat(error).contains("--stop-seconds");
+    }
+
+    private static SidecarSettings ready(List<String> flags) {
+        return ((CommandOutcome.Ready<SidecarSettings>)
+                        SidecarSettings.command().parse(flags, Map.of()))
+                .settings();
+    }
+}
