Test the feed of the directory with a silent, failing and lagging platform

Ruled out: a scheduler of its own (the node's tick every 0.1 s does; the gap between two calls is then 0.3 to 0.4 s). Change: DirectoryFeed takes a plain executor; DirectoryFeedTest: refused by the platform, silent watch, late answer, suspension, leases run out.

--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -3,8 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -109,7 +108,7 @@
      * @param platform the platform
      * @param peers another node as a source, by the address of its guard
      * @param decoder reads items
-     * @param worker the one thread that all work is done on
+     * @param worker runs all work, one piece after the other
      * @param ticker time of intervals
      * @param wallMillis time of day in milliseconds; it goes on while the VM is suspended
      * @param random chooses peers
@@ -118,7 +117,7 @@
             PublishedSource platform,
             Function<Address, PublishedSource> peers,
             SiteDecoder decoder,
-            ScheduledExecutorService worker,
+            Executor worker,
             Ticker ticker,
             LongSupplier wallMillis,
             RandomGenerator random) {
@@ -246,8 +245,7 @@
             mLog.info("platform regained", new Regained(mItems.get().revision()));
         }
         mNextCallMillis = nowMillis + (page.items().isEmpty() ? 0 : GAP_MILLIS);
-        mParts.worker()
-                .schedule(this::callIfDue, mNextCallMillis - nowMillis, TimeUnit.MILLISECONDS);
+        callIfDue();
     }
 
     private void failed(long call, String reason, long nowMillis) {
--- /dev/null
+++ b/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
@@ -0,0 +1,202 @@
+package org.apricotgauge.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.time.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+/** A node's picture of the site while the platform answers, fails, is silent, or lags. */
+class DirectoryFeedTest {
+    private static final Address PEER = new Address("127.0.0.2", 80);
+
+    private final ManualTicker mTicker = new ManualTicker();
+    private final FakeSource mPlatform = new FakeSource();
+    private final FakeSource mPeer = new FakeSource();
+    private long mSuspendedMillis;
+    private SiteDirectory mSite;
+    private final DirectoryFeed mFeed =
+            new DirectoryFeed(
+                    new DirectoryFeed.Parts(
+                            mPlatform,
+                            peer -> mPeer,
+                            DirectoryFeedTest::decode,
+                            Runnable::run,
+                            mTicker,
+                            () -> mTicker.millis() + mSuspendedMillis,
+                            new SplittableRandom(1)),
+                    site -> mSite = site);
+
+    /** Answers when told to. */
+    private static final class FakeSource implements PublishedSource {
+        private record Call(long after, long waitMillis, CompletableFuture<PublishedPage> answer) {}
+
+        private final List<Call> mCalls = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<PublishedPage> read(long afterRevision, long waitMillis) {
+            Call call = new Call(afterRevision, waitMillis, new CompletableFuture<>());
+            mCalls.add(call);
+            return call.answer();
+        }
+
+        Call last() {
+            return mCalls.get(mCalls.size() - 1);
+        }
+
+        void answer(long revision, boolean whole, PublishedItem... items) {
+            last().answer().complete(new PublishedPage(revision, whole, List.of(items)));
+        }
+
+        void fail() {
+            last().answer().completeExceptionally(new IOException("refused"));
+        }
+    }
+
+    @Test
+    void opensWithTheFirstConfigurationAndThenWatches() {
+        mFeed.start();
+        assertThat(mFeed.mayAct()).isFalse();
+
+        mPlatform.answer(5, true, config(5, 1), target("a", 4));
+
+        assertThat(mFeed.opened()).isDone();
+        assertThat(mFeed.mayAct()).isTrue();
+        assertThat(mSite.registrations()).hasSize(1);
+        pass(DirectoryFeed.GAP_MILLIS);
+        assertThat(mPlatform.last().after()).isEqualTo(5);
+        assertThat(mPlatform.last().waitMillis()).isEqualTo(DirectoryFeed.WATCH_MILLIS);
+    }
+
+    @Test
+    void aFreshNodeThatThePlatformTurnsAwayOpensByAPeer() {
+        // The platform refuses this node and serves the others. The node knows nobody, until the
+        // first hop of another entry tells its address; its callers would be refused all the while.
+        mFeed.start();
+        mPlatform.fail();
+        mFeed.hint(5, PEER);
+        pass(100);
+
+        mPeer.answer(5, true, config(5, 1), target("a", 4));
+
+        assertThat(mFeed.mayAct()).isTrue();
+        assertThat(mSite.configuration().version()).isEqualTo(1);
+    }
+
+    @Test
+    void aWatchThatWentSilentIsFoundOutByAHop() {
+        // Something between node and platform dropped the connection without a reset. The node
+        // would route by the old version until the watch runs out, while others know the new one.
+        mFeed.start();
+        mPlatform.answer(5, true, config(5, 1));
+        pass(DirectoryFeed.GAP_MILLIS);
+        int calls = mPlatform.mCalls.size();
+
+        mFeed.hint(9, PEER);
+        pass(DirectoryFeed.HINT_PATIENCE_MILLIS);
+
+        assertThat(mPlatform.mCalls).hasSize(calls + 1);
+        assertThat(mPlatform.last().waitMillis()).isZero();
+        mPeer.answer(9, false, config(9, 2));
+        assertThat(mSite.configuration().version()).isEqualTo(2);
+    }
+
+    @Test
+    void anAnswerThatComesTooLateIsAFailureAndIsAskedForAgain() {
+        mFeed.start();
+        mPlatform.answer(5, true, config(5, 1));
+        pass(DirectoryFeed.GAP_MILLIS);
+        int calls = mPlatform.mCalls.size();
+
+        pass(DirectoryFeed.WATCH_MILLIS + DirectoryFeed.ANSWER_MILLIS);
+        pass(DirectoryFeed.RETRY_MILLIS);
+
+        assertThat(mPlatform.mCalls).hasSize(calls + 1);
+        assertThat(mPlatform.last().waitMillis()).isZero();
+    }
+
+    @Test
+    void afterASuspensionNothingIsDoneUntilSomebodyConfirms() {
+        // The VM stood still for ten seconds, and the steady clock with it. What the node knows of
+        // targets that left meanwhile is old; a booking would go to an address of another service.
+        mFeed.start();
+        mPlatform.answer(5, true, config(5, 1));
+        pass(DirectoryFeed.GAP_MILLIS);
+
+        mSuspendedMillis = 10_000;
+        assertThat(mFeed.mayAct()).isFalse();
+        pass(100);
+        assertThat(mFeed.mayAct()).isFalse();
+
+        mPlatform.answer(5, false);
+
+        assertThat(mFeed.mayAct()).isTrue();
+    }
+
+    @Test
+    void manyRegistrationsThatEndAtOnceAreInDoubt() {
+        // The platform was away, and all leases ran out; the watch was waiting and saw no failure.
+        // Dropped with the others, a living target would be out of service for two seconds.
+        mFeed.start();
+        mPlatform.answer(5, true, config(5, 1), target("a", 2), target("b", 3), target("c", 4));
+        pass(DirectoryFeed.GAP_MILLIS);
+        mPlatform.answer(8, false, gone("a", 6), gone("b", 7), gone("c", 8));
+
+        pass(SiteDirectory.VANISHED_MILLIS + 500);
+        assertThat(mSite.registrations()).hasSize(3);
+        mPlatform.answer(10, false, target("a", 9), target("b", 10));
+        pass(SiteDirectory.DOUBTFUL_MILLIS);
+
+        assertThat(mSite.registrations())
+                .extracting(one -> one.target().id())
+                .containsExactly("a", "b");
+    }
+
+    /** Lets time pass as the node's worker sees it. */
+    private void pass(long millis) {
+        long left = millis;
+        while (left > 0) {
+            long step = Math.min(left, 100);
+            mTicker.advanceMillis(step);
+            mFeed.tick();
+            left -= step;
+        }
+    }
+
+    private static PublishedItem config(long revision, long version) {
+        return item("config", Long.toString(version), revision);
+    }
+
+    private static PublishedItem target(String id, long revision) {
+        return item(id, "target", revision);
+    }
+
+    private static PublishedItem gone(String id, long revision) {
+        return PublishedItem.removed(id, revision);
+    }
+
+    private static PublishedItem item(String key, String value, long revision) {
+        return new PublishedItem(key, value.getBytes(StandardCharsets.UTF_8), revision, false);
+    }
+
+    private static SiteChange decode(PublishedItem item) {
+        if (item.key().equals("config")) {
+            long version = Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
+            return new SiteChange.Configured(
+                    new PublishedConfiguration(version, 0, List.of("s"), List.of(), 1_000));
+        }
+        if (item.removed()) {
+            return new SiteChange.Unregistered(item.key());
+        }
+        int port = 1 + item.key().charAt(0);
+        Target target = new Target(item.key(), "s", "vm", "here", "127.0.0.1", port, 3);
+        return new SiteChange.Registered(new Registration(target, false, 0));
+    }
+}
