Tell a reset from the end of an answer

Ruled out: the hop between entry and guard (its bodies have chunks). Change: ResetVisibleEndPoint for the clients' connections.

--- a/src/main/java/org/apricotgauge/http/HttpClientFactory.java
+++ b/src/main/java/org/apricotgauge/http/HttpClientFactory.java
@@ -1,5 +1,8 @@
 package org.apricotgauge.http;
 
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
@@ -9,6 +12,8 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -58,7 +63,7 @@
 
     /** Returns a new client, not yet started. */
     public HttpClient create(String name, Limits limits) {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetVisibleConnector();
         connector.setSelectors(SELECTORS);
         connector.setExecutor(mExecutor);
         connector.setScheduler(mScheduler);
@@ -82,6 +87,15 @@
         return client;
     }
 
+    /** A connector whose connections tell a reset from an end. */
+    private static final class ResetVisibleConnector extends ClientConnector {
+        @Override
+        protected EndPoint newEndPoint(
+                SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+            return new ResetVisibleEndPoint((SocketChannel) channel, selector, key, getScheduler());
+        }
+    }
+
     /** Closes the unused connections of a client to one address. */
     public static void dropIdleConnections(HttpClient client, Address address) {
         for (Destination destination : client.getDestinations()) {
