Refuse what waits at a stopping guard, and what comes late to a stopping entry

Ruled out: the entry's deadline and hang-up detection (both nodes' lines show the stop timing out with two requests in flight). Change: GuardHandler.leave refuses what waits as not run, also what is between arrival and queue; EntryHandler.leave refuses what comes after the time in which callers are sent elsewhere.

--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -49,6 +49,7 @@
     private final AtomicInteger mInFlight = new AtomicInteger();
     private final RetryBudgets mBudgets;
     private final KeyedRequests mKeyed;
+    private volatile boolean mLeft;
 
     /**
      * Creates the handler.
@@ -106,6 +107,11 @@
         mContext.lag().start();
     }
 
+    /** Refuses requests that come from now on, as not run; those that are here go on. */
+    public void leave() {
+        mLeft = true;
+    }
+
     /** Counts a request that was refused before it could be read. */
     public void refused() {
         mContext.metrics().badRequests().inc();
@@ -127,6 +133,17 @@
             refuse(response, counted, HttpStatus.LOOP_DETECTED_508, "request came here before");
             return true;
         }
+        // What came now could not end before the stop does; its caller is told to come back, by
+        // when it has been sent elsewhere.
+        if (mLeft) {
+            mContext.metrics().notRun().inc();
+            Outcomes.write(
+                    response,
+                    counted,
+                    new Outcome.NotRun(NotRunReason.LEAVING, UNCONFIRMED_RETRY_AFTER_MILLIS),
+                    mContext.dialect());
+            return true;
+        }
         // A process that was paused would send work by what it knew before: to targets that have
         // left, or by a version that is long out of force. It is confirmed in about a second.
         if (!mMayAct.getAsBoolean()) {
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -396,6 +396,7 @@
         long untilMillis = startMillis + mProfile.drainMillis();
         awaitQuiet(Math.min(untilMillis, startMillis + mProfile.serveOnMillis()), false);
         stopPhase(StopPhase.DRAINING);
+        mEntry.leave();
         mGuard.leave();
         mDraining = true;
         boolean quiet = awaitQuiet(untilMillis, true);
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -166,9 +166,16 @@
         }
     }
 
-    /** Refuses attempts that arrive from now on, as not run; those that are here go on. */
+    /**
+     * Refuses attempts that arrive from now on and those that wait, as not run; those at the target
+     * go on.
+     *
+     * <p>One that waited on would get its slot when little is left of the stop's time, and be cut
+     * at the target; now it is sent to another.
+     */
     public void leave() {
         mLeaving = true;
+        mRequests.values().forEach(GuardedRequest::leaving);
     }
 
     /** Returns how many attempts are here, waiting or running. */
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -65,6 +65,7 @@
     private volatile boolean mTimedOut;
     private volatile boolean mFenced;
     private volatile boolean mAbandoned;
+    private volatile boolean mLeaving;
     private CompletableFuture<Void> mInterim = CompletableFuture.completedFuture(null);
 
     private enum Phase {
@@ -108,7 +109,7 @@
     void begin() {
         HangUpEndPoint.watch(mRequest, this::entryGone);
         acknowledge();
-        afterInterim(() -> mGate.enter(mTicket, this));
+        afterInterim(this::enter);
     }
 
     /** Takes the request out of the queue after a fence; a started one goes on. */
@@ -118,6 +119,23 @@
         }
     }
 
+    private void enter() {
+        mGate.enter(mTicket, this);
+        if (mLeaving) {
+            // The node began to stop between the arrival and the queue.
+            leaving();
+        }
+    }
+
+    /** Takes the request out of the queue because the node stops; one at the target goes on. */
+    void leaving() {
+        mLeaving = true;
+        if (mGate.cancel(mTicket) && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+            mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
+            endNotRun(NotRunReason.LEAVING, 0);
+        }
+    }
+
     // The entry closes its connection when its caller has hung up or its deadline has passed.
     private void entryGone() {
         mContext.ledger().fence(mAttempt, mContext.ticker().millis());
--- /dev/null
+++ b/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
@@ -0,0 +1,56 @@
+package org.apricotgauge.functional;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.apricotgauge.bench.LocalFleet;
+import org.junit.jupiter.api.Test;
+
+/** A guard that stops while one request is at its target and another waits for the slot. */
+class StoppingGuardTest {
+
+    @Test
+    void whatWaitsAtAStoppingGuardIsToldNotRunAndWhatRunsEnds() throws Exception {
+        // Two bookings come to a target with one slot, then its node is stopped. The first is at
+        // work and must end in order. The second, if it waited on, would start late in the stop and
+        // be cut: its caller could not know whether it was booked.
+        CountDownLatch go = new CountDownLatch(1);
+        RawTarget.Script script =
+                (head, body, out) -> {
+                    go.await();
+                    out.write(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                    .getBytes(StandardCharsets.US_ASCII));
+                    return true;
+                };
+        try (RawTarget target = RawTarget.start(script);
+                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1)) {
+            CompletableFuture<String> running = book(hops);
+            LocalFleet.await(() -> target.runs() == 1);
+            CompletableFuture<String> waiting = book(hops);
+            LocalFleet.await(() -> hops.vm("b").guard().inFlight() == 2);
+
+            hops.vm("b").guard().leave();
+
+            assertThat(waiting.get()).startsWith("HTTP/1.1 503").contains("not-run");
+            go.countDown();
+            assertThat(running.get()).startsWith("HTTP/1.1 200");
+            assertThat(target.runs()).isEqualTo(1);
+        }
+    }
+
+    private static CompletableFuture<String> book(Hops hops) {
+        int port = hops.vm("a").callerPort();
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try (RawCaller caller = new RawCaller(port)) {
+                        return caller.request("POST", "/once", "Content-Length: 0").readAll();
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+    }
+}
