--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -38,9 +38,8 @@
  * <p>Each request reads the routing table once and keeps what it read to its end.
  */
 public final class EntryHandler extends Handler.Abstract.NonBlocking {
-    private static final long NO_HOME_RETRY_AFTER_MILLIS = 1_000;
-
-    private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 1_000;
+    /** A pause is over, and a caller of a stopping node is sent elsewhere, in about a second. */
+    private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final Supplier<RoutingTable> mTable;
     private final BooleanSupplier mStopping;
@@ -133,27 +132,9 @@
             refuse(response, counted, HttpStatus.LOOP_DETECTED_508, "request came here before");
             return true;
         }
-        // What came now could not end before the stop does; its caller is told to come back, by
-        // when it has been sent elsewhere.
-        if (mLeft) {
-            mContext.metrics().notRun().inc();
-            Outcomes.write(
-                    response,
-                    counted,
-                    new Outcome.NotRun(NotRunReason.LEAVING, UNCONFIRMED_RETRY_AFTER_MILLIS),
-                    mContext.dialect());
-            return true;
-        }
-        // A process that was paused would send work by what it knew before: to targets that have
-        // left, or by a version that is long out of force. It is confirmed in about a second.
-        if (!mMayAct.getAsBoolean()) {
-            mContext.metrics().notRun().inc();
-            Outcomes.write(
-                    response,
-                    counted,
-                    new Outcome.NotRun(
-                            NotRunReason.STATE_UNCONFIRMED, UNCONFIRMED_RETRY_AFTER_MILLIS),
-                    mContext.dialect());
+        Optional<NotRunReason> unable = unable();
+        if (unable.isPresent()) {
+            tellNotRun(response, counted, unable.get());
             return true;
         }
         Routed routed = route(request, response, counted);
@@ -164,13 +145,7 @@
         if (home.isPresent() && home.get().guard() == null) {
             // Run without the memory of its home, the key could run once more through an entry
             // that sees the home.
-            mContext.metrics().notRun().inc();
-            Outcomes.write(
-                    response,
-                    counted,
-                    new Outcome.NotRun(
-                            NotRunReason.KEY_HOME_UNREACHABLE, NO_HOME_RETRY_AFTER_MILLIS),
-                    mContext.dialect());
+            tellNotRun(response, counted, NotRunReason.KEY_HOME_UNREACHABLE);
             return true;
         }
         CallerExchange exchange =
@@ -191,6 +166,26 @@
         return true;
     }
 
+    /** Returns why this node takes no request at all now, if so. */
+    private Optional<NotRunReason> unable() {
+        // What came now could not end before the stop does; its caller is told to come back, by
+        // when it has been sent elsewhere.
+        if (mLeft) {
+            return Optional.of(NotRunReason.LEAVING);
+        }
+        // A process that was paused would send work by what it knew before: to targets that have
+        // left, or by a version that is long out of force. It is confirmed in about a second.
+        return mMayAct.getAsBoolean()
+                ? Optional.empty()
+                : Optional.of(NotRunReason.STATE_UNCONFIRMED);
+    }
+
+    private void tellNotRun(Response response, Callback callback, NotRunReason reason) {
+        mContext.metrics().notRun().inc();
+        Outcome.NotRun outcome = new Outcome.NotRun(reason, RETRY_AFTER_MILLIS);
+        Outcomes.write(response, callback, outcome, mContext.dialect());
+    }
+
     /** Serves a request that another node sent here because this one remembers its key. */
     public boolean handleKeyed(Request request, Response response, Callback callback) {
         Callback counted = counted(callback);
