--- a/src/test/java/org/apricotgauge/functional/HangUpTest.java
+++ b/src/test/java/org/apricotgauge/functional/HangUpTest.java
@@ -33,6 +33,8 @@
                 LocalFleet.await(() -> target.runs() == 1);
             }
             LocalFleet.await(() -> hops.vm("b").guard().inFlight() == 0);
+            // The deadline would have freed the slot, too, and have told the caller "unknown".
+            assertThat(hops.vm("a").count("entry.unknown")).isZero();
             try (RawCaller next = new RawCaller(hops.vm("a").callerPort())) {
                 String answer = next.request("GET", "/fast").readAll();
                 assertThat(answer).startsWith("HTTP/1.1 200 OK");
