--- a/src/main/java/org/apricotgauge/decision/attempt/RetryPool.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryPool.java
@@ -12,7 +12,7 @@
  * <p>Nodes share no counter. What the operator allows the whole fleet holds in sum only if every
  * node keeps to its equal part. The guards count, where a platform bounds the sum: a service has
  * six or nine of them, the fleet 24 entries, and a part of two retries in ten seconds stood unused
- * at one entry while another was out of it (used were 15 in 100 of what was allowed).
+ * at one entry while another was out of it (of what was allowed less than a fifth was used).
  */
 @FunctionalInterface
 public interface RetryPool {
