--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -84,8 +84,9 @@
     private static final DetectionOdds ODDS = new DetectionOdds(300, 1);
 
     /**
-     * Evidence for the slow tests of detection, in bytes a second. Health is told by datagrams here,
-     * and bytes between failure domains are priced. What this saves has not been measured alone.
+     * Evidence for the slow tests of detection, in bytes a second. Health is told by datagrams
+     * here, and bytes between failure domains are priced. What this saves has not been measured
+     * alone.
      */
     private static final int EVIDENCE_BYTES_PER_SECOND = 500;
 
