Serve first what can still be of full use; charge calls of repeated runs to the retries

Waits were underestimated, since failures after 1 ms counted as service times. The retry budget counted the calls of targets as callers' traffic.

Change: a ticket bears until when it is of full use (the route's target latency) and how long it waits: nowhere (two tries), while it can be of full use (two), to the deadline. Useful work goes before late work, class by class. Failures are no service times. Guards count callers' requests alone, and charge calls of repeated runs afterwards. The own failure domain is preferred by 0.7 of the slots in place of 0.25. A pool that is closed while a connection is being opened no longer breaks off the stop: seen once in LimitsTest (a null key in RenewableConnectionPool), test added.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -145,6 +145,16 @@
         return mDeadlineMillis - mContext.ticker().millis();
     }
 
+    /**
+     * Returns the time left in which an answer is of full use to the caller, in milliseconds; not
+     * positive once it has passed.
+     */
+    long usefulMillis() {
+        Long targetMillis = mAsked.route().targetLatencyMillis();
+        long passedMillis = mAsked.timeoutMillis() - leftMillis();
+        return targetMillis == null ? leftMillis() : targetMillis - passedMillis;
+    }
+
     /** Returns whether a target was sent the request before. */
     boolean isRepeat() {
         synchronized (this) {
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -119,12 +119,8 @@
                     headers.put(
                             HeaderNames.CAUTION,
                             mExchange.caution().name().toLowerCase(Locale.ROOT));
-                    if (mExchange.patience() == Patience.NO_WAIT) {
-                        headers.put(HeaderNames.NO_WAIT, "1");
-                    }
-                    if (mExchange.isRepeat()) {
-                        headers.put(HeaderNames.REPEAT, "1");
-                    }
+                    addPatience(headers);
+                    addRepeat(headers);
                     mContext.dialect().markOrigin(headers);
                     mContext.observer().beforeHop(headers);
                 });
@@ -132,6 +128,30 @@
         return to;
     }
 
+    private void addRepeat(HttpFields.Mutable headers) {
+        boolean parentRepeats =
+                mContext.dialect()
+                        .parentId(mExchange.request().getHeaders())
+                        .filter(mContext.observer()::isRepeat)
+                        .isPresent();
+        if (mExchange.isRepeat()) {
+            headers.put(HeaderNames.REPEAT, HeaderNames.REPEAT_OWN);
+        } else if (parentRepeats) {
+            headers.put(HeaderNames.REPEAT, HeaderNames.REPEAT_PARENT);
+        }
+    }
+
+    private void addPatience(HttpFields.Mutable headers) {
+        Patience patience = mExchange.patience();
+        if (patience != Patience.MAY_WAIT) {
+            headers.put(HeaderNames.PATIENCE, patience.name().toLowerCase(Locale.ROOT));
+        }
+        long usefulMillis = mExchange.usefulMillis();
+        if (usefulMillis > 0) {
+            headers.put(HeaderNames.USEFUL_MILLIS, usefulMillis);
+        }
+    }
+
     // A running request holds its slot while it waits for its calls, whatever their own routes say.
     private String priority() {
         boolean isCall = mContext.dialect().parentId(mExchange.request().getHeaders()).isPresent();
--- a/src/main/java/org/apricotgauge/caller/TargetChoice.java
+++ b/src/main/java/org/apricotgauge/caller/TargetChoice.java
@@ -17,10 +17,11 @@
 /**
  * Chooses the targets of one request's attempts, one after the other.
  *
- * <p>The first attempts look for a free slot and wait nowhere; the later ones wait at the least
- * loaded target, also at one that had no free slot before. Once all others are tried, the request
- * goes to the target that is the least likely to be sick. Used by one exchange, whose attempts
- * follow each other; not thread-safe beyond that.
+ * <p>The first attempts look for a free slot and wait nowhere. The next ones wait at a target as
+ * long as the answer can be of full use, the last ones to the deadline, also at targets that were
+ * too busy before. Once all others are tried, the request goes to the target that is the least
+ * likely to be sick. Used by one exchange, whose attempts follow each other; not thread-safe beyond
+ * that.
  */
 final class TargetChoice {
     /**
@@ -29,6 +30,9 @@
      */
     static final int LOOKING_ATTEMPTS = 2;
 
+    /** Further attempts that wait while they can be of full use; the next ones wait to the end. */
+    static final int USEFUL_ATTEMPTS = 2;
+
     private final EntryContext mContext;
     private final ServiceTable mTable;
     private final boolean mRepeatable;
@@ -36,7 +40,7 @@
     private final Set<String> mBusy = new HashSet<>();
     private final Map<String, Candidate> mSuspects = new HashMap<>();
     private Candidate mLast;
-    private int mAttempts;
+    private int mRefusedBusy;
     private boolean mLastResort;
 
     TargetChoice(EntryContext context, ServiceTable table, boolean repeatable) {
@@ -52,8 +56,14 @@
 
     /** Returns whether the present attempt may wait for a slot. */
     Patience patience() {
-        boolean looks = mContext.reach() == EntryOptions.Reach.GUARDS_ONLY && !mLastResort;
-        return looks && mAttempts <= LOOKING_ATTEMPTS ? Patience.NO_WAIT : Patience.MAY_WAIT;
+        if (mContext.reach() != EntryOptions.Reach.GUARDS_ONLY || mLastResort) {
+            return Patience.MAY_WAIT;
+        }
+        if (mRefusedBusy < LOOKING_ATTEMPTS) {
+            return Patience.NO_WAIT;
+        }
+        boolean seeksUse = mRefusedBusy < LOOKING_ATTEMPTS + USEFUL_ATTEMPTS;
+        return seeksUse ? Patience.WHILE_USEFUL : Patience.MAY_WAIT;
     }
 
     /**
@@ -70,7 +80,6 @@
         }
         choice.ifPresent(candidate -> mTried.add(candidate.target().id()));
         mLast = choice.orElse(null);
-        mAttempts++;
         return choice;
     }
 
@@ -81,13 +90,15 @@
         String id = mLast.target().id();
         if (last instanceof Outcome.NotRun notRun && notRun.reason() == NotRunReason.BUSY) {
             mBusy.add(id);
+            mRefusedBusy++;
         }
         if (last instanceof Outcome.NotRun notRun
                 && notRun.reason() == NotRunReason.TARGET_SUSPECT) {
             mSuspects.put(id, mLast);
         }
-        if (mAttempts >= LOOKING_ATTEMPTS) {
-            // From now on it waits, and the targets that were busy are as good as any.
+        if (mRefusedBusy == LOOKING_ATTEMPTS
+                || mRefusedBusy == LOOKING_ATTEMPTS + USEFUL_ATTEMPTS) {
+            // From now on it waits longer, and the targets that were busy are as good as any.
             mTried.removeAll(mBusy);
             mBusy.clear();
         }
--- a/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -16,6 +16,10 @@
  * // start changes.admitted(), answer changes.refused()
  * }</pre>
  *
+ * <p>What can still end in time to be of full use goes before what cannot, class by class. Served
+ * in the order of arrival, a busy target makes all of its callers late; so it makes as many as it
+ * can not late, and the rest wait for what is left or go elsewhere.
+ *
  * <p>Every admitted ticket must be released exactly once. Call {@link #expire} every 10 ms or so
  * while {@link #queued} is not zero. Times are readings of one monotonic clock in milliseconds.
  * Thread-safe by one lock for each target, held for O(log n) steps and never during I/O.
@@ -46,14 +50,6 @@
      * @throws IllegalStateException if a ticket of this identifier waits or runs already
      */
     public synchronized Offer offer(Ticket ticket, long nowMillis) {
-        return offer(ticket, Patience.MAY_WAIT, nowMillis);
-    }
-
-    /**
-     * Takes in a request as {@link #offer(Ticket, long)} does, or refuses one that must not wait
-     * here while no slot is free.
-     */
-    public synchronized Offer offer(Ticket ticket, Patience patience, long nowMillis) {
         if (mWaiting.contains(ticket) || mRunning.containsKey(ticket.id())) {
             throw new IllegalStateException("ticket offered twice: " + ticket);
         }
@@ -65,15 +61,17 @@
             run(mWaiting.startNow(ticket), nowMillis);
             return new Offer.Admitted();
         }
-        if (patience == Patience.NO_WAIT) {
+        boolean useful = isUseful(ticket, nowMillis + waitMillis(ticket, true));
+        if (ticket.patience() == Patience.NO_WAIT
+                || (ticket.patience() == Patience.WHILE_USEFUL && !useful)) {
             return refused(ticket, RefusalReason.BUSY);
         }
-        double neededMillis = waitMillis(ticket) + allowanceMillis(ticket);
+        double neededMillis = waitMillis(ticket, useful) + allowanceMillis(ticket);
         if (nowMillis + neededMillis > ticket.deadlineMillis()) {
             return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
         }
         if (mWaiting.size() < mConfig.maxQueued()) {
-            mWaiting.add(ticket);
+            mWaiting.add(ticket, useful);
             return new Offer.Queued(List.of());
         }
         Ticket victim = mWaiting.victimFor(ticket);
@@ -81,7 +79,7 @@
             return refused(ticket, RefusalReason.QUEUE_FULL);
         }
         mWaiting.remove(victim);
-        mWaiting.add(ticket);
+        mWaiting.add(ticket, useful);
         return new Offer.Queued(List.of(refusal(victim, RefusalReason.QUEUE_FULL)));
     }
 
@@ -180,10 +178,25 @@
             if (nowMillis + allowanceMillis(ticket) > ticket.deadlineMillis()) {
                 mWaiting.remove(ticket);
                 refused.add(refusal(ticket, RefusalReason.DEADLINE_PASSED));
+            } else if (mWaiting.isUseful(ticket) && !isUseful(ticket, nowMillis)) {
+                loseUse(ticket, refused);
             }
         }
     }
 
+    private void loseUse(Ticket ticket, List<Refusal> refused) {
+        mWaiting.remove(ticket);
+        if (ticket.patience() == Patience.WHILE_USEFUL) {
+            refused.add(refusal(ticket, RefusalReason.BUSY));
+        } else {
+            mWaiting.add(ticket, false);
+        }
+    }
+
+    private boolean isUseful(Ticket ticket, double startMillis) {
+        return startMillis + allowanceMillis(ticket) <= ticket.usefulUntilMillis();
+    }
+
     private void run(FairQueue.Charge charge, long nowMillis) {
         mRunning.put(charge.ticket().id(), new Running(charge, nowMillis));
     }
@@ -193,11 +206,12 @@
     }
 
     private Refusal refusal(Ticket ticket, RefusalReason reason) {
-        return new Refusal(ticket, reason, (long) Math.ceil(Math.max(1, waitMillis(ticket))));
+        return new Refusal(
+                ticket, reason, (long) Math.ceil(Math.max(1, waitMillis(ticket, false))));
     }
 
-    private double waitMillis(Ticket ticket) {
-        return mWaiting.servicesAhead(ticket) * serviceMillis() / Math.max(1, mLimit.get());
+    private double waitMillis(Ticket ticket, boolean useful) {
+        return mWaiting.servicesAhead(ticket, useful) * serviceMillis() / Math.max(1, mLimit.get());
     }
 
     private double serviceMillis() {
--- a/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
@@ -29,7 +29,7 @@
      */
     record Charge(Ticket ticket, Flow flow, double micros) {}
 
-    private record Waiting(Ticket ticket, long sequence, Flow flow) {}
+    private record Waiting(Ticket ticket, Flow.Place place, Flow flow) {}
 
     private static final double[] LEAD_SERVICES = {8, 2, 0};
     private static final int SHARED_FLOWS = 16;
@@ -42,6 +42,7 @@
 
     private final int mMaxMembers;
     private final Map<String, Flow> mFlows = new HashMap<>();
+    private final int[] mUsefulByClass = new int[Priority.values().length];
     private final Map<Long, Waiting> mTickets = new HashMap<>();
     private final Map<Long, Waiting> mBySequence = new HashMap<>();
     private final Map<Flow, Double> mKeys = new HashMap<>();
@@ -81,15 +82,25 @@
         return mTickets.containsKey(ticket.id());
     }
 
-    void add(Ticket ticket) {
+    /**
+     * Adds a ticket.
+     *
+     * @param useful whether it can end in time to be of full use, which puts it before those of its
+     *     class that cannot
+     */
+    void add(Ticket ticket, boolean useful) {
         Flow flow = flowOf(ticket);
         long sequence = mNextSequence++;
-        Waiting waiting = new Waiting(ticket, sequence, flow);
+        long dueMillis = useful ? ticket.usefulUntilMillis() : ticket.deadlineMillis();
+        Waiting waiting = new Waiting(ticket, new Flow.Place(useful, dueMillis, sequence), flow);
+        if (useful) {
+            mUsefulByClass[ticket.priority().ordinal()]++;
+        }
         leaveOrder(flow);
         if (flow.queued() == 0) {
             flow.raiseServed(mVirtualMicros);
         }
-        flow.add(sequence, ticket);
+        flow.add(waiting.place(), ticket);
         enterOrder(flow);
         mTickets.put(ticket.id(), waiting);
         mBySequence.put(sequence, waiting);
@@ -105,6 +116,11 @@
         return true;
     }
 
+    /** Returns whether a waiting ticket has the place of one that can be of full use. */
+    boolean isUseful(Ticket ticket) {
+        return mTickets.get(ticket.id()).place().useful();
+    }
+
     /** Takes out the ticket to serve next and charges its member; null if none waits. */
     Charge poll() {
         if (mOrder.isEmpty()) {
@@ -175,8 +191,12 @@
         return last.priority().compareTo(newcomer.priority()) > 0 ? last : null;
     }
 
-    /** Estimates how many services start before that of a newcomer. */
-    double servicesAhead(Ticket newcomer) {
+    /**
+     * Estimates how many services start before that of a newcomer.
+     *
+     * @param useful whether it would have the place of one that can be of full use
+     */
+    double servicesAhead(Ticket newcomer, boolean useful) {
         Flow own = mFlows.get(flowName(newcomer));
         boolean active = own != null && own.queued() > 0;
         int ownAhead = own == null ? 0 : own.queued(newcomer.priority());
@@ -188,13 +208,14 @@
         if (active && own.servedMicros() - mVirtualMicros > lead) {
             return byShare;
         }
-        return Math.min(byShare, queuedInClass(newcomer.priority()) + 1.0);
+        return Math.min(byShare, queuedInClass(newcomer.priority(), useful) + 1.0);
     }
 
-    private int queuedInClass(Priority lowest) {
+    private int queuedInClass(Priority lowest, boolean useful) {
         int count = 0;
         for (int i = 0; i <= lowest.ordinal(); i++) {
-            count += mByDeadline.get(i).size();
+            boolean own = i == lowest.ordinal();
+            count += useful && own ? mUsefulByClass[i] : mByDeadline.get(i).size();
         }
         return count;
     }
@@ -202,10 +223,13 @@
     private void take(Waiting waiting) {
         Flow flow = waiting.flow();
         leaveOrder(flow);
-        flow.remove(waiting.sequence(), waiting.ticket());
+        flow.remove(waiting.place(), waiting.ticket());
+        if (waiting.place().useful()) {
+            mUsefulByClass[waiting.ticket().priority().ordinal()]--;
+        }
         enterOrder(flow);
         mTickets.remove(waiting.ticket().id());
-        mBySequence.remove(waiting.sequence());
+        mBySequence.remove(waiting.place().sequence());
         mByDeadline.get(waiting.ticket().priority().ordinal()).remove(waiting.ticket());
     }
 
--- a/src/main/java/org/apricotgauge/decision/admission/Flow.java
+++ b/src/main/java/org/apricotgauge/decision/admission/Flow.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.decision.admission;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
 import org.apricotgauge.model.Priority;
@@ -7,9 +8,10 @@
 /**
  * One member's waiting tickets and its account of service.
  *
- * <p>Within a class the earliest deadline goes first; where all have the same time, that is the
- * order of arrival. A short lookup that a running request waits for so passes longer work of its
- * class, which can wait, and the slot that the running request holds comes free.
+ * <p>Within a class, what can be of full use goes before what cannot, then the earliest due; where
+ * all have the same time, that is the order of arrival. A short lookup that a running request waits
+ * for so passes longer work of its class, which can wait, and the slot that the running request
+ * holds comes free.
  */
 final class Flow {
     private static final List<Priority> CLASSES = List.of(Priority.values());
@@ -28,11 +30,22 @@
     private int mInFlight;
     private double mServedMicros;
 
-    private record Place(long deadlineMillis, long sequence) implements Comparable<Place> {
+    /**
+     * A ticket's place in its class.
+     *
+     * @param useful whether it can end in time to be of full use
+     * @param dueMillis until when it can be of full use, or of any
+     * @param sequence when it came
+     */
+    record Place(boolean useful, long dueMillis, long sequence) implements Comparable<Place> {
+        private static final Comparator<Place> ORDER =
+                Comparator.comparing(Place::useful, Comparator.reverseOrder())
+                        .thenComparingLong(Place::dueMillis)
+                        .thenComparingLong(Place::sequence);
+
         @Override
         public int compareTo(Place other) {
-            int byDeadline = Long.compare(deadlineMillis, other.deadlineMillis);
-            return byDeadline != 0 ? byDeadline : Long.compare(sequence, other.sequence);
+            return ORDER.compare(this, other);
         }
     }
 
@@ -91,13 +104,12 @@
         return (double) mQueued / mWeight;
     }
 
-    void add(long sequence, Ticket ticket) {
-        mWaiting.get(ticket.priority().ordinal()).add(new Place(ticket.deadlineMillis(), sequence));
+    void add(Place place, Ticket ticket) {
+        mWaiting.get(ticket.priority().ordinal()).add(place);
         mQueued++;
     }
 
-    boolean remove(long sequence, Ticket ticket) {
-        Place place = new Place(ticket.deadlineMillis(), sequence);
+    boolean remove(Place place, Ticket ticket) {
         boolean removed = mWaiting.get(ticket.priority().ordinal()).remove(place);
         if (removed) {
             mQueued--;
--- a/src/main/java/org/apricotgauge/decision/admission/Patience.java
+++ b/src/main/java/org/apricotgauge/decision/admission/Patience.java
@@ -11,6 +11,8 @@
 public enum Patience {
     /** It is refused at once where no slot is free. */
     NO_WAIT,
-    /** It takes a place in the queue. */
+    /** It waits as long as it can still be of full use; after that it tries elsewhere. */
+    WHILE_USEFUL,
+    /** It waits to its deadline. */
     MAY_WAIT
 }
--- a/src/main/java/org/apricotgauge/decision/admission/Ticket.java
+++ b/src/main/java/org/apricotgauge/decision/admission/Ticket.java
@@ -11,19 +11,40 @@
  * @param member customer whose share it counts against
  * @param priority how long its caller can wait
  * @param work name of the kind of work it is, as its route's; service times are kept for each
- * @param deadlineMillis by the clock that the queue is told
+ * @param patience whether it may wait
+ * @param usefulUntilMillis when it must have ended to be of full use to its caller, by the clock
+ *     that the queue is told
+ * @param deadlineMillis when it must have ended to be of any use
  */
-public record Ticket(long id, Member member, Priority priority, String work, long deadlineMillis) {
+public record Ticket(
+        long id,
+        Member member,
+        Priority priority,
+        String work,
+        Patience patience,
+        long usefulUntilMillis,
+        long deadlineMillis) {
 
     /** Checks the parts. */
     public Ticket {
         Checks.notNull("member", member);
         Checks.notNull("priority", priority);
         Checks.notNull("work", work);
+        Checks.notNull("patience", patience);
     }
 
-    /** Makes a ticket whose kind of work is told apart by its priority alone. */
+    /**
+     * Makes a ticket that may wait, whose kind of work is told apart by its priority alone, and
+     * that is of full use until its deadline.
+     */
     public Ticket(long id, Member member, Priority priority, long deadlineMillis) {
-        this(id, member, priority, priority.name(), deadlineMillis);
+        this(
+                id,
+                member,
+                priority,
+                priority.name(),
+                Patience.MAY_WAIT,
+                deadlineMillis,
+                deadlineMillis);
     }
 }
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
@@ -69,6 +69,11 @@
         return before >= TOKEN;
     }
 
+    /** Takes the budget of a retry that happens in any case; the next ones pay for it. */
+    public void charge() {
+        mTokens.updateAndGet(tokens -> Math.max(-mCapacity, tokens - TOKEN));
+    }
+
     private void trickle(long nowMillis) {
         long beforeMillis = mTrickledAtMillis.getAndAccumulate(nowMillis, Math::max);
         if (beforeMillis == Long.MIN_VALUE || nowMillis <= beforeMillis) {
--- a/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
@@ -25,8 +25,12 @@
     /** Share of its work that a cold target gets at once. */
     static final double RAMP_START = 0.1;
 
-    /** How much busier per slot the own failure domain may be before others are taken. */
-    static final double LOCAL_ADVANTAGE = 0.25;
+    /**
+     * How much busier per slot the own failure domain may be before others are taken: two requests
+     * more at a target of three slots. Bytes between failure domains are the dearest thing that the
+     * users pay for; a slot that is still free costs a caller nothing.
+     */
+    static final double LOCAL_ADVANTAGE = 0.7;
 
     /**
      * Load per slot that a certainly sick target is charged: with it a target that is known to be
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -34,14 +34,26 @@
     /** Hops: load of the target as the guard sees it, in permille of its slots. */
     public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
 
-    /** Hops: a target was sent the request before, which did not end it. */
+    /**
+     * Hops: {@link #REPEAT_OWN} if a target was sent the request before, which did not end it;
+     * {@link #REPEAT_PARENT} if the request is a call of such a one.
+     */
     public static final String REPEAT = "Apricotgauge-Repeat";
 
+    /** Value of {@link #REPEAT}: the request itself is sent again. */
+    public static final String REPEAT_OWN = "1";
+
+    /** Value of {@link #REPEAT}: the request that this call is made for is sent again. */
+    public static final String REPEAT_PARENT = "parent";
+
     /** Hops: how much of a risk the request may run; see {@code HealthGate.Caution}. */
     public static final String CAUTION = "Apricotgauge-Caution";
 
-    /** Hops: the request must not wait for a slot; see {@code Patience}. */
-    public static final String NO_WAIT = "Apricotgauge-No-Wait";
+    /** Hops: whether the request may wait for a slot; see {@code Patience}. */
+    public static final String PATIENCE = "Apricotgauge-Patience";
+
+    /** Hops: milliseconds left in which an answer is of full use; absent if there are none. */
+    public static final String USEFUL_MILLIS = "Apricotgauge-Useful-Millis";
 
     /** Hops: the target failed the request since a call that it made for it had failed. */
     public static final String CALL_LOST = "Apricotgauge-Call-Lost";
--- a/src/main/java/org/apricotgauge/http/RenewableConnectionPool.java
+++ b/src/main/java/org/apricotgauge/http/RenewableConnectionPool.java
@@ -28,7 +28,10 @@
 
     @Override
     protected void onRemoved(Connection connection) {
-        mConnections.remove(connection);
+        if (connection != null) {
+            // A pool that is closed while a connection is being opened removes a place without one.
+            mConnections.remove(connection);
+        }
         super.onRemoved(connection);
     }
 
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -28,7 +28,8 @@
     private final NodeEvents mEvents;
     private final Supplier<NodeControl> mControl;
     private final Supplier<Optional<HealthNews>> mNews;
-    private final LostCalls mLostCalls;
+    private final RecentRequests mLostCalls;
+    private final RecentRequests mRepeats;
 
     NodeObserver(
             DetectionService detection,
@@ -39,7 +40,8 @@
             Supplier<Optional<HealthNews>> news,
             int evidenceBytesPerSecond) {
         mNews = news;
-        mLostCalls = new LostCalls(ticker);
+        mLostCalls = new RecentRequests(ticker);
+        mRepeats = new RecentRequests(ticker);
         mControl = control;
         mDetection = detection;
         mShare = new EvidenceShare(ticker, detection::guardDigest, evidenceBytesPerSecond);
@@ -113,7 +115,17 @@
 
     @Override
     public void callFailed(String parentId) {
-        mLostCalls.failed(parentId);
+        mLostCalls.add(parentId);
+    }
+
+    @Override
+    public void repeatStarted(String requestId) {
+        mRepeats.add(requestId);
+    }
+
+    @Override
+    public boolean isRepeat(String requestId) {
+        return mRepeats.contains(requestId);
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/node/RecentRequests.java
+++ b/src/main/java/org/apricotgauge/node/RecentRequests.java
@@ -6,13 +6,13 @@
 import org.apricotgauge.time.Ticker;
 
 /**
- * The requests at this VM's targets for which a call to another service has failed.
+ * Requests at this VM's targets of which something is remembered while they may be at work.
  *
- * <p>A target sends its calls to the node of its own VM, so that the entry that sees them fail and
- * the guard that sees their request fail are one process. Thread-safe.
+ * <p>A target sends its calls to the node of its own VM, so that the entry that sees the calls and
+ * the guard that sees the request that they are made for are one process. Thread-safe.
  */
-final class LostCalls {
-    /** A request ends within its deadline after its call has; the longest known is 20 s. */
+final class RecentRequests {
+    /** A request ends within its deadline; the longest known is 20 s. */
     private static final long KEPT_SECONDS = 20;
 
     /** Far more than a VM's targets have slots for within {@link #KEPT_SECONDS}. */
@@ -20,7 +20,7 @@
 
     private final Cache<String, Boolean> mRequests;
 
-    LostCalls(Ticker ticker) {
+    RecentRequests(Ticker ticker) {
         mRequests =
                 Caffeine.newBuilder()
                         .maximumSize(MAX_REQUESTS)
@@ -30,12 +30,10 @@
                         .build();
     }
 
-    /** Notes that a call of the request has failed. */
-    void failed(String requestId) {
+    void add(String requestId) {
         mRequests.put(requestId, Boolean.TRUE);
     }
 
-    /** Returns whether a call of the request has failed. */
     boolean contains(String requestId) {
         return mRequests.getIfPresent(requestId) != null;
     }
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -71,11 +71,10 @@
     private static final long SERVE_ON_MILLIS = 2_700;
 
     /**
-     * Part of the allowed ratio that nodes use. Requests that targets make while they serve others
-     * come from the same address as callers' and cannot be told from them; at the busiest service
-     * they are two in three, and the platform counts only callers' requests.
+     * Part of the allowed ratio that nodes use; the rest is for requests that are counted here but
+     * never came to be counted by the platform, as those of callers that gave up on their way.
      */
-    private static final double RATIO_PART = 0.4;
+    private static final double RATIO_PART = 0.8;
 
     /** Part of the retries beside the ratio; the rest is for calls that a repeated run makes. */
     private static final double EXTRA_PART = 0.85;
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apricotgauge.decision.admission.AdmissionConfig;
+import org.apricotgauge.decision.admission.Patience;
 import org.apricotgauge.decision.admission.Ticket;
 import org.apricotgauge.decision.attempt.Arrival;
 import org.apricotgauge.decision.attempt.Attempt;
@@ -336,11 +337,14 @@
                             memberId == null ? Member.ANONYMOUS_ID : memberId,
                             Member.DEFAULT_WEIGHT);
         }
+        long usefulMillis = request.getHeaders().getLongField(HeaderNames.USEFUL_MILLIS);
         return new Ticket(
                 mTicketIds.incrementAndGet(),
                 member,
                 priorityOf(request),
                 workOf(request),
+                patienceOf(request),
+                usefulMillis > 0 ? mContext.ticker().millis() + usefulMillis : 0,
                 attempt.latestStartMillis());
     }
 
@@ -351,15 +355,35 @@
             return () -> true;
         }
         RetryBudget budget = mRetries.of(table.get().service(), table.get().all().size());
-        if (request.getHeaders().contains(HeaderNames.REPEAT)) {
-            return () -> budget.tryRetry(mContext.ticker().millis());
+        String repeat = request.getHeaders().get(HeaderNames.REPEAT);
+        if (HeaderNames.REPEAT_PARENT.equals(repeat)) {
+            // Turned away, it would fail a run that has been paid for; so it is charged afterwards.
+            return () -> {
+                budget.charge();
+                return true;
+            };
         }
+        if (repeat != null) {
+            return () -> tryRepeat(budget, request);
+        }
+        boolean isCall = mContext.dialect().parentId(request.getHeaders()).isPresent();
         return () -> {
-            budget.onRequest();
+            // What targets send each other is no traffic of callers; the budget is a share of that.
+            if (!isCall) {
+                budget.onRequest();
+            }
             return true;
         };
     }
 
+    private boolean tryRepeat(RetryBudget budget, Request request) {
+        boolean allowed = budget.tryRetry(mContext.ticker().millis());
+        if (allowed) {
+            mContext.observer().repeatStarted(mContext.dialect().requestId(request.getHeaders()));
+        }
+        return allowed;
+    }
+
     // An entry of an older release names none, and is served as before.
     private static HealthGate.Caution cautionOf(Request request) {
         String word = request.getHeaders().get(HeaderNames.CAUTION);
@@ -371,6 +395,17 @@
         return HealthGate.Caution.NONE;
     }
 
+    // An entry of an older release names none, and waits as before.
+    private static Patience patienceOf(Request request) {
+        String word = request.getHeaders().get(HeaderNames.PATIENCE);
+        for (Patience patience : Patience.values()) {
+            if (patience.name().toLowerCase(Locale.ROOT).equals(word)) {
+                return patience;
+            }
+        }
+        return Patience.MAY_WAIT;
+    }
+
     private static Priority priorityOf(Request request) {
         String word = request.getHeaders().get(HeaderNames.PRIORITY);
         for (Priority priority : Priority.values()) {
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -38,6 +38,9 @@
      */
     void healthSeen(Target target, int sickPermille, int loadPermille);
 
+    /** Called when a request that ran at another target before, by its id, starts at a target. */
+    void repeatStarted(String requestId);
+
     /** Returns whether a call that a target made for this request, by its id, has failed. */
     boolean hasLostCall(String requestId);
 
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
-import org.apricotgauge.decision.admission.Patience;
 import org.apricotgauge.decision.admission.Refusal;
 import org.apricotgauge.decision.admission.RefusalReason;
 import org.apricotgauge.decision.admission.Result;
@@ -121,8 +120,7 @@
     }
 
     private void enter() {
-        boolean noWait = mRequest.getHeaders().contains(HeaderNames.NO_WAIT);
-        mGate.enter(mTicket, noWait ? Patience.NO_WAIT : Patience.MAY_WAIT, this);
+        mGate.enter(mTicket, this);
         if (mLeaving) {
             // The node began to stop between the arrival and the queue.
             leaving();
@@ -373,12 +371,22 @@
         boolean shed = status == HttpStatus.SERVICE_UNAVAILABLE_503;
         boolean error = HttpStatus.isServerError(status);
         ObservedOutcome seen = error ? errorSeen() : ObservedOutcome.SUCCESS;
-        leaveGate(shed ? Result.SHED : Result.ANSWERED, shed ? ObservedOutcome.SHED : seen);
+        leaveGate(resultOf(shed, error), shed ? ObservedOutcome.SHED : seen);
         mContext.metrics().answered().inc();
         stopTimers();
         mCallback.succeeded();
     }
 
+    // A failure after 1 ms says nothing of the time that work takes. Counted in, failures made
+    // waits
+    // look short, and requests waited past their deadlines at targets that just began to fail.
+    private static Result resultOf(boolean shed, boolean error) {
+        if (shed) {
+            return Result.SHED;
+        }
+        return error ? Result.FAILED : Result.ANSWERED;
+    }
+
     // A target whose call to another service failed has to fail its own request. Taken for a sick
     // one, it would be avoided, and one bad service would make all that call it look sick.
     private ObservedOutcome errorSeen() {
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -6,7 +6,6 @@
 import org.apricotgauge.decision.admission.AdmissionQueue;
 import org.apricotgauge.decision.admission.Changes;
 import org.apricotgauge.decision.admission.Offer;
-import org.apricotgauge.decision.admission.Patience;
 import org.apricotgauge.decision.admission.Refusal;
 import org.apricotgauge.decision.admission.Result;
 import org.apricotgauge.decision.admission.Ticket;
@@ -18,7 +17,7 @@
  * The slots of one target with the requests that wait for them.
  *
  * <pre>{@code
- * gate.enter(ticket, Patience.MAY_WAIT, work);   // work.admitted() or work.refused(...), once
+ * gate.enter(ticket, work);   // work.admitted() or work.refused(...), now or later
  * gate.leave(ticket, Result.ANSWERED, serviceMicros);
  * }</pre>
  *
@@ -77,11 +76,11 @@
         return (int) Math.round(PERMILLE * mHealth.belief().sickAt(mTicker.millis()));
     }
 
-    void enter(Ticket ticket, Patience patience, Work work) {
+    void enter(Ticket ticket, Work work) {
         // Noted before it is offered: a slot may come free, on another thread, before offer
         // returns.
         mWaiting.put(ticket.id(), work);
-        Offer offer = mQueue.offer(ticket, patience, mTicker.millis());
+        Offer offer = mQueue.offer(ticket, mTicker.millis());
         if (offer instanceof Offer.Admitted) {
             admit(ticket);
         } else if (offer instanceof Offer.Refused refused) {
--- a/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
@@ -57,6 +57,10 @@
         choice.next(null);
         choice.next(refused(NotRunReason.BUSY));
         Candidate third = choice.next(refused(NotRunReason.BUSY)).orElseThrow();
+        assertThat(choice.patience()).isEqualTo(Patience.WHILE_USEFUL);
+        choice.next(refused(NotRunReason.BUSY));
+        assertThat(choice.patience()).isEqualTo(Patience.WHILE_USEFUL);
+        choice.next(refused(NotRunReason.BUSY));
         assertThat(choice.patience()).isEqualTo(Patience.MAY_WAIT);
         return third;
     }
--- a/src/test/java/org/apricotgauge/decision/admission/AdmissionQueueTest.java
+++ b/src/test/java/org/apricotgauge/decision/admission/AdmissionQueueTest.java
@@ -156,8 +156,8 @@
     @Test
     void whatMustNotWaitIsTurnedAwayWhileNoSlotIsFree() {
         List<Ticket> running = fillSlots();
-        Ticket looking = ticket("m", Priority.URGENT, 10_000);
-        assertThat(mQueue.offer(looking, Patience.NO_WAIT, 0))
+        Ticket looking = patient(Patience.NO_WAIT, 10_000);
+        assertThat(mQueue.offer(looking, 0))
                 .isInstanceOfSatisfying(
                         Offer.Refused.class,
                         refused ->
@@ -166,7 +166,7 @@
 
         mQueue.release(running.get(0), Result.ANSWERED, SERVICE_MICROS, 10);
 
-        assertThat(mQueue.offer(looking, Patience.NO_WAIT, 10)).isInstanceOf(Offer.Admitted.class);
+        assertThat(mQueue.offer(looking, 10)).isInstanceOf(Offer.Admitted.class);
     }
 
     @Test
@@ -193,7 +193,61 @@
     }
 
     private Ticket work(String work, long deadlineMillis) {
-        return new Ticket(mNextId++, new Member("m", 1), Priority.NORMAL, work, deadlineMillis);
+        return new Ticket(
+                mNextId++,
+                new Member("m", 1),
+                Priority.NORMAL,
+                work,
+                Patience.MAY_WAIT,
+                deadlineMillis,
+                deadlineMillis);
+    }
+
+    private Ticket patient(Patience patience, long usefulUntilMillis) {
+        return new Ticket(
+                mNextId++,
+                new Member("m", 1),
+                Priority.NORMAL,
+                "work",
+                patience,
+                usefulUntilMillis,
+                100_000);
+    }
+
+    @Test
+    void whatCanStillBeOfFullUseGoesBeforeWhatCannot() {
+        // One slot, served in the order of arrival, would make both late. The first can no longer
+        // be in time and waits to its deadline; the second, which came later, can, and goes first.
+        AdmissionQueue queue = new AdmissionQueue(config(1, 6));
+        Ticket running = ticket("m", Priority.NORMAL, 100_000);
+        Ticket late = patient(Patience.MAY_WAIT, 15);
+        Ticket useful = patient(Patience.WHILE_USEFUL, 500);
+        queue.offer(running, 0);
+        assertThat(queue.offer(late, 0)).isInstanceOf(Offer.Queued.class);
+        assertThat(queue.offer(useful, 0)).isInstanceOf(Offer.Queued.class);
+
+        Changes changes = queue.release(running, Result.ANSWERED, SERVICE_MICROS, 10);
+
+        assertThat(changes.admitted()).containsExactly(useful);
+        assertThat(queue.queued()).isEqualTo(1);
+    }
+
+    @Test
+    void whatWaitsForFullUseIsGivenBackOnceItCannotBe() {
+        List<Ticket> running = fillSlots();
+        Ticket waiting = patient(Patience.WHILE_USEFUL, 100);
+        Ticket staying = patient(Patience.MAY_WAIT, 100);
+        assertThat(mQueue.offer(waiting, 0)).isInstanceOf(Offer.Queued.class);
+        assertThat(mQueue.offer(staying, 0)).isInstanceOf(Offer.Queued.class);
+
+        Changes changes = mQueue.expire(95);
+
+        assertThat(changes.refused()).extracting(Refusal::ticket).containsExactly(waiting);
+        assertThat(changes.refused().get(0).reason()).isEqualTo(RefusalReason.BUSY);
+        assertThat(mQueue.offer(patient(Patience.WHILE_USEFUL, 100), 95))
+                .isInstanceOf(Offer.Refused.class);
+        Changes freed = mQueue.release(running.get(0), Result.ANSWERED, SERVICE_MICROS, 96);
+        assertThat(freed.admitted()).containsExactly(staying);
     }
 
     @Test
--- a/src/test/java/org/apricotgauge/decision/routing/BalancingPolicyTest.java
+++ b/src/test/java/org/apricotgauge/decision/routing/BalancingPolicyTest.java
@@ -92,6 +92,9 @@
         ServiceTable table = table(near, warm("far", "there", 1));
         assertThat(draw(table, 0)).containsOnlyKeys("near");
         near.load().begin();
+        near.load().begin();
+        assertThat(draw(table, 0)).containsOnlyKeys("near");
+        near.load().begin();
         assertThat(draw(table, 0)).containsOnlyKeys("far");
     }
 
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -281,6 +281,14 @@
         @Override
         public void callFailed(String parentId) {}
 
+        @Override
+        public void repeatStarted(String requestId) {}
+
+        @Override
+        public boolean isRepeat(String requestId) {
+            return false;
+        }
+
         @Override
         public boolean hasLostCall(String requestId) {
             return mLosesCalls;
--- /dev/null
+++ b/src/test/java/org/apricotgauge/http/RenewableConnectionPoolTest.java
@@ -0,0 +1,31 @@
+package org.apricotgauge.http;
+
+import static org.assertj.core.api.Assertions.assertThatCode;
+
+import java.net.ServerSocket;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.junit.jupiter.api.Test;
+
+/** A pool that ends. */
+class RenewableConnectionPoolTest {
+
+    @Test
+    void aPoolThatIsClosedWhileAConnectionIsBeingOpenedEndsInOrder() throws Exception {
+        // A node stops while one of its connections to a target is not there yet. The pool gives
+        // up a place that holds no connection; the failure of that broke off the client's stop,
+        // seen once in a test of the request path.
+        HttpClient client = new HttpClient();
+        client.start();
+        try (ServerSocket target = new ServerSocket(0)) {
+            Request request = client.newRequest("127.0.0.1", target.getLocalPort());
+            Destination destination = client.resolveDestination(request);
+            RenewableConnectionPool pool = new RenewableConnectionPool(destination, 1);
+
+            assertThatCode(() -> pool.onRemoved(null)).doesNotThrowAnyException();
+        } finally {
+            client.stop();
+        }
+    }
+}
--- a/src/test/java/org/apricotgauge/node/RecentRequestsTest.java
+++ b/src/test/java/org/apricotgauge/node/RecentRequestsTest.java
@@ -5,18 +5,18 @@
 import org.apricotgauge.time.ManualTicker;
 import org.junit.jupiter.api.Test;
 
-/** Which requests have lost a call of theirs. */
-class LostCallsTest {
+/** How long a request is remembered. */
+class RecentRequestsTest {
     private final ManualTicker mTicker = new ManualTicker();
-    private final LostCalls mCalls = new LostCalls(mTicker);
+    private final RecentRequests mRequests = new RecentRequests(mTicker);
 
     @Test
     void remembersARequestUntilItMustHaveEnded() {
-        mCalls.failed("one");
+        mRequests.add("one");
 
-        assertThat(mCalls.contains("one")).isTrue();
-        assertThat(mCalls.contains("two")).isFalse();
+        assertThat(mRequests.contains("one")).isTrue();
+        assertThat(mRequests.contains("two")).isFalse();
         mTicker.advanceMillis(21_000);
-        assertThat(mCalls.contains("one")).isFalse();
+        assertThat(mRequests.contains("one")).isFalse();
     }
 }
