Believe that a request is a call only if its parent is at work beside the node

Cause: reading the change as a newcomer: a call was told by its id alone, which any caller can write; it would have gone before others' work and outside the count of callers' requests.

Ruled out: the caller's address, since targets and callers share the VM's.

Change: the guard notes which requests are at work at its targets; the entry of the same node believes an id only if it names one of them, and tells the far guard by a header of the fleet's own.

Tests: CallParentTest, RecentRequestsTest.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -19,8 +19,6 @@
 import org.apricotgauge.http.Outcomes;
 import org.apricotgauge.http.ReplayableBody;
 import org.apricotgauge.http.WatchedSource;
-import org.apricotgauge.model.Service;
-import org.apricotgauge.predecessor.SharePolicy;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -42,6 +40,7 @@
     private final EntryContext mContext;
     private final ServiceTable mTable;
     private final RetryBudget mBudget;
+    private final Optional<String> mParentId;
     private final ExchangeReport mReport;
     private final CallerRequest mAsked;
     private final Request mRequest;
@@ -72,7 +71,12 @@
             Callback callback) {
         mContext = context;
         mTable = table;
-        mReport = new ExchangeReport(context, asked, table.service().id(), version, request);
+        mParentId =
+                CallParent.of(
+                        context.dialect(), request.getHeaders(), context.observer()::isAtWork);
+        mReport =
+                new ExchangeReport(
+                        context, asked, table.service().id(), version, request, mParentId);
         mBudget = budget;
         mAsked = asked;
         mRequest = request;
@@ -92,7 +96,8 @@
     }
 
     void start() {
-        mAtPredecessor = mHome == null && isPredecessors(mTable.service(), mAsked, mRequest);
+        mAtPredecessor =
+                mHome == null && PredecessorShare.covers(mTable.service(), mAsked, mRequest);
         if (mAtPredecessor) {
             mContext.metrics().predecessorRequests().inc();
         } else {
@@ -109,21 +114,6 @@
         next();
     }
 
-    /** Returns whether the older system serves a request. */
-    static boolean isPredecessors(Service service, CallerRequest asked, Request request) {
-        int bucket =
-                asked.key()
-                        .map(SharePolicy::bucketOf)
-                        .orElseGet(
-                                () ->
-                                        SharePolicy.bucketOf(
-                                                service.id(),
-                                                asked.memberId(),
-                                                Request.getServerName(request),
-                                                request.getHttpURI().getPathQuery()));
-        return !SharePolicy.isFleets(bucket, service.fleetSharePercent());
-    }
-
     EntryContext context() {
         return mContext;
     }
@@ -155,6 +145,11 @@
         return targetMillis == null ? leftMillis() : targetMillis - passedMillis;
     }
 
+    /** Returns the id of the request that this one is a call for; nothing for a caller's. */
+    Optional<String> parentId() {
+        return mParentId;
+    }
+
     /** Returns whether a target was sent the request before. */
     boolean isRepeat() {
         synchronized (this) {
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -200,7 +200,7 @@
         mKeyed.handle(
                 routed.asked().key().get(),
                 routed.table(),
-                CallerExchange.isPredecessors(routed.table().service(), routed.asked(), request),
+                PredecessorShare.covers(routed.table().service(), routed.asked(), request),
                 request,
                 response,
                 counted,
--- a/src/main/java/org/apricotgauge/caller/EntryObserver.java
+++ b/src/main/java/org/apricotgauge/caller/EntryObserver.java
@@ -27,6 +27,9 @@
     /** Called once for each request with what its caller is told. */
     void told(String service, Outcome outcome);
 
+    /** Returns whether a request, by its id, is at work at a target of this VM. */
+    boolean isAtWork(String requestId);
+
     /** Returns whether a request at a target of this VM, by its id, ran at another before. */
     boolean isRepeat(String requestId);
 
--- a/src/main/java/org/apricotgauge/caller/ExchangeReport.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangeReport.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.routing.Candidate;
@@ -15,6 +16,7 @@
     private final String mService;
     private final long mVersion;
     private final Request mRequest;
+    private final Optional<String> mParentId;
     private final long mStartNanos;
     private final List<String> mSteps = new ArrayList<>(2);
 
@@ -23,7 +25,9 @@
             CallerRequest asked,
             String service,
             long version,
-            Request request) {
+            Request request,
+            Optional<String> parentId) {
+        mParentId = parentId;
         mContext = context;
         mAsked = asked;
         mService = service;
@@ -51,9 +55,7 @@
                 outcome instanceof Outcome.Answered answered
                         && !HttpStatus.isServerError(answered.status());
         if (!isSuccess(outcome)) {
-            mContext.dialect()
-                    .parentId(mRequest.getHeaders())
-                    .ifPresent(mContext.observer()::callFailed);
+            mParentId.ifPresent(mContext.observer()::callFailed);
         }
         if (well && !mContext.log().samples()) {
             return;
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -129,10 +129,10 @@
 
     private void addRepeat(HttpFields.Mutable headers) {
         boolean parentRepeats =
-                mContext.dialect()
-                        .parentId(mExchange.request().getHeaders())
-                        .filter(mContext.observer()::isRepeat)
-                        .isPresent();
+                mExchange.parentId().filter(mContext.observer()::isRepeat).isPresent();
+        if (mExchange.parentId().isPresent()) {
+            headers.put(HeaderNames.CALL, "1");
+        }
         if (mExchange.isRepeat()) {
             headers.put(HeaderNames.REPEAT, HeaderNames.REPEAT_OWN);
         } else if (parentRepeats) {
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -55,6 +55,9 @@
     /** Hops: milliseconds left in which an answer is of full use, 0 if none are. */
     public static final String USEFUL_MILLIS = "Apricotgauge-Useful-Millis";
 
+    /** Hops: the request is a call that a target of the sender's VM makes for another request. */
+    public static final String CALL = "Apricotgauge-Call";
+
     /** Hops: the target failed the request since a call that it made for it had failed. */
     public static final String CALL_LOST = "Apricotgauge-Call-Lost";
 
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -30,6 +30,7 @@
     private final Supplier<Optional<HealthNews>> mNews;
     private final RecentRequests mLostCalls;
     private final RecentRequests mRepeats;
+    private final RecentRequests mAtWork;
 
     NodeObserver(
             DetectionService detection,
@@ -42,6 +43,7 @@
         mNews = news;
         mLostCalls = new RecentRequests(ticker);
         mRepeats = new RecentRequests(ticker);
+        mAtWork = new RecentRequests(ticker);
         mControl = control;
         mDetection = detection;
         mShare = new EvidenceShare(ticker, detection::guardDigest, evidenceBytesPerSecond);
@@ -118,6 +120,21 @@
         mLostCalls.add(parentId);
     }
 
+    @Override
+    public void runStarted(String requestId) {
+        mAtWork.add(requestId);
+    }
+
+    @Override
+    public void runEnded(String requestId) {
+        mAtWork.remove(requestId);
+    }
+
+    @Override
+    public boolean isAtWork(String requestId) {
+        return mAtWork.contains(requestId);
+    }
+
     @Override
     public void repeatStarted(String requestId) {
         mRepeats.add(requestId);
--- a/src/main/java/org/apricotgauge/node/RecentRequests.java
+++ b/src/main/java/org/apricotgauge/node/RecentRequests.java
@@ -34,6 +34,10 @@
         mRequests.put(requestId, Boolean.TRUE);
     }
 
+    void remove(String requestId) {
+        mRequests.invalidate(requestId);
+    }
+
     boolean contains(String requestId) {
         return mRequests.getIfPresent(requestId) != null;
     }
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -337,7 +337,7 @@
                             memberId == null ? Member.ANONYMOUS_ID : memberId,
                             Member.DEFAULT_WEIGHT);
         }
-        boolean isCall = mContext.dialect().parentId(request.getHeaders()).isPresent();
+        boolean isCall = request.getHeaders().contains(HeaderNames.CALL);
         long usefulMillis = request.getHeaders().getLongField(HeaderNames.USEFUL_MILLIS);
         return new Ticket(
                 mTicketIds.incrementAndGet(),
@@ -371,7 +371,7 @@
         if (repeat != null) {
             return () -> tryRepeat(budget, request);
         }
-        boolean isCall = mContext.dialect().parentId(request.getHeaders()).isPresent();
+        boolean isCall = request.getHeaders().contains(HeaderNames.CALL);
         return () -> {
             // What targets send each other is no traffic of callers; the budget is a share of that.
             if (!isCall) {
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -38,6 +38,12 @@
      */
     void healthSeen(Target target, int sickPermille, int loadPermille);
 
+    /** Called when a request, by its id, starts at a target. */
+    void runStarted(String requestId);
+
+    /** Called when a request, by its id, has ended at its target. */
+    void runEnded(String requestId);
+
     /** Called when a request that ran at another target before, by its id, starts at a target. */
     void repeatStarted(String requestId);
 
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -197,6 +197,7 @@
             mGate.leave(mTicket, Result.CANCELLED, 0);
             return;
         }
+        mContext.observer().runStarted(requestId());
         long leftMillis = mTime.leftMillis(mContext.ticker().millis());
         mTimeout = mContext.scheduler().schedule(this::timedOut, leftMillis, TimeUnit.MILLISECONDS);
         mExchange = UpstreamExchange.send(targetRequest(leftMillis), this);
@@ -377,9 +378,8 @@
         mCallback.succeeded();
     }
 
-    // A failure after 1 ms says nothing of the time that work takes. Counted in, failures made
-    // waits
-    // look short, and requests waited past their deadlines at targets that just began to fail.
+    // A failure after 1 ms says nothing of the time that work takes. Counted in, it makes waits
+    // look short, and requests wait past their deadlines at targets that just began to fail.
     private static Result resultOf(boolean shed, boolean error) {
         if (shed) {
             return Result.SHED;
@@ -394,7 +394,11 @@
     }
 
     private boolean hasLostCall() {
-        return mContext.observer().hasLostCall(mContext.dialect().requestId(mRequest.getHeaders()));
+        return mContext.observer().hasLostCall(requestId());
+    }
+
+    private String requestId() {
+        return mContext.dialect().requestId(mRequest.getHeaders());
     }
 
     private void answerBroken(boolean byTarget, Throwable cause) {
@@ -428,6 +432,7 @@
         long serviceNanos = Math.max(0, mContext.ticker().nanos() - mSentAtNanos);
         long serviceMicros = TimeUnit.NANOSECONDS.toMicros(serviceNanos);
         mContext.metrics().service().update(serviceNanos, TimeUnit.NANOSECONDS);
+        mContext.observer().runEnded(requestId());
         cancel(mOverdue);
         observe(outcome, serviceMicros);
         mGate.leave(mTicket, result, serviceMicros);
--- /dev/null
+++ b/src/test/java/org/apricotgauge/caller/CallParentTest.java
@@ -0,0 +1,30 @@
+package org.apricotgauge.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.apricotgauge.platform.kv.KvDialect;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+
+/** Which requests pass for calls of a target. */
+class CallParentTest {
+    private final KvDialect mDialect = new KvDialect("booking");
+    private final Set<String> mAtWork = Set.of("a8abaea6");
+
+    @Test
+    void aCallOfARequestAtWorkHereIsOne() {
+        HttpFields call = HttpFields.build().put("X-Attempt-Id", "a8abaea6.2345ead5");
+
+        assertThat(CallParent.of(mDialect, call, mAtWork::contains)).contains("a8abaea6");
+    }
+
+    @Test
+    void aCallerThatWritesItsIdLikeACallsGainsNothing() {
+        // A caller that wants to go before others names a request of its own making. No such
+        // request is at work beside this node, and it waits its turn.
+        HttpFields forged = HttpFields.build().put("X-Attempt-Id", "made-up.2345ead5");
+
+        assertThat(CallParent.of(mDialect, forged, mAtWork::contains)).isEmpty();
+    }
+}
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -281,6 +281,17 @@
         @Override
         public void callFailed(String parentId) {}
 
+        @Override
+        public void runStarted(String requestId) {}
+
+        @Override
+        public void runEnded(String requestId) {}
+
+        @Override
+        public boolean isAtWork(String requestId) {
+            return false;
+        }
+
         @Override
         public void repeatStarted(String requestId) {}
 
--- a/src/test/java/org/apricotgauge/node/RecentRequestsTest.java
+++ b/src/test/java/org/apricotgauge/node/RecentRequestsTest.java
@@ -16,6 +16,9 @@
 
         assertThat(mRequests.contains("one")).isTrue();
         assertThat(mRequests.contains("two")).isFalse();
+        mRequests.add("three");
+        mRequests.remove("three");
+        assertThat(mRequests.contains("three")).isFalse();
         mTicker.advanceMillis(21_000);
         assertThat(mRequests.contains("one")).isFalse();
     }
