Never wait for whoever reads a node's log; drop lines by count instead

Cause: nodes wrote each line to standard output on the thread that logged; a reader that stops reading would have held up requests, now on the selector's thread, too.

Ruled out: a bound on lines alone (40 a second), which does not help once the pipe is full.

Test: LogsTest with a reader that stops.

--- a/src/main/java/org/apricotgauge/log/JsonLineEncoder.java
+++ b/src/main/java/org/apricotgauge/log/JsonLineEncoder.java
@@ -10,10 +10,17 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /** Writes each event as one JSON object on one line: time, level, logger, message, fields. */
 final class JsonLineEncoder extends EncoderBase<ILoggingEvent> {
     private final JsonFactory mFactory = new JsonFactory();
+    private final LongSupplier mDropped;
+
+    /** Creates an encoder that asks before each line how many were dropped before it. */
+    JsonLineEncoder(LongSupplier dropped) {
+        mDropped = dropped;
+    }
 
     @Override
     public byte[] headerBytes() {
@@ -35,6 +42,10 @@
             json.writeStringField("logger", event.getLoggerName());
             json.writeStringField("message", event.getFormattedMessage());
             writeFields(json, event.getMDCPropertyMap());
+            long dropped = mDropped.getAsLong();
+            if (dropped > 0) {
+                json.writeNumberField("linesDropped", dropped);
+            }
             if (event.getThrowableProxy() != null) {
                 String trace = ThrowableProxyUtil.asString(event.getThrowableProxy());
                 json.writeStringField("error", trace);
--- a/src/main/java/org/apricotgauge/log/Logs.java
+++ b/src/main/java/org/apricotgauge/log/Logs.java
@@ -4,9 +4,11 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.OutputStreamAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import java.io.OutputStream;
+import java.util.function.LongSupplier;
 import org.apricotgauge.model.Checks;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,22 +45,56 @@
         configure(settings, System.err);
     }
 
-    /** Writes the log to a stream from now on; a node writes to standard output. */
-    public static void configure(LogSettings settings, OutputStream stream) {
+    static void configure(LogSettings settings, OutputStream stream) {
         Checks.notNull("settings", settings);
         System.setProperty(JBOSS_PROVIDER, "slf4j");
         sConfiguring = true;
         configure((LoggerContext) LoggerFactory.getILoggerFactory(), settings, stream);
     }
 
+    /**
+     * Writes the log to a stream from now on without ever waiting for it; {@link #end} writes the
+     * last lines.
+     */
+    public static void configureWithoutBlocking(LogSettings settings, OutputStream stream) {
+        Checks.notNull("settings", settings);
+        System.setProperty(JBOSS_PROVIDER, "slf4j");
+        sConfiguring = true;
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        DroppingAppender dropping = new DroppingAppender();
+        dropping.setContext(context);
+        dropping.addAppender(appender(context, settings, stream, dropping::takeDropped));
+        dropping.start();
+        write(context, settings, dropping);
+    }
+
+    /** Writes what waits to be written, for at most a moment, and ends the log. */
+    public static void end() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
     static void configure(LoggerContext context, LogSettings settings, OutputStream stream) {
         context.reset();
-        Encoder<ILoggingEvent> encoder = encoder(settings.format(), context);
+        write(context, settings, appender(context, settings, stream, () -> 0));
+    }
+
+    private static Appender<ILoggingEvent> appender(
+            LoggerContext context,
+            LogSettings settings,
+            OutputStream stream,
+            LongSupplier dropped) {
+        Encoder<ILoggingEvent> encoder = encoder(settings.format(), context, dropped);
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
         appender.setContext(context);
         appender.setEncoder(encoder);
         appender.setOutputStream(new OpenStream(stream));
         appender.start();
+        return appender;
+    }
+
+    private static void write(
+            LoggerContext context, LogSettings settings, Appender<ILoggingEvent> appender) {
         Level level = Level.valueOf(settings.level().name());
         ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
         root.setLevel(level);
@@ -67,9 +103,10 @@
         context.getLogger(JETTY).setLevel(isLessThanWarn ? level : Level.WARN);
     }
 
-    private static Encoder<ILoggingEvent> encoder(LogFormat format, LoggerContext context) {
+    private static Encoder<ILoggingEvent> encoder(
+            LogFormat format, LoggerContext context, LongSupplier dropped) {
         if (format == LogFormat.JSON) {
-            JsonLineEncoder encoder = new JsonLineEncoder();
+            JsonLineEncoder encoder = new JsonLineEncoder(dropped);
             encoder.setContext(context);
             encoder.start();
             return encoder;
--- a/src/main/java/org/apricotgauge/node/NodeMain.java
+++ b/src/main/java/org/apricotgauge/node/NodeMain.java
@@ -19,7 +19,7 @@
     }
 
     private static ExitCode run(NodeSettings settings) throws IOException, InterruptedException {
-        Logs.configure(settings.log(), System.out);
+        Logs.configureWithoutBlocking(settings.log(), System.out);
         return serve(Node.start(settings));
     }
 
@@ -36,6 +36,7 @@
                             } catch (InterruptedException e) {
                                 Thread.currentThread().interrupt();
                             } finally {
+                                Logs.end();
                                 drained.countDown();
                             }
                         },
@@ -45,6 +46,7 @@
                 .thenAccept(
                         failure -> {
                             LOGGER.fatal("invariant broken", failure);
+                            Logs.end();
                             Runtime.getRuntime().halt(ExitCode.INVARIANT_BROKEN.code());
                         });
         drained.await();
--- a/src/main/java/org/apricotgauge/node/SidecarMain.java
+++ b/src/main/java/org/apricotgauge/node/SidecarMain.java
@@ -18,7 +18,7 @@
     }
 
     private static ExitCode run(SidecarSettings settings) throws IOException, InterruptedException {
-        Logs.configure(settings.log(), System.out);
+        Logs.configureWithoutBlocking(settings.log(), System.out);
         NodeProfile profile =
                 settings.profile(new KvDialect(settings.service()), KvDialect.READY_PATH);
         NodeControl.Factory control =
--- a/src/test/java/org/apricotgauge/log/LogsTest.java
+++ b/src/test/java/org/apricotgauge/log/LogsTest.java
@@ -9,7 +9,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.apricotgauge.bench.LocalFleet;
 import org.jboss.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -45,6 +48,47 @@
         assertThat(broken.has("change")).isFalse();
     }
 
+    @Test
+    void aReaderThatStopsReadingHoldsNobodyUpAndLosesLinesByCount() throws Exception {
+        // Whoever collects a node's output stops reading. Each request that logs would wait for
+        // the pipe; instead lines are dropped, and the next one written tells how many.
+        CountDownLatch reads = new CountDownLatch(1);
+        OutputStream stuck =
+                new FilterOutputStream(mStream) {
+                    @Override
+                    public void write(byte[] bytes, int offset, int length) throws IOException {
+                        await(reads);
+                        out.write(bytes, offset, length);
+                    }
+                };
+        Logs.configureWithoutBlocking(new LogSettings(LogFormat.JSON, LogLevel.INFO), stuck);
+        Logger logger = Logger.getLogger("x");
+        for (int i = 0; i < 2_000; i++) {
+            logger.info("request ended");
+        }
+
+        reads.countDown();
+        LocalFleet.await(() -> mStream.toString(StandardCharsets.UTF_8).lines().count() > 500);
+        logger.info("the last");
+        LocalFleet.await(() -> mStream.toString(StandardCharsets.UTF_8).contains("the last"));
+
+        List<String> lines = mStream.toString(StandardCharsets.UTF_8).lines().toList();
+        long dropped = 0;
+        for (String line : lines) {
+            dropped += JsonMapper.builder().build().readTree(line).path("linesDropped").asLong();
+        }
+        assertThat(dropped).isPositive();
+        assertThat(lines.size() + dropped).isEqualTo(2_001);
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     /**
      * A second configuration stops the first one's appender, which closes its stream: were that
      * standard error, the process would be mute from then on, its reason for exiting too.
