Act on a configuration only once the routing table and the members have it

Ruled out: load alone; the order stands in DirectoryControl and DirectoryFeed.

Change: members are told before the configuration; a node acts once its table is set. The test stays as it was.

--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -98,9 +98,11 @@
         Set<String> leaving = followTargets(directory.registrations());
         String version = "r" + published.version();
         mMark = new Mark(version, version, mFeed.newestRevision());
-        mParts.listener().onConfiguration(published.version(), mConfiguration, mMark);
+        // Members first: a new target whose guard is not known yet would be passed over, and a node
+        // that has just started would refuse what it can serve.
         List<Address> guards = guards();
         mParts.listener().onMembers(new Members(leaving, guards));
+        mParts.listener().onConfiguration(published.version(), mConfiguration, mMark);
         mFeed.setPeers(guards);
     }
 
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -17,6 +17,7 @@
 import org.apricotgauge.decision.attempt.AttemptLimits;
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.detection.Verdicts;
+import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.event.NodeStarted;
 import org.apricotgauge.event.StopPhase;
 import org.apricotgauge.event.StopPhaseEntered;
@@ -293,7 +294,9 @@
     }
 
     private boolean mayAct() {
-        return mControl.mayAct();
+        // Control knows the configuration a moment before the table has it; without this, requests
+        // of that moment would be told 404.
+        return mControl.mayAct() && mState.table() != RoutingTable.EMPTY;
     }
 
     /** Hears what is in force; does the work on the node's own thread. */
