Read registrations strictly, tell a target's runs apart, keep ranks apart

As it stood, every state but the leaving one counted as ready, text passed for numbers, an unreadable value left the old registration in force, a new run under the old name inherited belief, service times and slots of the one before, an entry of an unnamed service took the address of a target that serves, and ranks 0 and 1 were one class. Ruled out: an incarnation beside the id in every map; an id for each run does the same at the one place where ids are made (TargetRun). Change: KvDecoder reads entries whole or calls them Unusable, which ends the target under that name alone; SiteDirectory keys by registered name; a class for each rank; FreshnessGuard waits on the steady clock: after a jump ahead and back a node that nobody confirms refused everything until the time of day had caught up.

--- a/src/main/java/org/apricotgauge/bench/OverloadScenario.java
+++ b/src/main/java/org/apricotgauge/bench/OverloadScenario.java
@@ -40,7 +40,11 @@
     }
 
     /** One Poisson stream of requests. */
-    record Stream(Member member, Priority priority, double meanGapMicros) {}
+    record Stream(Member member, ClassMix mix, double meanGapMicros) {
+        Priority priority() {
+            return mix.priority();
+        }
+    }
 
     /** How a class of requests behaves. */
     record ClassMix(Priority priority, double share, long deadlineMillis) {}
@@ -74,6 +78,6 @@
 
     private Stream stream(Member member, ClassMix mix, double demand) {
         double gapMicros = MEAN_SERVICE_MICROS / (demand * mix.share() * slots);
-        return new Stream(member, mix.priority(), gapMicros);
+        return new Stream(member, mix, gapMicros);
     }
 }
--- a/src/main/java/org/apricotgauge/bench/OverloadSimulation.java
+++ b/src/main/java/org/apricotgauge/bench/OverloadSimulation.java
@@ -76,11 +76,7 @@
 
     private void arrive(OverloadScenario.Stream stream) {
         scheduleArrival(stream);
-        long deadlineMillis =
-                nowMillis()
-                        + OverloadScenario.CLASSES
-                                .get(stream.priority().ordinal())
-                                .deadlineMillis();
+        long deadlineMillis = nowMillis() + stream.mix().deadlineMillis();
         Ticket ticket = new Ticket(mTicketId++, stream.member(), stream.priority(), deadlineMillis);
         mFigures.onOffered(ticket);
         mArrivedAtMicros.put(ticket.id(), mNowMicros);
--- a/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
@@ -30,7 +30,9 @@
 
     private record Waiting(Ticket ticket, Flow.Place place, Flow flow) {}
 
-    private static final double[] LEAD_SERVICES = {8, 2, 0};
+    /** Services that a member's most urgent class is ahead of its account, by class. */
+    private static final double[] LEAD_SERVICES = {16, 8, 2, 0, 0};
+
     private static final int SHARED_FLOWS = 16;
     private static final Comparator<Flow> BY_SERVED =
             Comparator.comparingDouble(Flow::servedMicros).thenComparingLong(Flow::sequence);
@@ -41,8 +43,7 @@
 
     private final int mMaxMembers;
     private final Map<String, Flow> mFlows = new HashMap<>();
-    private final List<TreeSet<Flow.Place>> mPlaces =
-            List.of(new TreeSet<>(), new TreeSet<>(), new TreeSet<>());
+    private final List<TreeSet<Flow.Place>> mPlaces = Flow.eachClass(TreeSet::new);
     private final Map<Long, Waiting> mTickets = new HashMap<>();
     private final Map<Long, Waiting> mBySequence = new HashMap<>();
     private final Map<Flow, Double> mKeys = new HashMap<>();
@@ -52,10 +53,7 @@
     private final TreeSet<Flow> mByBacklog = new TreeSet<>(BY_BACKLOG);
     private final TreeSet<Flow> mIdle = new TreeSet<>(BY_SERVED);
     private final List<TreeSet<Ticket>> mByDeadline =
-            List.of(
-                    new TreeSet<>(BY_DEADLINE),
-                    new TreeSet<>(BY_DEADLINE),
-                    new TreeSet<>(BY_DEADLINE));
+            Flow.eachClass(() -> new TreeSet<>(BY_DEADLINE));
     private double mVirtualMicros;
     private double mMeanMicros;
     private long mActiveWeight;
--- a/src/main/java/org/apricotgauge/decision/admission/Flow.java
+++ b/src/main/java/org/apricotgauge/decision/admission/Flow.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import org.apricotgauge.model.Priority;
 
 /**
@@ -21,8 +22,7 @@
 
     private final String mName;
     private final long mSequence;
-    private final List<TreeSet<Place>> mWaiting =
-            List.of(new TreeSet<>(), new TreeSet<>(), new TreeSet<>());
+    private final List<TreeSet<Place>> mWaiting = eachClass(TreeSet::new);
     private final int[] mPassed = new int[CLASSES.size()];
     private int mWeight;
     private int mQueued;
@@ -57,6 +57,11 @@
         mServedMicros = servedMicros;
     }
 
+    /** Returns a list that holds something of its own for each class. */
+    static <T> List<T> eachClass(Supplier<T> maker) {
+        return CLASSES.stream().map(priority -> maker.get()).toList();
+    }
+
     String name() {
         return mName;
     }
--- a/src/main/java/org/apricotgauge/decision/gossip/FreshnessGuard.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/FreshnessGuard.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.decision.gossip;
 
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apricotgauge.model.Checks;
 
 /**
@@ -16,52 +17,88 @@
  * leaving targets of the moment it stopped. Acting on them, it would send work to targets that left
  * long ago. So after a gap between two ticks it waits for a peer or the platform to confirm its
  * position. If nobody answers within {@code confirmMillis} it goes on: it is then cut off, and the
- * side of a partition that still has callers serves them. Safe to share between threads.
+ * side of a partition that still has callers serves them.
+ *
+ * <p>A suspended VM shows only in the time of day, since its steady clock stands still; but the
+ * time of day also jumps, both ways. A jump ahead passes for a pause, and costs one question. The
+ * wait for its answer is measured on the steady clock: on the other, a jump back would make a node
+ * that nobody confirms refuse all work for as long as the jump is wide. Safe to share between
+ * threads.
  */
 public final class FreshnessGuard {
     private static final long NOT_WOKEN = Long.MIN_VALUE;
 
     private final long mPauseMillis;
     private final long mConfirmMillis;
-    private final AtomicLong mLastTickMillis;
-    private final AtomicLong mWokeAtMillis = new AtomicLong(NOT_WOKEN);
+    private final AtomicReference<Moment> mLastTick;
+    private final AtomicLong mWokeAtSteadyMillis = new AtomicLong(NOT_WOKEN);
+
+    private record Moment(long steadyMillis, long wallMillis) {
+        /** Returns the longer of the times that have passed on the two clocks, in milliseconds. */
+        long untilMillis(Moment later) {
+            return Math.max(later.steadyMillis - steadyMillis, later.wallMillis - wallMillis);
+        }
+    }
 
     /**
-     * Creates a guard.
+     * Creates a guard of a process with one clock, which goes on during pauses.
      *
      * @param pauseMillis a longer gap between ticks counts as a pause
      * @param confirmMillis how long to wait for a confirmation after a pause
      * @param nowMillis present time
      */
     public FreshnessGuard(long pauseMillis, long confirmMillis, long nowMillis) {
+        this(pauseMillis, confirmMillis, nowMillis, nowMillis);
+    }
+
+    /**
+     * Creates a guard.
+     *
+     * @param pauseMillis a longer gap between ticks, on either clock, counts as a pause
+     * @param confirmMillis how long to wait for a confirmation after a pause
+     * @param steadyMillis present reading of the steady clock
+     * @param wallMillis present time of day
+     */
+    public FreshnessGuard(
+            long pauseMillis, long confirmMillis, long steadyMillis, long wallMillis) {
         mPauseMillis = Checks.inRange("pauseMillis", pauseMillis, 1, Long.MAX_VALUE);
         mConfirmMillis = Checks.inRange("confirmMillis", confirmMillis, 0, Long.MAX_VALUE);
-        mLastTickMillis = new AtomicLong(nowMillis);
+        mLastTick = new AtomicReference<>(new Moment(steadyMillis, wallMillis));
     }
 
-    /** Notes that the process runs; returns whether it woke from a pause just now. */
+    /** Notes that the process runs, by its one clock; returns whether it woke just now. */
     public boolean onTick(long nowMillis) {
-        boolean woke = nowMillis - mLastTickMillis.get() > mPauseMillis;
+        return onTick(nowMillis, nowMillis);
+    }
+
+    /** Notes that the process runs; returns whether it woke from a pause just now. */
+    public boolean onTick(long steadyMillis, long wallMillis) {
+        Moment now = new Moment(steadyMillis, wallMillis);
+        boolean woke = mLastTick.getAndSet(now).untilMillis(now) > mPauseMillis;
         if (woke) {
-            mWokeAtMillis.set(nowMillis);
+            mWokeAtSteadyMillis.set(steadyMillis);
         }
-        mLastTickMillis.set(nowMillis);
         return woke;
     }
 
     /** Notes that somebody confirmed, in answer to a question put after the pause. */
     public void onConfirmed() {
-        mWokeAtMillis.set(NOT_WOKEN);
+        mWokeAtSteadyMillis.set(NOT_WOKEN);
     }
 
-    /** Returns whether old state may be acted on. */
+    /** Returns whether old state may be acted on, by the process's one clock. */
     public boolean mayAct(long nowMillis) {
-        // The first clause covers the moment after waking at which a request is read before the
-        // control thread has had its first tick.
-        if (nowMillis - mLastTickMillis.get() > mPauseMillis) {
+        return mayAct(nowMillis, nowMillis);
+    }
+
+    /** Returns whether old state may be acted on. */
+    public boolean mayAct(long steadyMillis, long wallMillis) {
+        // This clause covers the moment after waking at which a request is read before the control
+        // thread has had its first tick.
+        if (mLastTick.get().untilMillis(new Moment(steadyMillis, wallMillis)) > mPauseMillis) {
             return false;
         }
-        long wokeAtMillis = mWokeAtMillis.get();
-        return wokeAtMillis == NOT_WOKEN || nowMillis - wokeAtMillis > mConfirmMillis;
+        long wokeAtMillis = mWokeAtSteadyMillis.get();
+        return wokeAtMillis == NOT_WOKEN || steadyMillis - wokeAtMillis > mConfirmMillis;
     }
 }
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -139,7 +139,11 @@
         mParts = Checks.notNull("parts", parts);
         mListener = Checks.notNull("listener", listener);
         mFreshness =
-                new FreshnessGuard(PAUSE_MILLIS, CONFIRM_MILLIS, parts.wallMillis().getAsLong());
+                new FreshnessGuard(
+                        PAUSE_MILLIS,
+                        CONFIRM_MILLIS,
+                        parts.ticker().millis(),
+                        parts.wallMillis().getAsLong());
     }
 
     /** Begins to read. */
@@ -159,7 +163,8 @@
 
     /** Returns whether what is known may be acted on: it is there, and confirmed after a pause. */
     public boolean mayAct() {
-        return mOpened.isDone() && mFreshness.mayAct(mParts.wallMillis().getAsLong());
+        return mOpened.isDone()
+                && mFreshness.mayAct(mParts.ticker().millis(), mParts.wallMillis().getAsLong());
     }
 
     /** Notes the newest change that a peer knows; cheap, from any thread. */
@@ -174,7 +179,7 @@
     /** Does what is due; called on the worker. */
     public void tick() {
         long nowMillis = mParts.ticker().millis();
-        if (mFreshness.onTick(mParts.wallMillis().getAsLong())) {
+        if (mFreshness.onTick(nowMillis, mParts.wallMillis().getAsLong())) {
             mLog.warn("woke from a pause", new Woke(mItems.get().revision()));
             restartCall(nowMillis);
             askPeer(anyPeer(), nowMillis);
@@ -278,6 +283,9 @@
             if (change instanceof SiteChange.Unreadable unreadable) {
                 mLog.warn("published item is unreadable", unreadable);
             }
+            if (change instanceof SiteChange.Unusable unusable) {
+                mLog.warn("registration names no target", unusable);
+            }
             changes.add(change);
         }
         if (mDirectory.take(changes, nowMillis, doubt(changes, nowMillis))) {
--- a/src/main/java/org/apricotgauge/directory/Registration.java
+++ b/src/main/java/org/apricotgauge/directory/Registration.java
@@ -6,14 +6,16 @@
 /**
  * A target as it registered itself with the platform.
  *
- * @param target the target
+ * @param name what it is registered under; a target that starts again may keep it
+ * @param target this run of the target, with an id of its own
  * @param leaving whether it said that it leaves
  * @param coldMillis how much longer it was slow after its start, when it wrote, in milliseconds
  */
-public record Registration(Target target, boolean leaving, long coldMillis) {
+public record Registration(String name, Target target, boolean leaving, long coldMillis) {
 
     /** Checks the parts. */
     public Registration {
+        Checks.notBlank("registration.name", name);
         Checks.notNull("registration.target", target);
         Checks.inRange("registration.coldMillis", coldMillis, 0, Long.MAX_VALUE);
     }
--- a/src/main/java/org/apricotgauge/directory/SiteChange.java
+++ b/src/main/java/org/apricotgauge/directory/SiteChange.java
@@ -10,7 +10,13 @@
     record Registered(Registration registration) implements SiteChange {}
 
     /** A target's registration is gone: it has left, or was silent for too long. */
-    record Unregistered(String targetId) implements SiteChange {}
+    record Unregistered(String name) implements SiteChange {}
+
+    /**
+     * Somebody else wrote over a registration, or wrote one that names no target. Whatever was
+     * registered there gets no new work: where it now serves, and whether it does, nobody says.
+     */
+    record Unusable(String name, String reason) implements SiteChange {}
 
     /** Of no interest to the fleet. */
     record Ignored(String key) implements SiteChange {}
--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -1,14 +1,13 @@
 package org.apricotgauge.directory;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Target;
 
@@ -20,10 +19,11 @@
  * directory.expire(nowMillis);
  * }</pre>
  *
- * <p>Versions never fall. A target that says it leaves gets no new work at once. One whose
- * registration ends without a word may have crashed, or have only lost the platform while it serves
- * on; it keeps its place for {@link #VANISHED_MILLIS}, or {@link #DOUBTFUL_MILLIS} after the
- * platform was away, in which time a living target registers anew. Not thread-safe.
+ * <p>Versions never fall. A run that starts under the name of an earlier one takes its place: what
+ * was known of that one is not true of it. A target that says it leaves gets no new work at once.
+ * One whose registration ends without a word may have crashed, or have only lost the platform while
+ * it serves on; it keeps its place for {@link #VANISHED_MILLIS}, or {@link #DOUBTFUL_MILLIS} after
+ * the platform was away, in which time a living target registers anew. Not thread-safe.
  */
 public final class SiteDirectory {
     /**
@@ -47,7 +47,15 @@
         PLATFORM_WAS_AWAY
     }
 
-    private final Map<String, Registration> mRegistrations = new TreeMap<>();
+    /** A registration, and which run registered after which. */
+    private record Entry(Registration registration, long order) {
+        static Entry later(Entry one, Entry other) {
+            return one.order() > other.order() ? one : other;
+        }
+    }
+
+    private final Map<String, Entry> mRegistrations = new TreeMap<>();
+    private long mNextOrder;
     private final Map<String, Long> mVanishedUntilMillis = new HashMap<>();
     private PublishedConfiguration mConfiguration;
 
@@ -66,28 +74,29 @@
             return configure(configured.configuration());
         }
         if (change instanceof SiteChange.Registered registered) {
-            Registration registration = registered.registration();
-            String id = registration.target().id();
-            removePredecessor(registration.target());
-            boolean back = mVanishedUntilMillis.remove(id) != null;
-            return !registration.equals(mRegistrations.put(id, registration)) || back;
+            return register(registered.registration());
         }
         if (change instanceof SiteChange.Unregistered unregistered) {
-            return vanish(unregistered.targetId(), nowMillis, doubt);
+            return vanish(unregistered.name(), nowMillis, doubt);
+        }
+        if (change instanceof SiteChange.Unusable unusable) {
+            mVanishedUntilMillis.remove(unusable.name());
+            return mRegistrations.remove(unusable.name()) != null;
         }
         return false;
     }
 
-    // Two targets never share an address. After a loss of power the entry of the run before stays
-    // for some seconds, and requests sent to it would only be refused by the new one.
-    private void removePredecessor(Target target) {
-        mRegistrations
-                .values()
-                .removeIf(
-                        other ->
-                                !other.target().id().equals(target.id())
-                                        && other.target().host().equals(target.host())
-                                        && other.target().port() == target.port());
+    private boolean register(Registration registration) {
+        boolean back = mVanishedUntilMillis.remove(registration.name()) != null;
+        Entry known = mRegistrations.get(registration.name());
+        if (known != null && known.registration().equals(registration)) {
+            return back;
+        }
+        boolean sameRun =
+                known != null && known.registration().target().equals(registration.target());
+        long order = sameRun ? known.order() : mNextOrder++;
+        mRegistrations.put(registration.name(), new Entry(registration, order));
+        return true;
     }
 
     private boolean configure(PublishedConfiguration configuration) {
@@ -98,17 +107,17 @@
         return true;
     }
 
-    private boolean vanish(String targetId, long nowMillis, LapseDoubt doubt) {
-        Registration registration = mRegistrations.get(targetId);
-        if (registration == null) {
+    private boolean vanish(String name, long nowMillis, LapseDoubt doubt) {
+        Entry entry = mRegistrations.get(name);
+        if (entry == null) {
             return false;
         }
-        if (registration.leaving()) {
-            mRegistrations.remove(targetId);
+        if (entry.registration().leaving()) {
+            mRegistrations.remove(name);
             return true;
         }
         long keepMillis = doubt == LapseDoubt.NONE ? VANISHED_MILLIS : DOUBTFUL_MILLIS;
-        mVanishedUntilMillis.putIfAbsent(targetId, nowMillis + keepMillis);
+        mVanishedUntilMillis.putIfAbsent(name, nowMillis + keepMillis);
         return false;
     }
 
@@ -116,9 +125,9 @@
     public boolean expire(long nowMillis) {
         Set<String> due = new HashSet<>();
         mVanishedUntilMillis.forEach(
-                (id, untilMillis) -> {
+                (name, untilMillis) -> {
                     if (untilMillis <= nowMillis) {
-                        due.add(id);
+                        due.add(name);
                     }
                 });
         due.forEach(mVanishedUntilMillis::remove);
@@ -130,8 +139,30 @@
         return mConfiguration;
     }
 
-    /** Returns the targets, leaving ones included, in the order of their names. */
+    /**
+     * Returns the targets of services that the configuration names, leaving ones included, in the
+     * order of their registered names; none before the first configuration.
+     *
+     * <p>Two targets never share an address. After a loss of power the entry of the run before
+     * stays for some seconds, and requests sent to it would only be refused by the new one; so the
+     * newest at an address is the only one. An entry of a service that nobody named takes no
+     * address from a target that serves.
+     */
     public List<Registration> registrations() {
-        return Collections.unmodifiableList(new ArrayList<>(mRegistrations.values()));
+        if (mConfiguration == null) {
+            return List.of();
+        }
+        Set<String> services = Set.copyOf(mConfiguration.services());
+        Map<Address, Entry> newest = new HashMap<>();
+        for (Entry entry : mRegistrations.values()) {
+            Target target = entry.registration().target();
+            if (services.contains(target.service())) {
+                newest.merge(new Address(target.host(), target.port()), entry, Entry::later);
+            }
+        }
+        return mRegistrations.values().stream()
+                .filter(newest::containsValue)
+                .map(Entry::registration)
+                .toList();
     }
 }
--- a/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
@@ -1,7 +1,12 @@
 package org.apricotgauge.platform.kv;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.type.LogicalType;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +16,7 @@
 import org.apricotgauge.directory.Registration;
 import org.apricotgauge.directory.SiteChange;
 import org.apricotgauge.directory.SiteDecoder;
+import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Repeatability;
 import org.apricotgauge.model.Route;
@@ -22,16 +28,31 @@
     private static final String CONFIG_KEY = "op/config";
     private static final String TARGET_PREFIX = "servers/";
     private static final String REPEATABLE = "idempotent";
+    private static final String READY = "ready";
     private static final String LEAVING = "draining";
     private static final char VERSION_LETTER = 'r';
 
-    /** Ranks as the operator writes them; whatever is behind the last is patient. */
-    private static final List<Priority> PRIORITIES =
-            List.of(Priority.URGENT, Priority.URGENT, Priority.NORMAL);
-
     private static final ObjectMapper JSON =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+    /** Takes no text for a number, no fraction for a whole one, and nothing behind the document. */
+    private static final ObjectMapper STRICT_JSON = strictJson();
+
+    private static ObjectMapper strictJson() {
+        ObjectMapper json =
+                JsonMapper.builder()
+                        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                        .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                        .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                        .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                        .build();
+        json.coercionConfigFor(LogicalType.Textual)
+                .setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
+                .setCoercion(CoercionInputShape.Float, CoercionAction.Fail)
+                .setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail);
+        return json;
+    }
+
     @Override
     public SiteChange decode(PublishedItem item) {
         try {
@@ -83,9 +104,7 @@
                 host.toLowerCase(Locale.ROOT),
                 line.pathPrefix(),
                 split == null ? line.service() : split.get(0).service(),
-                PRIORITIES.size() > line.priority()
-                        ? PRIORITIES.get(line.priority())
-                        : Priority.PATIENT,
+                priority(line.priority()),
                 REPEATABLE.equals(line.kind()) ? Repeatability.ALWAYS : Repeatability.NEVER,
                 line.timeoutMs(),
                 split,
@@ -93,27 +112,71 @@
                 line.targetLatencyMs());
     }
 
-    private static SiteChange target(PublishedItem item) throws IOException {
-        String id = item.key().substring(TARGET_PREFIX.length());
+    /**
+     * Returns the class of a rank; 0 is the most urgent, and those behind the last class share it.
+     */
+    private static Priority priority(int rank) {
+        Priority[] classes = Priority.values();
+        return classes[Math.max(0, Math.min(rank, classes.length - 1))];
+    }
+
+    /** Reads a target's entry; one that does not say all that is needed names no target. */
+    private static SiteChange target(PublishedItem item) {
+        String name = item.key().substring(TARGET_PREFIX.length());
         if (item.removed()) {
-            return new SiteChange.Unregistered(id);
+            return new SiteChange.Unregistered(name);
         }
-        TargetDocument document = JSON.readValue(item.value(), TargetDocument.class);
+        try {
+            TargetDocument document = STRICT_JSON.readValue(item.value(), TargetDocument.class);
+            requireWhole(document);
+            TargetDocument.Status status = document.status();
+            return new SiteChange.Registered(
+                    new Registration(
+                            name,
+                            target(name, document),
+                            isLeaving(status.state()),
+                            status.coldRemainingMs()));
+        } catch (IOException | RuntimeException e) {
+            return new SiteChange.Unusable(name, e.toString());
+        }
+    }
+
+    // A field that is missing would pass for 0 slots or no leaving; the whole entry is in doubt.
+    private static void requireWhole(TargetDocument document) {
+        Checks.notNull("entry", document);
+        Checks.notNull("address", document.address());
+        Checks.notNull("info", document.info());
+        Checks.notNull("info.service", document.info().service());
+        Checks.notNull("info.zone", document.info().zone());
+        Checks.notNull("info.version", document.info().version());
+        Checks.notNull("info.slots", document.info().slots());
+        Checks.notNull("status", document.status());
+        Checks.notNull("status.state", document.status().state());
+        Checks.notNull("status.sequence", document.status().sequence());
+        Checks.notNull("status.coldRemainingMs", document.status().coldRemainingMs());
+    }
+
+    private static Target target(String name, TargetDocument document) {
+        Checks.id("name", name);
         String address = document.address();
         int colon = address.lastIndexOf(':');
         String host = address.substring(0, colon);
         // A target's VM is known by its IP number alone, which its node has in its settings, too.
-        Target target =
-                new Target(
-                        id,
-                        document.info().service(),
-                        host,
-                        document.info().zone(),
-                        host,
-                        Integer.parseInt(address, colon + 1, address.length(), 10),
-                        document.info().slots());
-        TargetDocument.Status status = document.status();
-        return new SiteChange.Registered(
-                new Registration(target, LEAVING.equals(status.state()), status.coldRemainingMs()));
+        return new Target(
+                TargetRun.idOf(name, document.born()),
+                document.info().service(),
+                host,
+                document.info().zone(),
+                host,
+                Integer.parseInt(address, colon + 1, address.length(), 10),
+                document.info().slots());
+    }
+
+    private static boolean isLeaving(String state) {
+        return switch (state) {
+            case READY -> false;
+            case LEAVING -> true;
+            default -> throw new IllegalArgumentException("state is not known: " + state);
+        };
     }
 }
--- a/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
@@ -27,7 +27,7 @@
     /** Milliseconds left, from callers and to targets. */
     static final String TIMEOUT = "X-Timeout-Remaining";
 
-    /** The one run of a target that may take the request. */
+    /** The name of the one target that may take the request; it doesn't tell runs apart. */
     static final String TARGET_RUN = "X-Expected-Instance";
 
     /** Service of the VM where the request began. */
@@ -84,7 +84,7 @@
     @Override
     public void towardsTarget(HttpFields.Mutable headers, String targetId, long leftMillis) {
         headers.put(TIMEOUT, leftMillis);
-        headers.put(TARGET_RUN, targetId);
+        headers.put(TARGET_RUN, TargetRun.nameOf(targetId));
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -107,8 +107,8 @@
                         .formatted(service, HOST, PATH, service);
         String target =
                 """
-                {"address":"%s:%d","info":{"service":"%s","zone":"hall","slots":3},
-                 "status":{"state":"ready","coldRemainingMs":0}}
+                {"address":"%s:%d","info":{"service":"%s","version":"v1","zone":"hall","slots":3},
+                 "status":{"state":"ready","sequence":1,"coldRemainingMs":0}}
                 """
                         .formatted(host, port(), service);
         long revision = mState.revision() + 1;
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -343,7 +343,7 @@
                 mTicketIds.incrementAndGet(),
                 member,
                 // A running request holds its slot while it waits, whatever the call's route says.
-                isCall ? Priority.URGENT : priorityOf(request),
+                isCall ? Priority.CRITICAL : priorityOf(request),
                 workOf(request),
                 isCall,
                 patienceOf(request),
--- a/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
+++ b/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
@@ -5,12 +5,18 @@
 import java.util.List;
 import org.apricotgauge.directory.SiteDirectory.LapseDoubt;
 import org.apricotgauge.model.Target;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Targets that register, leave, vanish and come back; versions of the configuration. */
 class SiteDirectoryTest {
     private final SiteDirectory mDirectory = new SiteDirectory();
 
+    @BeforeEach
+    void configure() {
+        take(new SiteChange.Configured(configuration(1)), 0);
+    }
+
     @Test
     void aTargetThatSaysItLeavesIsLeavingAtOnceAndGoneWithItsEntry() {
         take(registered("a", false), 0);
@@ -61,6 +67,44 @@
                 .containsExactly("now");
     }
 
+    @Test
+    void aRunThatStartsAgainUnderTheSameNameIsAnotherTarget() {
+        // A target crashes and starts again within its lease: its entry is written over, never
+        // ended. The new run holds nothing of what the fleet remembers of the old one, so that it
+        // is a target of its own, and the old one is gone.
+        take(registered("a", new Target("a_1", "s", "vm", "here", "127.0.0.1", 1, 3)), 0);
+
+        assertThat(take(registered("a", new Target("a_2", "s", "vm", "here", "::1", 1, 3)), 10))
+                .isTrue();
+        assertThat(mDirectory.registrations())
+                .extracting(one -> one.target().id())
+                .containsExactly("a_2");
+        take(new SiteChange.Unregistered("a"), 20);
+        mDirectory.expire(20 + SiteDirectory.VANISHED_MILLIS);
+        assertThat(mDirectory.registrations()).isEmpty();
+    }
+
+    @Test
+    void anEntryThatNamesNoTargetEndsTheOneUnderItsNameAlone() {
+        // Somebody else writes over an entry. Left in force, the old one would get work long after
+        // its target has left, since nothing under that name tells of it any more.
+        take(registered("a", new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3)), 0);
+        take(registered("b", new Target("b", "s", "vm", "here", "127.0.0.1", 2, 3)), 0);
+
+        assertThat(take(new SiteChange.Unusable("a", "bytes that can't be read"), 10)).isTrue();
+
+        assertThat(mDirectory.registrations()).extracting(Registration::name).containsExactly("b");
+        assertThat(take(new SiteChange.Unusable("other", "no address"), 11)).isFalse();
+    }
+
+    @Test
+    void anEntryOfAServiceThatNobodyNamedTakesNoAddressFromATarget() {
+        take(registered("a", new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3)), 0);
+        take(registered("b", new Target("b", "unknown", "vm", "here", "127.0.0.1", 1, 3)), 10);
+
+        assertThat(mDirectory.registrations()).extracting(Registration::name).containsExactly("a");
+    }
+
     @Test
     void anOlderVersionNeverComesBack() {
         take(new SiteChange.Configured(configuration(7)), 0);
@@ -75,7 +119,11 @@
 
     private static SiteChange registered(String id, boolean leaving) {
         Target target = new Target(id, "s", "vm", "here", "127.0.0.1", 1, 3);
-        return new SiteChange.Registered(new Registration(target, leaving, 0));
+        return new SiteChange.Registered(new Registration(id, target, leaving, 0));
+    }
+
+    private static SiteChange registered(String name, Target target) {
+        return new SiteChange.Registered(new Registration(name, target, false, 0));
     }
 
     private static PublishedConfiguration configuration(long version) {
--- a/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
@@ -10,6 +10,9 @@
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.ServiceShare;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What the store holds, as the product's types. */
 class KvDecoderTest {
@@ -60,12 +63,74 @@
         var registration = ((SiteChange.Registered) change).registration();
         assertThat(registration.leaving()).isTrue();
         assertThat(registration.coldMillis()).isEqualTo(200);
-        assertThat(registration.target().id()).isEqualTo("i-1");
+        assertThat(registration.name()).isEqualTo("i-1");
+        assertThat(TargetRun.nameOf(registration.target().id())).isEqualTo("i-1");
         assertThat(registration.target().vm()).isEqualTo("10.1.0.9");
         assertThat(registration.target().port()).isEqualTo(8_080);
         assertThat(registration.target().slots()).isEqualTo(3);
     }
 
+    @Test
+    void eachRunOfATargetHasAnIdOfItsOwn() {
+        // A target may start again under its old name; the time of its start tells the runs apart.
+        String first =
+                ((SiteChange.Registered) decode("servers/i-1", born("17")))
+                        .registration()
+                        .target()
+                        .id();
+        String second =
+                ((SiteChange.Registered) decode("servers/i-1", born("18")))
+                        .registration()
+                        .target()
+                        .id();
+
+        assertThat(first).isNotEqualTo(second);
+        assertThat(TargetRun.nameOf(first)).isEqualTo(TargetRun.nameOf(second)).isEqualTo("i-1");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "null",
+                "[]",
+                "not json",
+                "{}",
+                "{\"address\":7,\"info\":{},\"status\":{}}",
+            })
+    void anEntryOfAnotherWriterNamesNoTarget(String value) {
+        assertThat(decode("servers/i-1", value)).isInstanceOf(SiteChange.Unusable.class);
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            quoteCharacter = '~',
+            value = {
+                "~\"ready\"~, ~\"paused\"~",
+                "~\"ready\"~, ~true~",
+                "~\"state\":\"ready\",~, ~~",
+                "~\"sequence\":4,~, ~~",
+                "~,\"coldRemainingMs\":0~, ~~",
+                "~:3}~, ~:\"3\"}~",
+                "~:3}~, ~:3.5}~",
+                "~:3}~, ~:0}~",
+                "~\"slots\":3~, ~\"room\":3~",
+                "~\"a\"~, ~5~",
+                "~10.1.0.9:8080~, ~10.1.0.9~",
+                "~10.1.0.9:8080~, ~10.1.0.9:x~",
+                "~\"born\":17~, ~\"born\":17.5~",
+                "~\"born\":17~, ~\"born\":\"17\"~",
+                "~}}~, ~}} {}~",
+            })
+    void anEntryThatIsPartlyWrongNamesNoTarget(String whole, String wrong) {
+        String entry = born("17");
+        assertThat(entry).contains(whole);
+
+        SiteChange change = decode("servers/i-1", entry.replace(whole, wrong == null ? "" : wrong));
+
+        assertThat(change).isInstanceOf(SiteChange.Unusable.class);
+    }
+
     @Test
     void aRemovedTargetIsUnregistered() {
         assertThat(new KvDecoder().decode(PublishedItem.removed("servers/i-1", 3)))
@@ -80,6 +145,14 @@
         assertThat(decode("other/key", "")).isInstanceOf(SiteChange.Ignored.class);
     }
 
+    private static String born(String millis) {
+        return "{\"address\":\"10.1.0.9:8080\",\"born\":"
+                + millis
+                + ",\"info\":{\"service\":\"a\",\"version\":\"v1\",\"zone\":\"hall\","
+                + "\"slots\":3},"
+                + "\"status\":{\"state\":\"ready\",\"sequence\":4,\"coldRemainingMs\":0}}";
+    }
+
     private static SiteChange decode(String key, String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
         return new KvDecoder().decode(new PublishedItem(key, bytes, 1, false));
--- /dev/null
+++ b/src/test/java/org/apricotgauge/platform/kv/KvEntryProperties.java
@@ -0,0 +1,69 @@
+package org.apricotgauge.platform.kv;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.apricotgauge.directory.PublishedItem;
+import org.apricotgauge.directory.SiteChange;
+import org.apricotgauge.directory.SiteDirectory;
+import org.apricotgauge.directory.SiteDirectory.LapseDoubt;
+
+/** Whatever somebody writes under one name: the other targets stay, and nothing is thrown. */
+class KvEntryProperties {
+    private static final String CONFIG =
+            "{\"version\":\"r1\",\"baseVersion\":\"r0\",\"services\":[{\"name\":\"a\"}],"
+                    + "\"limits\":{\"idleTimeoutMs\":15000},\"hosts\":[]}";
+    private static final String ENTRY =
+            "{\"address\":\"10.1.0.%d:80\",\"info\":{\"service\":\"a\",\"version\":\"v\","
+                    + "\"zone\":\"hall\",\"slots\":3},"
+                    + "\"status\":{\"state\":\"ready\",\"sequence\":1,\"coldRemainingMs\":0}}";
+
+    @Property(tries = 500)
+    void anyBytesUnderOneNameLeaveTheOthersAlone(@ForAll byte[] bytes) {
+        assertOthersStay(bytes);
+    }
+
+    @Property(tries = 500)
+    void anEntryCutOrSpoiltAnywhereLeavesTheOthersAlone(
+            @ForAll int at, @ForAll byte spoilt, @ForAll boolean cut) {
+        byte[] bytes = ENTRY.formatted(9).getBytes(StandardCharsets.UTF_8);
+        int place = Math.floorMod(at, bytes.length);
+        byte[] changed = cut ? java.util.Arrays.copyOf(bytes, place) : bytes;
+        if (!cut) {
+            changed[place] = spoilt;
+        }
+        assertOthersStay(changed);
+    }
+
+    private static void assertOthersStay(byte[] bytes) {
+        SiteDirectory directory = new SiteDirectory();
+        KvDecoder decoder = new KvDecoder();
+        directory.take(
+                List.of(
+                        decoder.decode(item("op/config", CONFIG.getBytes(StandardCharsets.UTF_8))),
+                        decoder.decode(entry("one", 1)),
+                        decoder.decode(entry("two", 2)),
+                        decoder.decode(entry("hit", 3))),
+                0,
+                LapseDoubt.NONE);
+
+        SiteChange change = decoder.decode(item("servers/hit", bytes));
+        directory.take(List.of(change), 1, LapseDoubt.NONE);
+
+        assertThat(change).isInstanceOfAny(SiteChange.Registered.class, SiteChange.Unusable.class);
+        assertThat(directory.registrations()).extracting(one -> one.name()).contains("one", "two");
+        assertThat(directory.registrations())
+                .hasSize(change instanceof SiteChange.Registered ? 3 : 2);
+    }
+
+    private static PublishedItem entry(String name, int host) {
+        return item("servers/" + name, ENTRY.formatted(host).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static PublishedItem item(String key, byte[] value) {
+        return new PublishedItem(key, value, 1, false);
+    }
+}
