Let late work wait as fast as it is served; refuse where healthy ones are full

Ruled out: a longer queue as such; what newer work overtakes would be held to its deadline under a lasting overload. Change: late work waits as long as the rate at which late work was served of late carries it (RecentRate); a request that healthy targets were too full for is told "not run" with the time to come back, and no last resort. Before: one round of slots.

--- a/src/main/java/org/apricotgauge/caller/TargetChoice.java
+++ b/src/main/java/org/apricotgauge/caller/TargetChoice.java
@@ -216,7 +216,7 @@
             }
         }
         Optional<Candidate> untried =
-                caution == HealthGate.Caution.STEADY
+                caution != HealthGate.Caution.MAY_TRY
                         ? BalancingPolicy.chooseSteady(
                                 mTable,
                                 mTried,
@@ -231,8 +231,11 @@
     }
 
     // Where every target is suspect, refusing the request would be worse than the risk of the best.
+    // Where a healthy one is only full, its guard has said when to come back, which is true, while
+    // a
+    // sick one would leave the caller without knowing whether its request ran.
     private Optional<Candidate> leastSick() {
-        if (mLastResort) {
+        if (mLastResort || mRefusedBusy > 0) {
             return Optional.empty();
         }
         long nowNanos = mContext.ticker().nanos();
--- a/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -37,6 +37,7 @@
     private final FairQueue mWaiting;
     private final AdaptiveLimit mLimit;
     private final ServiceTimes mServiceTimes;
+    private final RecentRate mLateServed = new RecentRate();
     private final Map<Long, Running> mRunning = new HashMap<>();
 
     /** Makes an empty queue. */
@@ -73,7 +74,7 @@
         if (nowMillis + neededMillis > ticket.deadlineMillis()) {
             return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
         }
-        if (!useful && !mayWaitLate(ticket)) {
+        if (!useful && !mayWaitLate(ticket, nowMillis)) {
             return refused(ticket, RefusalReason.BUSY);
         }
         return enqueue(ticket, useful);
@@ -186,6 +187,9 @@
             if (next == null) {
                 break;
             }
+            if (next.late()) {
+                mLateServed.count(nowMillis);
+            }
             run(next, nowMillis);
             admitted.add(next.ticket());
         }
@@ -200,14 +204,14 @@
                 mWaiting.remove(ticket);
                 refused.add(refusal(ticket, RefusalReason.DEADLINE_PASSED));
             } else if (mWaiting.isUseful(ticket) && !isUseful(ticket, nowMillis)) {
-                loseUse(ticket, refused);
+                loseUse(ticket, refused, nowMillis);
             }
         }
     }
 
-    private void loseUse(Ticket ticket, List<Refusal> refused) {
+    private void loseUse(Ticket ticket, List<Refusal> refused, long nowMillis) {
         mWaiting.remove(ticket);
-        if (ticket.patience() != Patience.MAY_WAIT || !mayWaitLate(ticket)) {
+        if (ticket.patience() != Patience.MAY_WAIT || !mayWaitLate(ticket, nowMillis)) {
             refused.add(refusal(ticket, RefusalReason.BUSY));
         } else {
             mWaiting.add(ticket, false);
@@ -216,9 +220,14 @@
 
     // Behind a queue that newer work overtakes, what is late already would be held to its deadline
     // and refused then: on the heaviest day measured, requests of an eighth of the day's worth were
-    // held so. It waits one round of the slots at the most.
-    private boolean mayWaitLate(Ticket ticket) {
-        return ticket.unblocks() || mWaiting.size() < mConfig.slots();
+    // held so. So no more of it waits than one round of the slots, or than has been served of late
+    // in as much time as it has left: after a burst that is over, a target works off all of it.
+    private boolean mayWaitLate(Ticket ticket, long nowMillis) {
+        if (ticket.unblocks() || mWaiting.size() < mConfig.slots()) {
+            return true;
+        }
+        double leftMillis = ticket.deadlineMillis() - nowMillis - allowanceMillis(ticket);
+        return mWaiting.late() < mLateServed.perMilli(nowMillis) * leftMillis;
     }
 
     private boolean isUseful(Ticket ticket, double startMillis) {
--- a/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
@@ -25,8 +25,9 @@
      * @param ticket the ticket
      * @param flow whose account it is
      * @param micros the estimate that was charged
+     * @param late whether it waited until it could not be of full use any more
      */
-    record Charge(Ticket ticket, Flow flow, double micros) {}
+    record Charge(Ticket ticket, Flow flow, double micros, boolean late) {}
 
     private record Waiting(Ticket ticket, Flow.Place place, Flow flow) {}
 
@@ -58,6 +59,7 @@
     private double mMeanMicros;
     private long mActiveWeight;
     private long mNextSequence;
+    private int mLate;
 
     FairQueue(int maxMembers, double meanMicros) {
         mMaxMembers = maxMembers;
@@ -97,6 +99,7 @@
         }
         flow.add(waiting.place(), ticket);
         enterOrder(flow);
+        mLate += useful ? 0 : 1;
         mTickets.put(ticket.id(), waiting);
         mBySequence.put(sequence, waiting);
         mByDeadline.get(ticket.priority().ordinal()).add(ticket);
@@ -116,6 +119,11 @@
         return true;
     }
 
+    /** Returns how many tickets wait that cannot be of full use any more. */
+    int late() {
+        return mLate;
+    }
+
     /** Returns whether a waiting ticket has the place of one that can be of full use. */
     boolean isUseful(Ticket ticket) {
         return mTickets.get(ticket.id()).place().useful();
@@ -130,7 +138,7 @@
         mVirtualMicros = Math.max(mVirtualMicros, mKeys.get(flow));
         Waiting waiting = mBySequence.get(flow.pickSequence());
         take(waiting);
-        Charge charge = charge(flow, waiting.ticket());
+        Charge charge = charge(flow, waiting.ticket(), !waiting.place().useful());
         forgetIdle();
         return charge;
     }
@@ -143,7 +151,7 @@
         enterOrder(flow);
         // Without this, service given while nobody waited would count against its member later.
         mVirtualMicros = flow.servedMicros();
-        return charge(flow, ticket);
+        return charge(flow, ticket, false);
     }
 
     /** Corrects the charge once the true service time is known. */
@@ -227,17 +235,18 @@
         flow.remove(waiting.place(), waiting.ticket());
         mPlaces.get(waiting.ticket().priority().ordinal()).remove(waiting.place());
         enterOrder(flow);
+        mLate -= waiting.place().useful() ? 0 : 1;
         mTickets.remove(waiting.ticket().id());
         mBySequence.remove(waiting.place().sequence());
         mByDeadline.get(waiting.ticket().priority().ordinal()).remove(waiting.ticket());
     }
 
-    private Charge charge(Flow flow, Ticket ticket) {
+    private Charge charge(Flow flow, Ticket ticket, boolean late) {
         leaveOrder(flow);
         flow.onDispatched();
         flow.charge(mMeanMicros);
         enterOrder(flow);
-        return new Charge(ticket, flow, mMeanMicros);
+        return new Charge(ticket, flow, mMeanMicros, late);
     }
 
     private Flow flowOf(Ticket ticket) {
