Refuse at once where healthy targets are full, in place of parking

Cause: a request parked because some targets are sick would wait for half of its time of full use also where the healthy ones are full; those that recover are full at once, too, and it would be refused after the wait. Ruled out: a shorter park; the guards' late queues already hold what can be served.

--- a/src/main/java/org/apricotgauge/caller/TargetChoice.java
+++ b/src/main/java/org/apricotgauge/caller/TargetChoice.java
@@ -158,10 +158,12 @@
 
     // Any of the suspect targets may be well again in a moment, which its guard tells at once. A
     // request that is sent to one before loses the most that it can lose; one that waits for half
-    // of its time of full use still has the other half for its run.
+    // of its time of full use still has the other half for its run. Where healthy targets are full,
+    // those that recover will be full at once, too.
     private boolean mayPark(long usefulMillis) {
         return mContext.reach() == EntryOptions.Reach.GUARDS_ONLY
                 && !mLastResort
+                && mRefusedBusy == 0
                 && usefulMillis > mUsefulMillis / PARK_PART
                 && mTable.all().stream().anyMatch(this::isSuspect);
     }
