--- a/src/main/java/org/apricotgauge/decision/health/FailureTimes.java
+++ b/src/main/java/org/apricotgauge/decision/health/FailureTimes.java
@@ -21,7 +21,7 @@
      * Least time after which a request that still runs is taken for evidence, in milliseconds:
      * below it, the scheduling of a process that shares a core decides what is seen first.
      */
-    private static final long LEAST_MILLIS = 8;
+    private static final long LEAST_MILLIS = 16;
 
     /** A request is looked at once at least this part of the failures would have come. */
     private static final double ENOUGH = 0.5;
--- a/src/main/java/org/apricotgauge/decision/health/SpellLaw.java
+++ b/src/main/java/org/apricotgauge/decision/health/SpellLaw.java
@@ -17,7 +17,7 @@
  */
 record SpellLaw(double spellMillis, double sickShare, double failsSick) {
     /** Share of requests that a healthy target fails; one that fails more is worth avoiding. */
-    static final double FAILS_HEALTHY = 0.025;
+    static final double FAILS_HEALTHY = 0.018;
 
     private static final double SHORTEST_SPELL_MILLIS = 700;
     private static final double LONGEST_SPELL_MILLIS = 50_000;
--- a/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
@@ -45,7 +45,7 @@
     static final double STEADY_SICK_LOAD = 10;
 
     /** Load per slot up to which a target has room: what comes at the same time still fits. */
-    private static final double ROOMY = 0.7;
+    private static final double ROOMY = 0.75;
 
     /**
      * What each load per slot beyond {@link #ROOMY} counts: a full target is left for a stale one.
@@ -114,24 +114,26 @@
     private static Candidate steadiest(
             List<Candidate> from, Set<String> tried, RandomGenerator random, long nowNanos) {
         Candidate best = null;
-        Candidate heaviest = null;
+        Candidate bestOfAll = null;
         double bestRisk = Double.MAX_VALUE;
+        double leastRisk = Double.MAX_VALUE;
         for (Candidate candidate : from) {
             if (!isAllowed(candidate, tried, null)
                     || candidate.load().sick(nowNanos) >= HealthGate.UNSTEADY) {
                 continue;
             }
-            double weight = weightOf(candidate, nowNanos);
-            if (heaviest == null || weight > weightOf(heaviest, nowNanos)) {
-                heaviest = candidate;
-            }
             double risk = riskOf(candidate, nowNanos) + TIE_BREAK * random.nextDouble();
-            if (risk < bestRisk && random.nextDouble() < weight) {
+            if (risk < leastRisk) {
+                bestOfAll = candidate;
+                leastRisk = risk;
+            }
+            if (risk < bestRisk && random.nextDouble() < weightOf(candidate, nowNanos)) {
                 best = candidate;
                 bestRisk = risk;
             }
         }
-        return best == null ? heaviest : best;
+        // Where all are cold, as after a loss of power, weights say nothing.
+        return best == null ? bestOfAll : best;
     }
 
     /** Returns the load per slot that a target's sickness and crowding are worth together. */
