--- a/src/main/java/org/apricotgauge/caller/TargetChoice.java
+++ b/src/main/java/org/apricotgauge/caller/TargetChoice.java
@@ -158,12 +158,10 @@
 
     // Any of the suspect targets may be well again in a moment, which its guard tells at once. A
     // request that is sent to one before loses the most that it can lose; one that waits for half
-    // of its time of full use still has the other half for its run. Where healthy targets are full,
-    // those that recover will be full at once, too.
+    // of its time of full use still has the other half for its run.
     private boolean mayPark(long usefulMillis) {
         return mContext.reach() == EntryOptions.Reach.GUARDS_ONLY
                 && !mLastResort
-                && mRefusedBusy == 0
                 && usefulMillis > mUsefulMillis / PARK_PART
                 && mTable.all().stream().anyMatch(this::isSuspect);
     }
@@ -218,7 +216,7 @@
             }
         }
         Optional<Candidate> untried =
-                caution != HealthGate.Caution.MAY_TRY
+                caution == HealthGate.Caution.STEADY
                         ? BalancingPolicy.chooseSteady(
                                 mTable,
                                 mTried,
@@ -233,11 +231,8 @@
     }
 
     // Where every target is suspect, refusing the request would be worse than the risk of the best.
-    // Where a healthy one is only full, its guard has said when to come back, which is true, while
-    // a
-    // sick one would leave the caller without knowing whether its request ran.
     private Optional<Candidate> leastSick() {
-        if (mLastResort || mRefusedBusy > 0) {
+        if (mLastResort) {
             return Optional.empty();
         }
         long nowNanos = mContext.ticker().nanos();
--- a/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -37,7 +37,6 @@
     private final FairQueue mWaiting;
     private final AdaptiveLimit mLimit;
     private final ServiceTimes mServiceTimes;
-    private final RecentRate mLateServed = new RecentRate();
     private final Map<Long, Running> mRunning = new HashMap<>();
 
     /** Makes an empty queue. */
@@ -74,7 +73,7 @@
         if (nowMillis + neededMillis > ticket.deadlineMillis()) {
             return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
         }
-        if (!useful && !mayWaitLate(ticket, nowMillis)) {
+        if (!useful && !mayWaitLate(ticket)) {
             return refused(ticket, RefusalReason.BUSY);
         }
         return enqueue(ticket, useful);
@@ -187,9 +186,6 @@
             if (next == null) {
                 break;
             }
-            if (next.late()) {
-                mLateServed.count(nowMillis);
-            }
             run(next, nowMillis);
             admitted.add(next.ticket());
         }
@@ -204,14 +200,14 @@
                 mWaiting.remove(ticket);
                 refused.add(refusal(ticket, RefusalReason.DEADLINE_PASSED));
             } else if (mWaiting.isUseful(ticket) && !isUseful(ticket, nowMillis)) {
-                loseUse(ticket, refused, nowMillis);
+                loseUse(ticket, refused);
             }
         }
     }
 
-    private void loseUse(Ticket ticket, List<Refusal> refused, long nowMillis) {
+    private void loseUse(Ticket ticket, List<Refusal> refused) {
         mWaiting.remove(ticket);
-        if (ticket.patience() != Patience.MAY_WAIT || !mayWaitLate(ticket, nowMillis)) {
+        if (ticket.patience() != Patience.MAY_WAIT || !mayWaitLate(ticket)) {
             refused.add(refusal(ticket, RefusalReason.BUSY));
         } else {
             mWaiting.add(ticket, false);
@@ -220,14 +216,9 @@
 
     // Behind a queue that newer work overtakes, what is late already would be held to its deadline
     // and refused then: on the heaviest day measured, requests of an eighth of the day's worth were
-    // held so. So no more of it waits than one round of the slots, or than has been served of late
-    // in as much time as it has left: after a burst that is over, a target works off all of it.
-    private boolean mayWaitLate(Ticket ticket, long nowMillis) {
-        if (ticket.unblocks() || mWaiting.size() < mConfig.slots()) {
-            return true;
-        }
-        double leftMillis = ticket.deadlineMillis() - nowMillis - allowanceMillis(ticket);
-        return mWaiting.late() < mLateServed.perMilli(nowMillis) * leftMillis;
+    // held so. It waits one round of the slots at the most.
+    private boolean mayWaitLate(Ticket ticket) {
+        return ticket.unblocks() || mWaiting.size() < mConfig.slots();
     }
 
     private boolean isUseful(Ticket ticket, double startMillis) {
--- a/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/FairQueue.java
@@ -25,9 +25,8 @@
      * @param ticket the ticket
      * @param flow whose account it is
      * @param micros the estimate that was charged
-     * @param late whether it waited until it could not be of full use any more
      */
-    record Charge(Ticket ticket, Flow flow, double micros, boolean late) {}
+    record Charge(Ticket ticket, Flow flow, double micros) {}
 
     private record Waiting(Ticket ticket, Flow.Place place, Flow flow) {}
 
@@ -59,7 +58,6 @@
     private double mMeanMicros;
     private long mActiveWeight;
     private long mNextSequence;
-    private int mLate;
 
     FairQueue(int maxMembers, double meanMicros) {
         mMaxMembers = maxMembers;
@@ -99,7 +97,6 @@
         }
         flow.add(waiting.place(), ticket);
         enterOrder(flow);
-        mLate += useful ? 0 : 1;
         mTickets.put(ticket.id(), waiting);
         mBySequence.put(sequence, waiting);
         mByDeadline.get(ticket.priority().ordinal()).add(ticket);
@@ -119,11 +116,6 @@
         return true;
     }
 
-    /** Returns how many tickets wait that cannot be of full use any more. */
-    int late() {
-        return mLate;
-    }
-
     /** Returns whether a waiting ticket has the place of one that can be of full use. */
     boolean isUseful(Ticket ticket) {
         return mTickets.get(ticket.id()).place().useful();
@@ -138,7 +130,7 @@
         mVirtualMicros = Math.max(mVirtualMicros, mKeys.get(flow));
         Waiting waiting = mBySequence.get(flow.pickSequence());
         take(waiting);
-        Charge charge = charge(flow, waiting.ticket(), !waiting.place().useful());
+        Charge charge = charge(flow, waiting.ticket());
         forgetIdle();
         return charge;
     }
@@ -151,7 +143,7 @@
         enterOrder(flow);
         // Without this, service given while nobody waited would count against its member later.
         mVirtualMicros = flow.servedMicros();
-        return charge(flow, ticket, false);
+        return charge(flow, ticket);
     }
 
     /** Corrects the charge once the true service time is known. */
@@ -235,18 +227,17 @@
         flow.remove(waiting.place(), waiting.ticket());
         mPlaces.get(waiting.ticket().priority().ordinal()).remove(waiting.place());
         enterOrder(flow);
-        mLate -= waiting.place().useful() ? 0 : 1;
         mTickets.remove(waiting.ticket().id());
         mBySequence.remove(waiting.place().sequence());
         mByDeadline.get(waiting.ticket().priority().ordinal()).remove(waiting.ticket());
     }
 
-    private Charge charge(Flow flow, Ticket ticket, boolean late) {
+    private Charge charge(Flow flow, Ticket ticket) {
         leaveOrder(flow);
         flow.onDispatched();
         flow.charge(mMeanMicros);
         enterOrder(flow);
-        return new Charge(ticket, flow, mMeanMicros, late);
+        return new Charge(ticket, flow, mMeanMicros);
     }
 
     private Flow flowOf(Ticket ticket) {
--- a/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
@@ -32,7 +32,7 @@
 
     /** Checks the parts. */
     public RepeatPolicy {
-        Checks.inRange("maxAttempts", maxAttempts, 1, 32);
+        Checks.inRange("maxAttempts", maxAttempts, 1, 10);
         Checks.inRange("minLeftMillis", minLeftMillis, 0, 60_000);
     }
 
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -92,10 +92,10 @@
     /**
      * Refusals by guards of suspect or busy targets count as attempts. They cost 5 ms each (median
      * of 396 requests with six or more); with five tries, one booking in nine on the heaviest day
-     * measured (279 of 2,485) went to a suspect target for want of tries, and failed. Sixteen try
-     * each target of a service of today, and those that were busy once more.
+     * measured (279 of 2,485) went to a suspect target for want of tries, and failed. Ten try each
+     * target of a service of today.
      */
-    private static final RepeatPolicy REPEATS = new RepeatPolicy(16, 20);
+    private static final RepeatPolicy REPEATS = new RepeatPolicy(10, 20);
 
     private static final Setting<String> FAILURE_DOMAIN =
             Setting.required(
