--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -170,11 +170,6 @@
         }
     }
 
-    /** Returns whether the present attempt may wait until its guard's retries allow it. */
-    boolean mayWaitForRetries() {
-        return mChoice.mayWaitForRetries();
-    }
-
     // A run that was paid for is over once a target was reached; until then the pay is good.
     private void settlePay(boolean reached) {
         if (reached) {
@@ -192,11 +187,6 @@
         }
     }
 
-    /** Returns how likely to be sick a target may be at the most to get the present attempt. */
-    double sickLimit() {
-        return mChoice.sickLimit();
-    }
-
     /** Returns whether the present attempt may wait for a slot. */
     Patience patience() {
         return mChoice.patience();
@@ -236,13 +226,7 @@
             send(new PredecessorAttempt(this, mTable.service().predecessor()));
             return;
         }
-        Optional<Candidate> choice = mChoice.next(mProgress.last(), caution(), usefulMillis());
-        if (mChoice.isParked()) {
-            mContext.metrics().parked().inc();
-            mContext.scheduler()
-                    .schedule(this::resume, TargetChoice.PARK_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
+        Optional<Candidate> choice = mChoice.next(mProgress.last());
         if (choice.isEmpty()) {
             endWithoutTarget();
             return;
@@ -254,15 +238,6 @@
         send(direct ? new DirectAttempt(this, candidate) : new GuardedAttempt(this, candidate));
     }
 
-    private void resume() {
-        synchronized (this) {
-            if (mEnded) {
-                return;
-            }
-        }
-        next();
-    }
-
     private void send(TargetAttempt attempt) {
         synchronized (this) {
             if (mEnded) {
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -13,7 +13,6 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.detection.ObservedOutcome;
-import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.health.HealthOutlook;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.http.Bodies;
@@ -53,8 +52,6 @@
     /** As sick as a target counts right after a failure. */
     private static final double DISTRUSTED = 0.95;
 
-    private static final double PERMILLE = 1_000.0;
-
     private final CallerExchange mExchange;
     private final EntryContext mContext;
     private final Candidate mCandidate;
@@ -139,7 +136,6 @@
                     headers.put(
                             HeaderNames.CAUTION,
                             mExchange.caution().name().toLowerCase(Locale.ROOT));
-                    addSickLimit(headers);
                     addPatience(headers);
                     addRepeat(headers);
                     mContext.dialect().markOrigin(headers);
@@ -159,20 +155,11 @@
             headers.put(
                     HeaderNames.REPEAT,
                     mExchange.isPaid() ? HeaderNames.REPEAT_PAID : HeaderNames.REPEAT_OWN);
-            if (mExchange.mayWaitForRetries()) {
-                headers.put(HeaderNames.RETRY_WAIT, "1");
-            }
         } else if (parentRepeats) {
             headers.put(HeaderNames.REPEAT, HeaderNames.REPEAT_PARENT);
         }
     }
 
-    private void addSickLimit(HttpFields.Mutable headers) {
-        if (mExchange.caution() == HealthGate.Caution.STEADY) {
-            headers.put(HeaderNames.SICK_LIMIT, Math.round(PERMILLE * mExchange.sickLimit()));
-        }
-    }
-
     private void addPatience(HttpFields.Mutable headers) {
         Patience patience = mExchange.patience();
         if (patience != Patience.MAY_WAIT) {
--- a/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -30,9 +30,6 @@
 
     private static final double MICROS_PER_MILLI = 1_000;
 
-    /** A wait is short up to this part of the time in which the answer is of full use. */
-    private static final double SHORT_PART = 16;
-
     private final AdmissionConfig mConfig;
     private final FairQueue mWaiting;
     private final AdaptiveLimit mLimit;
@@ -64,9 +61,8 @@
             run(mWaiting.startNow(ticket), nowMillis);
             return new Offer.Admitted();
         }
-        double usefulWaitMillis = waitMillis(ticket, true);
-        boolean useful = isUseful(ticket, nowMillis + usefulWaitMillis);
-        if (!mayWait(ticket, useful, usefulWaitMillis, nowMillis)) {
+        boolean useful = isUseful(ticket, nowMillis + waitMillis(ticket, true));
+        if (!mayWait(ticket, useful)) {
             return refused(ticket, RefusalReason.BUSY);
         }
         double neededMillis = waitMillis(ticket, useful) + allowanceMillis(ticket);
@@ -79,12 +75,9 @@
         return enqueue(ticket, useful);
     }
 
-    private static boolean mayWait(
-            Ticket ticket, boolean useful, double waitMillis, long nowMillis) {
-        double usefulMillis = ticket.usefulUntilMillis() - nowMillis;
+    private static boolean mayWait(Ticket ticket, boolean useful) {
         return switch (ticket.patience()) {
             case NO_WAIT -> false;
-            case SHORT_WAIT -> useful && waitMillis <= usefulMillis / SHORT_PART;
             case WHILE_USEFUL -> useful;
             case MAY_WAIT -> true;
         };
@@ -207,7 +200,7 @@
 
     private void loseUse(Ticket ticket, List<Refusal> refused) {
         mWaiting.remove(ticket);
-        if (ticket.patience() != Patience.MAY_WAIT || !mayWaitLate(ticket)) {
+        if (ticket.patience() == Patience.WHILE_USEFUL || !mayWaitLate(ticket)) {
             refused.add(refusal(ticket, RefusalReason.BUSY));
         } else {
             mWaiting.add(ticket, false);
--- a/src/main/java/org/apricotgauge/decision/admission/Patience.java
+++ b/src/main/java/org/apricotgauge/decision/admission/Patience.java
@@ -12,13 +12,6 @@
 public enum Patience {
     /** It is refused at once where no slot is free. */
     NO_WAIT,
-    /**
-     * It waits where its turn comes soon, measured by its time of full use, and looks elsewhere
-     * otherwise. A target of many slots frees one every few milliseconds of that; a look elsewhere
-     * costs a hop, body included. On the heaviest day measured, 8,900 of 27,400 hops were such
-     * looks, most of them into other failure domains.
-     */
-    SHORT_WAIT,
     /** It waits as long as it can still be of full use; after that it tries elsewhere. */
     WHILE_USEFUL,
     /** It waits to its deadline. */
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
@@ -20,19 +20,11 @@
     private static final long TOKEN = 1_000_000;
     private static final long MILLIS_PER_SECOND = 1_000;
 
-    private static final long NEVER = Long.MIN_VALUE / 2;
-
-    /** How fast the budget is filled is worked out anew after so long, in milliseconds. */
-    private static final long MEASURE_MILLIS = 1_500;
-
     private final long mDeposit;
     private final long mCapacity;
     private final long mTricklePerMilli;
     private final AtomicLong mTokens;
     private final AtomicLong mTrickledAtMillis = new AtomicLong(Long.MIN_VALUE);
-    private final AtomicLong mDeposited = new AtomicLong();
-    private long mMeasuredAtMillis = NEVER;
-    private double mFillPerMilli;
 
     /**
      * Takes the bounds.
@@ -82,33 +74,6 @@
         return before >= TOKEN;
     }
 
-    /**
-     * Returns in how many milliseconds a retry may be allowed, at the rate at which the budget has
-     * been filled of late.
-     *
-     * @param ahead retries that wait already
-     */
-    public long waitMillis(int ahead, long nowMillis) {
-        trickle(nowMillis);
-        double missing = (ahead + 1.0) * TOKEN - mTokens.get();
-        double perMilli = Math.max(mTricklePerMilli, fillPerMilli(nowMillis));
-        if (missing <= 0) {
-            return 1;
-        }
-        return perMilli <= 0 ? Long.MAX_VALUE : (long) Math.ceil(missing / perMilli);
-    }
-
-    private synchronized double fillPerMilli(long nowMillis) {
-        long passedMillis = nowMillis - mMeasuredAtMillis;
-        if (passedMillis >= MEASURE_MILLIS) {
-            long deposited = mDeposited.getAndSet(0);
-            // What came in before the first look says nothing of how fast it came.
-            mFillPerMilli = mMeasuredAtMillis == NEVER ? 0 : (double) deposited / passedMillis;
-            mMeasuredAtMillis = nowMillis;
-        }
-        return mFillPerMilli;
-    }
-
     /** Takes the budget of a retry that happens in any case; the next ones pay for it. */
     public void charge() {
         mTokens.updateAndGet(tokens -> Math.max(-mCapacity, tokens - TOKEN));
@@ -124,7 +89,6 @@
     }
 
     private void deposit(long amount) {
-        mDeposited.addAndGet(amount);
         mTokens.updateAndGet(tokens -> Math.min(mCapacity, tokens + amount));
     }
 }
--- a/src/main/java/org/apricotgauge/decision/health/HealthGate.java
+++ b/src/main/java/org/apricotgauge/decision/health/HealthGate.java
@@ -6,7 +6,7 @@
  * Decides which requests a target gets while it may be in a sick spell.
  *
  * <pre>{@code
- * if (!gate.mayPass(Caution.STEADY, sickLimit, nowMillis)) {
+ * if (!gate.mayPass(Caution.STEADY, nowMillis)) {
  *     return notRun(NotRunReason.TARGET_SUSPECT);   // the entry goes to another target
  * }
  * HealthGate.Run run = gate.started(nowMillis);
@@ -66,17 +66,12 @@
         }
     }
 
-    /**
-     * Returns whether a request may start at the target now.
-     *
-     * @param sickLimit probability from which on a {@link Caution#STEADY} request is better off at
-     *     the next best target that its entry knows of; {@link #UNSTEADY} at the most
-     */
-    public synchronized boolean mayPass(Caution caution, double sickLimit, long nowMillis) {
+    /** Returns whether a request may start at the target now. */
+    public synchronized boolean mayPass(Caution caution, long nowMillis) {
         Checks.notNull("caution", caution);
         double sick = mFilter.sickAt(nowMillis);
         if (caution == Caution.STEADY) {
-            return sick < Math.min(sickLimit, UNSTEADY);
+            return sick < UNSTEADY;
         }
         if (caution == Caution.NONE || sick < SUSPECT) {
             return true;
--- a/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/routing/BalancingPolicy.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.apricotgauge.decision.health.HealthGate;
 
 /**
  * Chooses the target of a request: power of two choices on load per slot, own failure domain first.
@@ -38,23 +37,6 @@
      */
     static final double SICK_LOAD = 3;
 
-    /**
-     * The same for a request that must not repeat, whose loss is worth some thirty hops between
-     * failure domains: a twentieth more of risk is worth half a round.
-     */
-    static final double STEADY_SICK_LOAD = 10;
-
-    /** Load per slot up to which a target has room: what comes at the same time still fits. */
-    private static final double ROOMY = 0.75;
-
-    /**
-     * What each load per slot beyond {@link #ROOMY} counts: a full target is left for a stale one.
-     */
-    private static final double CROWDED_FACTOR = 5;
-
-    /** Keeps entries that know nothing yet from all taking the same target. */
-    private static final double TIE_BREAK = 0.2;
-
     private static final int DRAWS = 8;
 
     private BalancingPolicy() {}
@@ -83,66 +65,6 @@
         return Optional.of(localLoad <= remoteLoad + LOCAL_ADVANTAGE ? local : remote);
     }
 
-    /**
-     * Chooses the target of a request that must not repeat: the likeliest to be healthy among those
-     * with room.
-     *
-     * <p>The load that it answers: targets that fall sick every few seconds and then fail most of
-     * their requests. Whoever is first to meet a spell loses its request, so that what matters is
-     * how old the last proof of health is. Spread evenly, each target is proven a few times a
-     * second; packed on as few as have room, those are proven by every request that runs there. In
-     * {@code SpellLoadTest}, 15 targets and 90 requests a second, 1.4 of 100 requests fail so, of
-     * which 1.2 fail at healthy targets; with the better of three drawn at random it is 3.6.
-     *
-     * @return the choice, or nothing if all that is left is suspect
-     */
-    public static Optional<Candidate> chooseSteady(
-            ServiceTable table, Set<String> tried, RandomGenerator random, long nowNanos) {
-        Candidate local = steadiest(table.local(), tried, random, nowNanos);
-        Candidate remote = steadiest(table.remote(), tried, random, nowNanos);
-        if (local == null && remote == null) {
-            return Optional.ofNullable(steadiest(table.all(), tried, random, nowNanos));
-        }
-        if (local == null || remote == null) {
-            return Optional.of(local == null ? remote : local);
-        }
-        double localRisk = riskOf(local, nowNanos);
-        double remoteRisk = riskOf(remote, nowNanos);
-        return Optional.of(localRisk <= remoteRisk + LOCAL_ADVANTAGE ? local : remote);
-    }
-
-    private static Candidate steadiest(
-            List<Candidate> from, Set<String> tried, RandomGenerator random, long nowNanos) {
-        Candidate best = null;
-        Candidate bestOfAll = null;
-        double bestRisk = Double.MAX_VALUE;
-        double leastRisk = Double.MAX_VALUE;
-        for (Candidate candidate : from) {
-            if (!isAllowed(candidate, tried, null)
-                    || candidate.load().sick(nowNanos) >= HealthGate.UNSTEADY) {
-                continue;
-            }
-            double risk = riskOf(candidate, nowNanos) + TIE_BREAK * random.nextDouble();
-            if (risk < leastRisk) {
-                bestOfAll = candidate;
-                leastRisk = risk;
-            }
-            if (risk < bestRisk && random.nextDouble() < weightOf(candidate, nowNanos)) {
-                best = candidate;
-                bestRisk = risk;
-            }
-        }
-        // Where all are cold, as after a loss of power, weights say nothing.
-        return best == null ? bestOfAll : best;
-    }
-
-    /** Returns the load per slot that a target's sickness and crowding are worth together. */
-    private static double riskOf(Candidate candidate, long nowNanos) {
-        double load = candidate.load().perSlot(candidate.target().slots(), nowNanos);
-        double crowding = CROWDED_FACTOR * Math.max(0, load - ROOMY);
-        return STEADY_SICK_LOAD * candidate.load().sick(nowNanos) + crowding;
-    }
-
     private static Candidate best(
             List<Candidate> from, Set<String> tried, RandomGenerator random, long nowNanos) {
         Candidate one = draw(from, tried, null, random, nowNanos);
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -49,9 +49,6 @@
     /** Hops: the guard of a target that failed the request has paid for its next run. */
     public static final String RETRY_PAID = "Apricotgauge-Retry-Paid";
 
-    /** Hops: the request may wait until the guard's part of the retries allows it. */
-    public static final String RETRY_WAIT = "Apricotgauge-Retry-Wait";
-
     /** Value of {@link #REPEAT}: the request that this call is made for is sent again. */
     public static final String REPEAT_PARENT = "parent";
 
@@ -73,12 +70,6 @@
     /** Hops: how likely the target is to be sick; see {@code HealthOutlook.Told}. */
     public static final String HEALTH = "Apricotgauge-Health";
 
-    /**
-     * Hops: probability of sickness, in permille, from which on a request that must not repeat is
-     * better off at the next best target that its entry knows of.
-     */
-    public static final String SICK_LIMIT = "Apricotgauge-Sick-Limit";
-
     /** Hops: the guard's evidence about the target; see {@code node.EvidenceCodec}. */
     public static final String EVIDENCE = "Apricotgauge-Evidence";
 
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -83,7 +83,6 @@
     private final Request.Handler mKeyed;
     private final DirectoryPages mDirectory;
     private final RetryBudgets mRetries;
-    private final AtomicInteger mWaitingRepeats = new AtomicInteger();
     private final AtomicBoolean mExpiring = new AtomicBoolean();
     private volatile boolean mLeaving;
 
@@ -362,7 +361,6 @@
         return new RetryPass(
                 request.getHeaders(),
                 budget,
-                mWaitingRepeats,
                 mContext.ticker(),
                 () -> mContext.observer().repeatStarted(id));
     }
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -42,13 +42,7 @@
 final class GuardedRequest implements TargetGate.Work, UpstreamExchange.Listener {
     private static final long HEARTBEAT_MILLIS = 1_000;
 
-    /**
-     * A request waits for a retry during at most this part of the time left: the rest is its run.
-     */
-    private static final long RETRY_WAIT_PART = 2;
-
     private static final String PROCESSING = "guard";
-    private static final double PERMILLE = 1_000.0;
 
     private final GuardContext mContext;
     private final TargetGate mGate;
@@ -58,7 +52,6 @@
     private final Response mResponse;
     private final Callback mCallback;
     private final HealthGate.Caution mCaution;
-    private final double mSickLimit;
     private final RetryPass mPass;
     private final HopTime mTime;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
@@ -67,7 +60,6 @@
     private volatile Scheduler.Task mTimeout;
     private volatile Scheduler.Task mHeartbeat;
     private final RunWatch mWatch;
-    private final AtomicReference<Scheduler.Task> mRetryWait = new AtomicReference<>();
     private volatile boolean mTimedOut;
     private volatile boolean mFenced;
     private volatile boolean mAbandoned;
@@ -96,7 +88,6 @@
             HealthGate.Caution caution,
             RetryPass pass) {
         mCaution = caution;
-        mSickLimit = sickLimitOf(request);
         mTime =
                 HopTime.of(
                         request.getHeaders().getLongField(HeaderNames.TIMEOUT_MILLIS),
@@ -113,12 +104,6 @@
         mCallback = callback;
     }
 
-    // An entry of an older release names none, and is held to the limit for all.
-    private static double sickLimitOf(Request request) {
-        long permille = request.getHeaders().getLongField(HeaderNames.SICK_LIMIT);
-        return permille < 0 ? HealthGate.UNSTEADY : permille / PERMILLE;
-    }
-
     /** Tells the entry that the request is here, and goes to the gate. */
     void begin() {
         HangUpEndPoint.watch(mRequest, this::entryGone);
@@ -128,7 +113,7 @@
 
     /** Takes the request out of the queue after a fence; a started one goes on. */
     void fenced() {
-        if (stopsWaiting() && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+        if (mGate.cancel(mTicket) && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             endNotRun(NotRunReason.FENCED, 0);
         }
     }
@@ -144,7 +129,7 @@
     /** Takes the request out of the queue because the node stops; one at the target goes on. */
     void leaving() {
         mLeaving = true;
-        if (stopsWaiting() && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+        if (mGate.cancel(mTicket) && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
             endNotRun(NotRunReason.LEAVING, 0);
         }
@@ -199,12 +184,12 @@
             refuseAtSlot(NotRunReason.TARGET_LEAVING);
             return;
         }
-        if (!mGate.health().mayPass(mCaution, mSickLimit, mContext.ticker().millis())) {
+        if (!mGate.health().mayPass(mCaution, mContext.ticker().millis())) {
             refuseAtSlot(NotRunReason.TARGET_SUSPECT);
             return;
         }
         if (!mPass.tryPass()) {
-            waitForRetries();
+            refuseAtSlot(NotRunReason.RETRIES_SPENT);
             return;
         }
         if (!mPhase.compareAndSet(Phase.WAITING, Phase.SENDING)) {
@@ -222,43 +207,6 @@
         }
     }
 
-    // While a whole service turns most of its requests away, all guards are out of retries. Going
-    // on from one to the next costs ten hops and ends in a refusal; a request that can wait gets
-    // the next retry of this guard, if that comes while it can still be run.
-    private void waitForRetries() {
-        long waitMillis = mPass.waitMillis();
-        long leftMillis = mTicket.deadlineMillis() - mContext.ticker().millis();
-        if (!mRequest.getHeaders().contains(HeaderNames.RETRY_WAIT)
-                || waitMillis > leftMillis / RETRY_WAIT_PART) {
-            refuseAtSlot(NotRunReason.RETRIES_SPENT);
-            return;
-        }
-        mPass.waits(true);
-        mRetryWait.set(
-                mContext.scheduler()
-                        .schedule(this::goOnAfterWait, waitMillis, TimeUnit.MILLISECONDS));
-        mGate.leave(mTicket, Result.CANCELLED, 0);
-    }
-
-    private void goOnAfterWait() {
-        Scheduler.Task wait = mRetryWait.getAndSet(null);
-        if (wait != null) {
-            mPass.waits(false);
-            enter();
-        }
-    }
-
-    /** Takes the request out of whatever it waits in; false if it waits in nothing. */
-    private boolean stopsWaiting() {
-        Scheduler.Task wait = mRetryWait.getAndSet(null);
-        if (wait != null) {
-            wait.cancel();
-            mPass.waits(false);
-            return true;
-        }
-        return mGate.cancel(mTicket);
-    }
-
     private void refuseAtSlot(NotRunReason reason) {
         if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
--- a/src/main/java/org/apricotgauge/target/RetryPass.java
+++ b/src/main/java/org/apricotgauge/target/RetryPass.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.target;
 
-import java.util.concurrent.atomic.AtomicInteger;
 import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.time.Ticker;
@@ -11,7 +10,7 @@
  *
  * <pre>{@code
  * if (!pass.tryPass()) {
- *     long waitMillis = pass.waitMillis();    // until this guard's part allows it
+ *     return notRun(NotRunReason.RETRIES_SPENT);
  * }
  * boolean paid = pass.tryPayNext();           // the target failed it: its next run is paid for
  * }</pre>
@@ -24,7 +23,6 @@
 final class RetryPass {
     private final Kind mKind;
     private final RetryBudget mBudget;
-    private final AtomicInteger mWaiting;
     private final Ticker mTicker;
     private final Runnable mOnRepeat;
 
@@ -47,19 +45,12 @@
      *
      * @param headers headers of the hop
      * @param budget this guard's part of the service's retries
-     * @param waiting counts the requests that wait for the budget
      * @param ticker present time
      * @param onRepeat called when a further run starts
      */
-    RetryPass(
-            HttpFields headers,
-            RetryBudget budget,
-            AtomicInteger waiting,
-            Ticker ticker,
-            Runnable onRepeat) {
+    RetryPass(HttpFields headers, RetryBudget budget, Ticker ticker, Runnable onRepeat) {
         mKind = kindOf(headers);
         mBudget = budget;
-        mWaiting = waiting;
         mTicker = ticker;
         mOnRepeat = onRepeat;
     }
@@ -99,16 +90,6 @@
         return true;
     }
 
-    /** Returns in how many milliseconds the budget may allow it, after those that wait already. */
-    long waitMillis() {
-        return mBudget.waitMillis(mWaiting.get(), mTicker.millis());
-    }
-
-    /** Notes that the request waits for the budget, until {@link #waits} takes it back. */
-    void waits(boolean waiting) {
-        mWaiting.addAndGet(waiting ? 1 : -1);
-    }
-
     /** Pays for another run of the request; false if the budget is spent. */
     boolean tryPayNext() {
         return mBudget.tryRetry(mTicker.millis());
