Ask no quiet paths, and go back to the pauses at the store

Ruled out: nothing by measurement. The question gives up on a guard after 170 ms and leaves it alone for 1.5 s, also if it is only slow, and costs bytes between failure domains; longer pauses tell later of targets that are gone.

--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -23,7 +23,6 @@
  * @param lag how late this process runs
  * @param dialect headers of the site's callers and targets
  * @param reach which ways lead to a target
- * @param quietPathMillis from when on a quiet path is asked about; see {@link EntryOptions}
  * @param log tells how requests ended
  * @param metrics counters
  */
@@ -39,7 +38,6 @@
         LagMeter lag,
         SiteDialect dialect,
         EntryOptions.Reach reach,
-        long quietPathMillis,
         DecisionLog log,
         EntryMetrics metrics) {
 
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -95,7 +95,6 @@
                         new LagMeter(scheduler, ticker),
                         options.dialect(),
                         options.reach(),
-                        options.quietPathMillis(),
                         new DecisionLog(ticker),
                         EntryMetrics.of(registry));
         mKeyed = new KeyedRequests(mContext, options.keyLimits());
--- a/src/main/java/org/apricotgauge/caller/EntryOptions.java
+++ b/src/main/java/org/apricotgauge/caller/EntryOptions.java
@@ -19,8 +19,6 @@
  * @param reach whether targets can be reached past their guards
  * @param repeatPolicy how often a request is sent
  * @param keyLimits bounds of the memory of Idempotency-Keys
- * @param quietPathMillis a path to a guard that has carried nothing for longer is asked about
- *     before it gets a request that must not repeat, in milliseconds
  * @param entryRetries which retries the entry may send
  * @param guardRetries which retries the guard lets through to a target
  */
@@ -29,16 +27,9 @@
         Reach reach,
         RepeatPolicy repeatPolicy,
         KeyLimits keyLimits,
-        long quietPathMillis,
         RetryPool entryRetries,
         RetryPool guardRetries) {
 
-    /**
-     * How long a path may have been quiet by default, in milliseconds. Where some paths are cut for
-     * seconds now and then, hardly one is cut within so short a time after it carried something.
-     */
-    public static final long QUIET_PATH_MILLIS = 300;
-
     /** Which ways lead to a target. */
     public enum Reach {
         /** Through its guard or, where there is none, straight. */
@@ -60,7 +51,6 @@
         Checks.notNull("reach", reach);
         Checks.notNull("repeatPolicy", repeatPolicy);
         Checks.notNull("keyLimits", keyLimits);
-        Checks.inRange("quietPathMillis", quietPathMillis, 0, Long.MAX_VALUE);
         Checks.notNull("entryRetries", entryRetries);
         Checks.notNull("guardRetries", guardRetries);
     }
@@ -72,14 +62,7 @@
                 Reach.ANY_WAY,
                 RepeatPolicy.DEFAULT,
                 keyLimits,
-                QUIET_PATH_MILLIS,
                 RetryPool.PER_NODE,
                 RetryPool.UNBOUNDED);
     }
-
-    /** Returns these options with another bound on quiet paths. */
-    public EntryOptions withQuietPathMillis(long millis) {
-        return new EntryOptions(
-                dialect, reach, repeatPolicy, keyLimits, millis, entryRetries, guardRetries);
-    }
 }
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -2,7 +2,6 @@
 
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apricotgauge.decision.admission.Patience;
@@ -43,12 +42,6 @@
     /** The margin is at most this part of the time left. */
     private static final long MARGIN_PART = 10;
 
-    /**
-     * The wait for a path to prove itself, as a part of that for the first word: nothing is lost by
-     * giving up early, since the request goes elsewhere.
-     */
-    private static final long PATH_CHECK_PART = 3;
-
     /** As sick as a target counts right after a failure. */
     private static final double DISTRUSTED = 0.95;
 
@@ -74,7 +67,8 @@
     public void send() {
         mAccount.begin();
         long waitMillis = Math.max(1, Math.min(firstWordMillis(), mExchange.leftMillis()));
-        sighting(waitMillis)
+        mContext.guards()
+                .sighting(mCandidate.guard(), waitMillis)
                 .whenComplete(
                         (sighting, failure) -> {
                             if (failure == null) {
@@ -85,17 +79,6 @@
                         });
     }
 
-    private CompletableFuture<GuardSighting> sighting(long waitMillis) {
-        if (mExchange.asked().repeatable()) {
-            return mContext.guards().sighting(mCandidate.guard(), waitMillis);
-        }
-        return mContext.guards()
-                .freshSighting(
-                        mCandidate.guard(),
-                        mContext.quietPathMillis(),
-                        Math.max(1, waitMillis / PATH_CHECK_PART));
-    }
-
     private void unreachable() {
         over();
         distrust();
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -42,29 +42,17 @@
     static final long ANSWER_MILLIS = 1_000;
 
     /**
-     * Pause after a page with changes, in milliseconds: those that come meanwhile come in one call,
-     * for every node. A version still is in force well within the 2 s that it may take.
+     * Pause after a page with changes: those of the next 0.3 s come in one call, for every node. A
+     * version still is in force well within the 2 s that it may take.
      */
-    static final long GAP_MILLIS = 500;
+    static final long GAP_MILLIS = 300;
 
-    /**
-     * How long a peer may be ahead before it is asked, in milliseconds. Longer than the pause
-     * between two calls, or each change would cost a node that is in its pause a question and a
-     * call.
-     */
-    static final long HINT_PATIENCE_MILLIS = 700;
+    /** How long a peer may be ahead before it is asked; the own watch usually answers sooner. */
+    static final long HINT_PATIENCE_MILLIS = 200;
 
-    /**
-     * Pause after the first failed call at a platform, in milliseconds; doubled by each further.
-     */
+    /** Pause between two tries at a platform that does not answer. */
     static final long RETRY_MILLIS = 300;
 
-    /**
-     * Longest pause between two tries at a platform that does not answer, in milliseconds. Peers
-     * that reach it tell of changes meanwhile, and each call is paid for, failed ones too.
-     */
-    static final long MAX_RETRY_MILLIS = 1_200;
-
     /** Pause between two questions to peers while the platform does not answer. */
     static final long PEER_PAUSE_MILLIS = 400;
 
@@ -100,7 +88,6 @@
     private boolean mCalling;
     private long mCallDueMillis;
     private long mNextCallMillis;
-    private long mRetryMillis = RETRY_MILLIS;
     private boolean mPlatformLost;
     private long mTroubleMillis = Long.MIN_VALUE / 2;
     private long mNextPeerMillis;
@@ -258,7 +245,6 @@
             return;
         }
         mCalling = false;
-        mRetryMillis = RETRY_MILLIS;
         if (mPlatformLost) {
             mPlatformLost = false;
             mLog.info("platform regained", new Regained(mItems.get().revision()));
@@ -274,8 +260,7 @@
         mCalling = false;
         mCall++;
         mTroubleMillis = nowMillis;
-        mNextCallMillis = nowMillis + mRetryMillis;
-        mRetryMillis = Math.min(MAX_RETRY_MILLIS, 2 * mRetryMillis);
+        mNextCallMillis = nowMillis + RETRY_MILLIS;
         if (!mPlatformLost) {
             mPlatformLost = true;
             mLog.warn("platform lost", new Lost(reason, mItems.get().revision()));
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -232,7 +232,6 @@
                         EntryOptions.Reach.GUARDS_ONLY,
                         REPEATS,
                         KeyLimits.DEFAULT,
-                        EntryOptions.QUIET_PATH_MILLIS,
                         RetryPool.UNBOUNDED,
                         retryPool()));
     }
--- a/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.GuardSighting;
@@ -109,39 +108,6 @@
                 .thenApply(answer -> mSightings.get(guard));
     }
 
-    /**
-     * Returns a sighting of a guard that is not older than said, asking it if need be over the
-     * connections that requests use.
-     *
-     * <p>A path that was cut while nobody used it shows only once something is sent there. A
-     * request that must not repeat would be lost with it, since nobody could say whether it
-     * arrived; this question is not. On a calm day with some paths cut for seconds, 11 of 1,700
-     * requests ended so.
-     *
-     * @param maxAgeMillis oldest sighting that will do
-     * @param timeoutMillis longest wait for the answer; silence fails the future
-     */
-    public CompletableFuture<GuardSighting> freshSighting(
-            Address guard, long maxAgeMillis, long timeoutMillis) {
-        GuardSighting known = mSightings.get(guard);
-        if (known != null && mTicker.millis() - known.seenAtMillis() <= maxAgeMillis) {
-            return CompletableFuture.completedFuture(known);
-        }
-        CompletableFuture<String> answer = new CompletableFuture<>();
-        newRequest(guard)
-                .path("/")
-                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
-                .headers(headers -> headers.put(HeaderNames.CONTROL, GuardHandler.CONTROL_STAMP))
-                .send(new ControlListener(guard, answer));
-        return answer.whenComplete(
-                        (text, failure) -> {
-                            if (failure instanceof TimeoutException) {
-                                wentSilent(guard);
-                            }
-                        })
-                .thenApply(text -> mSightings.get(guard));
-    }
-
     /** Notes that a connection to the guard went silent; the unused ones are not trusted either. */
     public void wentSilent(Address guard) {
         HttpClientFactory.dropIdleConnections(mForwarding, guard);
--- a/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
@@ -112,7 +112,6 @@
                         null,
                         FleetDialect.INSTANCE,
                         EntryOptions.Reach.GUARDS_ONLY,
-                        EntryOptions.QUIET_PATH_MILLIS,
                         null,
                         null);
         ServiceTable table = ServiceTable.of(service, mCandidates, "entry", "here");
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -67,7 +67,6 @@
     private final HttpClientFactory mClients = new HttpClientFactory(mThreads, mScheduler);
     private final Map<String, HopVm> mVms = new HashMap<>();
     private final List<HttpClient> mStarted = new ArrayList<>();
-    private final long mQuietPathMillis;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
     private Configuration mConfiguration =
@@ -102,13 +101,7 @@
         }
     }
 
-    /** VMs whose entries ask about no path: what a test silences shows in requests alone. */
     Hops(String... vms) throws Exception {
-        this(Long.MAX_VALUE, vms);
-    }
-
-    Hops(long quietPathMillis, String... vms) throws Exception {
-        mQuietPathMillis = quietPathMillis;
         mThreads.start();
         mScheduler.start();
         for (String vm : vms) {
@@ -207,7 +200,7 @@
                         Ticker.system(),
                         new Blind(),
                         service -> Optional.empty(),
-                        EntryOptions.of(KEYS).withQuietPathMillis(mQuietPathMillis),
+                        EntryOptions.of(KEYS),
                         vm.mRegistry);
         vm.mGuard =
                 new GuardHandler(
