Log when a node learns that a target leaves, and by which view requests pass

Cause: of the reported incident no record answers when each node learned that a target leaves, nor by which view of the site an entry and a guard sent a request to it after that. Ruled out: reading it from the lines there were; TargetLeaving existed and nobody recorded it where targets register themselves. No change of what is done.

--- a/src/main/java/org/apricotgauge/caller/DecisionLog.java
+++ b/src/main/java/org/apricotgauge/caller/DecisionLog.java
@@ -2,8 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
-import org.apricotgauge.decision.TokenBucket;
-import org.apricotgauge.log.StateLog;
+import org.apricotgauge.log.BoundedLog;
 import org.apricotgauge.time.Ticker;
 import org.jboss.logging.Logger;
 
@@ -26,11 +25,8 @@
     /** One in so many requests that ended well leaves a line. */
     static final int SAMPLE = 16;
 
-    private final StateLog mLog = new StateLog(Logger.getLogger("org.apricotgauge.requests"));
-    private final Ticker mTicker;
-    private final TokenBucket mLines;
+    private final BoundedLog mLog;
     private final AtomicLong mWell = new AtomicLong();
-    private long mLeftOut;
 
     /**
      * How a request ended.
@@ -57,8 +53,9 @@
     private record Line(Ended request, long leftOut) {}
 
     DecisionLog(Ticker ticker) {
-        mTicker = ticker;
-        mLines = new TokenBucket(LINES_PER_SECOND, LINES_PER_SECOND, ticker.millis());
+        mLog =
+                new BoundedLog(
+                        Logger.getLogger("org.apricotgauge.requests"), ticker, LINES_PER_SECOND);
     }
 
     /** Returns whether a request that ended well is in the sample. */
@@ -67,15 +64,6 @@
     }
 
     void ended(Ended request) {
-        long leftOut;
-        synchronized (mLines) {
-            if (!mLines.take(1, mTicker.millis())) {
-                mLeftOut++;
-                return;
-            }
-            leftOut = mLeftOut;
-            mLeftOut = 0;
-        }
-        mLog.info("request ended", new Line(request, leftOut));
+        mLog.info("request ended", leftOut -> new Line(request, leftOut));
     }
 }
--- a/src/main/java/org/apricotgauge/caller/EntryObserver.java
+++ b/src/main/java/org/apricotgauge/caller/EntryObserver.java
@@ -3,6 +3,7 @@
 import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.detection.ObservedOutcome;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -18,6 +19,9 @@
      */
     void attempted(Target target, ObservedOutcome outcome, long totalMicros);
 
+    /** Returns what this node knows of the site now, for the line of a decision. */
+    SiteView siteView();
+
     /** Called before each attempt is sent to a guard, to add what the guard should learn. */
     void beforeHop(HttpFields.Mutable headers);
 
--- a/src/main/java/org/apricotgauge/caller/ExchangeReport.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangeReport.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.model.SiteView;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
 
@@ -36,9 +37,20 @@
         mStartNanos = context.ticker().nanos();
     }
 
-    /** Notes that the request goes to a target. */
+    /** Notes that the request goes to a target, and by which view of the site. */
     void sending(Candidate candidate, String caution) {
-        step(candidate.target().id() + " at " + candidate.target().host() + ' ' + caution);
+        SiteView view = mContext.observer().siteView();
+        step(
+                candidate.target().id()
+                        + " at "
+                        + candidate.target().host()
+                        + ' '
+                        + caution
+                        + " by revision "
+                        + view.revision()
+                        + " of "
+                        + view.ageMillis()
+                        + " ms ago");
     }
 
     /** Notes a step that is neither a sending nor an outcome. */
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.log.StateLog;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.time.Ticker;
 import org.jboss.logging.Logger;
 
@@ -76,10 +77,12 @@
 
     private static final int MAX_PEERS = 64;
 
+    private static final String PLATFORM = "platform";
+
     private final Parts mParts;
     private final Listener mListener;
     private final FreshnessGuard mFreshness;
-    private final SiteDirectory mDirectory = new SiteDirectory();
+    private final SiteDirectory mDirectory = new SiteDirectory(this::log);
     private final AtomicReference<ItemTable> mItems = new AtomicReference<>(ItemTable.EMPTY);
     private final CompletableFuture<Void> mOpened = new CompletableFuture<>();
     private final StateLog mLog = new StateLog(Logger.getLogger(DirectoryFeed.class));
@@ -89,6 +92,8 @@
     private long mCallDueMillis;
     private long mNextCallMillis;
     private boolean mPlatformLost;
+    private volatile long mConfirmedAtMillis;
+    private Reading mReading = Reading.NONE;
     private long mTroubleMillis = Long.MIN_VALUE / 2;
     private long mNextPeerMillis;
     private volatile long mHintedRevision;
@@ -138,6 +143,7 @@
     public DirectoryFeed(Parts parts, Listener listener) {
         mParts = Checks.notNull("parts", parts);
         mListener = Checks.notNull("listener", listener);
+        mConfirmedAtMillis = parts.ticker().millis();
         mFreshness =
                 new FreshnessGuard(
                         PAUSE_MILLIS,
@@ -240,7 +246,8 @@
             failed(call, failure.toString(), nowMillis);
             return;
         }
-        take(page, nowMillis);
+        take(page, PLATFORM, nowMillis);
+        mConfirmedAtMillis = nowMillis;
         if (call != mCall) {
             return;
         }
@@ -267,7 +274,7 @@
         }
     }
 
-    private void take(PublishedPage page, long nowMillis) {
+    private void take(PublishedPage page, String source, long nowMillis) {
         ItemTable before = mItems.get();
         ItemTable after = before.with(page);
         if (page.revision() >= before.revision()) {
@@ -277,18 +284,16 @@
             return;
         }
         mItems.set(after);
-        List<SiteChange> changes = new ArrayList<>();
-        for (PublishedItem item : after.changesAfter(before.newest()).items()) {
-            SiteChange change = mParts.decoder().decode(item);
-            if (change instanceof SiteChange.Unreadable unreadable) {
-                mLog.warn("published item is unreadable", unreadable);
-            }
-            if (change instanceof SiteChange.Unusable unusable) {
-                mLog.warn("registration names no target", unusable);
-            }
-            changes.add(change);
+        List<Change> changes =
+                after.changesAfter(before.newest()).items().stream().map(this::decode).toList();
+        SiteDirectory.LapseDoubt doubt = doubt(changes, nowMillis);
+        boolean changed = false;
+        for (Change change : changes) {
+            mReading = new Reading(change.revision(), source, viewAgeMillis(nowMillis), doubt);
+            changed |= mDirectory.take(change.meaning(), nowMillis, doubt);
         }
-        if (mDirectory.take(changes, nowMillis, doubt(changes, nowMillis))) {
+        mReading = Reading.NONE;
+        if (changed) {
             mListener.onSite(mDirectory);
         }
         if (mDirectory.configuration() != null) {
@@ -296,8 +301,38 @@
         }
     }
 
-    private SiteDirectory.LapseDoubt doubt(List<SiteChange> changes, long nowMillis) {
-        long ended = changes.stream().filter(SiteChange.Unregistered.class::isInstance).count();
+    private Change decode(PublishedItem item) {
+        SiteChange change = mParts.decoder().decode(item);
+        if (change instanceof SiteChange.Unreadable unreadable) {
+            mLog.warn("published item is unreadable", unreadable);
+        }
+        if (change instanceof SiteChange.Unusable unusable) {
+            mLog.warn("registration names no target", unusable);
+        }
+        return new Change(change, item.revision());
+    }
+
+    // A start reads every target of the site as new; that many lines would tell nothing.
+    private void log(TargetChange change) {
+        if (change.from() != TargetChange.Presence.ABSENT || mOpened.isDone()) {
+            mLog.info("target changed", new Believed(change, mReading));
+        }
+    }
+
+    /** Returns what is known of the site, and since when the platform may know more. */
+    public SiteView view() {
+        return new SiteView(newestRevision(), viewAgeMillis(mParts.ticker().millis()));
+    }
+
+    private long viewAgeMillis(long nowMillis) {
+        return Math.max(0, nowMillis - mConfirmedAtMillis);
+    }
+
+    private SiteDirectory.LapseDoubt doubt(List<Change> changes, long nowMillis) {
+        long ended =
+                changes.stream()
+                        .filter(change -> change.meaning() instanceof SiteChange.Unregistered)
+                        .count();
         boolean wasAway = nowMillis - mTroubleMillis < DOUBT_MILLIS || ended >= DOUBTFUL_AT_ONCE;
         return wasAway ? SiteDirectory.LapseDoubt.PLATFORM_WAS_AWAY : SiteDirectory.LapseDoubt.NONE;
     }
@@ -327,7 +362,7 @@
                 .whenCompleteAsync(
                         (page, failure) -> {
                             if (failure == null) {
-                                take(page, mParts.ticker().millis());
+                                take(page, peer.toString(), mParts.ticker().millis());
                             } else {
                                 mLog.warn(
                                         "peer does not tell what it knows",
@@ -344,6 +379,24 @@
         mCallDueMillis = Long.MAX_VALUE;
     }
 
+    /** A decoded item with its revision. */
+    private record Change(SiteChange meaning, long revision) {}
+
+    /**
+     * What a step in the beliefs of a target rests on.
+     *
+     * @param revision revision of the change; 0 for time that has run out
+     * @param source the platform, or the address of the peer that told it; empty for time
+     * @param viewAgeMillis time since the platform's last answer before it
+     * @param doubt how long an ended registration is kept for
+     */
+    private record Reading(
+            long revision, String source, long viewAgeMillis, SiteDirectory.LapseDoubt doubt) {
+        static final Reading NONE = new Reading(0, "", 0, SiteDirectory.LapseDoubt.NONE);
+    }
+
+    private record Believed(TargetChange target, Reading reading) {}
+
     private record Woke(long revision) {}
 
     private record Lost(String reason, long revision) {}
--- a/src/main/java/org/apricotgauge/directory/Registration.java
+++ b/src/main/java/org/apricotgauge/directory/Registration.java
@@ -9,9 +9,11 @@
  * @param name what it is registered under; a target that starts again may keep it
  * @param target this run of the target, with an id of its own
  * @param leaving whether it said that it leaves
+ * @param sequence how often this run of the target had written
  * @param coldMillis how much longer it was slow after its start, when it wrote, in milliseconds
  */
-public record Registration(String name, Target target, boolean leaving, long coldMillis) {
+public record Registration(
+        String name, Target target, boolean leaving, long sequence, long coldMillis) {
 
     /** Checks the parts. */
     public Registration {
--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.apricotgauge.directory.TargetChange.Presence;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Target;
@@ -57,8 +59,19 @@
     private final Map<String, Entry> mRegistrations = new TreeMap<>();
     private long mNextOrder;
     private final Map<String, Long> mVanishedUntilMillis = new HashMap<>();
+    private final Consumer<TargetChange> mOnTarget;
     private PublishedConfiguration mConfiguration;
 
+    /** Creates a directory of which nobody hears. */
+    public SiteDirectory() {
+        this(change -> {});
+    }
+
+    /** Creates a directory that tells each step in what is believed of a target. */
+    SiteDirectory(Consumer<TargetChange> onTarget) {
+        mOnTarget = Checks.notNull("onTarget", onTarget);
+    }
+
     /** Takes in changes; returns whether anything that requests depend on is different. */
     public boolean take(Collection<SiteChange> changes, long nowMillis, LapseDoubt doubt) {
         Checks.notNull("doubt", doubt);
@@ -69,7 +82,8 @@
         return changed;
     }
 
-    private boolean take(SiteChange change, long nowMillis, LapseDoubt doubt) {
+    /** Takes in a change; returns whether anything that requests depend on is different. */
+    boolean take(SiteChange change, long nowMillis, LapseDoubt doubt) {
         if (change instanceof SiteChange.Configured configured) {
             return configure(configured.configuration());
         }
@@ -80,22 +94,53 @@
             return vanish(unregistered.name(), nowMillis, doubt);
         }
         if (change instanceof SiteChange.Unusable unusable) {
-            mVanishedUntilMillis.remove(unusable.name());
-            return mRegistrations.remove(unusable.name()) != null;
+            return remove(unusable.name());
         }
         return false;
     }
 
+    private boolean remove(String name) {
+        Presence before = presenceOf(name);
+        mVanishedUntilMillis.remove(name);
+        Entry entry = mRegistrations.remove(name);
+        tell(entry, before, Presence.ABSENT);
+        return entry != null;
+    }
+
+    private Presence presenceOf(String name) {
+        Entry entry = mRegistrations.get(name);
+        if (entry == null) {
+            return Presence.ABSENT;
+        }
+        if (mVanishedUntilMillis.containsKey(name)) {
+            return Presence.ENDED;
+        }
+        return entry.registration().leaving() ? Presence.LEAVING : Presence.READY;
+    }
+
+    private void tell(Entry entry, Presence from, Presence to) {
+        if (entry == null || from == to) {
+            return;
+        }
+        Registration known = entry.registration();
+        mOnTarget.accept(
+                new TargetChange(known.name(), known.target().id(), from, to, known.sequence()));
+    }
+
     private boolean register(Registration registration) {
+        Presence before = presenceOf(registration.name());
         boolean back = mVanishedUntilMillis.remove(registration.name()) != null;
         Entry known = mRegistrations.get(registration.name());
         if (known != null && known.registration().equals(registration)) {
+            tell(known, before, presenceOf(registration.name()));
             return back;
         }
         boolean sameRun =
                 known != null && known.registration().target().equals(registration.target());
         long order = sameRun ? known.order() : mNextOrder++;
-        mRegistrations.put(registration.name(), new Entry(registration, order));
+        Entry entry = new Entry(registration, order);
+        mRegistrations.put(registration.name(), entry);
+        tell(entry, before, presenceOf(registration.name()));
         return true;
     }
 
@@ -113,11 +158,12 @@
             return false;
         }
         if (entry.registration().leaving()) {
-            mRegistrations.remove(name);
-            return true;
+            return remove(name);
         }
+        Presence before = presenceOf(name);
         long keepMillis = doubt == LapseDoubt.NONE ? VANISHED_MILLIS : DOUBTFUL_MILLIS;
         mVanishedUntilMillis.putIfAbsent(name, nowMillis + keepMillis);
+        tell(entry, before, Presence.ENDED);
         return false;
     }
 
@@ -130,8 +176,8 @@
                         due.add(name);
                     }
                 });
-        due.forEach(mVanishedUntilMillis::remove);
-        return mRegistrations.keySet().removeAll(due);
+        due.forEach(this::remove);
+        return !due.isEmpty();
     }
 
     /** Returns the configuration in force, or null before the first. */
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -19,10 +19,12 @@
 import org.apricotgauge.directory.Registration;
 import org.apricotgauge.directory.SiteDecoder;
 import org.apricotgauge.directory.SiteDirectory;
+import org.apricotgauge.event.TargetLeaving;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Route;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
@@ -47,6 +49,7 @@
     private final DirectoryFeed mFeed;
     private Configuration mConfiguration = Configuration.EMPTY;
     private List<Route> mRoutes = List.of();
+    private Set<String> mLeaving = Set.of();
     private volatile Mark mMark = new Mark("", "", 0);
 
     private DirectoryControl(
@@ -104,6 +107,19 @@
         mParts.listener().onMembers(new Members(leaving, guards));
         mParts.listener().onConfiguration(published.version(), mConfiguration, mMark);
         mFeed.setPeers(guards);
+        // Behind the tasks that change the table: the event stands where requests obey it.
+        Set<String> before = mLeaving;
+        mLeaving = leaving;
+        mParts.worker().execute(() -> recordLeaving(before, leaving));
+    }
+
+    private void recordLeaving(Set<String> before, Set<String> leaving) {
+        for (String id : leaving) {
+            Target target = before.contains(id) ? null : mConfiguration.target(id);
+            if (target != null) {
+                mParts.events().record(new TargetLeaving(target.service(), id, "platform"));
+            }
+        }
     }
 
     private void followRoutes(PublishedConfiguration published) {
@@ -169,6 +185,11 @@
         return mFeed.mayAct();
     }
 
+    @Override
+    public SiteView siteView() {
+        return mFeed.view();
+    }
+
     /**
      * Peers learn it from the guard's refusals, which prove "not run", and from its closed port.
      */
--- a/src/main/java/org/apricotgauge/node/GossipControl.java
+++ b/src/main/java/org/apricotgauge/node/GossipControl.java
@@ -16,6 +16,7 @@
 import org.apricotgauge.event.HlcTimestamp;
 import org.apricotgauge.event.VmLeaving;
 import org.apricotgauge.model.Address;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.platform.HttpPlatformClient;
 import org.apricotgauge.platform.PlatformClient;
 import org.eclipse.jetty.http.HttpFields;
@@ -88,6 +89,11 @@
         return new Mark(digest, history.digest().toString(), history.position());
     }
 
+    @Override
+    public SiteView siteView() {
+        return SiteView.NONE;
+    }
+
     @Override
     public void beforeHop(HttpFields.Mutable headers) {}
 
--- a/src/main/java/org/apricotgauge/node/NodeControl.java
+++ b/src/main/java/org/apricotgauge/node/NodeControl.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Vm;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.client.HttpClient;
@@ -39,6 +40,9 @@
     /** Returns what tells two nodes' histories apart. */
     Mark mark();
 
+    /** Returns what is known of the site, and since when; cheap enough for each request. */
+    SiteView siteView();
+
     /** Adds to a hop's head what the other node should know. */
     void beforeHop(HttpFields.Mutable headers);
 
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.event.FenceResult;
 import org.apricotgauge.event.FenceUsed;
 import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.operator.OutcomeKind;
 import org.apricotgauge.operator.OutcomeWindows;
@@ -68,6 +69,11 @@
         beforeHop(headers);
     }
 
+    @Override
+    public SiteView siteView() {
+        return mControl.get().siteView();
+    }
+
     @Override
     public void beforeHop(HttpFields.Mutable headers) {
         headers.put(HeaderNames.CLOCK, mEvents.stamp());
--- a/src/main/java/org/apricotgauge/node/UnstartedControl.java
+++ b/src/main/java/org/apricotgauge/node/UnstartedControl.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.node;
 
 import java.util.concurrent.CompletableFuture;
+import org.apricotgauge.model.SiteView;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Stands for a node's control until it is started: nothing is known, and nothing may be done. */
@@ -36,6 +37,11 @@
         return new Mark("", "", 0);
     }
 
+    @Override
+    public SiteView siteView() {
+        return SiteView.NONE;
+    }
+
     @Override
     public void beforeHop(HttpFields.Mutable headers) {}
 
--- a/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
@@ -135,6 +135,7 @@
                             name,
                             target(name, document),
                             isLeaving(status.state()),
+                            status.sequence(),
                             status.coldRemainingMs()));
         } catch (IOException | RuntimeException e) {
             return new SiteChange.Unusable(name, e.toString());
--- a/src/main/java/org/apricotgauge/target/GuardContext.java
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -18,6 +18,7 @@
  * @param observer hears how requests ended
  * @param takesWork whether a target is there and not leaving
  * @param dialect headers of the site's targets
+ * @param log tells which requests were sent to targets
  * @param metrics counters
  */
 record GuardContext(
@@ -28,4 +29,5 @@
         GuardObserver observer,
         Predicate<Target> takesWork,
         SiteDialect dialect,
+        RunLog log,
         GuardMetrics metrics) {}
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -138,6 +138,7 @@
                         observer,
                         this::takesWork,
                         dialect,
+                        new RunLog(ticker),
                         GuardMetrics.of(registry));
         mGates = new TargetGates(slotUse, ticker, this::expireWhileQueued);
     }
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -2,6 +2,7 @@
 
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.health.HealthOutlook;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -39,6 +40,9 @@
      */
     void healthSeen(Target target, HealthOutlook.Told health, int loadPermille);
 
+    /** Returns what this node knows of the site now, for the line of a decision. */
+    SiteView siteView();
+
     /** Called when a request, by its id, starts at a target. */
     void runStarted(String requestId);
 
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -24,6 +24,7 @@
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.UpstreamExchange;
 import org.apricotgauge.http.WatchedSource;
+import org.apricotgauge.model.SiteView;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -54,6 +55,9 @@
     private final HealthGate.Caution mCaution;
     private final RetryPass mPass;
     private final HopTime mTime;
+    private final long mArrivedAtMillis;
+    private volatile long mSlotAtMillis;
+    private volatile SiteView mView = SiteView.NONE;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
     private volatile long mSentAtNanos;
     private volatile UpstreamExchange mExchange;
@@ -88,11 +92,12 @@
             HealthGate.Caution caution,
             RetryPass pass) {
         mCaution = caution;
+        mArrivedAtMillis = context.ticker().millis();
         mTime =
                 HopTime.of(
                         request.getHeaders().getLongField(HeaderNames.TIMEOUT_MILLIS),
                         ticket.deadlineMillis(),
-                        context.ticker().millis());
+                        mArrivedAtMillis);
         mPass = pass;
         mContext = context;
         mGate = gate;
@@ -180,6 +185,8 @@
 
     @Override
     public void admitted() {
+        mSlotAtMillis = mContext.ticker().millis();
+        mView = mContext.observer().siteView();
         if (!mContext.takesWork().test(mGate.target())) {
             refuseAtSlot(NotRunReason.TARGET_LEAVING);
             return;
@@ -252,9 +259,24 @@
         mSentAtNanos = mContext.ticker().nanos();
         // A fence may have been answered "not run" while this waited; from then it must not start.
         mFenced = !mContext.ledger().started(mAttempt);
+        if (!mFenced) {
+            logStart();
+        }
         return !mFenced;
     }
 
+    private void logStart() {
+        mContext.log()
+                .started(
+                        new RunLog.Started(
+                                requestId(),
+                                mGate.target().id(),
+                                mAttempt.toString(),
+                                mView,
+                                mSlotAtMillis - mArrivedAtMillis,
+                                mContext.ticker().millis() - mSlotAtMillis));
+    }
+
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
         if (!mPhase.compareAndSet(Phase.SENDING, Phase.ENDED)) {
--- a/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
+++ b/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
@@ -197,6 +197,6 @@
         }
         int port = 1 + item.key().charAt(0);
         Target target = new Target(item.key(), "s", "vm", "here", "127.0.0.1", port, 3);
-        return new SiteChange.Registered(new Registration(item.key(), target, false, 0));
+        return new SiteChange.Registered(new Registration(item.key(), target, false, 1, 0));
     }
 }
--- a/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
+++ b/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
@@ -119,11 +119,11 @@
 
     private static SiteChange registered(String id, boolean leaving) {
         Target target = new Target(id, "s", "vm", "here", "127.0.0.1", 1, 3);
-        return new SiteChange.Registered(new Registration(id, target, leaving, 0));
+        return new SiteChange.Registered(new Registration(id, target, leaving, 1, 0));
     }
 
     private static SiteChange registered(String name, Target target) {
-        return new SiteChange.Registered(new Registration(name, target, false, 0));
+        return new SiteChange.Registered(new Registration(name, target, false, 1, 0));
     }
 
     private static PublishedConfiguration configuration(long version) {
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -32,6 +32,7 @@
 import org.apricotgauge.model.Repeatability;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.Service;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.target.GuardHandler;
@@ -261,6 +262,11 @@
         @Override
         public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {}
 
+        @Override
+        public SiteView siteView() {
+            return SiteView.NONE;
+        }
+
         @Override
         public void beforeHop(HttpFields.Mutable headers) {}
 
