Bound the age of a node's view of the site, and keep ended registrations by it

Cause: a watch whose connection went silent looks like one with nothing to tell; it was given up after 11 s. A guard whose target leaves gets hops only from nodes that lag as well, so no hint came. And a registration that ended within 3 s of any failed call, or with two others, was kept for 2.2 s from when each node heard of it, though a target serves on for 2 s from the platform's word. Ruled out: a shorter watch for all (16 calls a second for 24 nodes, and 6,000 for 9,000 nodes, over the platform's rate); keep-alive probes alone (a lost answer leaves the connection alive). Change: a node whose view was not confirmed for 0.38 to 0.75 of the time for which targets serve on asks beside its watch; hops carry how old the sender's view is, so that one answer confirms many nodes. An ended registration is kept for 0.5 of that time, never longer than 0.8 of it after the last confirmation; only after an absence of the platform as long as two heartbeats until 2.2 s after its return. Both times are settings.

--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -34,8 +35,8 @@
  */
 public final class DirectoryFeed implements AutoCloseable {
     /**
-     * How long one watch waits at the platform, in milliseconds. A watch costs a call each time,
-     * and a connection that went silent is found out only at its end.
+     * How long one watch waits at the platform, in milliseconds. A watch costs a call each time;
+     * that it still works is found out by the age of the view, see {@link #renewIfOld}.
      */
     static final long WATCH_MILLIS = 10_000;
 
@@ -57,18 +58,6 @@
     /** Pause between two questions to peers while the platform does not answer. */
     static final long PEER_PAUSE_MILLIS = 400;
 
-    /**
-     * How long after the platform was away an ended registration is in doubt; targets need 2 s to
-     * register anew.
-     */
-    static final long DOUBT_MILLIS = 3_000;
-
-    /**
-     * So many registrations that end at once without a word have run out while the platform was
-     * away, which a node with a waiting watch does not notice otherwise.
-     */
-    static final int DOUBTFUL_AT_ONCE = 3;
-
     /** A longer gap between two ticks counts as a pause of the process. */
     private static final long PAUSE_MILLIS = 1_500;
 
@@ -92,9 +81,12 @@
     private long mCallDueMillis;
     private long mNextCallMillis;
     private boolean mPlatformLost;
-    private volatile long mConfirmedAtMillis;
+    private final Confirmations mConfirmations;
+    private long mRenewal;
+    private boolean mRenewing;
+    private long mRenewalDueMillis;
+    private long mRenewAtAgeMillis;
     private Reading mReading = Reading.NONE;
-    private long mTroubleMillis = Long.MIN_VALUE / 2;
     private long mNextPeerMillis;
     private volatile long mHintedRevision;
     private volatile long mHintedAtMillis;
@@ -116,7 +108,8 @@
      * @param worker runs all work, one piece after the other
      * @param ticker time of intervals
      * @param wallMillis time of day in milliseconds; it goes on while the VM is suspended
-     * @param random chooses peers
+     * @param random chooses peers and spreads questions
+     * @param times by which the platform lets targets leave
      */
     public record Parts(
             PublishedSource platform,
@@ -125,7 +118,8 @@
             Executor worker,
             Ticker ticker,
             LongSupplier wallMillis,
-            RandomGenerator random) {
+            RandomGenerator random,
+            PlatformTimes times) {
 
         /** Checks the parts. */
         public Parts {
@@ -136,6 +130,7 @@
             Checks.notNull("ticker", ticker);
             Checks.notNull("wallMillis", wallMillis);
             Checks.notNull("random", random);
+            Checks.notNull("times", times);
         }
     }
 
@@ -143,7 +138,8 @@
     public DirectoryFeed(Parts parts, Listener listener) {
         mParts = Checks.notNull("parts", parts);
         mListener = Checks.notNull("listener", listener);
-        mConfirmedAtMillis = parts.ticker().millis();
+        mConfirmations = new Confirmations(parts.times(), parts.ticker().millis());
+        mRenewAtAgeMillis = drawRenewalAgeMillis();
         mFreshness =
                 new FreshnessGuard(
                         PAUSE_MILLIS,
@@ -182,17 +178,35 @@
         }
     }
 
+    /**
+     * Notes what a peer knows for sure; cheap, from any thread.
+     *
+     * @param revision the newest change that the peer knows
+     * @param ageMillis how long ago the platform held nothing newer than that
+     */
+    public void confirm(long revision, long ageMillis) {
+        // After a pause of this process the word may have waited here for as long as the pause.
+        if (revision <= newestRevision() && mayAct()) {
+            mConfirmations.confirmed(mParts.ticker().millis() - ageMillis);
+        }
+    }
+
     /** Does what is due; called on the worker. */
     public void tick() {
         long nowMillis = mParts.ticker().millis();
         if (mFreshness.onTick(nowMillis, mParts.wallMillis().getAsLong())) {
             mLog.warn("woke from a pause", new Woke(mItems.get().revision()));
+            mConfirmations.forget();
             restartCall(nowMillis);
             askPeer(anyPeer(), nowMillis);
         }
         if (mCalling && nowMillis >= mCallDueMillis) {
             failed(mCall, "no answer in time", nowMillis);
         }
+        if (mRenewing && nowMillis >= mRenewalDueMillis) {
+            renewed(mRenewal, null, new TimeoutException("no answer in time"));
+        }
+        renewIfOld(nowMillis);
         if (mDirectory.expire(nowMillis)) {
             mListener.onSite(mDirectory);
         }
@@ -246,8 +260,7 @@
             failed(call, failure.toString(), nowMillis);
             return;
         }
-        take(page, PLATFORM, nowMillis);
-        mConfirmedAtMillis = nowMillis;
+        answered(page, nowMillis);
         if (call != mCall) {
             return;
         }
@@ -260,13 +273,62 @@
         callIfDue();
     }
 
+    private void answered(PublishedPage page, long nowMillis) {
+        take(page, PLATFORM, nowMillis);
+        mConfirmations.confirmed(nowMillis);
+    }
+
+    // A watch that went silent looks like one with nothing to tell. Requests went to targets up to
+    // 11 s after they had left, until it was given up. So a node whose view was not confirmed for
+    // long enough, by the platform or by a peer that was answered since, asks beside its watch:
+    // with 24 nodes, that costs each one call in some seconds.
+    private void renewIfOld(long nowMillis) {
+        boolean waits = mCalling && !mPlatformLost && mItems.get().isKnown();
+        if (!waits || mRenewing || mConfirmations.ageMillis(nowMillis) < mRenewAtAgeMillis) {
+            return;
+        }
+        long renewal = ++mRenewal;
+        mRenewing = true;
+        mRenewalDueMillis = nowMillis + ANSWER_MILLIS;
+        mRenewAtAgeMillis = drawRenewalAgeMillis();
+        mParts.platform()
+                .read(mItems.get().revision(), 0)
+                .whenCompleteAsync(
+                        (page, failure) -> renewed(renewal, page, failure), mParts.worker());
+    }
+
+    // Nodes that were confirmed together would all ask together; spread over the second half of
+    // the time, the first ones' answers spare most of the others their question.
+    private long drawRenewalAgeMillis() {
+        long boundMillis = mParts.times().viewBoundMillis();
+        return mParts.random().nextLong(boundMillis / 2, boundMillis + 1);
+    }
+
+    private void renewed(long renewal, PublishedPage page, Throwable failure) {
+        long nowMillis = mParts.ticker().millis();
+        if (failure == null) {
+            answered(page, nowMillis);
+        }
+        if (renewal != mRenewal || !mRenewing) {
+            return;
+        }
+        mRenewing = false;
+        if (failure != null) {
+            failed(mCall, failure.toString(), nowMillis);
+        } else if (!page.items().isEmpty() && mCalling) {
+            mLog.warn("watch brought nothing", new Woke(page.revision()));
+            mCalling = false;
+            mCall++;
+            mNextCallMillis = nowMillis + GAP_MILLIS;
+        }
+    }
+
     private void failed(long call, String reason, long nowMillis) {
         if (call != mCall || !mCalling) {
             return;
         }
         mCalling = false;
         mCall++;
-        mTroubleMillis = nowMillis;
         mNextCallMillis = nowMillis + RETRY_MILLIS;
         if (!mPlatformLost) {
             mPlatformLost = true;
@@ -286,11 +348,16 @@
         mItems.set(after);
         List<Change> changes =
                 after.changesAfter(before.newest()).items().stream().map(this::decode).toList();
-        SiteDirectory.LapseDoubt doubt = doubt(changes, nowMillis);
+        long keepUntilMillis = mConfirmations.keepsPlaceUntilMillis(nowMillis);
         boolean changed = false;
         for (Change change : changes) {
-            mReading = new Reading(change.revision(), source, viewAgeMillis(nowMillis), doubt);
-            changed |= mDirectory.take(change.meaning(), nowMillis, doubt);
+            mReading =
+                    new Reading(
+                            change.revision(),
+                            source,
+                            mConfirmations.ageMillis(nowMillis),
+                            Math.max(0, keepUntilMillis - nowMillis));
+            changed |= mDirectory.take(change.meaning(), nowMillis, keepUntilMillis);
         }
         mReading = Reading.NONE;
         if (changed) {
@@ -321,20 +388,7 @@
 
     /** Returns what is known of the site, and since when the platform may know more. */
     public SiteView view() {
-        return new SiteView(newestRevision(), viewAgeMillis(mParts.ticker().millis()));
-    }
-
-    private long viewAgeMillis(long nowMillis) {
-        return Math.max(0, nowMillis - mConfirmedAtMillis);
-    }
-
-    private SiteDirectory.LapseDoubt doubt(List<Change> changes, long nowMillis) {
-        long ended =
-                changes.stream()
-                        .filter(change -> change.meaning() instanceof SiteChange.Unregistered)
-                        .count();
-        boolean wasAway = nowMillis - mTroubleMillis < DOUBT_MILLIS || ended >= DOUBTFUL_AT_ONCE;
-        return wasAway ? SiteDirectory.LapseDoubt.PLATFORM_WAS_AWAY : SiteDirectory.LapseDoubt.NONE;
+        return new SiteView(newestRevision(), mConfirmations.ageMillis(mParts.ticker().millis()));
     }
 
     /** Sets the peers that may be asked; called on the worker. */
@@ -387,12 +441,11 @@
      *
      * @param revision revision of the change; 0 for time that has run out
      * @param source the platform, or the address of the peer that told it; empty for time
-     * @param viewAgeMillis time since the platform's last answer before it
-     * @param doubt how long an ended registration is kept for
+     * @param viewAgeMillis time since the last confirmation before it
+     * @param keepMillis how long a registration that ends without a word is kept for
      */
-    private record Reading(
-            long revision, String source, long viewAgeMillis, SiteDirectory.LapseDoubt doubt) {
-        static final Reading NONE = new Reading(0, "", 0, SiteDirectory.LapseDoubt.NONE);
+    private record Reading(long revision, String source, long viewAgeMillis, long keepMillis) {
+        static final Reading NONE = new Reading(0, "", 0, 0);
     }
 
     private record Believed(TargetChange target, Reading reading) {}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/directory/PlatformTimes.java
@@ -0,0 +1,62 @@
+package org.apricotgauge.directory;
+
+import org.apricotgauge.model.Checks;
+
+/**
+ * The times by which a platform lets targets leave, and what a node makes of them.
+ *
+ * <pre>{@code
+ * PlatformTimes times = new PlatformTimes(2_000, 1_500);
+ * long boundMillis = times.viewBoundMillis();   // 1_500
+ * }</pre>
+ *
+ * @param servesOnMillis how long a target takes requests once the platform has its word that it
+ *     leaves, or has ended its registration; in milliseconds
+ * @param heartbeatMillis how often a target writes its registration, in milliseconds; three that
+ *     are missing end it
+ */
+public record PlatformTimes(long servesOnMillis, long heartbeatMillis) {
+    /**
+     * Within this time of the platform's return, in milliseconds, a living target is registered
+     * again; the platform says about 2 s, and a page of changes may wait for 0.2 s.
+     */
+    static final long BACK_MILLIS = 2_200;
+
+    /** Checks the parts. */
+    public PlatformTimes {
+        Checks.inRange("servesOnMillis", servesOnMillis, 1, Integer.MAX_VALUE);
+        Checks.inRange("heartbeatMillis", heartbeatMillis, 1, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Returns how old a node's view of the site may become before it asks, in milliseconds.
+     *
+     * <p>A watch whose connection went silent, or whose answer was lost, looks like one that has
+     * nothing to tell. Three quarters of the time that is there leave a quarter for the answer, a
+     * late timer and the request's last hop.
+     */
+    public long viewBoundMillis() {
+        return Math.max(1, servesOnMillis * 3 / 4);
+    }
+
+    /** Returns how long an ended registration is kept at the most while the platform is there. */
+    long keepMillis() {
+        return servesOnMillis / 2;
+    }
+
+    /**
+     * Returns how long after a moment at which a registration was still there its target may get
+     * work, in milliseconds; a fifth of the time is left for a late timer and the last hop.
+     */
+    long worksOnMillis() {
+        return servesOnMillis * 4 / 5;
+    }
+
+    /**
+     * Returns the shortest absence of the platform in which a registration can run out, in
+     * milliseconds: the target wrote at most one heartbeat before it, and two more had to fail.
+     */
+    long awayMillis() {
+        return 2 * heartbeatMillis;
+    }
+}
--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.directory;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,38 +16,17 @@
  * The site as published items make it: the configuration in force and the targets.
  *
  * <pre>{@code
- * List<String> events = directory.take(changes, nowMillis, LapseDoubt.NONE);
- * directory.expire(nowMillis);
+ * boolean changed = directory.take(change, nowMillis, keepUntilMillis);
+ * changed |= directory.expire(nowMillis);
  * }</pre>
  *
  * <p>Versions never fall. A run that starts under the name of an earlier one takes its place: what
  * was known of that one is not true of it. A target that says it leaves gets no new work at once.
  * One whose registration ends without a word may have crashed, or have only lost the platform while
- * it serves on; it keeps its place for {@link #VANISHED_MILLIS}, or {@link #DOUBTFUL_MILLIS} after
- * the platform was away, in which time a living target registers anew. Not thread-safe.
+ * it serves on; it keeps its place until the time that the caller gives, in which a living target
+ * registers anew. Not thread-safe.
  */
 public final class SiteDirectory {
-    /**
-     * How long a target serves on after its registration ended without a word, in milliseconds.
-     *
-     * <p>The platform lets targets serve for 2 s after that; the rest is for requests on their way.
-     */
-    public static final long VANISHED_MILLIS = 1_000;
-
-    /**
-     * The same after the platform was away, in milliseconds: living targets are registered again
-     * within 2 s of its return, and until then all of a service may be missing at once.
-     */
-    public static final long DOUBTFUL_MILLIS = 2_200;
-
-    /** Whether an ended registration says that its target is gone. */
-    public enum LapseDoubt {
-        /** The platform has been there all the while. */
-        NONE,
-        /** Registrations may have run out while the platform was away. */
-        PLATFORM_WAS_AWAY
-    }
-
     /** A registration, and which run registered after which. */
     private record Entry(Registration registration, long order) {
         static Entry later(Entry one, Entry other) {
@@ -72,18 +50,15 @@
         mOnTarget = Checks.notNull("onTarget", onTarget);
     }
 
-    /** Takes in changes; returns whether anything that requests depend on is different. */
-    public boolean take(Collection<SiteChange> changes, long nowMillis, LapseDoubt doubt) {
-        Checks.notNull("doubt", doubt);
-        boolean changed = false;
-        for (SiteChange change : changes) {
-            changed |= take(change, nowMillis, doubt);
-        }
-        return changed;
-    }
-
-    /** Takes in a change; returns whether anything that requests depend on is different. */
-    boolean take(SiteChange change, long nowMillis, LapseDoubt doubt) {
+    /**
+     * Takes in a change; returns whether anything that requests depend on is different.
+     *
+     * @param change the change
+     * @param nowMillis present time
+     * @param keepUntilMillis until when a target keeps its place if its registration has ended
+     *     without a word
+     */
+    public boolean take(SiteChange change, long nowMillis, long keepUntilMillis) {
         if (change instanceof SiteChange.Configured configured) {
             return configure(configured.configuration());
         }
@@ -91,7 +66,7 @@
             return register(registered.registration());
         }
         if (change instanceof SiteChange.Unregistered unregistered) {
-            return vanish(unregistered.name(), nowMillis, doubt);
+            return vanish(unregistered.name(), nowMillis, keepUntilMillis);
         }
         if (change instanceof SiteChange.Unusable unusable) {
             return remove(unusable.name());
@@ -152,17 +127,16 @@
         return true;
     }
 
-    private boolean vanish(String name, long nowMillis, LapseDoubt doubt) {
+    private boolean vanish(String name, long nowMillis, long keepUntilMillis) {
         Entry entry = mRegistrations.get(name);
         if (entry == null) {
             return false;
         }
-        if (entry.registration().leaving()) {
+        if (entry.registration().leaving() || keepUntilMillis <= nowMillis) {
             return remove(name);
         }
         Presence before = presenceOf(name);
-        long keepMillis = doubt == LapseDoubt.NONE ? VANISHED_MILLIS : DOUBTFUL_MILLIS;
-        mVanishedUntilMillis.putIfAbsent(name, nowMillis + keepMillis);
+        mVanishedUntilMillis.putIfAbsent(name, keepUntilMillis);
         tell(entry, before, Presence.ENDED);
         return false;
     }
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -85,6 +85,12 @@
      */
     public static final String DIRECTORY = "Apricotgauge-Directory";
 
+    /**
+     * Hops: how long ago the platform held nothing newer than the revision of {@link #DIRECTORY},
+     * in milliseconds; absent while the sender cannot say.
+     */
+    public static final String VIEW_AGE_MILLIS = "Apricotgauge-View-Age-Millis";
+
     /** Value of {@link #OUTCOME}: the request was proven not to have run. */
     public static final String OUTCOME_NOT_RUN = "not-run";
 
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import org.apricotgauge.directory.DirectoryFeed;
+import org.apricotgauge.directory.PlatformTimes;
 import org.apricotgauge.directory.PublishedConfiguration;
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.directory.PublishedSource;
@@ -47,15 +48,21 @@
     private final Parts mParts;
     private final SiteDefaults mDefaults;
     private final DirectoryFeed mFeed;
+    private final long mMaxAgeMillis;
     private Configuration mConfiguration = Configuration.EMPTY;
     private List<Route> mRoutes = List.of();
     private Set<String> mLeaving = Set.of();
     private volatile Mark mMark = new Mark("", "", 0);
 
     private DirectoryControl(
-            Parts parts, PublishedSource platform, SiteDecoder decoder, SiteDefaults defaults) {
+            Parts parts,
+            PublishedSource platform,
+            SiteDecoder decoder,
+            SiteDefaults defaults,
+            PlatformTimes times) {
         mParts = parts;
         mDefaults = defaults;
+        mMaxAgeMillis = times.viewBoundMillis();
         mFeed =
                 new DirectoryFeed(
                         new DirectoryFeed.Parts(
@@ -65,7 +72,8 @@
                                 parts.worker(),
                                 parts.ticker(),
                                 System::currentTimeMillis,
-                                ThreadLocalRandom.current()),
+                                ThreadLocalRandom.current(),
+                                times),
                         this::onSite);
         mFeed.start();
     }
@@ -74,9 +82,11 @@
     static Factory factory(
             Function<HttpClient, PublishedSource> platform,
             SiteDecoder decoder,
-            SiteDefaults defaults) {
+            SiteDefaults defaults,
+            PlatformTimes times) {
         return parts ->
-                new DirectoryControl(parts, platform.apply(parts.questions()), decoder, defaults);
+                new DirectoryControl(
+                        parts, platform.apply(parts.questions()), decoder, defaults, times);
     }
 
     static byte[] encode(PublishedPage page) {
@@ -220,6 +230,11 @@
         Address guard = new Address(mParts.vm().host(), mParts.vm().guardPort());
         headers.put(
                 HeaderNames.DIRECTORY, mFeed.newestRevision() + String.valueOf(SEPARATOR) + guard);
+        long ageMillis = mFeed.view().ageMillis();
+        // An older one confirms nothing that helps; and after a pause, the clock tells too little.
+        if (ageMillis < mMaxAgeMillis && mFeed.mayAct()) {
+            headers.put(HeaderNames.VIEW_AGE_MILLIS, ageMillis);
+        }
     }
 
     @Override
@@ -234,6 +249,10 @@
             long revision = Long.parseLong(text, 0, at, 10);
             int port = Integer.parseInt(text, colon + 1, text.length(), 10);
             mFeed.hint(revision, new Address(text.substring(at + 1, colon), port));
+            long ageMillis = headers.getLongField(HeaderNames.VIEW_AGE_MILLIS);
+            if (ageMillis >= 0) {
+                mFeed.confirm(revision, ageMillis);
+            }
         } catch (IllegalArgumentException e) {
             mParts.metrics().counter("directory.unreadable_hints").inc();
         }
--- a/src/main/java/org/apricotgauge/node/SidecarMain.java
+++ b/src/main/java/org/apricotgauge/node/SidecarMain.java
@@ -25,7 +25,8 @@
                 DirectoryControl.factory(
                         client -> new KvSource(client, settings.platform()),
                         new KvDecoder(),
-                        settings.defaults());
+                        settings.defaults(),
+                        settings.times());
         return NodeMain.serve(Node.start(profile, control));
     }
 }
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
 import org.apricotgauge.decision.attempt.RetryPool;
+import org.apricotgauge.directory.PlatformTimes;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.log.LogSettings;
 import org.apricotgauge.model.Address;
@@ -37,6 +38,9 @@
  * @param retryRatio most retries of the fleet for each request
  * @param retryBurst retries that the whole fleet may make in a window beside its ratio
  * @param retryWindowSeconds length of the window that bounds retries
+ * @param servesOnMillis how long a target takes requests once the platform has its word that it
+ *     leaves
+ * @param heartbeatMillis how often a target writes its registration
  * @param stopSeconds longest time that a stop takes
  * @param log settings of the log
  */
@@ -52,6 +56,8 @@
         double retryRatio,
         double retryBurst,
         double retryWindowSeconds,
+        double servesOnMillis,
+        double heartbeatMillis,
         double stopSeconds,
         LogSettings log) {
     private static final double ALL_PERCENT = 100.0;
@@ -147,6 +153,18 @@
                     orDefault(SettingKinds.decimal("seconds", 1, 3_600), 10.0),
                     10.0,
                     "Length of the window that bounds retries.");
+    private static final Setting<Double> SERVES_ON =
+            Setting.withDefault(
+                    "serves-on-millis",
+                    orDefault(SettingKinds.decimal("milliseconds", 100, 600_000), 1_600.0),
+                    1_600.0,
+                    "How long a target takes requests once the platform has its word to leave.");
+    private static final Setting<Double> HEARTBEAT =
+            Setting.withDefault(
+                    "heartbeat-millis",
+                    orDefault(SettingKinds.decimal("milliseconds", 10, 600_000), 1_000.0),
+                    1_000.0,
+                    "How often a target writes its registration.");
     private static final Setting<Double> STOP =
             Setting.withDefault(
                     "stop-seconds",
@@ -186,7 +204,8 @@
     private static List<Setting<?>> declared() {
         List<Setting<?>> settings = new ArrayList<>();
         settings.addAll(List.of(FAILURE_DOMAIN, SERVICE, CALLERS, GUARD, ADMIN, PLATFORM, NEWS));
-        settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, RETRY_WINDOW, STOP));
+        settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, RETRY_WINDOW));
+        settings.addAll(List.of(SERVES_ON, HEARTBEAT, STOP));
         settings.addAll(LogSettings.declared());
         return List.copyOf(settings);
     }
@@ -204,6 +223,8 @@
                 values.get(RETRY_RATIO),
                 values.get(RETRY_BURST),
                 values.get(RETRY_WINDOW),
+                values.get(SERVES_ON),
+                values.get(HEARTBEAT),
                 values.get(STOP),
                 LogSettings.of(values));
     }
@@ -241,6 +262,11 @@
         return RetryPool.ofFleet(retryBurst * EXTRA_PART, retryWindowSeconds);
     }
 
+    /** Returns the times by which the platform lets targets leave. */
+    PlatformTimes times() {
+        return new PlatformTimes((long) servesOnMillis, (long) heartbeatMillis);
+    }
+
     /** Returns the settings of services. */
     SiteDefaults defaults() {
         return new SiteDefaults(
