Take every change of a page as news, and ask no peer for what left no trace

And a node whose whole read is newer than all its items took every hop for a hint that it lags, with five calls a second to the platform. Change: news is the difference of two tables; a hint counts only above what was read. Figures: two tests fail before and pass after; not measured beside that.

--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -218,7 +218,9 @@
     }
 
     private void followHint(long nowMillis) {
-        boolean lags = mHintedRevision > newestRevision();
+        // A whole read may be newer than all items in it, when a target came and went meanwhile.
+        ItemTable items = mItems.get();
+        boolean lags = mHintedRevision > Math.max(items.newest(), items.revision());
         if (lags && nowMillis - mHintedAtMillis >= HINT_PATIENCE_MILLIS) {
             mHintedAtMillis = nowMillis;
             askPeer(mHinter, nowMillis);
@@ -316,7 +318,7 @@
         if (failure != null) {
             failed(mCall, failure.toString(), nowMillis);
         } else if (!page.items().isEmpty() && mCalling) {
-            mLog.warn("watch brought nothing", new Woke(page.revision()));
+            mLog.warn("watch brought nothing", new Silent(page.revision()));
             mCalling = false;
             mCall++;
             mNextCallMillis = nowMillis + GAP_MILLIS;
@@ -346,8 +348,7 @@
             return;
         }
         mItems.set(after);
-        List<Change> changes =
-                after.changesAfter(before.newest()).items().stream().map(this::decode).toList();
+        List<Change> changes = after.changedSince(before).stream().map(this::decode).toList();
         long keepUntilMillis = mConfirmations.keepsPlaceUntilMillis(nowMillis);
         boolean changed = false;
         for (Change change : changes) {
@@ -452,6 +453,8 @@
 
     private record Woke(long revision) {}
 
+    private record Silent(long missedRevision) {}
+
     private record Lost(String reason, long revision) {}
 
     private record Regained(long revision) {}
--- a/src/main/java/org/apricotgauge/directory/ItemTable.java
+++ b/src/main/java/org/apricotgauge/directory/ItemTable.java
@@ -86,6 +86,23 @@
         return items;
     }
 
+    /**
+     * Returns the items that an earlier table does not have so, oldest change first.
+     *
+     * <p>They can't be told by their revisions alone: pages of a whole read are no snapshot, and a
+     * later one may hold a newer change than one that a watch brings only afterwards.
+     */
+    public List<PublishedItem> changedSince(ItemTable earlier) {
+        return mItems.values().stream()
+                .filter(item -> isNews(item, earlier.item(item.key())))
+                .sorted(Comparator.comparingLong(PublishedItem::revision))
+                .toList();
+    }
+
+    private static boolean isNews(PublishedItem item, PublishedItem known) {
+        return known == null ? !item.removed() : known.revision() != item.revision();
+    }
+
     /** Returns the items that changed after a revision, oldest first; all for revision 0. */
     public PublishedPage changesAfter(long revision) {
         List<PublishedItem> changed =
--- a/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
+++ b/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
@@ -143,6 +143,40 @@
         assertThat(mFeed.mayAct()).isTrue();
     }
 
+    @Test
+    void aChangeBetweenTwoPagesOfAWholeReadIsNoticedThoughALaterPageIsNewer() {
+        // A site of many targets is read in pages, which are no snapshot: while the node asks for
+        // the second page, a target of the first says that it leaves. The second page holds a
+        // newer change, of another target; the watch then brings the older one. Passed over as
+        // known, it would leave a target in use that has left.
+        mFeed.start();
+        mPlatform.answer(10, true, config(5, 1), target("a", 4), target("z", 12));
+        pass(DirectoryFeed.GAP_MILLIS);
+
+        mPlatform.answer(12, false, leaving("a", 11), target("z", 12));
+
+        assertThat(mSite.registrations())
+                .filteredOn(Registration::leaving)
+                .extracting(Registration::name)
+                .containsExactly("a");
+    }
+
+    @Test
+    void aChangeThatLeftNoTraceIsNotAskedForAgainAndAgain() {
+        // The platform forgot its history, in which a target came and went. A node that read all
+        // anew knows no item as new as the revision that its peers name on every hop. It lacks
+        // nothing, and must not call the platform five times a second until the next change.
+        mFeed.start();
+        mPlatform.answer(12, true, config(5, 1));
+        pass(DirectoryFeed.GAP_MILLIS);
+        int calls = mPlatform.mCalls.size();
+
+        mFeed.hint(12, PEER);
+        pass(DirectoryFeed.HINT_PATIENCE_MILLIS);
+
+        assertThat(mPlatform.mCalls).hasSize(calls);
+    }
+
     /** Lets time pass as the node's worker sees it. */
     private void pass(long millis) {
         long left = millis;
@@ -162,6 +196,10 @@
         return item(id, "target", revision);
     }
 
+    private static PublishedItem leaving(String id, long revision) {
+        return item(id, "leaving", revision);
+    }
+
     private static PublishedItem item(String key, String value, long revision) {
         return new PublishedItem(key, value.getBytes(StandardCharsets.UTF_8), revision, false);
     }
@@ -177,6 +215,7 @@
         }
         int port = 1 + item.key().charAt(0);
         Target target = new Target(item.key(), "s", "vm", "here", "127.0.0.1", port, 3);
-        return new SiteChange.Registered(new Registration(item.key(), target, false, 1, 0));
+        boolean leaving = new String(item.value(), StandardCharsets.UTF_8).equals("leaving");
+        return new SiteChange.Registered(new Registration(item.key(), target, leaving, 1, 0));
     }
 }
