Look at the target once more just before the first byte

The guard looked whether a target takes work when a slot was given; the request may then wait for a connection, for up to the 0.4 s that one may take, by an older view. Change: the look is repeated where the ledger is asked, before the first byte; what is withheld is told as not run, with its reason. Figures: a test with one connection for two slots fails before and passes after. Cost is one look at the table a request, not measured.

--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -65,7 +65,10 @@
     private volatile Scheduler.Task mHeartbeat;
     private final RunWatch mWatch;
     private volatile boolean mTimedOut;
-    private volatile boolean mFenced;
+
+    /** Why nothing was written though the request had its slot; null while nothing forbids it. */
+    private volatile NotRunReason mWithheld;
+
     private volatile boolean mAbandoned;
     private volatile boolean mLeaving;
     private CompletableFuture<Void> mInterim = CompletableFuture.completedFuture(null);
@@ -257,12 +260,21 @@
     @Override
     public boolean onBegin() {
         mSentAtNanos = mContext.ticker().nanos();
-        // A fence may have been answered "not run" while this waited; from then it must not start.
-        mFenced = !mContext.ledger().started(mAttempt);
-        if (!mFenced) {
+        mWithheld = reasonToWithhold();
+        if (mWithheld == null) {
             logStart();
         }
-        return !mFenced;
+        return mWithheld == null;
+    }
+
+    // Two things may have happened since the slot was given, while this waited for a connection:
+    // the target said that it leaves, and would get work after the time for which it serves on; or
+    // a fence was answered "not run", and from then it must not start.
+    private NotRunReason reasonToWithhold() {
+        if (!mContext.takesWork().test(mGate.target())) {
+            return NotRunReason.TARGET_LEAVING;
+        }
+        return mContext.ledger().started(mAttempt) ? null : NotRunReason.FENCED;
     }
 
     private void logStart() {
@@ -283,14 +295,15 @@
             return;
         }
         if (failure.progress() == UpstreamExchange.Progress.NOT_SENT) {
-            boolean fenced = mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
+            NotRunReason withheld = mWithheld;
+            boolean isUnstarted = mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
             leaveGate(
-                    mFenced ? Result.CANCELLED : Result.FAILED,
-                    mFenced ? ObservedOutcome.CANCELLED : ObservedOutcome.TARGET_ERROR);
-            if (!fenced) {
+                    withheld == null ? Result.FAILED : Result.CANCELLED,
+                    withheld == null ? ObservedOutcome.TARGET_ERROR : ObservedOutcome.CANCELLED);
+            if (!isUnstarted) {
                 throw new IllegalStateException("attempt not sent, yet started: " + mAttempt);
             }
-            endNotRun(mFenced ? NotRunReason.FENCED : NotRunReason.TARGET_UNREACHABLE, 0);
+            endNotRun(withheld == null ? NotRunReason.TARGET_UNREACHABLE : withheld, 0);
             return;
         }
         endBroken(true);
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -42,6 +42,7 @@
 import org.eclipse.jetty.client.ConnectionPool;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpDestination;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -55,6 +56,8 @@
 final class Hops implements AutoCloseable {
     private static final String SERVICE = "s";
     private static final String TO_GUARDS = "guards";
+    private static final String TO_TARGETS = "targets";
+    private static final int TARGET_CONNECTIONS = 64;
 
     /** These nodes have no predecessors whose keys they could not know. */
     private static final KeyLimits KEYS =
@@ -68,6 +71,7 @@
     private final HttpClientFactory mClients = new HttpClientFactory(mThreads, mScheduler);
     private final Map<String, HopVm> mVms = new HashMap<>();
     private final List<HttpClient> mStarted = new ArrayList<>();
+    private final int mTargetConnections;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
     private Configuration mConfiguration =
@@ -103,6 +107,12 @@
     }
 
     Hops(String... vms) throws Exception {
+        this(TARGET_CONNECTIONS, vms);
+    }
+
+    /** Creates VMs whose guards open no more than so many connections to a target. */
+    Hops(int targetConnections, String... vms) throws Exception {
+        mTargetConnections = targetConnections;
         mThreads.start();
         mScheduler.start();
         for (String vm : vms) {
@@ -173,6 +183,15 @@
         LocalFleet.await(() -> idleToGuards() >= count);
     }
 
+    /** Returns how many requests wait for a connection to a target. */
+    int waitingForTargets() {
+        return mStarted.stream()
+                .filter(client -> client.getName().equals(TO_TARGETS))
+                .flatMap(client -> client.getDestinations().stream())
+                .mapToInt(destination -> ((HttpDestination) destination).getQueuedRequestCount())
+                .sum();
+    }
+
     /** Returns how many connections to guards are open and unused. */
     int idleToGuards() {
         return mStarted.stream()
@@ -188,13 +207,14 @@
     }
 
     private void start(String id, HopVm vm) throws Exception {
-        HttpClient targets = client("targets");
+        HttpClient targets = client(TO_TARGETS, mTargetConnections);
         vm.mEntry =
                 new EntryHandler(
                         () -> table(id),
                         () -> false,
                         () -> true,
-                        new GuardClient(client(TO_GUARDS), client("fences"), Ticker.system()),
+                        new GuardClient(
+                                client(TO_GUARDS, 64), client("fences", 64), Ticker.system()),
                         targets,
                         new AttemptIds(id, id.hashCode()),
                         mScheduler,
@@ -227,9 +247,10 @@
         vm.mRelay = new Relay(() -> HttpServerFactory.portOf(vm.mGuardServer));
     }
 
-    private HttpClient client(String name) throws Exception {
+    private HttpClient client(String name, int connections) throws Exception {
         HttpClient client =
-                mClients.create(name, new HttpClientFactory.Limits(5_000, 60_000, 64, 256));
+                mClients.create(
+                        name, new HttpClientFactory.Limits(5_000, 60_000, connections, 256));
         HttpClientFactory.start(client);
         mStarted.add(client);
         return client;
--- a/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
+++ b/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
@@ -59,6 +59,28 @@
         }
     }
 
+    @Test
+    void whatWaitsForAConnectionToATargetThatBeginsToLeaveNeverReachesIt() throws Exception {
+        // Two bookings come to a target with two slots, and its guard has one connection to it. The
+        // second booking has its slot, and waits for the connection, when the target says that it
+        // leaves. It is told "not run"; it would reach the target after the target's last moment.
+        CountDownLatch go = new CountDownLatch(1);
+        try (RawTarget target = RawTarget.start(answersAfter(go));
+                Hops hops = new Hops(1, "a", "b").target("t", "b", target.port(), 2)) {
+            CompletableFuture<String> running = book(hops);
+            LocalFleet.await(() -> target.runs() == 1);
+            CompletableFuture<String> waiting = book(hops);
+            LocalFleet.await(() -> hops.waitingForTargets() == 1);
+
+            hops.leave("t");
+            go.countDown();
+
+            assertThat(running.get()).startsWith("HTTP/1.1 200");
+            assertThat(waiting.get()).startsWith("HTTP/1.1 503").contains("not-run");
+            assertThat(target.runs()).isEqualTo(1);
+        }
+    }
+
     private static RawTarget.Script answersAfter(CountDownLatch go) {
         return (head, body, out) -> {
             go.await();
