Choose each attempt's target by the table of now, not of the request's arrival

Change: route, service and version stay as read; the service's targets are read for each attempt, and a last resort is one that still takes work. Figures: a test of the choice passes; it was not run on the code before, whose choice took a table. Hops saved are not measured.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.apricotgauge.decision.admission.Patience;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.decision.attempt.GuardSighting;
@@ -62,6 +63,7 @@
     CallerExchange(
             EntryContext context,
             ServiceTable table,
+            Supplier<ServiceTable> present,
             long version,
             RetryBudget budget,
             CallerRequest asked,
@@ -81,7 +83,7 @@
         mRequest = request;
         mCallback = callback;
         mDelivery = new AnswerDelivery(context, mReport, request, response, callback);
-        mChoice = new TargetChoice(context, table, asked.repeatable());
+        mChoice = new TargetChoice(context, present, asked.repeatable());
         mBody = new ReplayableBody(request, REPLAY_LIMIT_BYTES);
         mDeadlineMillis = context.ticker().millis() + asked.timeoutMillis();
         mProgress = Progress.of(asked.repeatable(), false);
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -35,7 +35,8 @@
 /**
  * Serves callers: finds the route, checks the head, and starts an exchange.
  *
- * <p>Each request reads the routing table once and keeps what it read to its end.
+ * <p>Each request reads the routing table once and keeps route, service and version to its end; the
+ * targets of the service it looks up anew for each attempt.
  */
 public final class EntryHandler extends Handler.Abstract.NonBlocking {
     /** A pause is over, and a caller of a stopping node is sent elsewhere, in about a second. */
@@ -152,6 +153,7 @@
                 new CallerExchange(
                         mContext,
                         routed.table(),
+                        present(routed.table()),
                         routed.version(),
                         mBudgets.of(routed.table().service(), 1),
                         routed.asked(),
@@ -208,6 +210,7 @@
                         new CallerExchange(
                                         mContext,
                                         routed.table(),
+                                        present(routed.table()),
                                         routed.version(),
                                         mBudgets.of(routed.table().service(), 1),
                                         routed.asked(),
@@ -218,6 +221,11 @@
         return true;
     }
 
+    /** Returns the service as it is whenever it is asked for; as it was read, if it is gone. */
+    private Supplier<ServiceTable> present(ServiceTable read) {
+        return () -> mTable.get().service(read.service().id()).orElse(read);
+    }
+
     /** What a request asks for, and the service that shall answer it. */
     private record Routed(CallerRequest asked, ServiceTable table, long version) {}
 
--- a/src/main/java/org/apricotgauge/caller/TargetChoice.java
+++ b/src/main/java/org/apricotgauge/caller/TargetChoice.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.apricotgauge.decision.admission.Patience;
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
@@ -34,7 +35,7 @@
     static final int USEFUL_ATTEMPTS = 2;
 
     private final EntryContext mContext;
-    private final ServiceTable mTable;
+    private final Supplier<ServiceTable> mTable;
     private final boolean mRepeatable;
     private final Set<String> mTried = new HashSet<>();
     private final Set<String> mBusy = new HashSet<>();
@@ -43,7 +44,13 @@
     private int mRefusedBusy;
     private boolean mLastResort;
 
-    TargetChoice(EntryContext context, ServiceTable table, boolean repeatable) {
+    /**
+     * Creates the choice of one request.
+     *
+     * @param table the service as it is now: a request lives for seconds, and a target that began
+     *     to leave since it came would only refuse it, one hop and some milliseconds later
+     */
+    TargetChoice(EntryContext context, Supplier<ServiceTable> table, boolean repeatable) {
         mContext = context;
         mTable = table;
         mRepeatable = repeatable;
@@ -115,7 +122,7 @@
     private Optional<Candidate> choose(Outcome last) {
         if (mTried.isEmpty() && mRepeatable) {
             Optional<Candidate> probe =
-                    mContext.probes().take(mTable.service().id()).flatMap(mTable::candidate);
+                    mContext.probes().take(mTable.get().service().id()).flatMap(this::present);
             if (probe.isPresent()) {
                 return probe;
             }
@@ -139,14 +146,19 @@
         long nowNanos = mContext.ticker().nanos();
         Optional<Candidate> best =
                 mSuspects.values().stream()
+                        .filter(one -> present(one.target().id()).isPresent())
                         .min(Comparator.comparingDouble(one -> one.load().sick(nowNanos)));
         mLastResort = best.isPresent();
         return best;
     }
 
+    private Optional<Candidate> present(String targetId) {
+        return mTable.get().candidate(targetId);
+    }
+
     private Optional<Candidate> balance(Set<String> except) {
         return BalancingPolicy.choose(
-                mTable, except, ThreadLocalRandom.current(), mContext.ticker().nanos());
+                mTable.get(), except, ThreadLocalRandom.current(), mContext.ticker().nanos());
     }
 
     private static boolean isPathAtFault(Outcome last) {
--- a/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
@@ -88,6 +88,25 @@
         assertThat(choice.next(refused(NotRunReason.QUEUE_FULL))).isEmpty();
     }
 
+    @Test
+    void aTargetThatBeganToLeaveSinceTheRequestCameIsTriedNoMore() {
+        // A request is turned away by its first target. While it was there, all others but one said
+        // that they leave; chosen by what was known when it came, it would lose a hop to each.
+        TargetChoice choice = choice();
+        Candidate first = choice.next(null).orElseThrow();
+
+        Candidate stays = mCandidates.get(first == mCandidates.get(0) ? 1 : 0);
+        mCandidates.replaceAll(one -> one == first || one == stays ? one : leaving(one));
+
+        assertThat(choice.next(refused(NotRunReason.TARGET_SUSPECT))).containsSame(stays);
+        choice.next(refused(NotRunReason.TARGET_SUSPECT));
+        assertThat(choice.isLastResort()).isTrue();
+    }
+
+    private static Candidate leaving(Candidate one) {
+        return new Candidate(one.target(), one.guard(), true, 1, Candidate.NO_RAMP, one.load());
+    }
+
     private static Outcome refused(NotRunReason reason) {
         return new Outcome.NotRun(reason, 0);
     }
@@ -114,8 +133,8 @@
                         EntryOptions.Reach.GUARDS_ONLY,
                         null,
                         null);
-        ServiceTable table = ServiceTable.of(service, mCandidates, "entry", "here");
-        return new TargetChoice(context, table, false);
+        return new TargetChoice(
+                context, () -> ServiceTable.of(service, mCandidates, "entry", "here"), false);
     }
 
     private static Candidate candidate(String id, String host) {
