Tell a reader everything where this node did not see all changes

Cause: a node that reads the site whole learns no marks of keys removed before. Asked by a peer for the changes since an earlier revision it told only those it had seen, and the peer took its revision: a target whose end fell between stayed in the peer's table for good. The same after a dropped history. Ruled out: keeping marks for longer (they were kept; they were never known). Change: ItemTable remembers from which revisions on it has seen every change, and answers whole else. It was rare while nodes read the platform; with few readers it is the main path.

--- a/src/main/java/org/apricotgauge/directory/ItemTable.java
+++ b/src/main/java/org/apricotgauge/directory/ItemTable.java
@@ -22,14 +22,38 @@
  */
 public final class ItemTable {
     /** Knows nothing. */
-    public static final ItemTable EMPTY = new ItemTable(0, HashTreePMap.empty());
+    public static final ItemTable EMPTY =
+            new ItemTable(0, new Unseen(0, 0, 0), HashTreePMap.empty());
 
     private final long mRevision;
     private final long mNewest;
+    private final Unseen mUnseen;
     private final PMap<String, PublishedItem> mItems;
 
-    private ItemTable(long revision, PMap<String, PublishedItem> items) {
+    /**
+     * Revisions from which on this node has not seen every change: those before its first whole
+     * read, and those over which a later one passed.
+     *
+     * @param first revision of the first whole read
+     * @param gapFrom last revision before the earliest later one
+     * @param gapTo revision of the latest one
+     */
+    private record Unseen(long first, long gapFrom, long gapTo) {
+        Unseen withWholeRead(long before, long after) {
+            if (before == 0) {
+                return new Unseen(after, after, after);
+            }
+            return new Unseen(first, gapFrom == gapTo ? before : gapFrom, after);
+        }
+
+        boolean contains(long revision) {
+            return revision < first || (revision > gapFrom && revision < gapTo);
+        }
+    }
+
+    private ItemTable(long revision, Unseen unseen, PMap<String, PublishedItem> items) {
         mRevision = revision;
+        mUnseen = unseen;
         mItems = items;
         mNewest = items.values().stream().mapToLong(PublishedItem::revision).max().orElse(0);
     }
@@ -69,7 +93,10 @@
         if (page.whole()) {
             items = withoutMissing(items, page);
         }
-        return new ItemTable(page.revision(), items);
+        return new ItemTable(
+                page.revision(),
+                page.whole() ? mUnseen.withWholeRead(mRevision, page.revision()) : mUnseen,
+                items);
     }
 
     private static PMap<String, PublishedItem> withoutMissing(
@@ -103,14 +130,25 @@
         return known == null ? !item.removed() : known.revision() != item.revision();
     }
 
-    /** Returns the items that changed after a revision, oldest first; all for revision 0. */
+    /** Returns whether a reader that has everything up to a revision lacks something. */
+    boolean hasNewsFor(long revision) {
+        return mNewest > revision || mUnseen.contains(revision);
+    }
+
+    /**
+     * Returns the items that changed after a revision, oldest first; all of them if this node did
+     * not see all changes since.
+     *
+     * <p>A whole read brings no marks of keys removed before it. A reader that knew such a key
+     * would never hear of its end from the changes alone, and would use a target that is long gone.
+     */
     public PublishedPage changesAfter(long revision) {
+        boolean whole = revision == 0 || mUnseen.contains(revision);
         List<PublishedItem> changed =
                 mItems.values().stream()
-                        .filter(item -> item.revision() > revision)
-                        .filter(item -> revision > 0 || !item.removed())
+                        .filter(item -> whole ? !item.removed() : item.revision() > revision)
                         .sorted(Comparator.comparingLong(PublishedItem::revision))
                         .toList();
-        return new PublishedPage(mRevision, revision == 0, changed);
+        return new PublishedPage(mRevision, whole, changed);
     }
 }
--- a/src/test/java/org/apricotgauge/directory/ItemTableTest.java
+++ b/src/test/java/org/apricotgauge/directory/ItemTableTest.java
@@ -50,6 +50,31 @@
         return new PublishedItem(key, new byte[] {1}, revision, false);
     }
 
+    @Test
+    void aReaderThatKnowsAKeyWhoseEndThisNodeDidNotSeeIsToldEverything() {
+        // A node starts, and reads the site after a target has left and its key is gone. Another
+        // that still knows the target asks for the changes since; told only those, it would send
+        // requests there for good.
+        ItemTable table = ItemTable.EMPTY.with(whole(9, item("a", 3)));
+        ItemTable asker = ItemTable.EMPTY.with(whole(5, item("a", 3), item("gone", 5)));
+
+        ItemTable told = asker.with(table.changesAfter(asker.revision()));
+
+        assertThat(told.item("gone").removed()).isTrue();
+    }
+
+    @Test
+    void aReaderWhoseRevisionALaterWholeReadPassedOverIsToldEverything() {
+        // As above, but the node knew the site before; the platform dropped its history, in which
+        // a target came and went.
+        ItemTable table = ItemTable.EMPTY.with(whole(3, item("a", 3))).with(whole(9, item("a", 3)));
+        ItemTable asker = ItemTable.EMPTY.with(whole(5, item("a", 3), item("gone", 5)));
+
+        assertThat(table.changesAfter(3).whole()).isFalse();
+        assertThat(table.hasNewsFor(5)).isTrue();
+        assertThat(asker.with(table.changesAfter(5)).item("gone").removed()).isTrue();
+    }
+
     private static PublishedPage whole(long revision, PublishedItem... items) {
         return new PublishedPage(revision, true, List.of(items));
     }
