--- a/src/main/java/org/apricotgauge/decision/gossip/WatcherElection.java
+++ b/src/main/java/org/apricotgauge/decision/gossip/WatcherElection.java
@@ -1,11 +1,11 @@
 package org.apricotgauge.decision.gossip;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import org.apricotgauge.decision.RendezvousOrder;
 import org.apricotgauge.model.Vm;
 
 /**
@@ -39,8 +39,6 @@
         REST
     }
 
-    private record Ranked(String id, long hash) {}
-
     private WatcherElection() {}
 
     /**
@@ -77,26 +75,17 @@
 
     private static List<String> candidates(
             Vm self, Collection<Vm> nodes, Predicate<String> unreachable) {
-        List<Ranked> ranked = new ArrayList<>();
-        ranked.add(rank(self));
+        List<String> near = new ArrayList<>();
+        near.add(self.id());
         for (Vm vm : nodes) {
             boolean other = !vm.id().equals(self.id());
-            boolean near = vm.failureDomain().equals(self.failureDomain());
-            if (other && near && !unreachable.test(vm.id())) {
-                ranked.add(rank(vm));
+            boolean isNear = vm.failureDomain().equals(self.failureDomain());
+            if (other && isNear && !unreachable.test(vm.id())) {
+                near.add(vm.id());
             }
         }
-        ranked.sort(Comparator.comparingLong(Ranked::hash).thenComparing(Ranked::id));
-        return ranked.stream().limit(CANDIDATES).map(Ranked::id).toList();
-    }
-
-    private static Ranked rank(Vm vm) {
-        long hash =
-                Hashing.komihash5_0()
-                        .hashStream()
-                        .putString(vm.failureDomain())
-                        .putString(vm.id())
-                        .getAsLong();
-        return new Ranked(vm.id(), hash);
+        return RendezvousOrder.of(self.failureDomain(), near, Function.identity()).stream()
+                .limit(CANDIDATES)
+                .toList();
     }
 }
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -1,11 +1,8 @@
 package org.apricotgauge.directory;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -13,11 +10,12 @@
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.SiteView;
+import org.apricotgauge.time.ElapsedClock;
 import org.apricotgauge.time.Ticker;
 
 /**
- * Keeps a node's picture of the site true: watches the platform, and asks other nodes while it
- * cannot.
+ * Keeps a node's picture of the site true: reads it from the platform or from another node, and
+ * tells it to others.
  *
  * <pre>{@code
  * DirectoryFeed feed = new DirectoryFeed(parts, listener);
@@ -26,15 +24,17 @@
  * feed.tick();                          // every 100 ms or so, on the worker
  * }</pre>
  *
- * <p>The platform's revisions order all changes, so that whoever has the higher one is right. Every
- * hop between nodes carries the sender's: a node whose watch has gone silent, or that the platform
- * turns away, learns within {@link #HINT_PATIENCE_MILLIS} that it lags, and fetches what it misses
- * from the node that said so. All work is done on one worker thread.
+ * <p>The platform's revisions order all changes, so that whoever has the higher one is right. A few
+ * nodes watch the platform; each other one watches its parent in the {@link ReaderTree} and asks it
+ * for a younger view before its own grows old. Whoever is told none in time asks the platform, so
+ * that no view depends on another node. Every hop between nodes carries the sender's revision too:
+ * a node that lags by {@link #HINT_PATIENCE_MILLIS} fetches what it misses from the node that said
+ * so. All work is done on one worker thread.
  */
 public final class DirectoryFeed implements AutoCloseable {
     /**
-     * How long one watch waits at the platform, in milliseconds. A watch costs a call each time;
-     * that it still works is found out by the age of the view, see {@link #renewIfOld}.
+     * How long one watch waits, in milliseconds. One at the platform costs a call each time; that
+     * it still works is found out by the age of the view, see {@link #keepYoung}.
      */
     static final long WATCH_MILLIS = 10_000;
 
@@ -42,19 +42,19 @@
     static final long ANSWER_MILLIS = 1_000;
 
     /**
-     * Pause after a page with changes: those of the next 0.3 s come in one call, for every node. A
-     * version still is in force well within the 2 s that it may take.
+     * Pause of a platform's reader after a page with changes: those of the next 0.3 s come in one
+     * call. A version still is in force well within the 2 s that it may take.
      */
     static final long GAP_MILLIS = 300;
 
-    /** How long a peer may be ahead before it is asked; the own watch usually answers sooner. */
-    static final long HINT_PATIENCE_MILLIS = 200;
+    /** The same for a reader of another node, which nobody counts. */
+    static final long NODE_GAP_MILLIS = 50;
 
-    /** Pause between two tries at a platform that does not answer. */
-    static final long RETRY_MILLIS = 300;
-
-    /** Pause between two questions to peers while the platform does not answer. */
-    static final long PEER_PAUSE_MILLIS = 400;
+    /**
+     * How long a peer may be ahead before it is asked. Two readers of the platform differ by their
+     * pauses after a page, and the nodes below them by some milliseconds more.
+     */
+    static final long HINT_PATIENCE_MILLIS = 400;
 
     /** A longer gap between two ticks counts as a pause of the process. */
     private static final long PAUSE_MILLIS = 1_500;
@@ -62,33 +62,29 @@
     /** After a pause a node waits so long for somebody to confirm what it knows. */
     private static final long CONFIRM_MILLIS = 1_000;
 
-    private static final int MAX_PEERS = 64;
-
     private static final String PLATFORM = "platform";
 
     private final Parts mParts;
     private final Listener mListener;
     private final FreshnessGuard mFreshness;
-    private final SiteDirectory mDirectory = new SiteDirectory(this::log);
-    private final AtomicReference<ItemTable> mItems = new AtomicReference<>(ItemTable.EMPTY);
-    private final CompletableFuture<Void> mOpened = new CompletableFuture<>();
     private final DirectoryLog mLog = new DirectoryLog();
-    private final List<Address> mPeers = new ArrayList<>();
-    private long mCall;
-    private boolean mCalling;
-    private boolean mWatching;
-    private long mCallDueMillis;
-    private long mNextCallMillis;
-    private boolean mPlatformLost;
+    private final SiteFold mSite;
+    private final CompletableFuture<Void> mOpened = new CompletableFuture<>();
+    private final ElapsedClock mElapsed;
+
+    /** By the clock that counts suspensions too. */
     private final Confirmations mConfirmations;
-    private long mRenewal;
-    private boolean mRenewing;
-    private long mRenewalDueMillis;
+
+    private final ParentLink mParent;
+    private final NodeReaders mReaders;
+    private final PeerHints mHints;
+
+    private final SiteWatch mWatch;
+    private final PlatformLink mPlatform;
+
+    private boolean mIsClosed;
+    private volatile boolean mWasConfirmed;
     private long mRenewAtAgeMillis;
-    private long mNextPeerMillis;
-    private volatile long mHintedRevision;
-    private volatile long mHintedAtMillis;
-    private volatile Address mHinter;
 
     /** Hears what became of the site, on the worker thread. */
     @FunctionalInterface
@@ -136,7 +132,14 @@
     public DirectoryFeed(Parts parts, Listener listener) {
         mParts = Checks.notNull("parts", parts);
         mListener = Checks.notNull("listener", listener);
-        mConfirmations = new Confirmations(parts.times(), parts.ticker().millis());
+        mElapsed = new ElapsedClock(parts.ticker(), parts.wallMillis());
+        mConfirmations = new Confirmations(parts.times(), mElapsed.millis());
+        mSite = new SiteFold(parts.decoder(), mLog);
+        mParent = new ParentLink(parts, mLog, this::readFromParent);
+        mReaders = new NodeReaders(new OwnView(), parts.times());
+        mHints = new PeerHints(parts, mLog, this::read);
+        mWatch = new SiteWatch(parts, this::readFromParent);
+        mPlatform = new PlatformLink(parts, mLog, (page, inTime) -> read(page, null, inTime));
         mRenewAtAgeMillis = drawRenewalAgeMillis();
         mFreshness =
                 new FreshnessGuard(
@@ -148,32 +151,26 @@
 
     /** Begins to read. */
     public void start() {
-        mParts.worker().execute(this::callIfDue);
+        mParts.worker().execute(this::watchIfDue);
     }
 
-    /** Returns the items as known now, for peers that ask. */
-    public ItemTable items() {
-        return mItems.get();
-    }
-
-    /** Returns a future that completes once a configuration is known. */
+    /** Returns a future that completes once a configuration is known and was confirmed. */
     public CompletableFuture<Void> opened() {
         return mOpened;
     }
 
     /** Returns whether what is known may be acted on: it is there, and confirmed after a pause. */
     public boolean mayAct() {
-        return mOpened.isDone()
-                && mFreshness.mayAct(mParts.ticker().millis(), mParts.wallMillis().getAsLong());
+        return mOpened.isDone() && isAwake();
+    }
+
+    private boolean isAwake() {
+        return mFreshness.mayAct(mParts.ticker().millis(), mParts.wallMillis().getAsLong());
     }
 
     /** Notes the newest change that a peer knows; cheap, from any thread. */
     public void hint(long newestRevision, Address peer) {
-        if (newestRevision > mHintedRevision || !mOpened.isDone()) {
-            mHintedRevision = Math.max(newestRevision, mHintedRevision);
-            mHintedAtMillis = mParts.ticker().millis();
-            mHinter = peer;
-        }
+        mHints.hint(newestRevision, peer, mParts.ticker().millis(), !mOpened.isDone());
     }
 
     /**
@@ -185,255 +182,317 @@
     public void confirm(long revision, long ageMillis) {
         // After a pause of this process the word may have waited here for as long as the pause.
         if (revision <= newestRevision() && mayAct()) {
-            mConfirmations.confirmed(mParts.ticker().millis() - ageMillis);
+            mConfirmations.confirmed(mElapsed.millis() - ageMillis);
         }
     }
 
+    /** Returns the items as known now. */
+    ItemTable items() {
+        return mSite.items();
+    }
+
+    /** Returns the revision of the newest change that is known. */
+    public long newestRevision() {
+        return mSite.items().newest();
+    }
+
+    private long ageMillis() {
+        return mConfirmations.ageMillis(mElapsed.millis());
+    }
+
+    /** Returns what is known of the site, and since when the platform may know more. */
+    public SiteView view() {
+        // In this order: a change that comes in between makes the age too high, never too low.
+        long ageMillis = ageMillis();
+        return new SiteView(newestRevision(), ageMillis);
+    }
+
+    /**
+     * Sets the nodes of the site; called on the worker.
+     *
+     * @param tree tells whom to read from
+     * @param peers guards that may be asked while the platform does not answer
+     */
+    public void setNodes(ReaderTree tree, List<Address> peers) {
+        mParent.setTree(tree);
+        mHints.setPeers(peers);
+    }
+
     /** Does what is due; called on the worker. */
     public void tick() {
-        long nowMillis = mParts.ticker().millis();
-        if (mFreshness.onTick(nowMillis, mParts.wallMillis().getAsLong())) {
-            mLog.woke(mItems.get().revision());
-            mConfirmations.forget();
-            restartCall(nowMillis);
-            askPeer(anyPeer(), nowMillis);
+        if (mIsClosed) {
+            return;
         }
-        if (mCalling && nowMillis >= mCallDueMillis) {
-            failed(mCall, "no answer in time", nowMillis);
+        long nowMillis = mParts.ticker().millis();
+        wakeIfPaused(nowMillis);
+        mWatch.expire(nowMillis);
+        mPlatform.expire(nowMillis);
+        mParent.expire(nowMillis);
+        followTree(nowMillis);
+        keepYoung(nowMillis);
+        if (mSite.directory().expire(nowMillis)) {
+            mListener.onSite(mSite.directory());
         }
-        if (mRenewing && nowMillis >= mRenewalDueMillis) {
-            renewed(mRenewal, null, new TimeoutException("no answer in time"));
+        followHint(nowMillis);
+        if (mPlatform.isLost() || !mOpened.isDone()) {
+            mHints.askAny(mSite.items().revision(), nowMillis);
         }
-        renewIfOld(nowMillis);
-        if (mDirectory.expire(nowMillis)) {
-            mListener.onSite(mDirectory);
+        mReaders.answer(nowMillis);
+        watchIfDue();
+    }
+
+    private void wakeIfPaused(long nowMillis) {
+        if (!mFreshness.onTick(nowMillis, mParts.wallMillis().getAsLong())) {
+            return;
         }
-        followHint(nowMillis);
-        if (mPlatformLost || !mOpened.isDone()) {
-            askPeer(anyPeer(), nowMillis);
+        mLog.woke(mSite.items().revision());
+        mHints.woke();
+        mConfirmations.forget();
+        mPlatform.drop();
+        mParent.drop();
+        // The waiting call may hang on a connection that is silent for good; a new one asks now.
+        watch(nowMillis, 0);
+        mHints.askAny(mSite.items().revision(), nowMillis);
+    }
+
+    private void followTree(long nowMillis) {
+        if (mParent.follow(!mOpened.isDone(), mSite.items().revision(), nowMillis)) {
+            mWatch.pause(0);
+            mRenewAtAgeMillis = drawRenewalAgeMillis();
         }
-        callIfDue();
     }
 
     private void followHint(long nowMillis) {
         // A whole read may be newer than all items in it, when a target came and went meanwhile.
-        ItemTable items = mItems.get();
-        boolean lags = mHintedRevision > Math.max(items.newest(), items.revision());
-        if (lags && nowMillis - mHintedAtMillis >= HINT_PATIENCE_MILLIS) {
-            mHintedAtMillis = nowMillis;
-            askPeer(mHinter, nowMillis);
-            restartCall(nowMillis);
+        ItemTable items = mSite.items();
+        long knownRevision = Math.max(items.newest(), items.revision());
+        if (mHints.followsAfter(HINT_PATIENCE_MILLIS, knownRevision, nowMillis)) {
+            mHints.askHinter(items.revision(), nowMillis);
+            watch(nowMillis, 0);
         }
     }
 
-    /** Returns the revision of the newest change that is known. */
-    public long newestRevision() {
-        return mItems.get().newest();
+    private void watchIfDue() {
+        long nowMillis = mParts.ticker().millis();
+        if (mIsClosed || !mWatch.isDue(nowMillis)) {
+            return;
+        }
+        boolean answers = !readsPlatform() || !mPlatform.isLost();
+        watch(nowMillis, mSite.items().isKnown() && mWasConfirmed && answers ? WATCH_MILLIS : 0);
     }
 
-    // The waiting call may hang on a connection that is silent for good; a new one asks at once.
-    private void restartCall(long nowMillis) {
-        mCalling = false;
-        mNextCallMillis = nowMillis;
-        call(nowMillis, 0);
+    private void watch(long nowMillis, long waitMillis) {
+        Address node = mParent.node();
+        PendingRead.End end = node == null ? new PlatformWatchEnd() : new NodeWatchEnd(node);
+        mWatch.begin(node, mSite.items().revision(), waitMillis, nowMillis, end);
     }
 
-    private void callIfDue() {
-        long nowMillis = mParts.ticker().millis();
-        if (!mCalling && nowMillis >= mNextCallMillis) {
-            call(nowMillis, mItems.get().isKnown() && !mPlatformLost ? WATCH_MILLIS : 0);
+    /** How a read of the platform ends that waits for changes, or that would like to. */
+    private final class PlatformWatchEnd implements PendingRead.End {
+        @Override
+        public void answered(PublishedPage page) {
+            platformAnswered();
+            mWatch.pause(page.items().isEmpty() ? 0 : GAP_MILLIS);
+            watchIfDue();
+        }
+
+        @Override
+        public void failed(String reason) {
+            platformFailed(reason);
         }
     }
 
-    private void call(long nowMillis, long waitMillis) {
-        long call = ++mCall;
-        mCalling = true;
-        mWatching = waitMillis > 0;
-        mCallDueMillis = nowMillis + waitMillis + ANSWER_MILLIS;
-        mParts.platform()
-                .read(mItems.get().revision(), waitMillis)
-                .whenCompleteAsync((page, failure) -> settle(call, page, failure), mParts.worker());
+    /** How a read of another node ends that waits for changes. */
+    private final class NodeWatchEnd implements PendingRead.End {
+        private final Address mNode;
+
+        private NodeWatchEnd(Address node) {
+            mNode = node;
+        }
+
+        @Override
+        public void answered(PublishedPage page) {
+            mParent.judge(mNode, page);
+            mWatch.pause(NODE_GAP_MILLIS);
+        }
+
+        @Override
+        public void failed(String reason) {
+            mParent.suspect(mNode, reason);
+        }
     }
 
-    private void settle(long call, PublishedPage page, Throwable failure) {
-        long nowMillis = mParts.ticker().millis();
-        if (failure != null) {
-            failed(call, failure.toString(), nowMillis);
-            return;
+    // A watch that went silent looks like one with nothing to tell. Requests went to targets up to
+    // 11 s after they had left, until it was given up. So a node whose view nobody confirmed for
+    // long enough asks its parent; and if that does not help, or there is none, the platform.
+    private void keepYoung(long nowMillis) {
+        long ageMillis = ageMillis();
+        if (!readsPlatform() && ageMillis >= mParts.times().askNodeMillis()) {
+            askParent(nowMillis);
         }
-        answered(page, nowMillis);
-        if (call != mCall) {
-            return;
+        if (ageMillis >= mRenewAtAgeMillis && mayRenew(nowMillis)) {
+            renew(nowMillis);
         }
-        mCalling = false;
-        if (mPlatformLost) {
-            mPlatformLost = false;
-            mLog.regained(mItems.get().revision());
+        if (!readsPlatform() && ageMillis < mParts.times().askNodeMillis()) {
+            platformAnswered();
         }
-        mNextCallMillis = nowMillis + (page.items().isEmpty() ? 0 : GAP_MILLIS);
-        callIfDue();
     }
 
-    private void answered(PublishedPage page, long nowMillis) {
-        boolean isOvertaken = page.revision() < mItems.get().revision();
-        take(page, PLATFORM, nowMillis);
-        // One that a peer's page overtook may be as old as its call, a watch's 10 s.
-        if (!isOvertaken) {
-            mConfirmations.confirmed(nowMillis);
+    private boolean readsPlatform() {
+        return mParent.node() == null;
+    }
+
+    private boolean mayRenew(long nowMillis) {
+        if (readsPlatform()) {
+            return mWatch.isWaiting() && !mPlatform.isLost();
         }
+        return !mPlatform.isLost() || nowMillis >= mPlatform.nextTryMillis();
     }
 
-    // A watch that went silent looks like one with nothing to tell. Requests went to targets up to
-    // 11 s after they had left, until it was given up. So a node whose view was not confirmed for
-    // long enough, by the platform or by a peer that was answered since, asks beside its watch. On
-    // three days with silent connections, 24 nodes called 343 to 384 times more in 45 s, each once
-    // in 3 s; where 40 requests had come late to targets that had left, none did.
-    private void renewIfOld(long nowMillis) {
-        boolean watches = mCalling && mWatching && !mPlatformLost;
-        if (!watches || mRenewing || mConfirmations.ageMillis(nowMillis) < mRenewAtAgeMillis) {
-            return;
+    private void askParent(long nowMillis) {
+        long pauseMillis =
+                mPlatform.isLost() ? PeerHints.PAUSE_MILLIS : mParts.times().nodeAnswerMillis();
+        mParent.ask(mSite.items().revision(), pauseMillis, nowMillis);
+    }
+
+    private void renew(long nowMillis) {
+        if (mPlatform.ask(mSite.items().revision(), nowMillis, new RenewalEnd())) {
+            mRenewAtAgeMillis = drawRenewalAgeMillis();
         }
-        long renewal = ++mRenewal;
-        mRenewing = true;
-        mRenewalDueMillis = nowMillis + ANSWER_MILLIS;
-        mRenewAtAgeMillis = drawRenewalAgeMillis();
-        mParts.platform()
-                .read(mItems.get().revision(), 0)
-                .whenCompleteAsync(
-                        (page, failure) -> renewed(renewal, page, failure), mParts.worker());
     }
 
-    // Nodes that were confirmed together would all ask together; spread over the second half of
-    // the time, the first ones' answers spare most of the others their question.
+    // Nodes that were confirmed together would all ask together; spread over a part of the time,
+    // the first ones' answers spare most of the others their question.
     private long drawRenewalAgeMillis() {
-        long boundMillis = mParts.times().viewBoundMillis();
-        return mParts.random().nextLong(boundMillis / 2, boundMillis + 1);
+        PlatformTimes times = mParts.times();
+        long leastMillis = readsPlatform() ? times.askNodeMillis() : times.askPlatformMillis();
+        return mParts.random().nextLong(leastMillis, times.viewBoundMillis() + 1);
     }
 
-    private void renewed(long renewal, PublishedPage page, Throwable failure) {
-        long nowMillis = mParts.ticker().millis();
-        if (failure == null) {
-            answered(page, nowMillis);
-        }
-        if (renewal != mRenewal || !mRenewing) {
-            return;
+    /** How a question to the platform ends that confirms what is known. */
+    private final class RenewalEnd implements PendingRead.End {
+        @Override
+        public void answered(PublishedPage page) {
+            platformAnswered();
+            if (!readsPlatform()) {
+                mParent.suspect(mParent.node(), "knows less than the platform told this node");
+            } else if (!page.items().isEmpty() && mWatch.isUnderWay()) {
+                mLog.watchWasSilent(page.revision());
+                mWatch.pause(GAP_MILLIS);
+            }
         }
-        mRenewing = false;
-        if (failure != null) {
-            failed(mCall, failure.toString(), nowMillis);
-        } else if (!page.items().isEmpty() && mCalling) {
-            mLog.watchWasSilent(page.revision());
-            mCalling = false;
-            mCall++;
-            mNextCallMillis = nowMillis + GAP_MILLIS;
+
+        @Override
+        public void failed(String reason) {
+            platformFailed(reason);
         }
     }
 
-    private void failed(long call, String reason, long nowMillis) {
-        if (call != mCall || !mCalling) {
-            return;
-        }
-        mCalling = false;
-        mCall++;
-        mNextCallMillis = nowMillis + RETRY_MILLIS;
-        if (!mPlatformLost) {
-            mPlatformLost = true;
-            mLog.lost(reason, mItems.get().revision());
-        }
+    private void platformAnswered() {
+        mPlatform.answered(mSite.items().revision());
     }
 
-    private void take(PublishedPage page, String source, long nowMillis) {
-        ItemTable before = mItems.get();
-        ItemTable after = before.with(page);
-        if (page.revision() >= before.revision()) {
-            mFreshness.onConfirmed();
-        }
-        if (after == before) {
-            return;
+    private void platformFailed(String reason) {
+        long nowMillis = mParts.ticker().millis();
+        mPlatform.failed(reason, mSite.items().revision(), mParent.tree(), nowMillis);
+        if (readsPlatform()) {
+            mWatch.pause(mPlatform.nextTryMillis() - nowMillis);
         }
-        mItems.set(after);
-        List<Change> changes = after.changedSince(before).stream().map(this::decode).toList();
-        long keepUntilMillis = mConfirmations.keepsPlaceUntilMillis(nowMillis);
-        boolean changed = false;
-        for (Change change : changes) {
-            mLog.reads(
-                    new DirectoryLog.Reading(
-                            change.revision(),
-                            source,
-                            mConfirmations.ageMillis(nowMillis),
-                            Math.max(0, keepUntilMillis - nowMillis)));
-            changed |= mDirectory.take(change.meaning(), nowMillis, keepUntilMillis);
+    }
+
+    private void readFromParent(PublishedPage page, boolean inTime) {
+        read(page, mParent.node(), inTime);
+    }
+
+    private void read(PublishedPage page, Address node, boolean inTime) {
+        long nowMillis = mParts.ticker().millis();
+        boolean isOvertaken = page.revision() < mSite.items().revision();
+        if (mSite.take(page, originOf(node), nowMillis)) {
+            mListener.onSite(mSite.directory());
         }
-        mLog.reads(DirectoryLog.Reading.TIME);
-        if (changed) {
-            mListener.onSite(mDirectory);
+        // A page that another overtook, or that answers a read given up, may be as old as its
+        // call: a watch's 10 s, or the pause of this process.
+        if (page.tellsAge() && inTime && !isOvertaken) {
+            mConfirmations.confirmed(mElapsed.millis() - page.ageMillis());
+            mFreshness.onConfirmed();
+            mWasConfirmed = true;
         }
-        if (mDirectory.configuration() != null) {
+        if (mSite.directory().configuration() != null && mWasConfirmed) {
+            mSite.logNewTargets();
             mOpened.complete(null);
         }
+        mReaders.answer(nowMillis);
     }
 
-    private Change decode(PublishedItem item) {
-        SiteChange change = mParts.decoder().decode(item);
-        mLog.decoded(change);
-        return new Change(change, item.revision());
+    private SiteFold.Origin originOf(Address node) {
+        long elapsedMillis = mElapsed.millis();
+        return new SiteFold.Origin(
+                node == null ? PLATFORM : node.toString(),
+                ageMillis(),
+                mConfirmations.keepsPlaceUntilMillis(elapsedMillis) - elapsedMillis);
     }
 
-    // A start reads every target of the site as new; that many lines would tell nothing.
-    private void log(TargetChange change) {
-        if (change.from() != TargetChange.Presence.ABSENT || mOpened.isDone()) {
-            mLog.believes(change);
-        }
+    /**
+     * Tells another node what it does not know; from any thread.
+     *
+     * @param afterRevision revision that it has
+     * @param waitMillis how long it waits for a change; 0 if it asks for a younger view
+     */
+    public CompletableFuture<PublishedPage> published(long afterRevision, long waitMillis) {
+        CompletableFuture<PublishedPage> answer = new CompletableFuture<>();
+        mParts.worker()
+                .execute(
+                        () ->
+                                mReaders.ask(
+                                        afterRevision,
+                                        waitMillis,
+                                        answer,
+                                        mParts.ticker().millis()));
+        return answer;
     }
 
-    /** Returns what is known of the site, and since when the platform may know more. */
-    public SiteView view() {
-        // In this order: a change that comes in between makes the age too high, never too low.
-        long ageMillis = mConfirmations.ageMillis(mParts.ticker().millis());
-        return new SiteView(newestRevision(), ageMillis);
-    }
+    /** What other nodes are told. */
+    private final class OwnView implements NodeReaders.View {
+        @Override
+        public ItemTable items() {
+            return mSite.items();
+        }
 
-    /** Sets the peers that may be asked; called on the worker. */
-    public void setPeers(List<Address> peers) {
-        mPeers.clear();
-        mPeers.addAll(peers.subList(0, Math.min(MAX_PEERS, peers.size())));
-    }
+        @Override
+        public long ageMillis() {
+            return DirectoryFeed.this.ageMillis();
+        }
 
-    private Address anyPeer() {
-        Address hinter = mHinter;
-        if (mPeers.isEmpty() || (hinter != null && mParts.random().nextBoolean())) {
-            return hinter;
+        @Override
+        public boolean knowsAge() {
+            return mWasConfirmed && isAwake();
         }
-        return mPeers.get(mParts.random().nextInt(mPeers.size()));
-    }
 
-    private void askPeer(Address peer, long nowMillis) {
-        if (peer == null || nowMillis < mNextPeerMillis) {
-            return;
+        @Override
+        public boolean makeYounger() {
+            if (mPlatform.isLost()) {
+                return false;
+            }
+            long nowMillis = mParts.ticker().millis();
+            if (readsPlatform()) {
+                renew(nowMillis);
+            } else {
+                askParent(nowMillis);
+            }
+            return true;
+        }
+
+        // The question to the platform may be lost; a node of another failure domain may have had
+        // its answer.
+        @Override
+        public void stayedOld() {
+            mHints.askAny(mSite.items().revision(), mParts.ticker().millis());
         }
-        mNextPeerMillis = nowMillis + PEER_PAUSE_MILLIS;
-        mParts.peers()
-                .apply(peer)
-                .read(mItems.get().revision(), 0)
-                .whenCompleteAsync(
-                        (page, failure) -> {
-                            if (failure == null) {
-                                take(page, peer.toString(), mParts.ticker().millis());
-                            } else {
-                                mLog.peerFailed(peer, failure);
-                            }
-                        },
-                        mParts.worker());
     }
 
     /** Calls nobody any more; the worker stays its owner's. */
     @Override
     public void close() {
-        mCalling = true;
-        mWatching = false;
-        mCallDueMillis = Long.MAX_VALUE;
+        mIsClosed = true;
     }
-
-    /** A decoded item with its revision. */
-    private record Change(SiteChange meaning, long revision) {}
 }
--- a/src/main/java/org/apricotgauge/directory/DirectoryLog.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryLog.java
@@ -30,6 +30,8 @@
 
     private record Lost(String reason, long revision) {}
 
+    private record Parent(String source, long revision) {}
+
     private record PeerFailed(String peer, String reason) {}
 
     /** Notes what the following steps in beliefs rest on. */
@@ -66,9 +68,13 @@
         mLog.info("platform regained", new Revision(revision));
     }
 
-    void peerFailed(Address peer, Throwable failure) {
-        mLog.warn(
-                "peer does not tell what it knows",
-                new PeerFailed(peer.toString(), failure.toString()));
+    void peerFailed(Address peer, String reason) {
+        mLog.warn("peer does not tell what it knows", new PeerFailed(peer.toString(), reason));
+    }
+
+    /** Tells whom the site is read from; null for the platform. */
+    void readsFrom(Address parent, long revision) {
+        String source = parent == null ? "platform" : parent.toString();
+        mLog.info("site is read from", new Parent(source, revision));
     }
 }
--- a/src/main/java/org/apricotgauge/directory/PlatformTimes.java
+++ b/src/main/java/org/apricotgauge/directory/PlatformTimes.java
@@ -39,6 +39,33 @@
         return Math.max(1, servesOnMillis * 3 / 4);
     }
 
+    /**
+     * Returns up to which age a node's view needs no confirmation before it is told to another
+     * node, in milliseconds. A younger one would cost a call for nearly every question; an older
+     * one would leave the asker too little time before its own bound.
+     */
+    long youngMillis() {
+        return Math.max(1, viewBoundMillis() * 3 / 8);
+    }
+
+    /** Returns the age at which a node asks the one that it reads from, in milliseconds. */
+    long askNodeMillis() {
+        return Math.max(1, viewBoundMillis() / 2);
+    }
+
+    /**
+     * Returns the age at which a node that reads from another asks the platform itself, in
+     * milliseconds: the other and those above it had three eighths of the bound to answer.
+     */
+    long askPlatformMillis() {
+        return Math.max(1, viewBoundMillis() * 7 / 8);
+    }
+
+    /** Returns how long one node waits for another's view, and looks again, in milliseconds. */
+    long nodeAnswerMillis() {
+        return Math.max(1, viewBoundMillis() / 8);
+    }
+
     /** Returns how long an ended registration is kept at the most while the platform is there. */
     long keepMillis() {
         return servesOnMillis / 2;
--- /dev/null
+++ b/src/main/java/org/apricotgauge/directory/SiteWatch.java
@@ -0,0 +1,71 @@
+package org.apricotgauge.directory;
+
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+
+/**
+ * The read that waits for changes of the site, one after the other.
+ *
+ * <p>Not thread-safe.
+ */
+final class SiteWatch {
+    private final DirectoryFeed.Parts mParts;
+    private final PendingRead mRead;
+    private boolean mWaits;
+    private long mNextMillis;
+
+    SiteWatch(DirectoryFeed.Parts parts, PendingRead.OnPage onPage) {
+        mParts = Checks.notNull("parts", parts);
+        mRead = new PendingRead(parts.worker(), onPage);
+        mNextMillis = Long.MIN_VALUE;
+    }
+
+    /** Returns whether a read is to begin. */
+    boolean isDue(long nowMillis) {
+        return !mRead.isUnderWay() && nowMillis >= mNextMillis;
+    }
+
+    /** Returns whether a read is under way. */
+    boolean isUnderWay() {
+        return mRead.isUnderWay();
+    }
+
+    /** Returns whether a read is under way that waits for a change. */
+    boolean isWaiting() {
+        return mRead.isUnderWay() && mWaits;
+    }
+
+    /**
+     * Begins a read, in place of one that is under way.
+     *
+     * @param node the node to read from; null for the platform
+     * @param afterRevision revision that is known
+     * @param waitMillis how long to wait for a change; 0 asks at once
+     * @param nowMillis present time
+     * @param end hears how it ended
+     */
+    void begin(
+            Address node,
+            long afterRevision,
+            long waitMillis,
+            long nowMillis,
+            PendingRead.End end) {
+        mWaits = waitMillis > 0;
+        mRead.begin(
+                node == null ? mParts.platform() : mParts.peers().apply(node),
+                new PendingRead.Question(afterRevision, waitMillis),
+                nowMillis + waitMillis + DirectoryFeed.ANSWER_MILLIS,
+                end);
+    }
+
+    /** Gives up a read that is under way; the next begins after a pause, in milliseconds. */
+    void pause(long pauseMillis) {
+        mRead.drop();
+        mNextMillis = mParts.ticker().millis() + pauseMillis;
+    }
+
+    /** Ends a read that is due. */
+    void expire(long nowMillis) {
+        mRead.expire(nowMillis);
+    }
+}
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -85,6 +85,9 @@
      */
     public static final String DIRECTORY = "Apricotgauge-Directory";
 
+    /** Questions: how long the asker of {@link #DIRECTORY} waits for a change, in milliseconds. */
+    public static final String DIRECTORY_WAIT_MILLIS = "Apricotgauge-Directory-Wait-Millis";
+
     /**
      * Hops: how long ago the platform held nothing newer than the revision of {@link #DIRECTORY},
      * in milliseconds; absent while the sender cannot say.
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -16,8 +16,10 @@
 import org.apricotgauge.directory.DirectoryFeed;
 import org.apricotgauge.directory.PlatformTimes;
 import org.apricotgauge.directory.PublishedConfiguration;
+import org.apricotgauge.directory.PublishedItem;
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.directory.PublishedSource;
+import org.apricotgauge.directory.ReaderTree;
 import org.apricotgauge.directory.Registration;
 import org.apricotgauge.directory.SiteDecoder;
 import org.apricotgauge.directory.SiteDirectory;
@@ -99,9 +101,22 @@
                         parts, platform.apply(parts.questions()), decoder, defaults, times);
     }
 
+    /** A page on the wire; a node of an earlier release tells no age. */
+    private record PageMessage(
+            long revision, boolean whole, List<PublishedItem> items, Long ageMillis) {
+        static PageMessage of(PublishedPage page) {
+            return new PageMessage(page.revision(), page.whole(), page.items(), page.ageMillis());
+        }
+
+        PublishedPage page() {
+            long knownAgeMillis = ageMillis == null ? PublishedPage.UNKNOWN_AGE : ageMillis;
+            return new PublishedPage(revision, whole, items, knownAgeMillis);
+        }
+    }
+
     static byte[] encode(PublishedPage page) {
         try {
-            return MAPPER.writeValueAsBytes(page);
+            return MAPPER.writeValueAsBytes(PageMessage.of(page));
         } catch (IOException e) {
             throw new IllegalStateException("a page can always be written", e);
         }
@@ -109,7 +124,7 @@
 
     /** Reads a page. */
     static PublishedPage decode(byte[] bytes) throws IOException {
-        return MAPPER.readValue(bytes, PublishedPage.class);
+        return MAPPER.readValue(bytes, PageMessage.class).page();
     }
 
     private void onSite(SiteDirectory directory) {
@@ -126,7 +141,7 @@
         List<Address> guards = guards();
         mParts.listener().onMembers(new Members(leaving, guards));
         mParts.listener().onConfiguration(published.version(), mConfiguration, mMark);
-        mFeed.setPeers(guards);
+        mFeed.setNodes(readerTree(), guards);
         // Behind the tasks that change the table: the event stands where requests obey it.
         Set<String> before = mLeaving;
         mLeaving = leaving;
@@ -195,6 +210,16 @@
                 .toList();
     }
 
+    private ReaderTree readerTree() {
+        Set<ReaderTree.Node> nodes = new HashSet<>();
+        for (Target target : mConfiguration.targets()) {
+            Address guard = new Address(target.host(), mParts.vm().guardPort());
+            nodes.add(new ReaderTree.Node(guard, target.failureDomain()));
+        }
+        Address self = new Address(mParts.vm().host(), mParts.vm().guardPort());
+        return new ReaderTree(new ReaderTree.Node(self, mParts.vm().failureDomain()), nodes);
+    }
+
     @Override
     public CompletableFuture<Void> opened() {
         return mFeed.opened();
@@ -277,8 +302,8 @@
     }
 
     @Override
-    public byte[] publishedSince(long revision) {
-        return encode(mFeed.items().changesAfter(revision));
+    public CompletableFuture<byte[]> published(long afterRevision, long waitMillis) {
+        return mFeed.published(afterRevision, waitMillis).thenApply(DirectoryControl::encode);
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/node/GossipControl.java
+++ b/src/main/java/org/apricotgauge/node/GossipControl.java
@@ -101,8 +101,8 @@
     public void hopArrived(HttpFields headers) {}
 
     @Override
-    public byte[] publishedSince(long revision) {
-        return NOTHING;
+    public CompletableFuture<byte[]> published(long afterRevision, long waitMillis) {
+        return CompletableFuture.completedFuture(NOTHING);
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -156,7 +156,7 @@
                 mProfile.entry().dialect(),
                 mProfile.entry().slotUse(),
                 mProfile.entry().guardRetries(),
-                revision -> mControl.publishedSince(revision),
+                (revision, waitMillis) -> mControl.published(revision, waitMillis),
                 mRegistry);
     }
 
--- a/src/main/java/org/apricotgauge/node/NodeControl.java
+++ b/src/main/java/org/apricotgauge/node/NodeControl.java
@@ -49,8 +49,13 @@
     /** Takes what a hop's head tells; {@code vm} is the sender's, or null if it is not known. */
     void hopArrived(HttpFields headers);
 
-    /** Answers a peer that asks what is published; empty if that is not what this node reads. */
-    byte[] publishedSince(long revision);
+    /**
+     * Answers a peer that asks what is published; empty if that is not what this node reads.
+     *
+     * @param afterRevision revision that the peer has
+     * @param waitMillis how long it waits for a change; 0 if it asks for a younger view
+     */
+    CompletableFuture<byte[]> published(long afterRevision, long waitMillis);
 
     @Override
     void close();
--- a/src/main/java/org/apricotgauge/node/PeerSource.java
+++ b/src/main/java/org/apricotgauge/node/PeerSource.java
@@ -37,13 +37,14 @@
         var request =
                 mClient.newRequest(mGuard.host(), mGuard.port())
                         .path("/")
-                        .timeout(ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+                        .timeout(ANSWER_MILLIS + waitMillis, TimeUnit.MILLISECONDS)
                         .headers(
                                 headers -> {
                                     headers.put(HttpHeader.CONNECTION, "close");
                                     headers.put(
                                             HeaderNames.CONTROL, GuardHandler.CONTROL_DIRECTORY);
                                     headers.put(HeaderNames.DIRECTORY, afterRevision);
+                                    headers.put(HeaderNames.DIRECTORY_WAIT_MILLIS, waitMillis);
                                 });
         return new CompletableResponseListener(request, MAX_BYTES)
                 .send()
--- a/src/main/java/org/apricotgauge/platform/kv/KvSource.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvSource.java
@@ -28,10 +28,13 @@
  * }</pre>
  *
  * <p>One watch with the empty prefix covers the configuration and the targets: a call each is what
- * the platform counts. A store that has forgotten the changes asked for (410) is read whole.
+ * the platform counts. A store that has forgotten the changes asked for (410) is read whole. A
+ * first read may show the state of some seconds ago; its page tells no age, so that its reader asks
+ * for the changes since, and acts on none of it before.
  */
 public final class KvSource implements PublishedSource {
     private static final String RANGE = "/apricotgauge/kv-range?pathPrefix=";
+    private static final String ALLOW_STALE = "&allowStale=1";
     private static final String WATCH = "/apricotgauge/kv-watch?pathPrefix=";
 
     /** The store holds a watch no longer than this. */
@@ -64,6 +67,14 @@
         }
     }
 
+    /** Which state of the store a range may show. */
+    private enum Consistency {
+        /** That at the time of the call. */
+        LATEST,
+        /** One of some seconds ago, at a tenth of the price. */
+        STALE
+    }
+
     private record RangeAnswer(List<ItemLine> items, boolean hasMore, long at) {}
 
     private record WatchAnswer(List<ItemLine> events, long at) {}
@@ -71,7 +82,7 @@
     @Override
     public CompletableFuture<PublishedPage> read(long afterRevision, long waitMillis) {
         if (afterRevision == 0) {
-            return readWhole(new ArrayList<>(), "", 0);
+            return readWhole(Consistency.STALE, new ArrayList<>(), "", Long.MAX_VALUE);
         }
         long wait = Math.max(1, Math.min(MAX_WAIT_MILLIS, waitMillis));
         String path = WATCH + "&after=" + afterRevision + "&waitMs=" + wait;
@@ -79,7 +90,8 @@
                 .thenCompose(
                         answer -> {
                             if (answer.getStatus() == HttpStatus.GONE_410) {
-                                return readWhole(new ArrayList<>(), "", 0);
+                                return readWhole(
+                                        Consistency.LATEST, new ArrayList<>(), "", Long.MAX_VALUE);
                             }
                             WatchAnswer watch = parse(path, answer, WatchAnswer.class);
                             return CompletableFuture.completedFuture(
@@ -87,11 +99,12 @@
                         });
     }
 
-    // Pages are not a snapshot: what changes between them shows in a watch from the first one on.
+    // Pages are not a snapshot: what changes between them shows in a watch from the oldest one on.
     private CompletableFuture<PublishedPage> readWhole(
-            List<PublishedItem> read, String afterKey, long firstAt) {
+            Consistency consistency, List<PublishedItem> read, String afterKey, long oldestAt) {
         String path =
                 RANGE
+                        + (consistency == Consistency.STALE ? ALLOW_STALE : "")
                         + (afterKey.isEmpty()
                                 ? ""
                                 : "&after=" + URLEncoder.encode(afterKey, StandardCharsets.UTF_8));
@@ -100,12 +113,16 @@
                         answer -> {
                             RangeAnswer range = parse(path, answer, RangeAnswer.class);
                             read.addAll(items(range.items()));
-                            long at = firstAt == 0 ? range.at() : firstAt;
+                            long at = Math.min(oldestAt, range.at());
                             if (range.hasMore() && !read.isEmpty()) {
-                                return readWhole(read, read.get(read.size() - 1).key(), at);
+                                String lastKey = read.get(read.size() - 1).key();
+                                return readWhole(consistency, read, lastKey, at);
                             }
+                            PublishedPage page = new PublishedPage(at, true, read);
                             return CompletableFuture.completedFuture(
-                                    new PublishedPage(at, true, read));
+                                    consistency == Consistency.STALE
+                                            ? page.agedMillis(PublishedPage.UNKNOWN_AGE)
+                                            : page);
                         });
     }
 
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +39,7 @@
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
@@ -89,8 +91,13 @@
     /** Tells a peer what the platform published. */
     @FunctionalInterface
     public interface DirectoryPages {
-        /** Returns the encoded changes after a revision; empty bytes if nothing is read so. */
-        byte[] publishedSince(long revision);
+        /**
+         * Returns the encoded changes after a revision; empty bytes if nothing is read so.
+         *
+         * @param afterRevision revision that the peer has
+         * @param waitMillis how long it waits for a change; 0 if it asks for a younger view
+         */
+        CompletableFuture<byte[]> published(long afterRevision, long waitMillis);
     }
 
     /**
@@ -200,10 +207,7 @@
             return true;
         }
         if (CONTROL_DIRECTORY.equals(control)) {
-            long afterRevision =
-                    Math.max(0, request.getHeaders().getLongField(HeaderNames.DIRECTORY));
-            ByteBuffer page = ByteBuffer.wrap(mDirectory.publishedSince(afterRevision));
-            response.write(true, page, callback);
+            tellDirectory(request.getHeaders(), response, callback);
             return true;
         }
         Optional<Attempt> attempt =
@@ -226,6 +230,21 @@
         return true;
     }
 
+    private void tellDirectory(HttpFields question, Response response, Callback callback) {
+        long afterRevision = Math.max(0, question.getLongField(HeaderNames.DIRECTORY));
+        long waitMillis = Math.max(0, question.getLongField(HeaderNames.DIRECTORY_WAIT_MILLIS));
+        mDirectory
+                .published(afterRevision, waitMillis)
+                .whenComplete(
+                        (page, failure) -> {
+                            if (failure == null) {
+                                response.write(true, ByteBuffer.wrap(page), callback);
+                            } else {
+                                callback.failed(failure);
+                            }
+                        });
+    }
+
     // A second try of a keyed request, read by a node that was paused for longer than it remembers
     // keys, would run again; it carries the latest start of the first, which has passed by then.
     private boolean handleKeyed(
--- a/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
+++ b/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
@@ -120,7 +120,7 @@
 
         pass(TIMES.viewBoundMillis());
         assertThat(mPlatform.mCalls).hasSize(calls + 1);
-        pass(DirectoryFeed.ANSWER_MILLIS + DirectoryFeed.RETRY_MILLIS);
+        pass(DirectoryFeed.ANSWER_MILLIS + RetryPause.FIRST_MILLIS);
 
         assertThat(mPlatform.mCalls).hasSize(calls + 2);
         assertThat(mPlatform.last().waitMillis()).isZero();
--- /dev/null
+++ b/src/test/java/org/apricotgauge/directory/ReaderFleetTest.java
@@ -0,0 +1,207 @@
+package org.apricotgauge.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.apricotgauge.directory.SimulatedSite.SiteNode;
+import org.junit.jupiter.api.Test;
+
+/** Few nodes read the platform, and all know what it says in time, whoever fails. */
+class ReaderFleetTest {
+    private static final long SECOND_MILLIS = 1_000;
+
+    @Test
+    void callsAtRestDoNotGrowWithTheNodesOfAFailureDomain() {
+        // Each node that reads the platform itself costs a waiting watch, a question every second
+        // or two, and a call for each change: at 113 nodes a hundred calls a second.
+        long small = callsAtRest(new SimulatedSite(3, 8, 1));
+        long large = callsAtRest(new SimulatedSite(3, 40, 1));
+
+        System.out.printf("calls in 20 s at rest: 24 nodes %d, 120 nodes %d%n", small, large);
+        // A failure domain asks as often as its view must be made younger, whoever wants it.
+        long most = 3 * (20 * SECOND_MILLIS / SimulatedSite.TIMES.youngMillis() + 3);
+        assertThat(small).isLessThan(most);
+        assertThat(large).isLessThan(most);
+    }
+
+    private static long callsAtRest(SimulatedSite site) {
+        site.pass(10 * SECOND_MILLIS);
+        assertThat(site.readers()).extracting(SiteNode::domain).containsOnly("d0", "d1", "d2");
+        assertThat(site.readers()).hasSizeLessThanOrEqualTo(3);
+        site.pass(20 * SECOND_MILLIS);
+        return site.callsInLast(20 * SECOND_MILLIS);
+    }
+
+    @Test
+    void aChangeReachesAllNodesWithoutACallOfEach() {
+        SimulatedSite site = new SimulatedSite(5, 22, 2);
+        site.pass(10 * SECOND_MILLIS);
+
+        site.publish("x", "d0");
+        site.pass(200);
+
+        assertThat(site.callsInLast(200)).isLessThan(5 * 3);
+        for (SiteNode node : site.nodes()) {
+            assertThat(node.feed().newestRevision()).isEqualTo(112);
+        }
+    }
+
+    @Test
+    void anOutageIsNoStorm() {
+        // The platform is away for 20 s. Each node that looks for it every 0.3 s would keep an
+        // overloaded platform so; and the readers of the platform must still see its return at
+        // once, since targets that are missing 2 s after it are gone.
+        SimulatedSite site = new SimulatedSite(3, 40, 3);
+        site.pass(10 * SECOND_MILLIS);
+
+        site.setAway(true);
+        site.pass(5 * SECOND_MILLIS);
+        site.pass(15 * SECOND_MILLIS);
+        long callsPerSecond = site.callsInLast(15 * SECOND_MILLIS) / 15;
+        site.setAway(false);
+        site.publish("x", "d0");
+        site.pass(SECOND_MILLIS);
+
+        System.out.printf("120 nodes in an outage: %d calls a second%n", callsPerSecond);
+        // Two nodes of each failure domain try every 0.6 s, all others 40 times a second together.
+        assertThat(callsPerSecond).isLessThan(3 * 2 * 2 + 40);
+        assertThat(site.nodes())
+                .allMatch(node -> node.feed().newestRevision() == 122, "knows the change");
+        site.pass(DirectoryFeed.WATCH_MILLIS + Suspects.LONGEST_MILLIS);
+        assertThat(site.readers()).hasSize(3);
+    }
+
+    @Test
+    void allConnectionsThatGoSilentLeaveNobodyBehind() {
+        SimulatedSite site = new SimulatedSite(3, 12, 4);
+        site.pass(10 * SECOND_MILLIS);
+
+        site.silenceConnections();
+        site.publish("x", "d0");
+        site.pass(SimulatedSite.TIMES.servesOnMillis() - 100);
+
+        assertThat(site.nodes()).allMatch(node -> node.feed().newestRevision() == 38);
+    }
+
+    @Test
+    void aReaderThatDiesOrIsCutOffOrWakesLateHoldsNobodyUp() {
+        // The nodes of a failure domain learn all they know from one of them. It dies, or is
+        // suspended, or the platform refuses it; right then a target leaves. The others must know
+        // in time, and must agree on another reader rather than all become one.
+        for (int fault = 0; fault < 3; fault++) {
+            SimulatedSite site = new SimulatedSite(3, 20, 5);
+            site.pass(10 * SECOND_MILLIS);
+            for (SiteNode reader : site.readers()) {
+                strike(reader, fault);
+            }
+            site.publish("x", "d0");
+            site.pass(SimulatedSite.TIMES.servesOnMillis() - 100);
+
+            assertThat(site.nodes())
+                    .filteredOn(SiteNode::isUp)
+                    .as("fault %d", fault)
+                    .allMatch(node -> node.feed().newestRevision() == 62);
+            site.pass(3 * SECOND_MILLIS);
+            assertThat(site.callsInLast(SECOND_MILLIS)).as("fault %d", fault).isLessThan(30);
+        }
+    }
+
+    private static void strike(SiteNode node, int fault) {
+        switch (fault) {
+            case 0 -> node.kill();
+            case 1 -> node.pause();
+            default -> node.setRefused(true);
+        }
+    }
+
+    @Property(seed = "24", tries = 150)
+    void whateverFailsNodesInTouchKnowEachChangeInTime(@ForAll long seed) {
+        Trouble trouble = new Trouble(seed);
+        for (int step = 0; step < 60; step++) {
+            trouble.step();
+        }
+    }
+
+    /** A course of faults, changes and calm, drawn from a seed. */
+    private static final class Trouble {
+        private final SplittableRandom mRandom;
+        private final SimulatedSite mSite;
+        private int mKey;
+
+        private Trouble(long seed) {
+            mRandom = new SplittableRandom(seed);
+            mSite = new SimulatedSite(1 + mRandom.nextInt(3), 1 + mRandom.nextInt(16), seed);
+            pass(8 * SECOND_MILLIS);
+        }
+
+        private void step() {
+            SiteNode node = mSite.nodes().get(mRandom.nextInt(mSite.nodes().size()));
+            SiteNode other = mSite.nodes().get(mRandom.nextInt(mSite.nodes().size()));
+            switch (mRandom.nextInt(14)) {
+                case 0 -> node.kill();
+                case 1 -> pauseOrResume(node);
+                case 2 -> node.setRefused(true);
+                case 3 -> mSite.nodes().forEach(one -> one.setRefused(false));
+                case 4 -> mSite.setAway(true);
+                case 5, 6 -> heal();
+                case 7 -> mSite.setLosesAnswers(true);
+                case 8 -> mSite.dropHistory();
+                case 9 -> mSite.silenceConnections();
+                case 10 -> mSite.cutPath(node, other);
+                case 11 -> strikeReaders();
+                default -> change();
+            }
+            pass(100 + mRandom.nextLong(4 * SECOND_MILLIS));
+        }
+
+        private static void pauseOrResume(SiteNode node) {
+            if (node.isUp()) {
+                node.pause();
+            }
+        }
+
+        private void strikeReaders() {
+            List<SiteNode> readers = mSite.readers();
+            int fault = mRandom.nextInt(3);
+            readers.forEach(reader -> strike(reader, fault));
+        }
+
+        private void heal() {
+            mSite.setAway(false);
+            mSite.setLosesAnswers(false);
+            mSite.mendPaths();
+            mSite.nodes().forEach(one -> one.setRefused(false));
+            mSite.nodes().forEach(Trouble::bringBack);
+            pass(2 * SimulatedSite.CALM_MILLIS);
+        }
+
+        private static void bringBack(SiteNode node) {
+            if (node.isUp()) {
+                return;
+            }
+            if (node.isPaused()) {
+                node.resume();
+            } else {
+                node.start();
+            }
+        }
+
+        private void change() {
+            if (mRandom.nextBoolean()) {
+                mSite.publish("x" + mKey++, "d0");
+            } else if (mKey > 0) {
+                mSite.remove("x" + mRandom.nextInt(mKey));
+            }
+        }
+
+        private void pass(long millis) {
+            for (long left = millis; left > 0; left -= 50) {
+                mSite.pass(Math.min(left, 50));
+                assertThat(mSite.lateNodes()).isEmpty();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/directory/ReaderTreeTest.java
@@ -0,0 +1,98 @@
+package org.apricotgauge.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.apricotgauge.directory.ReaderTree.Node;
+import org.apricotgauge.model.Address;
+import org.junit.jupiter.api.Test;
+
+class ReaderTreeTest {
+    private static final int NODES = 600;
+
+    private static List<Node> site(int nodesEach) {
+        List<Node> nodes = new ArrayList<>();
+        for (String domain : List.of("a", "b")) {
+            IntStream.range(0, nodesEach)
+                    .mapToObj(i -> new Node(new Address(domain + i, 80), domain))
+                    .forEach(nodes::add);
+        }
+        return nodes;
+    }
+
+    private static Optional<Address> parentOf(Node node, List<Node> site, Set<Address> suspects) {
+        return new ReaderTree(node, site).parent(suspects::contains);
+    }
+
+    @Test
+    void oneNodeOfEachFailureDomainReadsThePlatformAndAllOthersReachItInAFewSteps() {
+        List<Node> site = site(NODES);
+        Map<Address, Address> parents = new HashMap<>();
+        List<Node> readers = new ArrayList<>();
+        for (Node node : site) {
+            parentOf(node, site, Set.of())
+                    .ifPresentOrElse(
+                            parent -> parents.put(node.guard(), parent), () -> readers.add(node));
+        }
+
+        assertThat(readers).extracting(Node::failureDomain).containsExactlyInAnyOrder("a", "b");
+        assertThat(site).allMatch(node -> steps(node.guard(), parents) <= 3);
+        for (Address parent : new HashSet<>(parents.values())) {
+            assertThat(parents.values().stream().filter(parent::equals).count())
+                    .isLessThanOrEqualTo(ReaderTree.FAN_OUT);
+        }
+    }
+
+    private static int steps(Address node, Map<Address, Address> parents) {
+        int steps = 0;
+        for (Address at = node; parents.containsKey(at); at = parents.get(at)) {
+            steps++;
+        }
+        return steps;
+    }
+
+    @Test
+    void nodesThatSuspectTheReaderAgreeOnTheNextOne() {
+        List<Node> site = site(20);
+        Set<Address> dead = new HashSet<>();
+        for (int round = 0; round < 3; round++) {
+            List<Address> readers =
+                    site.stream()
+                            .filter(node -> node.failureDomain().equals("a"))
+                            .filter(node -> !dead.contains(node.guard()))
+                            .filter(node -> parentOf(node, site, dead).isEmpty())
+                            .map(Node::guard)
+                            .toList();
+            assertThat(readers).hasSize(1);
+            dead.addAll(readers);
+        }
+    }
+
+    @Test
+    void aNodeThatIsNotRegisteredReadsFromOthersAndNobodyFromIt() {
+        // Its target is still starting, or leaves: the others do not know of the node, and would
+        // not follow it; as a reader of the platform it would be one too many.
+        List<Node> site = site(20);
+        Node stranger = new Node(new Address("stranger", 80), "a");
+
+        assertThat(parentOf(stranger, site, Set.of())).isPresent();
+        assertThat(site)
+                .noneMatch(
+                        one -> parentOf(one, site, Set.of()).equals(Optional.of(stranger.guard())));
+    }
+
+    @Test
+    void aNodeWithoutNeighboursReadsThePlatform() {
+        Node alone = new Node(new Address("c0", 80), "c");
+        assertThat(parentOf(alone, site(3), Set.of())).isEmpty();
+        assertThat(new ReaderTree(alone, site(3)).isFirst()).isTrue();
+        assertThat(ReaderTree.alone().parent(node -> false)).isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/directory/SimulatedSite.java
@@ -0,0 +1,499 @@
+package org.apricotgauge.directory;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.time.ManualTicker;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A site of nodes, each with its own {@link DirectoryFeed}, and one platform, in virtual time.
+ *
+ * <p>Messages take milliseconds; nodes, the platform and the paths between them can fail. After
+ * each step it is checked that no node takes its view for younger than it is. Hops of requests are
+ * left out: they could only make views younger.
+ */
+final class SimulatedSite {
+    static final PlatformTimes TIMES = new PlatformTimes(2_000, 1_500);
+
+    /** How long a calm while must be before a node's view is bounded again. */
+    static final long CALM_MILLIS = 3_000;
+
+    static {
+        // Hundreds of nodes lose and regain the platform in a second of test.
+        ((Logger) LoggerFactory.getLogger(DirectoryFeed.class)).setLevel(Level.OFF);
+    }
+
+    /** Of a registered target without a node beside it. */
+    private static final CompletableFuture<PublishedPage> REFUSED =
+            CompletableFuture.failedFuture(new IOException("connection refused"));
+
+    private static final long TICK_MILLIS = 100;
+    private static final long PLATFORM_WAY_MILLIS = 2;
+    private static final long NODE_WAY_MILLIS = 1;
+
+    private final ManualTicker mTicker = new ManualTicker();
+    private final SplittableRandom mRandom;
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
+    private final Map<String, TreeMap<Long, Write>> mWrites = new TreeMap<>();
+    private final Map<String, PublishedItem> mItems = new TreeMap<>();
+    private final List<WaitingWatch> mWatches = new ArrayList<>();
+    private final List<SiteNode> mNodes = new ArrayList<>();
+    private final Set<List<SiteNode>> mCutPaths = new HashSet<>();
+    private final List<Long> mCallsAtMillis = new ArrayList<>();
+    private long mEventNumber;
+    private long mRevision;
+    private long mHistoryFrom;
+    private boolean mAway;
+    private boolean mLosesAnswers;
+    private long mPlatformCalmFromMillis;
+
+    private record Write(long atMillis, boolean removed) {}
+
+    private record Event(long atMillis, long number, Runnable action) {}
+
+    private record WaitingWatch(
+            long afterRevision,
+            long untilMillis,
+            SiteNode reader,
+            CompletableFuture<PublishedPage> answer) {}
+
+    SimulatedSite(int domains, int nodesEach, long seed) {
+        mRandom = new SplittableRandom(seed);
+        for (int domain = 0; domain < domains; domain++) {
+            for (int node = 0; node < nodesEach; node++) {
+                mNodes.add(new SiteNode("d" + domain, "10." + domain + ".0." + (node + 1)));
+            }
+        }
+        publish("config", "1");
+        mNodes.forEach(node -> publish(node.mGuard.host(), node.mDomain));
+        mNodes.forEach(SiteNode::start);
+    }
+
+    /** Writes an item. */
+    void publish(String key, String value) {
+        write(new PublishedItem(key, value.getBytes(), ++mRevision, false));
+    }
+
+    /** Removes an item. */
+    void remove(String key) {
+        write(PublishedItem.removed(key, ++mRevision));
+    }
+
+    private void write(PublishedItem item) {
+        mItems.put(item.key(), item);
+        mWrites.computeIfAbsent(item.key(), key -> new TreeMap<>())
+                .put(mRevision, new Write(now(), item.removed()));
+        answerWatches();
+    }
+
+    /** Refuses all calls from now on and cuts those that wait; or serves again. */
+    void setAway(boolean away) {
+        mAway = away;
+        platformChanged();
+        if (away) {
+            mWatches.forEach(
+                    watch ->
+                            watch.answer().completeExceptionally(new IOException("platform away")));
+            mWatches.clear();
+        }
+    }
+
+    /** Loses every answer from now on; or not any longer. */
+    void setLosesAnswers(boolean loses) {
+        mLosesAnswers = loses;
+        platformChanged();
+    }
+
+    /** Forgets all changes up to now. */
+    void dropHistory() {
+        mHistoryFrom = mRevision;
+        mItems.values().removeIf(PublishedItem::removed);
+    }
+
+    /** All open connections go silent for good; new ones work. */
+    void silenceConnections() {
+        mWatches.clear();
+        mNodes.forEach(node -> node.mEpoch++);
+        mNodes.forEach(SiteNode::disturbed);
+    }
+
+    private void platformChanged() {
+        mPlatformCalmFromMillis = now();
+    }
+
+    private void called(
+            SiteNode reader, long after, long wait, CompletableFuture<PublishedPage> to) {
+        mCallsAtMillis.add(now());
+        if (mAway || reader.mIsRefused) {
+            to.completeExceptionally(new IOException("refused"));
+            return;
+        }
+        if (mLosesAnswers) {
+            return;
+        }
+        mWatches.add(new WaitingWatch(after, now() + wait, reader, to));
+        answerWatches();
+    }
+
+    private void answerWatches() {
+        if (mAway || mLosesAnswers) {
+            return;
+        }
+        List<WaitingWatch> due =
+                mWatches.stream()
+                        .filter(
+                                watch ->
+                                        watch.afterRevision() < mRevision
+                                                || watch.untilMillis() <= now())
+                        .toList();
+        mWatches.removeAll(due);
+        due.forEach(watch -> watch.answer().complete(page(watch.afterRevision())));
+    }
+
+    private PublishedPage page(long after) {
+        boolean whole = after < mHistoryFrom || after == 0;
+        List<PublishedItem> items =
+                mItems.values().stream()
+                        .filter(item -> whole ? !item.removed() : item.revision() > after)
+                        .sorted(Comparator.comparingLong(PublishedItem::revision))
+                        .toList();
+        return new PublishedPage(mRevision, whole, items);
+    }
+
+    /** Returns the calls to the platform in the last milliseconds. */
+    long callsInLast(long millis) {
+        return mCallsAtMillis.stream().filter(at -> at > now() - millis).count();
+    }
+
+    long now() {
+        return mTicker.millis();
+    }
+
+    private void later(long millis, Runnable action) {
+        mEvents.add(new Event(now() + millis, mEventNumber++, action));
+    }
+
+    /** Lets time pass; whatever a node believes falsely is thrown. */
+    void pass(long millis) {
+        long untilMillis = now() + millis;
+        while (!mEvents.isEmpty() && mEvents.peek().atMillis() <= untilMillis) {
+            Event event = mEvents.poll();
+            mTicker.advanceMillis(event.atMillis() - now());
+            event.action().run();
+        }
+        mTicker.advanceMillis(untilMillis - now());
+    }
+
+    List<SiteNode> nodes() {
+        return mNodes;
+    }
+
+    /** Returns the nodes that the platform answers, or waits to answer, now. */
+    List<SiteNode> readers() {
+        return mWatches.stream().map(WaitingWatch::reader).distinct().toList();
+    }
+
+    /** Cuts what one node sends to another; the other way stays. */
+    void cutPath(SiteNode from, SiteNode to) {
+        mCutPaths.add(List.of(from, to));
+        from.disturbed();
+        to.disturbed();
+    }
+
+    /** Mends all paths. */
+    void mendPaths() {
+        mCutPaths.clear();
+        mNodes.forEach(SiteNode::disturbed);
+    }
+
+    private boolean isCut(SiteNode from, SiteNode to) {
+        return mCutPaths.contains(List.of(from, to));
+    }
+
+    /**
+     * Returns what nodes in touch do not know though they should: changes that are older than
+     * targets serve on, less the last hop.
+     */
+    List<String> lateNodes() {
+        List<String> late = new ArrayList<>();
+        boolean isCalm = !mAway && !mLosesAnswers && now() - mPlatformCalmFromMillis >= CALM_MILLIS;
+        for (SiteNode node : mNodes) {
+            if (isCalm && node.isInTouch()) {
+                long knownAt = node.knownUpToMillis();
+                if (now() - knownAt > TIMES.servesOnMillis() - TICK_MILLIS) {
+                    late.add(node.mGuard + " lacks a change of " + (now() - knownAt) + " ms ago");
+                }
+            }
+        }
+        return late;
+    }
+
+    /** A node with the real feed. */
+    final class SiteNode {
+        private final String mDomain;
+        private final Address mGuard;
+        private DirectoryFeed mFeed;
+        private long mEpoch;
+        private boolean mIsDown;
+        private boolean mIsPaused;
+        private boolean mIsRefused;
+        private long mSuspendedMillis;
+        private long mPausedAtMillis;
+        private long mCalmFromMillis;
+        private final List<Runnable> mHeldUp = new ArrayList<>();
+
+        private SiteNode(String domain, String host) {
+            mDomain = domain;
+            mGuard = new Address(host, 80);
+        }
+
+        String domain() {
+            return mDomain;
+        }
+
+        DirectoryFeed feed() {
+            return mFeed;
+        }
+
+        boolean isUp() {
+            return !mIsDown && !mIsPaused;
+        }
+
+        boolean isPaused() {
+            return mIsPaused;
+        }
+
+        /** Starts the process anew; it knows nothing. */
+        void start() {
+            mIsDown = false;
+            mIsPaused = false;
+            mHeldUp.clear();
+            disturbed();
+            long epoch = ++mEpoch;
+            DirectoryFeed feed = new DirectoryFeed(parts(), this::onSite);
+            mFeed = feed;
+            later(mRandom.nextLong(300), () -> run(feed::start));
+            later(mRandom.nextLong(TICK_MILLIS), () -> tick(feed, epoch));
+        }
+
+        /** Ends the process; its port refuses. */
+        void kill() {
+            mIsDown = true;
+            mEpoch++;
+            mWatches.removeIf(watch -> watch.reader() == this);
+            disturbed();
+        }
+
+        /** Suspends the VM: its clock of intervals stands still, the time of day goes on. */
+        void pause() {
+            mIsPaused = true;
+            mPausedAtMillis = now();
+            disturbed();
+        }
+
+        /** Goes on as if nothing had been. */
+        void resume() {
+            mIsPaused = false;
+            mSuspendedMillis += now() - mPausedAtMillis;
+            disturbed();
+            List<Runnable> held = List.copyOf(mHeldUp);
+            mHeldUp.clear();
+            held.forEach(Runnable::run);
+        }
+
+        /** The platform refuses this node; or serves it again. */
+        void setRefused(boolean refused) {
+            mIsRefused = refused;
+            disturbed();
+            platformChanged();
+        }
+
+        private void disturbed() {
+            mCalmFromMillis = now();
+        }
+
+        private boolean isInTouch() {
+            return isUp() && !mIsRefused && now() - mCalmFromMillis >= CALM_MILLIS + 300;
+        }
+
+        /** Returns when the earliest change was written that this node does not know. */
+        private long knownUpToMillis() {
+            long earliest = now();
+            for (Map.Entry<String, TreeMap<Long, Write>> key : mWrites.entrySet()) {
+                PublishedItem item = mFeed.items().item(key.getKey());
+                long known = item == null ? 0 : item.revision();
+                boolean isGone = item == null || item.removed();
+                boolean isSame = isGone && key.getValue().lastEntry().getValue().removed();
+                Map.Entry<Long, Write> unknown = key.getValue().higherEntry(known);
+                if (unknown != null && !isSame) {
+                    earliest = Math.min(earliest, unknown.getValue().atMillis());
+                }
+            }
+            return earliest;
+        }
+
+        private DirectoryFeed.Parts parts() {
+            return new DirectoryFeed.Parts(
+                    this::askPlatform,
+                    this::node,
+                    SimulatedSite::decode,
+                    this::run,
+                    () -> mTicker.nanos() - mSuspendedMillis * 1_000_000,
+                    mTicker::millis,
+                    mRandom.split(),
+                    TIMES);
+        }
+
+        private void run(Runnable action) {
+            if (mIsPaused) {
+                mHeldUp.add(action);
+            } else if (!mIsDown) {
+                action.run();
+            }
+        }
+
+        private void tick(DirectoryFeed feed, long epoch) {
+            if (mFeed != feed || mIsDown) {
+                return;
+            }
+            run(feed::tick);
+            if (!mIsPaused) {
+                checkAge();
+            }
+            later(TICK_MILLIS, () -> tick(feed, epoch));
+        }
+
+        // A claim that is too young would spread to all who hear it.
+        private void checkAge() {
+            if (!mFeed.mayAct()) {
+                return;
+            }
+            long ageMillis = mFeed.view().ageMillis();
+            long lackedMillis = now() - knownUpToMillis();
+            // Ages do not count the ways of answers.
+            if (lackedMillis > ageMillis + TICK_MILLIS) {
+                throw new AssertionError(
+                        "%s at %d: takes its view for %d ms old, lacks a change of %d ms ago"
+                                .formatted(mGuard, now(), ageMillis, lackedMillis));
+            }
+        }
+
+        private void onSite(SiteDirectory directory) {
+            List<ReaderTree.Node> nodes = new ArrayList<>();
+            List<Address> peers = new ArrayList<>();
+            for (Registration one : directory.registrations()) {
+                Address guard = new Address(one.target().host(), 80);
+                nodes.add(new ReaderTree.Node(guard, one.target().failureDomain()));
+                if (!guard.equals(mGuard)) {
+                    peers.add(guard);
+                }
+            }
+            mFeed.setNodes(new ReaderTree(new ReaderTree.Node(mGuard, mDomain), nodes), peers);
+        }
+
+        private CompletableFuture<PublishedPage> askPlatform(long after, long wait) {
+            CompletableFuture<PublishedPage> there = new CompletableFuture<>();
+            CompletableFuture<PublishedPage> back = new CompletableFuture<>();
+            long epoch = mEpoch;
+            later(PLATFORM_WAY_MILLIS, () -> called(this, after, wait, there));
+            there.whenComplete(
+                    (page, failure) ->
+                            later(PLATFORM_WAY_MILLIS, () -> deliver(epoch, page, failure, back)));
+            if (wait > 0) {
+                later(PLATFORM_WAY_MILLIS + wait, SimulatedSite.this::answerWatches);
+            }
+            return back;
+        }
+
+        private void deliver(
+                long epoch,
+                PublishedPage page,
+                Throwable failure,
+                CompletableFuture<PublishedPage> to) {
+            if (epoch != mEpoch) {
+                return;
+            }
+            if (failure == null) {
+                to.complete(page);
+            } else {
+                to.completeExceptionally(failure);
+            }
+        }
+
+        private PublishedSource node(Address guard) {
+            return mNodes.stream()
+                    .filter(node -> node.mGuard.equals(guard))
+                    .findFirst()
+                    .<PublishedSource>map(other -> (after, wait) -> ask(other, after, wait))
+                    .orElse((after, wait) -> REFUSED);
+        }
+
+        private CompletableFuture<PublishedPage> ask(SiteNode other, long after, long wait) {
+            CompletableFuture<PublishedPage> back = new CompletableFuture<>();
+            long epoch = mEpoch;
+            if (isCut(this, other)) {
+                return back;
+            }
+            later(
+                    NODE_WAY_MILLIS,
+                    () -> {
+                        if (other.mIsDown) {
+                            later(
+                                    NODE_WAY_MILLIS,
+                                    () ->
+                                            deliver(
+                                                    epoch,
+                                                    null,
+                                                    new IOException("connection refused"),
+                                                    back));
+                            return;
+                        }
+                        long otherEpoch = other.mEpoch;
+                        other.mFeed
+                                .published(after, wait)
+                                .whenComplete(
+                                        (page, failure) -> {
+                                            if (!isCut(other, this) && otherEpoch == other.mEpoch) {
+                                                later(
+                                                        NODE_WAY_MILLIS,
+                                                        () -> deliver(epoch, page, failure, back));
+                                            }
+                                        });
+                    });
+            return back;
+        }
+
+        @Override
+        public String toString() {
+            return mGuard.host();
+        }
+    }
+
+    private static SiteChange decode(PublishedItem item) {
+        if (item.key().equals("config")) {
+            return new SiteChange.Configured(
+                    new PublishedConfiguration(1, 0, List.of("s"), List.of(), 1_000));
+        }
+        if (item.removed()) {
+            return new SiteChange.Unregistered(item.key());
+        }
+        String domain = new String(item.value());
+        Target target = new Target(item.key(), "s", item.key(), domain, item.key(), 81, 3);
+        return new SiteChange.Registered(new Registration(item.key(), target, false, 1, 0));
+    }
+}
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.caller.EntryHandler;
 import org.apricotgauge.caller.EntryObserver;
@@ -236,7 +237,7 @@
                         FleetDialect.INSTANCE,
                         AdmissionConfig.SlotUse.SHARED,
                         RetryPool.UNBOUNDED,
-                        revision -> new byte[0],
+                        (revision, waitMillis) -> CompletableFuture.completedFuture(new byte[0]),
                         vm.mRegistry);
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
         vm.mGuardServer = servers.create("127.0.0.1", 0, vm.mGuard, () -> {});
--- /dev/null
+++ b/src/test/java/org/apricotgauge/time/ElapsedClockTest.java
@@ -0,0 +1,37 @@
+package org.apricotgauge.time;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ElapsedClockTest {
+    private final ManualTicker mTicker = new ManualTicker();
+    private long mWallOffsetMillis = 1_000_000;
+    private final ElapsedClock mClock =
+            new ElapsedClock(mTicker, () -> mTicker.millis() + mWallOffsetMillis);
+
+    @Test
+    void countsASuspensionThatTheSteadyClockDoesNot() {
+        // A VM is suspended for 1.2 s, shorter than what counts as a pause. Its node then told
+        // others that its view of the site was 0.1 s old; they took it for theirs and sent work to
+        // a target that had left 1.3 s ago.
+        long before = mClock.millis();
+
+        mTicker.advanceMillis(100);
+        mWallOffsetMillis += 1_200;
+
+        assertThat(mClock.millis() - before).isEqualTo(1_300);
+    }
+
+    @Test
+    void doesNotGoBackWithTheTimeOfDay() {
+        long before = mClock.millis();
+
+        mWallOffsetMillis -= 60_000;
+        mTicker.advanceMillis(100);
+
+        assertThat(mClock.millis() - before).isEqualTo(100);
+        mTicker.advanceMillis(100);
+        assertThat(mClock.millis() - before).isEqualTo(200);
+    }
+}
