--- a/src/main/java/org/apricotgauge/directory/Suspects.java
+++ b/src/main/java/org/apricotgauge/directory/Suspects.java
@@ -20,10 +20,16 @@
 
     private final Map<Address, Suspicion> mSuspicions = new HashMap<>();
 
-    private record Suspicion(long untilMillis, long lengthMillis) {}
+    private record Suspicion(long untilMillis, long lengthMillis) {
+        // Nodes of long ago would stay here for good.
+        boolean isForgottenAt(long nowMillis) {
+            return nowMillis - untilMillis > LONGEST_MILLIS;
+        }
+    }
 
     /** Notes a failure. */
     void suspect(Address node, long nowMillis) {
+        mSuspicions.values().removeIf(known -> known.isForgottenAt(nowMillis));
         mSuspicions.compute(
                 node,
                 (key, known) -> {
--- a/src/test/java/org/apricotgauge/directory/SuspectsTest.java
+++ b/src/test/java/org/apricotgauge/directory/SuspectsTest.java
@@ -36,4 +36,14 @@
 
         assertThat(mSuspects.contains(NODE, Suspects.FIRST_MILLIS)).isFalse();
     }
+
+    @Test
+    void aFailureOfLongAgoIsForgotten() {
+        mSuspects.suspect(NODE, 0);
+        long laterMillis = Suspects.FIRST_MILLIS + Suspects.LONGEST_MILLIS + 1;
+
+        mSuspects.suspect(NODE, laterMillis);
+
+        assertThat(mSuspects.contains(NODE, laterMillis + Suspects.FIRST_MILLIS)).isFalse();
+    }
 }
