Ask the platform once for the whole site; test what the store's client reads

Ruled out: longer intervals (the bound on a view's age leaves no room); telling ages between the readers by push (a second way for the same news). Change: a reader asks the reader of one failure domain, the same for all, whether its view holds, and the platform if that does not help within an eighth of the bound. KvSourceTest: the cheap first read, pages of an earlier state, a forgotten history. The old test bound for calls at rest is tighter now.

--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -135,7 +135,7 @@
         mElapsed = new ElapsedClock(parts.ticker(), parts.wallMillis());
         mConfirmations = new Confirmations(parts.times(), mElapsed.millis());
         mSite = new SiteFold(parts.decoder(), mLog);
-        mParent = new ParentLink(parts, mLog, this::readFromParent);
+        mParent = new ParentLink(parts, mLog, this::readFromAsked, this::confirmAlone);
         mReaders = new NodeReaders(new OwnView(), parts.times());
         mHints = new PeerHints(parts, mLog, this::read);
         mWatch = new SiteWatch(parts, this::readFromParent);
@@ -283,7 +283,10 @@
 
     private void watch(long nowMillis, long waitMillis) {
         Address node = mParent.node();
-        PendingRead.End end = node == null ? new PlatformWatchEnd() : new NodeWatchEnd(node);
+        PendingRead.End end =
+                node == null
+                        ? new PlatformWatchEnd()
+                        : mParent.watchEnd(node, () -> mWatch.pause(NODE_GAP_MILLIS));
         mWatch.begin(node, mSite.items().revision(), waitMillis, nowMillis, end);
     }
 
@@ -302,33 +305,13 @@
         }
     }
 
-    /** How a read of another node ends that waits for changes. */
-    private final class NodeWatchEnd implements PendingRead.End {
-        private final Address mNode;
-
-        private NodeWatchEnd(Address node) {
-            mNode = node;
-        }
-
-        @Override
-        public void answered(PublishedPage page) {
-            mParent.judge(mNode, page);
-            mWatch.pause(NODE_GAP_MILLIS);
-        }
-
-        @Override
-        public void failed(String reason) {
-            mParent.suspect(mNode, reason);
-        }
-    }
-
     // A watch that went silent looks like one with nothing to tell. Requests went to targets up to
     // 11 s after they had left, until it was given up. So a node whose view nobody confirmed for
     // long enough asks its parent; and if that does not help, or there is none, the platform.
     private void keepYoung(long nowMillis) {
         long ageMillis = ageMillis();
-        if (!readsPlatform() && ageMillis >= mParts.times().askNodeMillis()) {
-            askParent(nowMillis);
+        if (mParent.asked() != null && ageMillis >= mParts.times().askNodeMillis()) {
+            askNode(nowMillis);
         }
         if (ageMillis >= mRenewAtAgeMillis && mayRenew(nowMillis)) {
             renew(nowMillis);
@@ -349,7 +332,13 @@
         return !mPlatform.isLost() || nowMillis >= mPlatform.nextTryMillis();
     }
 
-    private void askParent(long nowMillis) {
+    private void confirmAlone() {
+        if (readsPlatform() && !mPlatform.isLost()) {
+            renew(mParts.ticker().millis());
+        }
+    }
+
+    private void askNode(long nowMillis) {
         long pauseMillis =
                 mPlatform.isLost() ? PeerHints.PAUSE_MILLIS : mParts.times().nodeAnswerMillis();
         mParent.ask(mSite.items().revision(), pauseMillis, nowMillis);
@@ -365,7 +354,8 @@
     // the first ones' answers spare most of the others their question.
     private long drawRenewalAgeMillis() {
         PlatformTimes times = mParts.times();
-        long leastMillis = readsPlatform() ? times.askNodeMillis() : times.askPlatformMillis();
+        long leastMillis =
+                mParent.asked() == null ? times.askNodeMillis() : times.askPlatformMillis();
         return mParts.random().nextLong(leastMillis, times.viewBoundMillis() + 1);
     }
 
@@ -404,6 +394,10 @@
         read(page, mParent.node(), inTime);
     }
 
+    private void readFromAsked(PublishedPage page, boolean inTime) {
+        read(page, mParent.asked(), inTime);
+    }
+
     private void read(PublishedPage page, Address node, boolean inTime) {
         long nowMillis = mParts.ticker().millis();
         boolean isOvertaken = page.revision() < mSite.items().revision();
@@ -474,10 +468,10 @@
                 return false;
             }
             long nowMillis = mParts.ticker().millis();
-            if (readsPlatform()) {
+            if (mParent.asked() == null) {
                 renew(nowMillis);
             } else {
-                askParent(nowMillis);
+                askNode(nowMillis);
             }
             return true;
         }
--- a/src/main/java/org/apricotgauge/directory/ParentLink.java
+++ b/src/main/java/org/apricotgauge/directory/ParentLink.java
@@ -1,11 +1,12 @@
 package org.apricotgauge.directory;
 
 import java.util.Objects;
+import java.util.function.Predicate;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 
 /**
- * The node that this one reads the site from, while it answers.
+ * The node that this one reads the site from, or that confirms its view if it reads the platform.
  *
  * <p>A parent that does not answer, or that can't tell how old its view is, is passed over for a
  * while; the next in the {@link ReaderTree} takes its place. Not thread-safe.
@@ -15,8 +16,10 @@
     private final DirectoryLog mLog;
     private final Suspects mSuspects = new Suspects();
     private final PendingRead mQuestion;
+    private final Runnable mOnStillOld;
     private ReaderTree mTree = ReaderTree.alone();
     private Address mNode;
+    private Address mConfirmer;
     private long mNextQuestionMillis;
 
     /**
@@ -24,12 +27,18 @@
      *
      * @param parts what the feed works with
      * @param log takes what is believed of other nodes
-     * @param onPage takes what the parent tells
+     * @param onPage takes what the node tells that was asked
+     * @param onStillOld runs when a question brought no younger view
      */
-    ParentLink(DirectoryFeed.Parts parts, DirectoryLog log, PendingRead.OnPage onPage) {
+    ParentLink(
+            DirectoryFeed.Parts parts,
+            DirectoryLog log,
+            PendingRead.OnPage onPage,
+            Runnable onStillOld) {
         mParts = Checks.notNull("parts", parts);
         mLog = Checks.notNull("log", log);
         mQuestion = new PendingRead(parts.worker(), onPage);
+        mOnStillOld = Checks.notNull("onStillOld", onStillOld);
     }
 
     /** Returns the node to read from; null for the platform. */
@@ -37,6 +46,11 @@
         return mNode;
     }
 
+    /** Returns the node to ask for a younger view; null if only the platform can be asked. */
+    Address asked() {
+        return mNode == null ? mConfirmer : mNode;
+    }
+
     ReaderTree tree() {
         return mTree;
     }
@@ -56,21 +70,26 @@
      */
     boolean follow(boolean isStarting, long revision, long nowMillis) {
         boolean isHurried = isStarting && !mSuspects.isEmpty();
-        Address node =
-                isHurried
-                        ? null
-                        : mTree.parent(one -> mSuspects.contains(one, nowMillis)).orElse(null);
-        if (Objects.equals(node, mNode)) {
+        Predicate<Address> isSuspect = one -> isHurried || mSuspects.contains(one, nowMillis);
+        Address askedBefore = asked();
+        Address nodeBefore = mNode;
+        mNode = isHurried ? null : mTree.parent(isSuspect).orElse(null);
+        mConfirmer = mTree.confirmer(isSuspect).orElse(null);
+        if (!Objects.equals(asked(), askedBefore)) {
+            mQuestion.drop();
+        }
+        if (Objects.equals(mNode, nodeBefore)) {
             return false;
         }
-        mLog.readsFrom(node, revision);
-        mNode = node;
-        mQuestion.drop();
+        mLog.readsFrom(mNode, revision);
         return true;
     }
 
     /**
-     * Asks the parent for a younger view, unless it was asked a moment ago.
+     * Asks for a younger view, unless that was done a moment ago.
+     *
+     * <p>A parent is given time to ask its own; whoever reads the platform asks that instead soon,
+     * since others wait for its answer.
      *
      * @param revision what this node knows
      * @param pauseMillis least time until the next question
@@ -80,11 +99,12 @@
             return;
         }
         mNextQuestionMillis = nowMillis + pauseMillis;
+        long answerMillis = mParts.times().nodeAnswerMillis();
         mQuestion.begin(
-                mParts.peers().apply(mNode),
+                mParts.peers().apply(asked()),
                 new PendingRead.Question(revision, 0),
-                nowMillis + 2 * mParts.times().nodeAnswerMillis(),
-                new QuestionEnd(mNode));
+                nowMillis + (mNode == null ? answerMillis : 2 * answerMillis),
+                new QuestionEnd(asked()));
     }
 
     /** Passes a node over for a while. */
@@ -103,13 +123,34 @@
         mQuestion.drop();
     }
 
-    /** Passes a node over whose page tells no age: it knows no more of the platform than this. */
-    void judge(Address node, PublishedPage page) {
+    // One whose page tells no age knows no more of the platform than this node.
+    private void judge(Address node, PublishedPage page) {
         if (!page.tellsAge()) {
             suspect(node, "does not tell the age of its view");
         }
     }
 
+    /**
+     * Returns how a read of a node ends that waits for changes.
+     *
+     * @param node the node
+     * @param onAnswered runs when it was answered
+     */
+    PendingRead.End watchEnd(Address node, Runnable onAnswered) {
+        return new PendingRead.End() {
+            @Override
+            public void answered(PublishedPage page) {
+                judge(node, page);
+                onAnswered.run();
+            }
+
+            @Override
+            public void failed(String reason) {
+                suspect(node, reason);
+            }
+        };
+    }
+
     private final class QuestionEnd implements PendingRead.End {
         private final Address mAsked;
 
@@ -122,12 +163,18 @@
             judge(mAsked, page);
             if (page.tellsAge() && page.ageMillis() <= mParts.times().youngMillis()) {
                 mSuspects.trust(mAsked);
+                return;
+            }
+            if (mAsked.equals(mConfirmer) && page.tellsAge()) {
+                suspect(mAsked, "its view is no younger");
             }
+            mOnStillOld.run();
         }
 
         @Override
         public void failed(String reason) {
             suspect(mAsked, reason);
+            mOnStillOld.run();
         }
     }
 }
--- a/src/main/java/org/apricotgauge/directory/ReaderTree.java
+++ b/src/main/java/org/apricotgauge/directory/ReaderTree.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.apricotgauge.decision.RendezvousOrder;
 import org.apricotgauge.model.Address;
@@ -36,6 +39,7 @@
     private final Node mSelf;
     private final int mNodes;
     private final List<Address> mOrder;
+    private final List<Address> mFirstOrder;
 
     /**
      * A node of the site.
@@ -60,13 +64,21 @@
     public ReaderTree(Node self, Collection<Node> nodes) {
         mSelf = Checks.notNull("self", self);
         mNodes = nodes.size();
-        List<Address> near = new ArrayList<>();
+        mOrder = orderOf(self.failureDomain(), nodes);
+        Set<String> domains = new HashSet<>();
+        nodes.forEach(node -> domains.add(node.failureDomain()));
+        List<String> order = RendezvousOrder.of("", domains, Function.identity());
+        mFirstOrder = order.isEmpty() ? List.of() : orderOf(order.get(0), nodes);
+    }
+
+    private static List<Address> orderOf(String failureDomain, Collection<Node> nodes) {
+        List<Address> inside = new ArrayList<>();
         for (Node node : nodes) {
-            if (node.failureDomain().equals(self.failureDomain())) {
-                near.add(node.guard());
+            if (node.failureDomain().equals(failureDomain)) {
+                inside.add(node.guard());
             }
         }
-        mOrder = RendezvousOrder.of(self.failureDomain(), near, Address::toString);
+        return RendezvousOrder.of(failureDomain, inside, Address::toString);
     }
 
     /** Returns the tree of a node that knows no other. */
@@ -90,6 +102,21 @@
         return rank == 0 ? Optional.empty() : Optional.of(trusted.get((rank - 1) / FAN_OUT));
     }
 
+    /**
+     * Returns whom a node that reads the platform asks whether its view still holds, before it asks
+     * the platform: the reader of one failure domain, the same for all. Empty for that one itself.
+     *
+     * <p>The platform is then asked once for the whole site, not once for each failure domain.
+     *
+     * @param isSuspect tells of nodes that do not answer or that know too little
+     */
+    public Optional<Address> confirmer(Predicate<Address> isSuspect) {
+        return mFirstOrder.stream()
+                .filter(node -> node.equals(mSelf.guard()) || !isSuspect.test(node))
+                .findFirst()
+                .filter(node -> !node.equals(mSelf.guard()));
+    }
+
     /** Returns whether this node is among the first that look whether the platform is back. */
     public boolean isFirst() {
         return mOrder.size() < FIRST || mOrder.subList(0, FIRST).contains(mSelf.guard());
--- a/src/test/java/org/apricotgauge/directory/ReaderFleetTest.java
+++ b/src/test/java/org/apricotgauge/directory/ReaderFleetTest.java
@@ -21,8 +21,10 @@
         long large = callsAtRest(new SimulatedSite(3, 40, 1));
 
         System.out.printf("calls in 20 s at rest: 24 nodes %d, 120 nodes %d%n", small, large);
-        // A failure domain asks as often as its view must be made younger, whoever wants it.
-        long most = 3 * (20 * SECOND_MILLIS / SimulatedSite.TIMES.youngMillis() + 3);
+        // The site asks as often as its view must be made younger, whoever wants it; and one node
+        // of each failure domain watches.
+        long watches = 3 * (20 * SECOND_MILLIS / DirectoryFeed.WATCH_MILLIS + 1);
+        long most = 20 * SECOND_MILLIS / SimulatedSite.TIMES.youngMillis() + 1 + watches;
         assertThat(small).isLessThan(most);
         assertThat(large).isLessThan(most);
     }
--- a/src/test/java/org/apricotgauge/directory/ReaderTreeTest.java
+++ b/src/test/java/org/apricotgauge/directory/ReaderTreeTest.java
@@ -88,6 +88,22 @@
                         one -> parentOf(one, site, Set.of()).equals(Optional.of(stranger.guard())));
     }
 
+    @Test
+    void theReadersOfAllFailureDomainsAgreeWhoConfirmsTheirViews() {
+        List<Node> site = site(20);
+        List<Node> readers =
+                site.stream().filter(node -> parentOf(node, site, Set.of()).isEmpty()).toList();
+
+        List<Address> confirmers =
+                readers.stream()
+                        .flatMap(
+                                node -> new ReaderTree(node, site).confirmer(one -> false).stream())
+                        .toList();
+
+        assertThat(confirmers).hasSize(1);
+        assertThat(readers).extracting(Node::guard).contains(confirmers.get(0));
+    }
+
     @Test
     void aNodeWithoutNeighboursReadsThePlatform() {
         Node alone = new Node(new Address("c0", 80), "c");
--- /dev/null
+++ b/src/test/java/org/apricotgauge/platform/kv/KvSourceTest.java
@@ -0,0 +1,99 @@
+package org.apricotgauge.platform.kv;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import org.apricotgauge.directory.PublishedItem;
+import org.apricotgauge.directory.PublishedPage;
+import org.apricotgauge.model.Address;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class KvSourceTest {
+    private record Answer(int status, String body) {}
+
+    private final List<String> mAsked = Collections.synchronizedList(new ArrayList<>());
+    private final Deque<Answer> mAnswers = new ArrayDeque<>();
+    private final HttpClient mClient = new HttpClient();
+    private HttpServer mStore;
+    private KvSource mSource;
+
+    @BeforeEach
+    void start() throws Exception {
+        mStore = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        mStore.createContext("/", this::answer);
+        mStore.start();
+        mClient.start();
+        mSource = new KvSource(mClient, new Address("127.0.0.1", mStore.getAddress().getPort()));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mClient.stop();
+        mStore.stop(0);
+    }
+
+    private void answer(HttpExchange exchange) throws IOException {
+        mAsked.add(exchange.getRequestURI().toString());
+        Answer answer = mAnswers.remove();
+        byte[] body = answer.body().getBytes(UTF_8);
+        exchange.sendResponseHeaders(answer.status(), body.length == 0 ? -1 : body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+
+    private static Answer range(String key, boolean hasMore, long at) {
+        String item = "{\"key\":\"%s\",\"value\":\"eA==\",\"revision\":3}".formatted(key);
+        String body = "{\"items\":[%s],\"hasMore\":%s,\"at\":%d}";
+        return new Answer(200, body.formatted(item, hasMore, at));
+    }
+
+    @Test
+    void theFirstReadIsCheapAndTellsThatItMayBeOld() {
+        mAnswers.add(range("a", false, 7));
+
+        PublishedPage page = mSource.read(0, 0).join();
+
+        assertThat(mAsked.get(0)).contains("kv-range").contains("allowStale=1");
+        assertThat(page.whole()).isTrue();
+        assertThat(page.tellsAge()).isFalse();
+    }
+
+    @Test
+    void aPageOfAnEarlierStateMovesTheWholeReadBack() {
+        // Cheap answers come from copies of the store. The second page is from an older one: read
+        // on from the first page's revision, what changed between would never be heard of.
+        mAnswers.add(range("a", true, 9));
+        mAnswers.add(range("b", false, 5));
+
+        PublishedPage page = mSource.read(0, 0).join();
+
+        assertThat(page.revision()).isEqualTo(5);
+        assertThat(page.items()).extracting(PublishedItem::key).containsExactly("a", "b");
+        assertThat(mAsked.get(1)).contains("after=a");
+    }
+
+    @Test
+    void aStoreThatForgotTheChangesIsReadAsItIsNow() {
+        mAnswers.add(new Answer(410, ""));
+        mAnswers.add(range("a", false, 9));
+
+        PublishedPage page = mSource.read(4, 1_000).join();
+
+        assertThat(mAsked.get(0)).contains("kv-watch").contains("after=4");
+        assertThat(mAsked.get(1)).contains("kv-range").doesNotContain("allowStale");
+        assertThat(page.whole()).isTrue();
+        assertThat(page.ageMillis()).isZero();
+    }
+}
