Confirm a start's first page at once, and let a node that has just started wait for its own answer

Cause: the page of a start may be seconds old and opens nothing; its confirmation was asked for only after the pause that follows each page with news, up to 0.3 s in which callers were refused. And a node not confirmed yet told at once that it knows no age, so that all that start together passed their parents over and called the store. Ruled out: opening by the old page. Change: no pause before the first confirmation; a question waits for it as for a younger view.

--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -295,7 +295,9 @@
         @Override
         public void answered(PublishedPage page) {
             platformAnswered();
-            mWatch.pause(page.items().isEmpty() ? 0 : GAP_MILLIS);
+            // A start waits for nothing: its first page may be old, and callers wait meanwhile.
+            boolean asksAtOnce = page.items().isEmpty() || !mWasConfirmed;
+            mWatch.pause(asksAtOnce ? 0 : GAP_MILLIS);
             watchIfDue();
         }
 
--- a/src/main/java/org/apricotgauge/directory/NodeReaders.java
+++ b/src/main/java/org/apricotgauge/directory/NodeReaders.java
@@ -85,7 +85,7 @@
     private boolean isSatisfied(Reader reader) {
         return reader.forChange()
                 ? mView.items().hasNewsFor(reader.afterRevision())
-                : mView.ageMillis() <= mTimes.youngMillis();
+                : mView.knowsAge() && mView.ageMillis() <= mTimes.youngMillis();
     }
 
     /** Answers whoever has what it waits for, or has waited for long enough. */
