Kill half of the simulated nodes, lose a failure domain, set the time of day

Cause: the simulated fleet struck nodes one by one; the platform's pages name half of them at once, a whole failure domain, and clocks that are set. Ruled out: nothing. Change: two tests and one more fault in the courses; the simulated platform has a file of its own.

--- a/src/test/java/org/apricotgauge/directory/ReaderFleetTest.java
+++ b/src/test/java/org/apricotgauge/directory/ReaderFleetTest.java
@@ -34,7 +34,7 @@
         assertThat(site.readers()).extracting(SiteNode::domain).containsOnly("d0", "d1", "d2");
         assertThat(site.readers()).hasSizeLessThanOrEqualTo(3);
         site.pass(20 * SECOND_MILLIS);
-        return site.callsInLast(20 * SECOND_MILLIS);
+        return site.platform().callsInLast(20 * SECOND_MILLIS);
     }
 
     @Test
@@ -45,7 +45,7 @@
         site.publish("x", "d0");
         site.pass(200);
 
-        assertThat(site.callsInLast(200)).isLessThan(5 * 3);
+        assertThat(site.platform().callsInLast(200)).isLessThan(5 * 3);
         for (SiteNode node : site.nodes()) {
             assertThat(node.feed().newestRevision()).isEqualTo(112);
         }
@@ -59,11 +59,11 @@
         SimulatedSite site = new SimulatedSite(3, 40, 3);
         site.pass(10 * SECOND_MILLIS);
 
-        site.setAway(true);
+        site.platform().setAway(true);
         site.pass(5 * SECOND_MILLIS);
         site.pass(15 * SECOND_MILLIS);
-        long callsPerSecond = site.callsInLast(15 * SECOND_MILLIS) / 15;
-        site.setAway(false);
+        long callsPerSecond = site.platform().callsInLast(15 * SECOND_MILLIS) / 15;
+        site.platform().setAway(false);
         site.publish("x", "d0");
         site.pass(SECOND_MILLIS);
 
@@ -107,7 +107,51 @@
                     .as("fault %d", fault)
                     .allMatch(node -> node.feed().newestRevision() == 62);
             site.pass(3 * SECOND_MILLIS);
-            assertThat(site.callsInLast(SECOND_MILLIS)).as("fault %d", fault).isLessThan(30);
+            assertThat(site.platform().callsInLast(SECOND_MILLIS))
+                    .as("fault %d", fault)
+                    .isLessThan(30);
+        }
+    }
+
+    @Test
+    void halfOfTheNodesThatDieAtOnceLeaveTheOthersInTime() {
+        // Every second VM loses its power at one moment, readers among them; their targets stay
+        // registered, so that all others still take them for parents. Right then a target leaves.
+        SimulatedSite site = new SimulatedSite(3, 20, 6);
+        site.pass(10 * SECOND_MILLIS);
+        site.readers().forEach(SiteNode::kill);
+        for (int i = 0; i < site.nodes().size(); i += 2) {
+            site.nodes().get(i).kill();
+        }
+
+        site.publish("x", "d0");
+        site.pass(SimulatedSite.TIMES.servesOnMillis() - 100);
+
+        assertThat(site.nodes())
+                .filteredOn(SiteNode::isUp)
+                .allMatch(node -> node.feed().newestRevision() == 62);
+        site.pass(8 * SECOND_MILLIS);
+        assertThat(site.platform().callsInLast(SECOND_MILLIS)).isLessThan(30);
+    }
+
+    @Test
+    void theOthersGoOnWithoutAFailureDomain() {
+        // A whole failure domain is lost, the one among them whose reader confirms the views of the
+        // other readers. Its targets stay registered for some seconds.
+        for (String lost : List.of("d0", "d1", "d2")) {
+            SimulatedSite site = new SimulatedSite(3, 12, 7);
+            site.pass(10 * SECOND_MILLIS);
+            site.nodes().stream()
+                    .filter(node -> node.domain().equals(lost))
+                    .forEach(SiteNode::kill);
+
+            site.publish("x", "d0");
+            site.pass(SimulatedSite.TIMES.servesOnMillis() - 100);
+
+            assertThat(site.nodes())
+                    .filteredOn(SiteNode::isUp)
+                    .hasSize(24)
+                    .allMatch(node -> node.feed().newestRevision() == 38);
         }
     }
 
@@ -142,18 +186,19 @@
         private void step() {
             SiteNode node = mSite.nodes().get(mRandom.nextInt(mSite.nodes().size()));
             SiteNode other = mSite.nodes().get(mRandom.nextInt(mSite.nodes().size()));
-            switch (mRandom.nextInt(14)) {
+            switch (mRandom.nextInt(15)) {
                 case 0 -> node.kill();
                 case 1 -> pauseOrResume(node);
                 case 2 -> node.setRefused(true);
                 case 3 -> mSite.nodes().forEach(one -> one.setRefused(false));
-                case 4 -> mSite.setAway(true);
+                case 4 -> mSite.platform().setAway(true);
                 case 5, 6 -> heal();
-                case 7 -> mSite.setLosesAnswers(true);
-                case 8 -> mSite.dropHistory();
+                case 7 -> mSite.platform().setLosesAnswers(true);
+                case 8 -> mSite.platform().dropHistory();
                 case 9 -> mSite.silenceConnections();
                 case 10 -> mSite.cutPath(node, other);
                 case 11 -> strikeReaders();
+                case 12 -> node.stepTimeOfDay(mRandom.nextLong(-20_000, 20_000));
                 default -> change();
             }
             pass(100 + mRandom.nextLong(4 * SECOND_MILLIS));
@@ -172,8 +217,8 @@
         }
 
         private void heal() {
-            mSite.setAway(false);
-            mSite.setLosesAnswers(false);
+            mSite.platform().setAway(false);
+            mSite.platform().setLosesAnswers(false);
             mSite.mendPaths();
             mSite.nodes().forEach(one -> one.setRefused(false));
             mSite.nodes().forEach(Trouble::bringBack);
@@ -195,7 +240,7 @@
             if (mRandom.nextBoolean()) {
                 mSite.publish("x" + mKey++, "d0");
             } else if (mKey > 0) {
-                mSite.remove("x" + mRandom.nextInt(mKey));
+                mSite.platform().remove("x" + mRandom.nextInt(mKey));
             }
         }
 
--- a/src/test/java/org/apricotgauge/directory/SimulatedSite.java
+++ b/src/test/java/org/apricotgauge/directory/SimulatedSite.java
@@ -7,11 +7,9 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Target;
@@ -49,29 +47,13 @@
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
-    private final Map<String, TreeMap<Long, Write>> mWrites = new TreeMap<>();
-    private final Map<String, PublishedItem> mItems = new TreeMap<>();
-    private final List<WaitingWatch> mWatches = new ArrayList<>();
+    private final SimulatedPlatform mPlatform = new SimulatedPlatform(mTicker);
     private final List<SiteNode> mNodes = new ArrayList<>();
     private final Set<List<SiteNode>> mCutPaths = new HashSet<>();
-    private final List<Long> mCallsAtMillis = new ArrayList<>();
     private long mEventNumber;
-    private long mRevision;
-    private long mHistoryFrom;
-    private boolean mAway;
-    private boolean mLosesAnswers;
-    private long mPlatformCalmFromMillis;
-
-    private record Write(long atMillis, boolean removed) {}
 
     private record Event(long atMillis, long number, Runnable action) {}
 
-    private record WaitingWatch(
-            long afterRevision,
-            long untilMillis,
-            SiteNode reader,
-            CompletableFuture<PublishedPage> answer) {}
-
     SimulatedSite(int domains, int nodesEach, long seed) {
         mRandom = new SplittableRandom(seed);
         for (int domain = 0; domain < domains; domain++) {
@@ -84,102 +66,22 @@
         mNodes.forEach(SiteNode::start);
     }
 
-    /** Writes an item. */
-    void publish(String key, String value) {
-        write(new PublishedItem(key, value.getBytes(), ++mRevision, false));
-    }
-
-    /** Removes an item. */
-    void remove(String key) {
-        write(PublishedItem.removed(key, ++mRevision));
-    }
-
-    private void write(PublishedItem item) {
-        mItems.put(item.key(), item);
-        mWrites.computeIfAbsent(item.key(), key -> new TreeMap<>())
-                .put(mRevision, new Write(now(), item.removed()));
-        answerWatches();
+    SimulatedPlatform platform() {
+        return mPlatform;
     }
 
-    /** Refuses all calls from now on and cuts those that wait; or serves again. */
-    void setAway(boolean away) {
-        mAway = away;
-        platformChanged();
-        if (away) {
-            mWatches.forEach(
-                    watch ->
-                            watch.answer().completeExceptionally(new IOException("platform away")));
-            mWatches.clear();
-        }
-    }
-
-    /** Loses every answer from now on; or not any longer. */
-    void setLosesAnswers(boolean loses) {
-        mLosesAnswers = loses;
-        platformChanged();
-    }
-
-    /** Forgets all changes up to now. */
-    void dropHistory() {
-        mHistoryFrom = mRevision;
-        mItems.values().removeIf(PublishedItem::removed);
+    /** Writes an item. */
+    void publish(String key, String value) {
+        mPlatform.publish(key, value);
     }
 
     /** All open connections go silent for good; new ones work. */
     void silenceConnections() {
-        mWatches.clear();
+        mPlatform.forgetWatches(node -> true);
         mNodes.forEach(node -> node.mEpoch++);
         mNodes.forEach(SiteNode::disturbed);
     }
 
-    private void platformChanged() {
-        mPlatformCalmFromMillis = now();
-    }
-
-    private void called(
-            SiteNode reader, long after, long wait, CompletableFuture<PublishedPage> to) {
-        mCallsAtMillis.add(now());
-        if (mAway || reader.mIsRefused) {
-            to.completeExceptionally(new IOException("refused"));
-            return;
-        }
-        if (mLosesAnswers) {
-            return;
-        }
-        mWatches.add(new WaitingWatch(after, now() + wait, reader, to));
-        answerWatches();
-    }
-
-    private void answerWatches() {
-        if (mAway || mLosesAnswers) {
-            return;
-        }
-        List<WaitingWatch> due =
-                mWatches.stream()
-                        .filter(
-                                watch ->
-                                        watch.afterRevision() < mRevision
-                                                || watch.untilMillis() <= now())
-                        .toList();
-        mWatches.removeAll(due);
-        due.forEach(watch -> watch.answer().complete(page(watch.afterRevision())));
-    }
-
-    private PublishedPage page(long after) {
-        boolean whole = after < mHistoryFrom || after == 0;
-        List<PublishedItem> items =
-                mItems.values().stream()
-                        .filter(item -> whole ? !item.removed() : item.revision() > after)
-                        .sorted(Comparator.comparingLong(PublishedItem::revision))
-                        .toList();
-        return new PublishedPage(mRevision, whole, items);
-    }
-
-    /** Returns the calls to the platform in the last milliseconds. */
-    long callsInLast(long millis) {
-        return mCallsAtMillis.stream().filter(at -> at > now() - millis).count();
-    }
-
     long now() {
         return mTicker.millis();
     }
@@ -205,7 +107,7 @@
 
     /** Returns the nodes that the platform answers, or waits to answer, now. */
     List<SiteNode> readers() {
-        return mWatches.stream().map(WaitingWatch::reader).distinct().toList();
+        return mPlatform.readers();
     }
 
     /** Cuts what one node sends to another; the other way stays. */
@@ -231,10 +133,9 @@
      */
     List<String> lateNodes() {
         List<String> late = new ArrayList<>();
-        boolean isCalm = !mAway && !mLosesAnswers && now() - mPlatformCalmFromMillis >= CALM_MILLIS;
         for (SiteNode node : mNodes) {
-            if (isCalm && node.isInTouch()) {
-                long knownAt = node.knownUpToMillis();
+            if (mPlatform.isCalmFor(CALM_MILLIS) && node.isInTouch()) {
+                long knownAt = mPlatform.firstUnknownMillis(node.mFeed.items());
                 if (now() - knownAt > TIMES.servesOnMillis() - TICK_MILLIS) {
                     late.add(node.mGuard + " lacks a change of " + (now() - knownAt) + " ms ago");
                 }
@@ -253,6 +154,7 @@
         private boolean mIsPaused;
         private boolean mIsRefused;
         private long mSuspendedMillis;
+        private long mTimeOfDayOffMillis;
         private long mPausedAtMillis;
         private long mCalmFromMillis;
         private final List<Runnable> mHeldUp = new ArrayList<>();
@@ -295,7 +197,7 @@
         void kill() {
             mIsDown = true;
             mEpoch++;
-            mWatches.removeIf(watch -> watch.reader() == this);
+            mPlatform.forgetWatches(reader -> reader == this);
             disturbed();
         }
 
@@ -320,7 +222,17 @@
         void setRefused(boolean refused) {
             mIsRefused = refused;
             disturbed();
-            platformChanged();
+            mPlatform.changed();
+        }
+
+        /** Sets the time of day, ahead or back. */
+        void stepTimeOfDay(long millis) {
+            mTimeOfDayOffMillis += millis;
+            disturbed();
+        }
+
+        boolean isRefused() {
+            return mIsRefused;
         }
 
         private void disturbed() {
@@ -331,22 +243,6 @@
             return isUp() && !mIsRefused && now() - mCalmFromMillis >= CALM_MILLIS + 300;
         }
 
-        /** Returns when the earliest change was written that this node does not know. */
-        private long knownUpToMillis() {
-            long earliest = now();
-            for (Map.Entry<String, TreeMap<Long, Write>> key : mWrites.entrySet()) {
-                PublishedItem item = mFeed.items().item(key.getKey());
-                long known = item == null ? 0 : item.revision();
-                boolean isGone = item == null || item.removed();
-                boolean isSame = isGone && key.getValue().lastEntry().getValue().removed();
-                Map.Entry<Long, Write> unknown = key.getValue().higherEntry(known);
-                if (unknown != null && !isSame) {
-                    earliest = Math.min(earliest, unknown.getValue().atMillis());
-                }
-            }
-            return earliest;
-        }
-
         private DirectoryFeed.Parts parts() {
             return new DirectoryFeed.Parts(
                     this::askPlatform,
@@ -354,7 +250,7 @@
                     SimulatedSite::decode,
                     this::run,
                     () -> mTicker.nanos() - mSuspendedMillis * 1_000_000,
-                    mTicker::millis,
+                    () -> mTicker.millis() + mTimeOfDayOffMillis,
                     mRandom.split(),
                     TIMES);
         }
@@ -384,7 +280,7 @@
                 return;
             }
             long ageMillis = mFeed.view().ageMillis();
-            long lackedMillis = now() - knownUpToMillis();
+            long lackedMillis = now() - mPlatform.firstUnknownMillis(mFeed.items());
             // Ages do not count the ways of answers.
             if (lackedMillis > ageMillis + TICK_MILLIS) {
                 throw new AssertionError(
@@ -410,12 +306,12 @@
             CompletableFuture<PublishedPage> there = new CompletableFuture<>();
             CompletableFuture<PublishedPage> back = new CompletableFuture<>();
             long epoch = mEpoch;
-            later(PLATFORM_WAY_MILLIS, () -> called(this, after, wait, there));
+            later(PLATFORM_WAY_MILLIS, () -> mPlatform.read(this, after, wait, there));
             there.whenComplete(
                     (page, failure) ->
                             later(PLATFORM_WAY_MILLIS, () -> deliver(epoch, page, failure, back)));
             if (wait > 0) {
-                later(PLATFORM_WAY_MILLIS + wait, SimulatedSite.this::answerWatches);
+                later(PLATFORM_WAY_MILLIS + wait, mPlatform::answerDue);
             }
             return back;
         }
