--- /dev/null
+++ b/src/test/java/org/apricotgauge/directory/AgedSourceTest.java
@@ -0,0 +1,41 @@
+package org.apricotgauge.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.apricotgauge.time.ElapsedClock;
+import org.apricotgauge.time.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+class AgedSourceTest {
+    private final ManualTicker mTicker = new ManualTicker();
+    private final CompletableFuture<PublishedPage> mAnswer = new CompletableFuture<>();
+    private final AgedSource mSource =
+            new AgedSource(
+                    (after, waitMillis) -> mAnswer, new ElapsedClock(mTicker, mTicker::millis));
+
+    private PublishedPage readFor(long waitMillis, long ageMillis) {
+        CompletableFuture<PublishedPage> read = mSource.read(5, waitMillis);
+        mTicker.advanceMillis(250);
+        mAnswer.complete(new PublishedPage(5, false, List.of(), ageMillis));
+        return read.join();
+    }
+
+    @Test
+    void anAnswerIsAsOldAsItsQuestionAtLeast() {
+        // The platform is slow and answers after 250 ms; its answer may have been on its way for
+        // all of them, and a target may have left meanwhile.
+        assertThat(readFor(0, 30).ageMillis()).isEqualTo(280);
+    }
+
+    @Test
+    void aWatchTellsItsAgeAtItsEnd() {
+        assertThat(readFor(10_000, 30).ageMillis()).isEqualTo(30);
+    }
+
+    @Test
+    void anUnknownAgeStaysUnknown() {
+        assertThat(readFor(0, PublishedPage.UNKNOWN_AGE).tellsAge()).isFalse();
+    }
+}
