Log which requests were at work at a target when it ended, and by what mark they recur

Cause: no line told that two requests are the same, nor that a target ended while it ran some: the incident's hypotheses can't be told apart. The guard asks for a connection; only a refusal counts. No request is treated otherwise than before.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/quarantine/Fingerprint.java
@@ -0,0 +1,71 @@
+package org.apricotgauge.decision.quarantine;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.Optional;
+
+/**
+ * What makes two requests the same one, whatever ids they have and wherever they arrive.
+ *
+ * <pre>{@code
+ * long head = Fingerprint.headOf("GET", "site.example", "/lessons?week=3", "anonymous");
+ * Fingerprint lookup = new Fingerprint(head, Fingerprint.NO_BODY);
+ * }</pre>
+ *
+ * @param head hash of method, host, path with query, and member
+ * @param body hash of the body; {@link #NO_BODY} or {@link #UNKNOWN_BODY} in its place
+ */
+public record Fingerprint(long head, long body) {
+    /** Stands for the body of a request without one. */
+    public static final long NO_BODY = 0;
+
+    /** Stands for a body that was not read as far as its hash needs. */
+    public static final long UNKNOWN_BODY = -1;
+
+    private static final HexFormat HEX = HexFormat.of();
+    private static final char SEPARATOR = '-';
+    private static final int HEX_DIGITS = 16;
+    private static final byte END_OF_PART = 0;
+
+    /**
+     * Hashes the head of a request.
+     *
+     * @param member id of the member on whose behalf it comes
+     */
+    public static long headOf(String method, String host, String pathQuery, String member) {
+        MessageDigest digest = Sha256.create();
+        for (String part : new String[] {method, host, pathQuery, member}) {
+            digest.update(part.getBytes(StandardCharsets.UTF_8));
+            digest.update(END_OF_PART);
+        }
+        return Sha256.firstLong(digest);
+    }
+
+    /** Returns whether all of the request went into the fingerprint. */
+    public boolean isComplete() {
+        return body != UNKNOWN_BODY;
+    }
+
+    /** Reads what {@link #toString} wrote; nothing if the text is malformed. */
+    public static Optional<Fingerprint> parse(String text) {
+        if (text == null
+                || text.length() != 2 * HEX_DIGITS + 1
+                || text.charAt(HEX_DIGITS) != SEPARATOR) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(
+                    new Fingerprint(
+                            HexFormat.fromHexDigitsToLong(text, 0, HEX_DIGITS),
+                            HexFormat.fromHexDigitsToLong(text, HEX_DIGITS + 1, text.length())));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return HEX.toHexDigits(head) + SEPARATOR + HEX.toHexDigits(body);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/HashedBody.java
@@ -0,0 +1,46 @@
+package org.apricotgauge.http;
+
+import org.apricotgauge.decision.quarantine.BodyHash;
+import org.apricotgauge.model.Checks;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.io.Content;
+
+/** A body that is hashed as it is read, and passed on as it is. */
+public final class HashedBody implements Request.Content {
+    private final Request.Content mBody;
+    private final BodyHash mHash;
+
+    /** Wraps a body whose bytes go into the hash. */
+    public HashedBody(Request.Content body, BodyHash hash) {
+        mBody = Checks.notNull("body", body);
+        mHash = Checks.notNull("hash", hash);
+    }
+
+    @Override
+    public long getLength() {
+        return mBody.getLength();
+    }
+
+    @Override
+    public Content.Chunk read() {
+        Content.Chunk chunk = mBody.read();
+        if (chunk == null || Content.Chunk.isFailure(chunk)) {
+            return chunk;
+        }
+        mHash.update(chunk.getByteBuffer());
+        if (chunk.isLast()) {
+            mHash.end();
+        }
+        return chunk;
+    }
+
+    @Override
+    public void demand(Runnable onAvailable) {
+        mBody.demand(onAvailable);
+    }
+
+    @Override
+    public void fail(Throwable failure) {
+        mBody.fail(failure);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/ExitWatch.java
@@ -0,0 +1,87 @@
+package org.apricotgauge.target;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import org.apricotgauge.model.Target;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Tells targets that ended while they ran requests from connections that broke for other reasons.
+ *
+ * <pre>{@code
+ * ExitWatch exits = new ExitWatch(probe, scheduler, isExpected, (target, runs) -> ...);
+ * exits.broken(target, run);
+ * }</pre>
+ *
+ * <p>A reset connection looks the same in both cases. After the first run that breaks, the target
+ * is asked for a new connection: where none listens any more, all runs that broke until then ended
+ * with the process. A target that is expected to leave is not asked. Thread-safe.
+ */
+final class ExitWatch {
+    /** Time in which the other connections of a process that ends break as well. */
+    static final long SETTLE_MILLIS = 30;
+
+    /** Most runs that are told of one end; the first to break are kept. */
+    static final int MAX_RUNS = 256;
+
+    private final TargetProbe mProbe;
+    private final Scheduler mScheduler;
+    private final Predicate<Target> mTakesWork;
+    private final BiConsumer<Target, List<BrokenRun>> mOnEnd;
+    private final ConcurrentMap<String, List<BrokenRun>> mBroken = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a watch.
+     *
+     * @param probe asks a target for a connection
+     * @param scheduler waits for further runs to break
+     * @param takesWork whether a target is there and not leaving
+     * @param onEnd hears of a target that ended, and of the runs that it took along
+     */
+    ExitWatch(
+            TargetProbe probe,
+            Scheduler scheduler,
+            Predicate<Target> takesWork,
+            BiConsumer<Target, List<BrokenRun>> onEnd) {
+        mProbe = probe;
+        mScheduler = scheduler;
+        mTakesWork = takesWork;
+        mOnEnd = onEnd;
+    }
+
+    /** Takes in a run whose connection broke before its answer was whole. */
+    void broken(Target target, BrokenRun run) {
+        if (!mTakesWork.test(target)) {
+            return;
+        }
+        mBroken.compute(target.id(), (id, runs) -> add(target, runs, run));
+    }
+
+    private List<BrokenRun> add(Target target, List<BrokenRun> runs, BrokenRun run) {
+        List<BrokenRun> all = runs;
+        if (all == null) {
+            all = new ArrayList<>();
+            mScheduler.schedule(() -> check(target), SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        if (all.size() < MAX_RUNS) {
+            all.add(run);
+        }
+        return all;
+    }
+
+    private void check(Target target) {
+        mProbe.ask(target).thenAccept(answer -> decide(target, answer));
+    }
+
+    private void decide(Target target, TargetProbe.Answer answer) {
+        List<BrokenRun> runs = mBroken.remove(target.id());
+        if (answer == TargetProbe.Answer.REFUSES && runs != null) {
+            mOnEnd.accept(target, List.copyOf(runs));
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/target/GuardContext.java
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -18,6 +18,7 @@
  * @param observer hears how requests ended
  * @param takesWork whether a target is there and not leaving
  * @param dialect headers of the site's targets
+ * @param exits tells which targets ended while they ran requests
  * @param log tells which requests were sent to targets
  * @param metrics counters
  */
@@ -29,5 +30,6 @@
         GuardObserver observer,
         Predicate<Target> takesWork,
         SiteDialect dialect,
+        ExitWatch exits,
         RunLog log,
         GuardMetrics metrics) {}
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -136,6 +136,7 @@
         mRetries = new RetryBudgets(retries, ticker.millis());
         mTable = table;
         mKeyed = keyed;
+        RunLog log = new RunLog(ticker);
         mContext =
                 new GuardContext(
                         client,
@@ -145,7 +146,12 @@
                         observer,
                         this::takesWork,
                         dialect,
-                        new RunLog(ticker),
+                        new ExitWatch(
+                                TargetProbe.connecting(client),
+                                scheduler,
+                                this::takesWork,
+                                log::targetEnded),
+                        log,
                         GuardMetrics.of(registry));
         mGates = new TargetGates(slotUse, ticker, this::expireWhileQueued);
     }
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -63,6 +63,7 @@
     private volatile UpstreamExchange mExchange;
     private volatile Scheduler.Task mTimeout;
     private volatile Scheduler.Task mHeartbeat;
+    private final RunIdentity mIdentity;
     private final RunWatch mWatch;
     private volatile boolean mTimedOut;
 
@@ -104,7 +105,8 @@
         mPass = pass;
         mContext = context;
         mGate = gate;
-        mWatch = new RunWatch(context, gate);
+        mIdentity = new RunIdentity(request, context.dialect());
+        mWatch = new RunWatch(context, gate, mIdentity);
         mAttempt = attempt;
         mTicket = ticket;
         mRequest = request;
@@ -236,7 +238,7 @@
                     ForwardedHeaders.copyRequest(mRequest.getHeaders(), headers);
                     mContext.dialect().towardsTarget(headers, mGate.target().id(), leftMillis);
                 });
-        request.body(new ReplayableBody(mRequest, 0).open());
+        request.body(mIdentity.hashed(new ReplayableBody(mRequest, 0).open()));
         return request;
     }
 
@@ -282,6 +284,7 @@
                 .started(
                         new RunLog.Started(
                                 requestId(),
+                                mIdentity.fingerprint().toString(),
                                 mGate.target().id(),
                                 mAttempt.toString(),
                                 mView,
@@ -413,7 +416,7 @@
     }
 
     private String requestId() {
-        return mContext.dialect().requestId(mRequest.getHeaders());
+        return mIdentity.id();
     }
 
     private void answerBroken(boolean byTarget, Throwable cause) {
@@ -428,6 +431,7 @@
             leaveGate(Result.CANCELLED, ObservedOutcome.TIMEOUT);
         } else if (byTarget && !mAbandoned) {
             leaveGate(Result.FAILED, ObservedOutcome.TARGET_ERROR);
+            mWatch.broken();
         } else {
             leaveGate(Result.CANCELLED, ObservedOutcome.CANCELLED);
         }
--- a/src/main/java/org/apricotgauge/target/RunLog.java
+++ b/src/main/java/org/apricotgauge/target/RunLog.java
@@ -1,7 +1,9 @@
 package org.apricotgauge.target;
 
+import java.util.List;
 import org.apricotgauge.log.BoundedLog;
 import org.apricotgauge.model.SiteView;
+import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 import org.jboss.logging.Logger;
 
@@ -9,7 +11,7 @@
  * Writes one line for each request that a guard sends to its target, for as many as there is room.
  *
  * <pre>{@code
- * log.started(new RunLog.Started(id, target, attempt, view, 4, 1));
+ * log.started(new RunLog.Started(id, fingerprint, target, attempt, view, 4, 1));
  * }</pre>
  *
  * <p>The guard is the last to look at whether a target takes work. Its line tells by which view of
@@ -19,12 +21,16 @@
     /** Lines of one node in a second: about 8 KB, whatever the load. */
     static final int LINES_PER_SECOND = 40;
 
+    /** Requests that one line names at most. */
+    private static final int MAX_LOST = 16;
+
     private final BoundedLog mLog;
 
     /**
      * A request whose first byte goes to the target.
      *
      * @param id identifier that the caller gave the request
+     * @param fingerprint what makes the request the same as others
      * @param target id of the target
      * @param attempt address of the attempt, as the entry sent it
      * @param view what this node knew of the site when it let the request pass
@@ -33,12 +39,24 @@
      */
     record Started(
             String id,
+            String fingerprint,
             String target,
             String attempt,
             SiteView view,
             long queuedMillis,
             long connectMillis) {}
 
+    /**
+     * A request that a target took along when it ended.
+     *
+     * @param id identifier that the caller gave the request
+     * @param fingerprint what makes the request the same as others
+     * @param request method, host and path
+     */
+    private record Lost(String id, String fingerprint, String request) {}
+
+    private record Ended(String target, List<Lost> runs, long leftOut) {}
+
     private record Line(Started run, long leftOut) {}
 
     RunLog(Ticker ticker) {
@@ -47,6 +65,16 @@
                         Logger.getLogger("org.apricotgauge.requests"), ticker, LINES_PER_SECOND);
     }
 
+    /** Tells which requests a target was running when it ended. */
+    void targetEnded(Target target, List<BrokenRun> runs) {
+        List<Lost> lost =
+                runs.stream()
+                        .limit(MAX_LOST)
+                        .map(run -> new Lost(run.id(), run.fingerprint().toString(), run.request()))
+                        .toList();
+        mLog.info("target ended", leftOut -> new Ended(target.id(), lost, leftOut));
+    }
+
     void started(Started run) {
         mLog.info("run started", leftOut -> new Line(run, leftOut));
     }
--- a/src/main/java/org/apricotgauge/target/RunWatch.java
+++ b/src/main/java/org/apricotgauge/target/RunWatch.java
@@ -21,14 +21,16 @@
 final class RunWatch {
     private final GuardContext mContext;
     private final TargetGate mGate;
+    private final RunIdentity mIdentity;
     private final AtomicBoolean mObserved = new AtomicBoolean();
     private volatile HealthGate.Run mRun;
     private volatile Scheduler.Task mHealthCheck;
     private volatile Scheduler.Task mOverdue;
 
-    RunWatch(GuardContext context, TargetGate gate) {
+    RunWatch(GuardContext context, TargetGate gate, RunIdentity identity) {
         mContext = context;
         mGate = gate;
+        mIdentity = identity;
     }
 
     /** Notes that the run starts, just before its first byte. */
@@ -59,6 +61,11 @@
         observe(outcome, serviceMicros);
     }
 
+    /** Notes that the connection to the target broke before the answer was whole. */
+    void broken() {
+        mContext.exits().broken(mGate.target(), mIdentity.broken());
+    }
+
     private void stillRuns(HealthGate.Run run) {
         if (!mObserved.get()) {
             mGate.health().stillRuns(run, mContext.ticker().millis());
