--- a/src/test/java/org/apricotgauge/functional/RawTarget.java
+++ b/src/test/java/org/apricotgauge/functional/RawTarget.java
@@ -29,14 +29,19 @@
                 throws IOException, InterruptedException;
     }
 
-    private RawTarget(Script script) throws IOException {
+    private RawTarget(int port, Script script) throws IOException {
         mScript = script;
-        mServer = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        mServer = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
         start("raw-target", this::accept);
     }
 
     static RawTarget start(Script script) throws IOException {
-        return new RawTarget(script);
+        return new RawTarget(0, script);
+    }
+
+    /** Starts at a port. */
+    static RawTarget start(int port, Script script) throws IOException {
+        return new RawTarget(port, script);
     }
 
     /** Returns a script that answers every request alike and keeps the connection. */
