--- a/src/main/java/org/apricotgauge/bench/MeasureAdmin.java
+++ b/src/main/java/org/apricotgauge/bench/MeasureAdmin.java
@@ -143,6 +143,7 @@
                 () -> new Readiness(true, "serving"),
                 () -> status(statuses, windows),
                 ring::read,
+                AdminSources.QuarantineSource.empty(),
                 metrics);
     }
 
--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -45,6 +45,7 @@
     private final Callback mCallback;
     private final AnswerDelivery mDelivery;
     private final ReplayableBody mBody;
+    private final QuarantineCheck mQuarantine;
     private final long mDeadlineMillis;
     private final TargetChoice mChoice;
     private Progress mProgress;
@@ -85,6 +86,7 @@
         mDelivery = new AnswerDelivery(context, mReport, request, response, callback);
         mChoice = new TargetChoice(context, present, asked.repeatable());
         mBody = new ReplayableBody(request, REPLAY_LIMIT_BYTES);
+        mQuarantine = new QuarantineCheck(context.quarantine(), asked, request, mBody);
         mDeadlineMillis = context.ticker().millis() + asked.timeoutMillis();
         mProgress = Progress.of(asked.repeatable(), false);
     }
@@ -112,7 +114,7 @@
                                 TimeUnit.MILLISECONDS);
         mRequest.addFailureListener(this::callerGone);
         HangUpEndPoint.watch(mRequest, () -> callerGone(HangUpEndPoint.hangUp()));
-        next();
+        mQuarantine.whenTold(this::next);
     }
 
     EntryContext context() {
@@ -131,6 +133,10 @@
         return mBody;
     }
 
+    QuarantineCheck quarantine() {
+        return mQuarantine;
+    }
+
     /** Returns the time left to the deadline, in milliseconds; not positive once it has passed. */
     long leftMillis() {
         return mDeadlineMillis - mContext.ticker().millis();
@@ -220,6 +226,10 @@
     }
 
     private void next() {
+        if (mQuarantine.heldMillis() > 0) {
+            endHeld();
+            return;
+        }
         if (mHome != null) {
             send(new KeyedAttempt(this, mHome, mAsked.key().orElseThrow()));
             return;
@@ -268,6 +278,18 @@
         }
     }
 
+    private void endHeld() {
+        Progress progress;
+        synchronized (this) {
+            progress = mProgress;
+        }
+        mContext.metrics().quarantined().inc();
+        finish(
+                progress.mayHaveRun()
+                        ? new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT)
+                        : new Outcome.NotRun(NotRunReason.QUARANTINED, mQuarantine.heldMillis()));
+    }
+
     private void endWithoutTarget() {
         Progress progress;
         synchronized (this) {
--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -5,11 +5,14 @@
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.target.BrokenRun;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
 /**
@@ -23,6 +26,7 @@
     private final Candidate mCandidate;
     private final AttemptAccount mAccount;
     private volatile UpstreamExchange mUpstream;
+    private volatile boolean mAbandoned;
 
     DirectAttempt(CallerExchange exchange, Candidate candidate) {
         mExchange = exchange;
@@ -46,18 +50,21 @@
                     ForwardedHeaders.copyRequest(from.getHeaders(), headers);
                     headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
                 });
-        to.body(mExchange.body().open());
+        to.body(mExchange.quarantine().hashedBody());
         mUpstream = UpstreamExchange.send(to, this);
     }
 
     @Override
     public boolean onBegin() {
-        return mExchange.mayBegin(this);
+        return mExchange.quarantine().heldMillis() == 0 && mExchange.mayBegin(this);
     }
 
     @Override
     public void onAnswer(Response answer, Content.Source body) {
         mAccount.observed(AttemptAccount.outcomeOf(answer.getStatus()));
+        if (HttpStatus.isSuccess(answer.getStatus())) {
+            mContext.quarantine().endedWell(mExchange.quarantine().fingerprint());
+        }
         mExchange.answered(this, answer, body);
     }
 
@@ -66,6 +73,9 @@
         over();
         mAccount.observed(ObservedOutcome.PATH_FAULT);
         mContext.metrics().pathFaults().inc();
+        if (failure.progress() == UpstreamExchange.Progress.MAYBE_SENT && !mAbandoned) {
+            mContext.exits().broken(mCandidate.target(), run());
+        }
         mExchange.attemptEnded(
                 this,
                 failure.progress() == UpstreamExchange.Progress.NOT_SENT
@@ -73,8 +83,16 @@
                         : new Outcome.Unknown(UnknownReason.NO_GUARD));
     }
 
+    private BrokenRun run() {
+        return new BrokenRun(
+                mContext.dialect().requestId(mExchange.request().getHeaders()),
+                mExchange.quarantine().fingerprint(),
+                Fingerprints.nameOf(mExchange.request()));
+    }
+
     @Override
     public void abandon() {
+        mAbandoned = true;
         over();
         mAccount.observed(ObservedOutcome.TIMEOUT);
         AttemptAccount.abort(mUpstream);
--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -2,9 +2,11 @@
 
 import org.apricotgauge.decision.attempt.AttemptIds;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.target.ExitWatch;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -23,6 +25,8 @@
  * @param lag how late this process runs
  * @param dialect headers of the site's callers and targets
  * @param reach which ways lead to a target
+ * @param exits tells which targets ended while requests from here ran
+ * @param quarantine which requests are kept from targets
  * @param log tells how requests ended
  * @param metrics counters
  */
@@ -38,6 +42,8 @@
         LagMeter lag,
         SiteDialect dialect,
         EntryOptions.Reach reach,
+        ExitWatch exits,
+        QuarantineTable quarantine,
         DecisionLog log,
         EntryMetrics metrics) {
 
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -13,6 +13,7 @@
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.RetryBudgets;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
@@ -21,7 +22,9 @@
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.Outcomes;
 import org.apricotgauge.model.Route;
+import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.target.ExitWatch;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpHeader;
@@ -64,6 +67,7 @@
      * @param ticker the entry's clock
      * @param observer hears how attempts ended
      * @param probes which ejected targets to try
+     * @param quarantine which requests are kept from targets
      * @param options what differs between sites
      * @param registry takes the counters
      */
@@ -78,6 +82,7 @@
             Ticker ticker,
             EntryObserver observer,
             ProbeSource probes,
+            QuarantineTable quarantine,
             EntryOptions options,
             MetricRegistry registry) {
         mTable = table;
@@ -96,12 +101,21 @@
                         new LagMeter(scheduler, ticker),
                         options.dialect(),
                         options.reach(),
+                        ExitWatch.of(direct, scheduler, this::takesWork, observer::targetEnded),
+                        quarantine,
                         new DecisionLog(ticker),
                         EntryMetrics.of(registry));
         mKeyed = new KeyedRequests(mContext, options.keyLimits());
         mBudgets = new RetryBudgets(options.entryRetries(), ticker.millis());
     }
 
+    private boolean takesWork(Target target) {
+        return mTable.get()
+                .service(target.service())
+                .flatMap(service -> service.candidate(target.id()))
+                .isPresent();
+    }
+
     /** Starts what runs beside the requests; the scheduler must have been started. */
     public void open() {
         mContext.lag().start();
--- a/src/main/java/org/apricotgauge/caller/EntryObserver.java
+++ b/src/main/java/org/apricotgauge/caller/EntryObserver.java
@@ -1,10 +1,12 @@
 package org.apricotgauge.caller;
 
+import java.util.List;
 import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
+import org.apricotgauge.target.BrokenRun;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Hears how attempts and requests ended, as the entry saw it; called on request threads. */
@@ -40,6 +42,13 @@
     /** Called when a call that a target made for another request, of this id, has failed. */
     void callFailed(String parentId);
 
+    /**
+     * Called when the process of a target that was reached directly ended while it ran requests.
+     *
+     * @param runs the requests that were at work
+     */
+    void targetEnded(Target target, List<BrokenRun> runs);
+
     /**
      * Called once for each fence.
      *
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/QuarantineCheck.java
@@ -0,0 +1,73 @@
+package org.apricotgauge.caller;
+
+import org.apricotgauge.decision.quarantine.BodyHash;
+import org.apricotgauge.decision.quarantine.Fingerprint;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.http.Fingerprints;
+import org.apricotgauge.http.HashedBody;
+import org.apricotgauge.http.ReplayableBody;
+import org.eclipse.jetty.client.Request;
+
+/**
+ * Tells whether a caller's request is kept from targets because it crashes them.
+ *
+ * <pre>{@code
+ * check.whenTold(() -> { if (check.heldMillis() > 0) refuse(); });
+ * }</pre>
+ *
+ * <p>While nothing is held it costs a look at an empty set. The guard looks as well, just before
+ * the first byte; the entry's look saves the hop, and covers targets that have no guard.
+ */
+final class QuarantineCheck {
+    private final QuarantineTable mTable;
+    private final org.eclipse.jetty.server.Request mRequest;
+    private final String mMember;
+    private final ReplayableBody mContent;
+    private final BodyHash mBody = new BodyHash();
+    private Long mHead;
+
+    QuarantineCheck(
+            QuarantineTable table,
+            CallerRequest asked,
+            org.eclipse.jetty.server.Request request,
+            ReplayableBody content) {
+        mTable = table;
+        mMember = asked.memberId();
+        mRequest = request;
+        mContent = content;
+        if (!Fingerprints.hasBody(request)) {
+            mBody.end();
+        }
+    }
+
+    /** Goes on once the request can be told from those held with the same head, if any are. */
+    void whenTold(Runnable next) {
+        if (mBody.isComplete() || mTable.held() == 0 || !mTable.isHeldHead(head())) {
+            next.run();
+            return;
+        }
+        mContent.readAhead(mBody).whenComplete((read, failure) -> next.run());
+    }
+
+    /** Returns how long the request is still kept from targets, in milliseconds; 0 if it is not. */
+    long heldMillis() {
+        return mTable.held() == 0 ? 0 : mTable.heldMillis(fingerprint());
+    }
+
+    Fingerprint fingerprint() {
+        return new Fingerprint(head(), mBody.value());
+    }
+
+    /** Returns the request's body for an attempt past the guards, which tells its fingerprint. */
+    Request.Content hashedBody() {
+        Request.Content body = mContent.open();
+        return mBody.isComplete() ? body : new HashedBody(body, mBody);
+    }
+
+    private synchronized long head() {
+        if (mHead == null) {
+            mHead = Fingerprints.headOf(mRequest, mMember);
+        }
+        return mHead;
+    }
+}
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -28,6 +28,10 @@
     RETRIES_SPENT,
     /** Another target has the address by now, and did not run it. */
     TARGET_REPLACED,
+    /** It crashed targets that ran it, and is kept from all others for a while. */
+    QUARANTINED,
+    /** It may be one that crashes targets, and its body was not known in time to tell. */
+    BODY_UNREAD,
     /** The older routing system, whose share it falls into, took no connection. */
     PREDECESSOR_UNREACHABLE,
     /** The guard is stopping, and takes no new work. */
--- a/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
@@ -101,6 +101,9 @@
             boolean again = progress.repeatable() && RETRYABLE_STATUSES.contains(answered.status());
             return again ? new RetryDecision.SendAgain() : finish(progress);
         }
+        if (isQuarantined(last)) {
+            return finish(progress);
+        }
         if (progress.repeatable()) {
             return new RetryDecision.SendAgain();
         }
@@ -112,6 +115,11 @@
         return progress.hasKey() ? new RetryDecision.SendToSameGuard() : finish(progress);
     }
 
+    private static boolean isQuarantined(Outcome outcome) {
+        return outcome instanceof Outcome.NotRun notRun
+                && notRun.reason() == NotRunReason.QUARANTINED;
+    }
+
     private static RetryDecision finish(Progress progress) {
         // "Not run" of the last attempt says nothing of an earlier one: a repeatable request that
         // ran and got a 503 would be reported as not run once its retry is refused.
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
@@ -0,0 +1,217 @@
+package org.apricotgauge.decision.quarantine;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.apricotgauge.decision.TokenBucket;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.time.Ticker;
+
+/**
+ * Spreads what each node knows of requests that crash targets to all nodes.
+ *
+ * <pre>{@code
+ * gossip.changed(fingerprint);          // passed on at once, and for some ticks more
+ * gossip.tick();
+ * gossip.received(from, message);
+ * }</pre>
+ *
+ * <p>Three crashes may be seen by three nodes, and the next copy arrive at a fourth, so that even
+ * the first crash has to be known everywhere within a second or two. News goes to a few nodes drawn
+ * at random, which do the same; messages may be lost. What is missed that way, by a node that was
+ * cut off or has just started, comes with a comparison of sums each second with one node drawn at
+ * random. Nothing is sent while nothing is known, but for the first seconds of a process. Bytes of
+ * a node are bounded. Thread-safe.
+ */
+public final class CrashGossip {
+    /** Ticks in which news is passed on, each time to {@link #FANOUT} nodes. */
+    static final int ROUNDS = 3;
+
+    /** Nodes that are told in a tick: one of the own failure domain, the others of any. */
+    static final int FANOUT = 2;
+
+    /** Time between two comparisons. */
+    static final long COMPARE_EVERY_MILLIS = 1_000;
+
+    /** A process that has started or was paused compares in each tick for so long. */
+    static final long EAGER_MILLIS = 1_500;
+
+    /** Bytes that a node may send in a second. */
+    private static final double BYTES_PER_SECOND = 8_000;
+
+    private static final double BURST_BYTES = 32_000;
+    private static final int MESSAGE_BYTES = 48;
+    private static final int LINE_BYTES = 24;
+    private static final int CRASH_BYTES = 14;
+
+    private final QuarantineTable mTable;
+    private final Supplier<Peers> mPeers;
+    private final Port mPort;
+    private final RandomGenerator mRandom;
+    private final Ticker mTicker;
+    private final TokenBucket mBytes;
+    private final Map<Fingerprint, Integer> mRoundsLeft = new LinkedHashMap<>();
+    private long mEagerUntilMillis;
+    private long mNextCompareMillis;
+
+    /** Carries messages, which may be lost or come twice; must not block. */
+    @FunctionalInterface
+    public interface Port {
+        /** Sends a message. */
+        void send(Address to, CrashMessage message);
+    }
+
+    /**
+     * The other nodes.
+     *
+     * @param near those of the own failure domain
+     * @param all every one of them
+     */
+    public record Peers(List<Address> near, List<Address> all) {
+        /** There are none. */
+        public static final Peers NONE = new Peers(List.of(), List.of());
+
+        /** Checks the parts. */
+        public Peers {
+            near = List.copyOf(near);
+            all = List.copyOf(all);
+        }
+    }
+
+    /**
+     * Creates the gossip of a process that has just started.
+     *
+     * @param table what this node knows
+     * @param peers the other nodes as they are known now
+     * @param port sends messages
+     * @param random draws the nodes that are told
+     */
+    public CrashGossip(
+            QuarantineTable table,
+            Supplier<Peers> peers,
+            Port port,
+            RandomGenerator random,
+            Ticker ticker) {
+        mTable = Checks.notNull("table", table);
+        mPeers = Checks.notNull("peers", peers);
+        mPort = Checks.notNull("port", port);
+        mRandom = Checks.notNull("random", random);
+        mTicker = Checks.notNull("ticker", ticker);
+        mBytes = new TokenBucket(BYTES_PER_SECOND, BURST_BYTES, ticker.millis());
+        isBehind();
+    }
+
+    /** Notes that this process may have missed news: it has just started, or was paused. */
+    public synchronized void isBehind() {
+        mEagerUntilMillis = mTicker.millis() + EAGER_MILLIS;
+    }
+
+    /** Passes on that the record of a request tells more than before. */
+    public synchronized void changed(Fingerprint fingerprint) {
+        mRoundsLeft.put(fingerprint, ROUNDS);
+    }
+
+    /** Does what is due; called about ten times a second, and after news. */
+    public synchronized void tick() {
+        Peers peers = mPeers.get();
+        if (peers.all().isEmpty()) {
+            return;
+        }
+        tellNews(peers);
+        long nowMillis = mTicker.millis();
+        boolean isEager = nowMillis < mEagerUntilMillis;
+        boolean isDue = nowMillis >= mNextCompareMillis && mTable.size() > 0;
+        if (isEager || isDue) {
+            mNextCompareMillis = nowMillis + COMPARE_EVERY_MILLIS;
+            send(any(peers.all()), CrashMessage.Kind.ASK, List.of());
+        }
+    }
+
+    private void tellNews(Peers peers) {
+        if (mRoundsLeft.isEmpty()) {
+            return;
+        }
+        List<Fingerprint> told =
+                mRoundsLeft.keySet().stream().limit(CrashMessage.MAX_LINES).toList();
+        List<CrashMessage.Line> lines = told.stream().map(this::lineOf).toList();
+        for (Address peer : audience(peers)) {
+            if (!send(peer, CrashMessage.Kind.NEWS, lines)) {
+                return;
+            }
+        }
+        for (Fingerprint fingerprint : told) {
+            int left = mRoundsLeft.remove(fingerprint) - 1;
+            if (left > 0) {
+                mRoundsLeft.put(fingerprint, left);
+            }
+        }
+    }
+
+    private List<Address> audience(Peers peers) {
+        List<Address> audience = new ArrayList<>(FANOUT);
+        audience.add(any(peers.near().isEmpty() ? peers.all() : peers.near()));
+        while (audience.size() < FANOUT) {
+            audience.add(any(peers.all()));
+        }
+        return audience;
+    }
+
+    private Address any(List<Address> peers) {
+        return peers.get(mRandom.nextInt(peers.size()));
+    }
+
+    /** Takes in a message of another node. */
+    public void received(Address from, CrashMessage message) {
+        long nowMillis = mTicker.millis();
+        boolean isNews = message.kind() == CrashMessage.Kind.NEWS;
+        for (CrashMessage.Line line : message.lines()) {
+            mTable.learn(line.fingerprint(), line.record(nowMillis), isNews);
+        }
+        boolean isSame = message.sum() == mTable.sum();
+        if (message.kind() == CrashMessage.Kind.ASK && !isSame) {
+            tellAll(from, CrashMessage.Kind.LAST_PART);
+        }
+        if (message.kind() == CrashMessage.Kind.LAST_PART && !isSame) {
+            tellAll(from, CrashMessage.Kind.PART);
+        }
+    }
+
+    private synchronized void tellAll(Address to, CrashMessage.Kind lastKind) {
+        List<CrashMessage.Line> lines =
+                mTable.entries().stream()
+                        .map(entry -> CrashMessage.Line.of(entry, mTicker.millis()))
+                        .toList();
+        int from = 0;
+        do {
+            int until = Math.min(lines.size(), from + CrashMessage.MAX_LINES);
+            boolean isLast = until == lines.size();
+            CrashMessage.Kind kind = isLast ? lastKind : CrashMessage.Kind.PART;
+            if (!send(to, kind, lines.subList(from, until))) {
+                return;
+            }
+            from = until;
+        } while (from < lines.size());
+    }
+
+    private CrashMessage.Line lineOf(Fingerprint fingerprint) {
+        CrashRecord record = mTable.record(fingerprint);
+        return CrashMessage.Line.of(
+                new QuarantineTable.Entry(fingerprint, record), mTicker.millis());
+    }
+
+    private boolean send(Address to, CrashMessage.Kind kind, List<CrashMessage.Line> lines) {
+        int bytes = MESSAGE_BYTES;
+        for (CrashMessage.Line line : lines) {
+            bytes += LINE_BYTES + CRASH_BYTES * line.crashIds().size();
+        }
+        if (!mBytes.take(bytes, mTicker.millis())) {
+            return false;
+        }
+        mPort.send(to, new CrashMessage(kind, mTable.sum(), lines));
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/apricotgauge/decision/quarantine/QuarantineTable.java
@@ -0,0 +1,262 @@
+package org.apricotgauge.decision.quarantine;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.model.Checks;
+import org.apricotgauge.time.Ticker;
+
+/**
+ * Which requests are kept from targets because they crash whatever runs them.
+ *
+ * <pre>{@code
+ * table.crashed(List.of(first, second), crashId);   // a target ended under these two
+ * table.endedWell(second);                          // the second one has proved innocent
+ * long millis = table.heldMillis(first);            // 0 if it may run
+ * }</pre>
+ *
+ * <p>A target that ends takes all its requests along, so that most of those that were at work are
+ * innocent. A request is held after {@link CrashRecord#PROOF} crashes of which none was preceded or
+ * followed by a run that ended well. Memory is bounded; a request that is held is never forgotten
+ * for the sake of a newcomer. Thread-safe; a reader on a request's path takes no lock.
+ */
+public final class QuarantineTable {
+    /** Requests of which crashes are remembered. */
+    static final int MAX_RECORDS = 1_024;
+
+    /** A run that ended well clears its request of crashes up to so much later. */
+    static final long CLEARED_MILLIS = 60_000;
+
+    /** Requests that ended well of which that is remembered. */
+    private static final int MAX_WELL = 4_096;
+
+    private final Ticker mTicker;
+    private final QuarantineListener mListener;
+    private final Cache<Fingerprint, Long> mWell;
+    private final Map<Fingerprint, CrashRecord> mRecords = new HashMap<>();
+    private volatile View mView = View.EMPTY;
+
+    /** What readers see. */
+    private record View(
+            Map<Fingerprint, CrashRecord> held, Set<Long> heldHeads, Set<Long> suspectHeads) {
+        static final View EMPTY = new View(Map.of(), Set.of(), Set.of());
+    }
+
+    /**
+     * A record with the request that it is about.
+     *
+     * @param fingerprint the request
+     * @param record its crashes
+     */
+    public record Entry(Fingerprint fingerprint, CrashRecord record) {}
+
+    /** Creates an empty table. */
+    public QuarantineTable(Ticker ticker, QuarantineListener listener) {
+        mTicker = Checks.notNull("ticker", ticker);
+        mListener = Checks.notNull("listener", listener);
+        mWell =
+                Caffeine.newBuilder()
+                        .maximumSize(MAX_WELL)
+                        .expireAfterWrite(CLEARED_MILLIS, TimeUnit.MILLISECONDS)
+                        .ticker(ticker::nanos)
+                        .executor(Runnable::run)
+                        .build();
+    }
+
+    /** Returns how long the request is still kept from targets, in milliseconds; 0 if it is not. */
+    public long heldMillis(Fingerprint fingerprint) {
+        CrashRecord record = mView.held().get(fingerprint);
+        return record == null ? 0 : Math.max(0, record.heldUntilMillis() - mTicker.millis());
+    }
+
+    /** Returns whether a request with this head is held, so that the body must be known. */
+    public boolean isHeldHead(long head) {
+        return mView.heldHeads().contains(head);
+    }
+
+    /** Returns whether a request with this head was at work in a crash. */
+    public boolean isSuspectHead(long head) {
+        return mView.suspectHeads().contains(head);
+    }
+
+    /** Returns how many requests are held. */
+    public int held() {
+        return mView.held().size();
+    }
+
+    /** Returns of how many requests crashes are remembered. */
+    public synchronized int size() {
+        return mRecords.size();
+    }
+
+    /** Takes in that a target ended while it ran these requests. */
+    public void crashed(Collection<Fingerprint> requests, long crashId) {
+        Crash crash = new Crash(crashId, mTicker.millis());
+        for (Fingerprint fingerprint : new HashSet<>(requests)) {
+            update(fingerprint, CrashRecord.NONE.with(crash), true);
+        }
+    }
+
+    /** Takes in that a run of the request ended well. */
+    public void endedWell(Fingerprint fingerprint) {
+        if (!fingerprint.isComplete()) {
+            return;
+        }
+        long clearedUntilMillis = mTicker.millis() + CLEARED_MILLIS;
+        mWell.put(fingerprint, clearedUntilMillis);
+        if (mView.suspectHeads().contains(fingerprint.head()) && isKnown(fingerprint)) {
+            update(fingerprint, CrashRecord.NONE.voidUntil(clearedUntilMillis), true);
+        }
+    }
+
+    private synchronized boolean isKnown(Fingerprint fingerprint) {
+        CrashRecord record = mRecords.get(fingerprint);
+        return record != null && !record.crashes().isEmpty();
+    }
+
+    /** Lets a request through again; returns false if nothing is held against it. */
+    public boolean lift(Fingerprint fingerprint) {
+        boolean known = isKnown(fingerprint);
+        if (known) {
+            update(fingerprint, CrashRecord.NONE.voidUntil(mTicker.millis()), true);
+        }
+        return known;
+    }
+
+    /**
+     * Takes in what another node knows.
+     *
+     * @param isNews whether the other node tells it since it is new
+     */
+    public void learn(Fingerprint fingerprint, CrashRecord told, boolean isNews) {
+        if (told.forgottenAtMillis() > mTicker.millis()) {
+            update(fingerprint, told, isNews);
+        }
+    }
+
+    /** Lets requests through that were held for long enough, and forgets what is long past. */
+    public void expire() {
+        long nowMillis = mTicker.millis();
+        Set<Fingerprint> before = mView.held().keySet();
+        synchronized (this) {
+            boolean isOver = mView.held().keySet().stream().anyMatch(one -> heldMillis(one) == 0);
+            boolean isForgotten =
+                    mRecords.values().removeIf(record -> record.forgottenAtMillis() <= nowMillis);
+            if (!isOver && !isForgotten) {
+                return;
+            }
+            refresh();
+        }
+        Set<Fingerprint> after = mView.held().keySet();
+        before.stream().filter(one -> !after.contains(one)).forEach(mListener::released);
+    }
+
+    private void update(Fingerprint fingerprint, CrashRecord told, boolean isNews) {
+        CrashRecord before;
+        CrashRecord after;
+        boolean hasRoom;
+        synchronized (this) {
+            before = mRecords.getOrDefault(fingerprint, CrashRecord.NONE);
+            after = withOwn(fingerprint, before.merge(told));
+            hasRoom = before != CrashRecord.NONE || after.equals(before) || makeRoom();
+            if (hasRoom && !after.equals(before)) {
+                mRecords.put(fingerprint, after);
+                refresh();
+            }
+        }
+        if (!hasRoom) {
+            mListener.full();
+        } else if (!after.equals(before)) {
+            tell(fingerprint, before, after, isNews);
+        }
+    }
+
+    // This node may have seen a run end well before anybody heard of a crash.
+    private CrashRecord withOwn(Fingerprint fingerprint, CrashRecord record) {
+        Long clearedUntilMillis = mWell.getIfPresent(fingerprint);
+        return clearedUntilMillis == null || record.crashes().isEmpty()
+                ? record
+                : record.voidUntil(clearedUntilMillis);
+    }
+
+    private boolean makeRoom() {
+        if (mRecords.size() < MAX_RECORDS) {
+            return true;
+        }
+        long nowMillis = mTicker.millis();
+        Optional<Fingerprint> oldest =
+                mRecords.entrySet().stream()
+                        .filter(entry -> entry.getValue().heldUntilMillis() <= nowMillis)
+                        .min(Comparator.comparingLong(one -> one.getValue().forgottenAtMillis()))
+                        .map(Map.Entry::getKey);
+        oldest.ifPresent(mRecords::remove);
+        return oldest.isPresent();
+    }
+
+    private void refresh() {
+        long nowMillis = mTicker.millis();
+        Map<Fingerprint, CrashRecord> held = new HashMap<>();
+        Set<Long> heldHeads = new HashSet<>();
+        Set<Long> suspectHeads = new HashSet<>();
+        mRecords.forEach(
+                (fingerprint, record) -> {
+                    if (record.crashes().isEmpty()) {
+                        return;
+                    }
+                    suspectHeads.add(fingerprint.head());
+                    if (record.heldUntilMillis() > nowMillis && fingerprint.isComplete()) {
+                        held.put(fingerprint, record);
+                        heldHeads.add(fingerprint.head());
+                    }
+                });
+        mView = new View(held, heldHeads, suspectHeads);
+    }
+
+    private void tell(
+            Fingerprint fingerprint, CrashRecord before, CrashRecord after, boolean isNews) {
+        long nowMillis = mTicker.millis();
+        boolean wasHeld = before.heldUntilMillis() > nowMillis;
+        boolean isHeld = after.heldUntilMillis() > nowMillis && fingerprint.isComplete();
+        if (isHeld && !wasHeld) {
+            mListener.held(
+                    fingerprint, after.crashes().size(), after.heldUntilMillis() - nowMillis);
+        }
+        if (wasHeld && !isHeld) {
+            mListener.released(fingerprint);
+        }
+        mListener.changed(fingerprint, isNews || isHeld != wasHeld);
+    }
+
+    /** Returns what is known of a request; {@link CrashRecord#NONE} if nothing is. */
+    synchronized CrashRecord record(Fingerprint fingerprint) {
+        return mRecords.getOrDefault(fingerprint, CrashRecord.NONE);
+    }
+
+    /** Returns all records, those of held requests first. */
+    public synchronized List<Entry> entries() {
+        List<Entry> entries = new ArrayList<>(mRecords.size());
+        mRecords.forEach((fingerprint, record) -> entries.add(new Entry(fingerprint, record)));
+        entries.sort(
+                Comparator.comparingLong((Entry entry) -> entry.record().heldUntilMillis())
+                        .reversed());
+        return entries;
+    }
+
+    /** Returns a hash that two tables agree on if they count the same crashes. */
+    synchronized long sum() {
+        long sum = 0;
+        for (Map.Entry<Fingerprint, CrashRecord> entry : mRecords.entrySet()) {
+            sum ^= entry.getValue().sum(entry.getKey());
+        }
+        return sum;
+    }
+}
--- a/src/main/java/org/apricotgauge/event/EventBody.java
+++ b/src/main/java/org/apricotgauge/event/EventBody.java
@@ -23,6 +23,8 @@
                 FloorReached,
                 StopPhaseEntered,
                 FenceUsed,
+                RequestHeld,
+                RequestReleased,
                 UnrecognizedBody {
 
     /** Returns the service that the event is about, if it is about one. */
--- a/src/main/java/org/apricotgauge/http/ReplayableBody.java
+++ b/src/main/java/org/apricotgauge/http/ReplayableBody.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.apricotgauge.decision.quarantine.BodyHash;
 import org.apricotgauge.model.Checks;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.io.Content;
@@ -68,6 +70,50 @@
         }
     }
 
+    /**
+     * Reads the first bytes before the body is opened, as many as the hash needs, and keeps them.
+     *
+     * @return completes once the hash is complete; fails if the body breaks off before
+     */
+    public CompletableFuture<Void> readAhead(BodyHash hash) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        readAhead(hash, done);
+        return done;
+    }
+
+    private void readAhead(BodyHash hash, CompletableFuture<Void> done) {
+        while (!hash.isComplete()) {
+            Content.Chunk chunk = mSource.read();
+            if (chunk == null) {
+                mSource.demand(() -> readAhead(hash, done));
+                return;
+            }
+            if (Content.Chunk.isFailure(chunk)) {
+                done.completeExceptionally(chunk.getFailure());
+                return;
+            }
+            keepAhead(chunk, hash);
+        }
+        done.complete(null);
+    }
+
+    private void keepAhead(Content.Chunk chunk, BodyHash hash) {
+        byte[] copy = new byte[chunk.remaining()];
+        chunk.getByteBuffer().slice().get(copy);
+        hash.update(ByteBuffer.wrap(copy));
+        synchronized (mLock) {
+            if (copy.length > 0) {
+                mKept.add(copy);
+                mKeptBytes += copy.length;
+            }
+            mSourceEnded |= chunk.isLast();
+        }
+        if (chunk.isLast()) {
+            hash.end();
+        }
+        chunk.release();
+    }
+
     private Content.Chunk readFor(View view) {
         synchronized (mLock) {
             if (view != mCurrent) {
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -137,7 +137,7 @@
         // Members first: a new target whose guard is not known yet would be passed over, and a node
         // that has just started would refuse what it can serve.
         List<Address> guards = guards();
-        mParts.listener().onMembers(new Members(leaving, guards));
+        mParts.listener().onMembers(new Members(leaving, peers()));
         mParts.listener().onConfiguration(published.version(), mConfiguration, mMark);
         mFeed.setNodes(readerTree(), guards);
         // Behind the tasks that change the table: the event stands where requests obey it.
@@ -208,6 +208,18 @@
                 .toList();
     }
 
+    private List<SiteMembers.Peer> peers() {
+        return mConfiguration.targets().stream()
+                .filter(target -> !target.host().equals(mParts.vm().host()))
+                .map(
+                        target ->
+                                new SiteMembers.Peer(
+                                        new Address(target.host(), mParts.crashNewsPort()),
+                                        target.failureDomain()))
+                .distinct()
+                .toList();
+    }
+
     private ReaderTree readerTree() {
         Set<ReaderTree.Node> nodes = new HashSet<>();
         for (Target target : mConfiguration.targets()) {
@@ -312,11 +324,11 @@
     /** The members as the targets registered. */
     private final class Members implements SiteMembers {
         private final Set<String> mLeavingIds;
-        private final List<Address> mGuards;
+        private final List<Peer> mPeers;
 
-        private Members(Set<String> leavingIds, List<Address> guards) {
+        private Members(Set<String> leavingIds, List<Peer> peers) {
             mLeavingIds = leavingIds;
-            mGuards = guards;
+            mPeers = peers;
         }
 
         @Override
@@ -331,7 +343,12 @@
 
         @Override
         public int nodes() {
-            return mGuards.size() + 1;
+            return mPeers.size() + 1;
+        }
+
+        @Override
+        public List<Peer> peers() {
+            return mPeers;
         }
     }
 }
--- a/src/main/java/org/apricotgauge/node/GossipControl.java
+++ b/src/main/java/org/apricotgauge/node/GossipControl.java
@@ -122,7 +122,7 @@
         @Override
         public void onView(LiveView view) {
             mRecorder.view(view);
-            mParts.listener().onMembers(SiteMembers.of(view));
+            mParts.listener().onMembers(SiteMembers.of(view, mParts.vm().id()));
         }
 
         @Override
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -23,6 +23,7 @@
 import org.apricotgauge.event.StopPhaseEntered;
 import org.apricotgauge.event.VersionInForce;
 import org.apricotgauge.http.HttpServerFactory;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Vm;
 import org.apricotgauge.operator.AdminServer;
@@ -64,6 +65,7 @@
     private final RoutingState mState;
     private final DetectionService mDetection;
     private final ProbeTokens mProbes;
+    private final QuarantineService mQuarantine;
     private final EvidencePublisher mPublisher;
     private final EntryHandler mEntry;
     private final GuardHandler mGuard;
@@ -85,6 +87,7 @@
         mHttp = new NodeHttp(vm.id());
         mState = new RoutingState(vm.id(), vm.failureDomain(), mTicker);
         mProbes = new ProbeTokens(mTicker, mState::nodes);
+        mQuarantine = new QuarantineService(vm.failureDomain(), mTicker, mEvents, mRegistry);
         VerdictRecorder recorder = new VerdictRecorder(mEvents, mWindows);
         mDetection =
                 new DetectionService(
@@ -102,6 +105,7 @@
                         mTicker,
                         () -> mControl,
                         () -> mNews,
+                        mQuarantine,
                         profile.evidenceBytesPerSecond());
         long incarnation = new SecureRandom().nextLong();
         KeyLimits.DEFAULT.requireCovers(AttemptLimits.DEFAULT);
@@ -120,6 +124,7 @@
                                 () -> NodeStatusSource.readiness(mPhase),
                                 () -> status.read(mPhase, mControl.mark()),
                                 mEvents::read,
+                                mQuarantine,
                                 mRegistry),
                         vm.host(),
                         vm.adminPort(),
@@ -139,6 +144,7 @@
                 mTicker,
                 observer,
                 mProbes::take,
+                mQuarantine.table(),
                 mProfile.entry(),
                 mRegistry);
     }
@@ -156,6 +162,7 @@
                 mProfile.entry().dialect(),
                 mProfile.entry().slotUse(),
                 mProfile.entry().guardRetries(),
+                mQuarantine.table(),
                 (revision, waitMillis) -> mControl.published(revision, waitMillis),
                 mRegistry);
     }
@@ -208,12 +215,14 @@
                 mControlFactory.start(
                         new NodeControl.Parts(
                                 ownVm(),
+                                mProfile.crashNews() == null ? 0 : mProfile.crashNews().port(),
                                 new ControlEvents(),
                                 mEvents,
                                 mRegistry,
                                 mWorker,
                                 mTicker,
                                 mHttp.fencing()));
+        mQuarantine.start(crashNewsAddress());
         if (mProfile.opensEarly()) {
             openCallerPort();
         }
@@ -225,7 +234,14 @@
         mControl.opened().thenRunAsync(this::open, mWorker);
     }
 
+    private Address crashNewsAddress() {
+        return mProfile.crashNews() != null
+                ? mProfile.crashNews()
+                : new Address(mProfile.vm().host(), mControl.peerPort());
+    }
+
     private void tick() {
+        mQuarantine.tick();
         mDetection.tick();
         mControl.tick();
     }
@@ -310,6 +326,7 @@
         @Override
         public void onMembers(SiteMembers members) {
             mWorker.execute(guarded(() -> mState.membersChanged(members)));
+            mQuarantine.membersChanged(members);
         }
 
         @Override
@@ -431,6 +448,7 @@
         mPhase = NodePhase.STOPPING;
         NodeHttp.stop(mControl::close);
         mNews.ifPresent(HealthNews::close);
+        mQuarantine.close();
         mWorker.shutdownNow();
         NodeHttp.stop(mCallerServer::stop);
         NodeHttp.stop(mGuardServer::stop);
--- a/src/main/java/org/apricotgauge/node/NodeControl.java
+++ b/src/main/java/org/apricotgauge/node/NodeControl.java
@@ -88,6 +88,7 @@
      * What a control is made of.
      *
      * @param vm the node's own VM, with the ports that it listens at
+     * @param crashNewsPort UDP port of every node for news of crashes; 0 if each has its own
      * @param listener hears what is in force
      * @param events the node's events
      * @param metrics takes counters
@@ -97,6 +98,7 @@
      */
     record Parts(
             Vm vm,
+            int crashNewsPort,
             Listener listener,
             NodeEvents events,
             MetricRegistry metrics,
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.node;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -16,6 +17,7 @@
 import org.apricotgauge.model.Target;
 import org.apricotgauge.operator.OutcomeKind;
 import org.apricotgauge.operator.OutcomeWindows;
+import org.apricotgauge.target.BrokenRun;
 import org.apricotgauge.target.GuardObserver;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.http.HttpFields;
@@ -30,6 +32,7 @@
     private final NodeEvents mEvents;
     private final Supplier<NodeControl> mControl;
     private final Supplier<Optional<HealthNews>> mNews;
+    private final QuarantineService mQuarantine;
     private final RecentRequests mLostCalls;
     private final RecentRequests mRepeats;
     private final RecentRequests mAtWork;
@@ -41,8 +44,10 @@
             Ticker ticker,
             Supplier<NodeControl> control,
             Supplier<Optional<HealthNews>> news,
+            QuarantineService quarantine,
             int evidenceBytesPerSecond) {
         mNews = news;
+        mQuarantine = quarantine;
         mLostCalls = new RecentRequests(ticker);
         mRepeats = new RecentRequests(ticker);
         mAtWork = new RecentRequests(ticker);
@@ -122,6 +127,11 @@
         return OutcomeKind.UNKNOWN;
     }
 
+    @Override
+    public void targetEnded(Target target, List<BrokenRun> runs) {
+        mQuarantine.targetEnded(target, runs);
+    }
+
     @Override
     public void callFailed(String parentId) {
         mLostCalls.add(parentId);
--- a/src/main/java/org/apricotgauge/node/NodeProfile.java
+++ b/src/main/java/org/apricotgauge/node/NodeProfile.java
@@ -16,6 +16,7 @@
  * @param readyPaths paths of the administration API that tell readiness, beside its own
  * @param opensEarly whether callers are let in before a configuration is known, and refused
  * @param news address at which the node hears of targets' health; null if nobody tells it
+ * @param crashNews address at which the node hears of crashes; null for the peer port
  * @param evidenceBytesPerSecond most bytes of evidence that the node puts on its answers
  * @param entry what differs between sites on the way from callers
  */
@@ -27,6 +28,7 @@
         Set<String> readyPaths,
         boolean opensEarly,
         Address news,
+        Address crashNews,
         int evidenceBytesPerSecond,
         EntryOptions entry) {
 
--- a/src/main/java/org/apricotgauge/node/NodeSettings.java
+++ b/src/main/java/org/apricotgauge/node/NodeSettings.java
@@ -126,6 +126,7 @@
                 Set.of(),
                 false,
                 null,
+                null,
                 EvidenceShare.BYTES_PER_SECOND,
                 EntryOptions.of(KeyLimits.DEFAULT));
     }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/QuarantineService.java
@@ -0,0 +1,228 @@
+package org.apricotgauge.node;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.io.IOException;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+import org.apricotgauge.decision.quarantine.CrashGossip;
+import org.apricotgauge.decision.quarantine.CrashMessage;
+import org.apricotgauge.decision.quarantine.Fingerprint;
+import org.apricotgauge.decision.quarantine.QuarantineListener;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.event.RequestHeld;
+import org.apricotgauge.event.RequestReleased;
+import org.apricotgauge.log.BoundedLog;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.operator.AdminSources;
+import org.apricotgauge.operator.HeldRequest;
+import org.apricotgauge.target.BrokenRun;
+import org.apricotgauge.time.Ticker;
+import org.jboss.logging.Logger;
+
+/** Knows which requests crash targets, tells the other nodes, and lets operators look and lift. */
+final class QuarantineService implements AdminSources.QuarantineSource, AutoCloseable {
+    private static final Logger LOGGER = Logger.getLogger(QuarantineService.class);
+
+    /** Requests whose names are kept for operators. */
+    private static final int MAX_NAMES = 1_024;
+
+    /** The time of day runs on while a process is suspended; a difference like this tells so. */
+    private static final long PAUSE_MILLIS = 500;
+
+    private static final long FULL_LOG_EVERY_MILLIS = 60_000;
+
+    private static final int LINES_PER_SECOND = 10;
+
+    /** Requests that one line names at most. */
+    private static final int MAX_LOST = 16;
+
+    private final Ticker mTicker;
+    private final InstantSource mClock = InstantSource.system();
+    private final NodeEvents mEvents;
+    private final BoundedLog mLog;
+    private final Counter mCrashes;
+    private final Cache<Fingerprint, String> mNames =
+            Caffeine.newBuilder().maximumSize(MAX_NAMES).executor(Runnable::run).build();
+    private final QuarantineTable mTable;
+    private final CrashGossip mGossip;
+    private final String mDomain;
+    private volatile CrashGossip.Peers mPeers = CrashGossip.Peers.NONE;
+    private volatile CrashNews mNews;
+    private volatile long mFullLoggedMillis = Long.MIN_VALUE / 2;
+    private long mClockAheadMillis;
+
+    /**
+     * A request that a target took along when it ended.
+     *
+     * @param id identifier that the caller gave the request
+     * @param fingerprint what makes the request the same as others
+     * @param request method, host and path
+     */
+    private record Lost(String id, String fingerprint, String request) {}
+
+    private record Ended(String target, List<Lost> runs, long leftOut) {}
+
+    /**
+     * Creates the service; it tells nobody until it is started.
+     *
+     * @param domain the node's own failure domain
+     */
+    QuarantineService(String domain, Ticker ticker, NodeEvents events, MetricRegistry registry) {
+        mDomain = domain;
+        mTicker = ticker;
+        mEvents = events;
+        mLog = new BoundedLog(LOGGER, ticker, LINES_PER_SECOND);
+        mCrashes = registry.counter("quarantine.crashes");
+        mTable = new QuarantineTable(ticker, new Changes());
+        mGossip = new CrashGossip(mTable, () -> mPeers, this::send, new SplittableRandom(), ticker);
+        mClockAheadMillis = clockAheadMillis();
+        registry.gauge("quarantine.held", () -> mTable::held);
+        registry.gauge("quarantine.known", () -> mTable::size);
+    }
+
+    /**
+     * Starts to tell and to hear.
+     *
+     * @throws IOException if the UDP port can't be had
+     */
+    void start(Address own) throws IOException {
+        mNews = CrashNews.start(own, mTicker, mGossip::received);
+    }
+
+    QuarantineTable table() {
+        return mTable;
+    }
+
+    void membersChanged(SiteMembers members) {
+        List<Address> near = new ArrayList<>();
+        List<Address> all = new ArrayList<>();
+        for (SiteMembers.Peer peer : members.peers()) {
+            all.add(peer.address());
+            if (peer.failureDomain().equals(mDomain)) {
+                near.add(peer.address());
+            }
+        }
+        mPeers = new CrashGossip.Peers(near, all);
+    }
+
+    /** Takes in that a target ended while it ran requests, and tells others at once. */
+    void targetEnded(Target target, List<BrokenRun> runs) {
+        mCrashes.inc();
+        log(target, runs);
+        runs.forEach(run -> mNames.put(run.fingerprint(), run.request()));
+        mTable.crashed(
+                runs.stream().map(BrokenRun::fingerprint).toList(),
+                ThreadLocalRandom.current().nextLong());
+        mGossip.tick();
+    }
+
+    private void log(Target target, List<BrokenRun> runs) {
+        List<Lost> lost =
+                runs.stream()
+                        .limit(MAX_LOST)
+                        .map(run -> new Lost(run.id(), run.fingerprint().toString(), run.request()))
+                        .toList();
+        mLog.info("target ended", leftOut -> new Ended(target.id(), lost, leftOut));
+    }
+
+    /** Does what is due; called by one thread. */
+    void tick() {
+        long aheadMillis = clockAheadMillis();
+        if (Math.abs(aheadMillis - mClockAheadMillis) >= PAUSE_MILLIS) {
+            mClockAheadMillis = aheadMillis;
+            mGossip.isBehind();
+        }
+        mTable.expire();
+        mGossip.tick();
+    }
+
+    private long clockAheadMillis() {
+        return mClock.millis() - mTicker.millis();
+    }
+
+    private void send(Address to, CrashMessage message) {
+        CrashNews news = mNews;
+        if (news != null) {
+            news.send(to, message);
+        }
+    }
+
+    @Override
+    public List<HeldRequest> read() {
+        return mTable.entries().stream()
+                .filter(entry -> !entry.record().crashes().isEmpty())
+                .map(
+                        entry ->
+                                new HeldRequest(
+                                        entry.fingerprint().toString(),
+                                        nameOf(entry.fingerprint()),
+                                        entry.record().crashes().size(),
+                                        mTable.heldMillis(entry.fingerprint())))
+                .toList();
+    }
+
+    @Override
+    public boolean lift(String fingerprint) {
+        Optional<Fingerprint> parsed = Fingerprint.parse(fingerprint);
+        if (parsed.isEmpty()) {
+            throw new IllegalArgumentException(
+                    "fingerprint must be 16 hex digits, '-' and 16 hex digits");
+        }
+        boolean known = mTable.lift(parsed.get());
+        LOGGER.infof("an operator lifts what is held against %s: %s", fingerprint, known);
+        mGossip.tick();
+        return known;
+    }
+
+    private String nameOf(Fingerprint fingerprint) {
+        String name = mNames.getIfPresent(fingerprint);
+        return name == null ? "not seen at this node" : name;
+    }
+
+    @Override
+    public void close() {
+        CrashNews news = mNews;
+        if (news != null) {
+            news.close();
+        }
+    }
+
+    /** Passes on, logs and counts what changes. */
+    private final class Changes implements QuarantineListener {
+        @Override
+        public void held(Fingerprint fingerprint, int crashes, long heldMillis) {
+            mEvents.record(
+                    new RequestHeld(
+                            fingerprint.toString(), nameOf(fingerprint), crashes, heldMillis));
+        }
+
+        @Override
+        public void released(Fingerprint fingerprint) {
+            mEvents.record(new RequestReleased(fingerprint.toString(), nameOf(fingerprint)));
+        }
+
+        @Override
+        public void changed(Fingerprint fingerprint, boolean isUrgent) {
+            if (isUrgent) {
+                mGossip.changed(fingerprint);
+            }
+        }
+
+        @Override
+        public void full() {
+            long nowMillis = mTicker.millis();
+            if (nowMillis - mFullLoggedMillis >= FULL_LOG_EVERY_MILLIS) {
+                mFullLoggedMillis = nowMillis;
+                LOGGER.warn("no room for one more request that was at work in a crash");
+            }
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/node/RoutingState.java
+++ b/src/main/java/org/apricotgauge/node/RoutingState.java
@@ -34,7 +34,7 @@
     private final Ticker mTicker;
     private final RoutingTableFactory.View mView;
     private final Map<String, Verdicts> mVerdicts = new HashMap<>();
-    private volatile SiteMembers mMembers = SiteMembers.of(LiveView.EMPTY);
+    private volatile SiteMembers mMembers = SiteMembers.of(LiveView.EMPTY, "");
 
     RoutingState(String vm, String failureDomain, Ticker ticker) {
         mFactory = new RoutingTableFactory(vm, failureDomain);
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -34,6 +34,7 @@
  * @param admin address of the administration API
  * @param platform address of the platform's store
  * @param news address for datagrams on targets' health; the same port on every VM
+ * @param crashNews address for datagrams on crashes of targets; the same port on every VM
  * @param floorShare least share of healthy capacity that ejections may leave
  * @param retryRatio most retries of the fleet for each request
  * @param retryBurst retries that the whole fleet may make in a window beside its ratio
@@ -52,6 +53,7 @@
         Address admin,
         Address platform,
         Address news,
+        Address crashNews,
         double floorShare,
         double retryRatio,
         double retryBurst,
@@ -129,6 +131,11 @@
                     "news-address",
                     SettingKinds.address(),
                     "Address for datagrams on targets' health; the same port on every VM.");
+    private static final Setting<Address> CRASH_NEWS =
+            Setting.required(
+                    "crash-news-address",
+                    SettingKinds.address(),
+                    "Address for datagrams on crashes of targets; the same port on every VM.");
     private static final Setting<Double> FLOOR =
             Setting.withDefault(
                     "floor-share",
@@ -181,6 +188,7 @@
         Checks.notNull("admin", admin);
         Checks.notNull("platform", platform);
         Checks.notNull("news", news);
+        Checks.notNull("crashNews", crashNews);
         Checks.notNull("log", log);
     }
 
@@ -203,7 +211,8 @@
 
     private static List<Setting<?>> declared() {
         List<Setting<?>> settings = new ArrayList<>();
-        settings.addAll(List.of(FAILURE_DOMAIN, SERVICE, CALLERS, GUARD, ADMIN, PLATFORM, NEWS));
+        settings.addAll(List.of(FAILURE_DOMAIN, SERVICE, CALLERS, GUARD, ADMIN, PLATFORM));
+        settings.addAll(List.of(NEWS, CRASH_NEWS));
         settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, RETRY_WINDOW));
         settings.addAll(List.of(SERVES_ON, HEARTBEAT, STOP));
         settings.addAll(LogSettings.declared());
@@ -219,6 +228,7 @@
                 values.get(ADMIN),
                 values.get(PLATFORM),
                 values.get(NEWS),
+                values.get(CRASH_NEWS),
                 values.get(FLOOR),
                 values.get(RETRY_RATIO),
                 values.get(RETRY_BURST),
@@ -247,6 +257,7 @@
                 Set.of(readyPath),
                 true,
                 news,
+                crashNews,
                 EVIDENCE_BYTES_PER_SECOND,
                 new EntryOptions(
                         dialect,
--- a/src/main/java/org/apricotgauge/node/SidecarTraining.java
+++ b/src/main/java/org/apricotgauge/node/SidecarTraining.java
@@ -52,7 +52,8 @@
                 "--guard-address=" + LOOPBACK + ':' + freePort(),
                 "--admin-address=" + LOOPBACK + ':' + freePort(),
                 "--store-address=" + LOOPBACK + ':' + platformPort,
-                "--news-address=" + LOOPBACK + ':' + freePort());
+                "--news-address=" + LOOPBACK + ':' + freePort(),
+                "--crash-news-address=" + LOOPBACK + ':' + freePort());
     }
 
     private static int freePort() throws IOException {
--- a/src/main/java/org/apricotgauge/node/SiteMembers.java
+++ b/src/main/java/org/apricotgauge/node/SiteMembers.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.node;
 
+import java.util.List;
 import org.apricotgauge.decision.gossip.LiveView;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Target;
@@ -17,8 +18,19 @@
     /** Returns how many nodes there are. */
     int nodes();
 
+    /** Returns the other nodes, at which datagrams are heard. */
+    List<Peer> peers();
+
+    /**
+     * Another node.
+     *
+     * @param address where it hears datagrams
+     * @param failureDomain where its VM stands
+     */
+    record Peer(Address address, String failureDomain) {}
+
     /** Returns the members as the platform's list of VMs and the nodes' gossip tell them. */
-    static SiteMembers of(LiveView view) {
+    static SiteMembers of(LiveView view, String ownVm) {
         return new SiteMembers() {
             @Override
             public Address guardOf(Target target) {
@@ -35,6 +47,18 @@
             public int nodes() {
                 return view.nodes().size();
             }
+
+            @Override
+            public List<Peer> peers() {
+                return view.nodes().stream()
+                        .filter(vm -> !vm.id().equals(ownVm))
+                        .map(
+                                vm ->
+                                        new Peer(
+                                                new Address(vm.host(), vm.peerPort()),
+                                                vm.failureDomain()))
+                        .toList();
+            }
         };
     }
 }
--- a/src/main/java/org/apricotgauge/operator/AdminHandler.java
+++ b/src/main/java/org/apricotgauge/operator/AdminHandler.java
@@ -32,7 +32,9 @@
     private static final int METRICS_PER_SECOND = 1;
     private static final int METRICS_BURST = 5;
     private static final String VERSION_PREFIX = "/v1";
-    private static final String ALLOWED_METHODS = "GET, HEAD";
+    private static final String LIFT = "/quarantine/lift";
+    private static final String READING = "GET, HEAD";
+    private static final String CHANGING = "POST";
     private static final ObjectMapper MAPPER =
             JsonMapper.builder()
                     .build()
@@ -49,20 +51,23 @@
         Map<String, Endpoint> endpoints =
                 new HashMap<>(
                         Map.of(
-                                "/live", Endpoint.free(query -> AdminAnswer.line(200, "live")),
-                                "/ready", Endpoint.free(this::ready),
+                                "/live",
+                                Endpoint.free(query -> AdminAnswer.line(200, "live")),
+                                "/ready",
+                                Endpoint.free(this::ready),
                                 "/status",
-                                        new Endpoint(
-                                                Set.of("service"), pages::tryTake, this::status),
+                                new Endpoint(Set.of("service"), pages::tryTake, this::status),
                                 "/events",
-                                        new Endpoint(
-                                                Set.of("since", "limit"),
-                                                pages::tryTake,
-                                                this::events),
-                                "/metrics", new Endpoint(Set.of(), metrics::tryTake, this::metrics),
+                                new Endpoint(
+                                        Set.of("since", "limit"), pages::tryTake, this::events),
+                                "/quarantine",
+                                new Endpoint(Set.of(), pages::tryTake, this::quarantine),
+                                LIFT,
+                                new Endpoint(Set.of("fingerprint"), pages::tryTake, this::lift),
+                                "/metrics",
+                                new Endpoint(Set.of(), metrics::tryTake, this::metrics),
                                 "/metrics.json",
-                                        new Endpoint(
-                                                Set.of(), metrics::tryTake, this::metricsJson)));
+                                new Endpoint(Set.of(), metrics::tryTake, this::metricsJson)));
         readyPaths.forEach(path -> endpoints.put(path, Endpoint.free(this::ready)));
         mEndpoints = Map.copyOf(endpoints);
     }
@@ -95,9 +100,12 @@
             return AdminAnswer.line(404, "no such path; see /v1/status, /v1/events, /v1/metrics");
         }
         String method = request.getMethod();
-        if (!HttpMethod.GET.is(method) && !HttpMethod.HEAD.is(method)) {
-            response.getHeaders().put(HttpHeader.ALLOW, ALLOWED_METHODS);
-            return AdminAnswer.line(405, "read-only; allowed: " + ALLOWED_METHODS);
+        boolean changes = endpoint == mEndpoints.get(LIFT);
+        boolean reads = HttpMethod.GET.is(method) || HttpMethod.HEAD.is(method);
+        if (changes ? !HttpMethod.POST.is(method) : !reads) {
+            String allowed = changes ? CHANGING : READING;
+            response.getHeaders().put(HttpHeader.ALLOW, allowed);
+            return AdminAnswer.line(405, "allowed here: " + allowed);
         }
         if (!endpoint.admission().getAsBoolean()) {
             response.getHeaders().put(HttpHeader.RETRY_AFTER, "1");
@@ -134,6 +142,20 @@
         return AdminAnswer.json(EventCodec.write(mSources.events().read(since, limit)));
     }
 
+    private AdminAnswer quarantine(AdminQuery query) {
+        return AdminAnswer.json(json(mSources.quarantine().read()));
+    }
+
+    private AdminAnswer lift(AdminQuery query) {
+        String fingerprint = query.text("fingerprint");
+        if (fingerprint == null) {
+            throw new IllegalArgumentException("fingerprint must be given; see /v1/quarantine");
+        }
+        return mSources.quarantine().lift(fingerprint)
+                ? AdminAnswer.line(200, "lifted; other nodes hear of it within seconds")
+                : AdminAnswer.line(404, "nothing is held against " + fingerprint);
+    }
+
     private AdminAnswer metrics(AdminQuery query) {
         String text = PrometheusText.write(mSources.metrics());
         return new AdminAnswer(200, AdminAnswer.PROMETHEUS, text);
--- a/src/main/java/org/apricotgauge/target/ExitWatch.java
+++ b/src/main/java/org/apricotgauge/target/ExitWatch.java
@@ -8,13 +8,14 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import org.apricotgauge.model.Target;
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * Tells targets that ended while they ran requests from connections that broke for other reasons.
  *
  * <pre>{@code
- * ExitWatch exits = new ExitWatch(probe, scheduler, isExpected, (target, runs) -> ...);
+ * ExitWatch exits = ExitWatch.of(client, scheduler, takesWork, (target, runs) -> ...);
  * exits.broken(target, run);
  * }</pre>
  *
@@ -22,7 +23,7 @@
  * is asked for a new connection: where none listens any more, all runs that broke until then ended
  * with the process. A target that is expected to leave is not asked. Thread-safe.
  */
-final class ExitWatch {
+public final class ExitWatch {
     /** Time in which the other connections of a process that ends break as well. */
     static final long SETTLE_MILLIS = 30;
 
@@ -54,8 +55,22 @@
         mOnEnd = onEnd;
     }
 
+    /**
+     * Creates a watch that connects to targets as the client does.
+     *
+     * @param takesWork whether a target is there and not leaving
+     * @param onEnd hears of a target that ended, and of the runs that it took along
+     */
+    public static ExitWatch of(
+            HttpClient client,
+            Scheduler scheduler,
+            Predicate<Target> takesWork,
+            BiConsumer<Target, List<BrokenRun>> onEnd) {
+        return new ExitWatch(TargetProbe.connecting(client), scheduler, takesWork, onEnd);
+    }
+
     /** Takes in a run whose connection broke before its answer was whole. */
-    void broken(Target target, BrokenRun run) {
+    public void broken(Target target, BrokenRun run) {
         if (!mTakesWork.test(target)) {
             return;
         }
--- a/src/main/java/org/apricotgauge/target/GuardContext.java
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Predicate;
 import org.apricotgauge.decision.attempt.AttemptLedger;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
@@ -19,6 +20,7 @@
  * @param takesWork whether a target is there and not leaving
  * @param dialect headers of the site's targets
  * @param exits tells which targets ended while they ran requests
+ * @param quarantine which requests are kept from targets
  * @param log tells which requests were sent to targets
  * @param metrics counters
  */
@@ -31,5 +33,6 @@
         Predicate<Target> takesWork,
         SiteDialect dialect,
         ExitWatch exits,
+        QuarantineTable quarantine,
         RunLog log,
         GuardMetrics metrics) {}
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -27,6 +27,7 @@
 import org.apricotgauge.decision.attempt.RetryPool;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.health.HealthGate;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.http.Bodies;
@@ -114,6 +115,7 @@
      * @param dialect headers of the site's targets
      * @param slotUse who else uses the targets' slots
      * @param retries which retries are let through to targets
+     * @param quarantine which requests are kept from targets
      * @param directory tells peers what the platform published
      * @param registry takes the counters
      */
@@ -129,6 +131,7 @@
             SiteDialect dialect,
             AdmissionConfig.SlotUse slotUse,
             RetryPool retries,
+            QuarantineTable quarantine,
             DirectoryPages directory,
             MetricRegistry registry) {
         mVm = vm;
@@ -136,7 +139,6 @@
         mRetries = new RetryBudgets(retries, ticker.millis());
         mTable = table;
         mKeyed = keyed;
-        RunLog log = new RunLog(ticker);
         mContext =
                 new GuardContext(
                         client,
@@ -146,12 +148,9 @@
                         observer,
                         this::takesWork,
                         dialect,
-                        new ExitWatch(
-                                TargetProbe.connecting(client),
-                                scheduler,
-                                this::takesWork,
-                                log::targetEnded),
-                        log,
+                        ExitWatch.of(client, scheduler, this::takesWork, observer::targetEnded),
+                        quarantine,
+                        new RunLog(ticker),
                         GuardMetrics.of(registry));
         mGates = new TargetGates(slotUse, ticker, this::expireWhileQueued);
     }
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import java.util.List;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.health.HealthOutlook;
 import org.apricotgauge.model.SiteView;
@@ -55,6 +56,13 @@
     /** Returns whether a call that a target made for this request, by its id, has failed. */
     boolean hasLostCall(String requestId);
 
+    /**
+     * Called when a target's process ended while it ran requests.
+     *
+     * @param runs the requests that were at work
+     */
+    void targetEnded(Target target, List<BrokenRun> runs);
+
     /** Called before each answer, to add what entries should learn with it. */
     void beforeAnswer(Target target, HttpFields.Mutable headers);
 }
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.target;
 
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
@@ -20,13 +19,10 @@
 import org.apricotgauge.http.HangUpEndPoint;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.Outcomes;
-import org.apricotgauge.http.ReplayableBody;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.UpstreamExchange;
 import org.apricotgauge.http.WatchedSource;
 import org.apricotgauge.model.SiteView;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
@@ -41,9 +37,8 @@
  * ending tells the ledger, the gate, the observer and the entry, in that order.
  */
 final class GuardedRequest implements TargetGate.Work, UpstreamExchange.Listener {
-    private static final long HEARTBEAT_MILLIS = 1_000;
-
-    private static final String PROCESSING = "guard";
+    /** An answer below shows that the request does its target no harm. */
+    private static final int FIRST_FAILURE_STATUS = 400;
 
     private final GuardContext mContext;
     private final TargetGate mGate;
@@ -62,7 +57,7 @@
     private volatile long mSentAtNanos;
     private volatile UpstreamExchange mExchange;
     private volatile Scheduler.Task mTimeout;
-    private volatile Scheduler.Task mHeartbeat;
+    private final Acknowledgements mAcknowledgements;
     private final RunIdentity mIdentity;
     private final RunWatch mWatch;
     private volatile boolean mTimedOut;
@@ -72,7 +67,6 @@
 
     private volatile boolean mAbandoned;
     private volatile boolean mLeaving;
-    private CompletableFuture<Void> mInterim = CompletableFuture.completedFuture(null);
 
     private enum Phase {
         /** In the queue. */
@@ -111,24 +105,36 @@
         mTicket = ticket;
         mRequest = request;
         mResponse = response;
+        mAcknowledgements =
+                new Acknowledgements(context.scheduler(), response, this::hasBegunAnswer);
         mCallback = callback;
     }
 
+    private boolean hasBegunAnswer() {
+        Phase phase = mPhase.get();
+        return phase == Phase.ANSWERING || phase == Phase.ENDED;
+    }
+
     /** Tells the entry that the request is here, and goes to the gate. */
     void begin() {
         HangUpEndPoint.watch(mRequest, this::entryGone);
-        acknowledge();
-        afterInterim(this::enter);
+        mAcknowledgements.tell();
+        mAcknowledgements.after(() -> mIdentity.whenTold(mContext.quarantine(), this::enter));
     }
 
     /** Takes the request out of the queue after a fence; a started one goes on. */
     void fenced() {
         if (mGate.cancel(mTicket) && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
-            endNotRun(NotRunReason.FENCED, 0);
+            endNotRun(NotRunReason.FENCED);
         }
     }
 
     private void enter() {
+        if (heldMillis() > 0 && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+            mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
+            endNotRun(NotRunReason.QUARANTINED);
+            return;
+        }
         mGate.enter(mTicket, this);
         if (mLeaving) {
             // The node began to stop between the arrival and the queue.
@@ -141,7 +147,7 @@
         mLeaving = true;
         if (mGate.cancel(mTicket) && mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
-            endNotRun(NotRunReason.LEAVING, 0);
+            endNotRun(NotRunReason.LEAVING);
         }
     }
 
@@ -161,33 +167,6 @@
         }
     }
 
-    // A 102 tells the entry that the path works, again every second while the target is slow. An
-    // entry that hears none knows of a dead path long before the deadline.
-    private synchronized void acknowledge() {
-        Phase phase = mPhase.get();
-        if (phase == Phase.ANSWERING || phase == Phase.ENDED) {
-            return;
-        }
-        HttpFields fields = HttpFields.build().put(HttpHeader.SERVER, PROCESSING).asImmutable();
-        mInterim = mResponse.writeInterim(HttpStatus.PROCESSING_102, fields);
-        scheduleHeartbeat();
-    }
-
-    /** Writes nothing while an interim answer is being written: two writes at once would clash. */
-    private void afterInterim(Runnable action) {
-        CompletableFuture<Void> interim;
-        synchronized (this) {
-            interim = mInterim;
-        }
-        interim.whenComplete((written, failure) -> action.run());
-    }
-
-    private void scheduleHeartbeat() {
-        mHeartbeat =
-                mContext.scheduler()
-                        .schedule(this::acknowledge, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void admitted() {
         mSlotAtMillis = mContext.ticker().millis();
@@ -222,7 +201,7 @@
     private void refuseAtSlot(NotRunReason reason) {
         if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
-            endNotRun(reason, 0);
+            endNotRun(reason);
         }
         mGate.leave(mTicket, Result.CANCELLED, 0);
     }
@@ -238,7 +217,7 @@
                     ForwardedHeaders.copyRequest(mRequest.getHeaders(), headers);
                     mContext.dialect().towardsTarget(headers, mGate.target().id(), leftMillis);
                 });
-        request.body(mIdentity.hashed(new ReplayableBody(mRequest, 0).open()));
+        request.body(mIdentity.body());
         return request;
     }
 
@@ -269,13 +248,19 @@
         return mWithheld == null;
     }
 
-    // Two things may have happened since the slot was given, while this waited for a connection:
-    // the target said that it leaves, and would get work after the time for which it serves on; or
-    // a fence was answered "not run", and from then it must not start.
+    // Since the slot was given, while this waited for a connection, the target may have said that
+    // it leaves, and would get work after the time for which it serves on; the third target may
+    // have ended under another copy of the request; or a fence was answered "not run".
     private NotRunReason reasonToWithhold() {
         if (!mContext.takesWork().test(mGate.target())) {
             return NotRunReason.TARGET_LEAVING;
         }
+        if (heldMillis() > 0) {
+            return NotRunReason.QUARANTINED;
+        }
+        if (mIdentity.isUntold(mContext.quarantine())) {
+            return NotRunReason.BODY_UNREAD;
+        }
         return mContext.ledger().started(mAttempt) ? null : NotRunReason.FENCED;
     }
 
@@ -306,13 +291,13 @@
             if (!isUnstarted) {
                 throw new IllegalStateException("attempt not sent, yet started: " + mAttempt);
             }
-            endNotRun(withheld == null ? NotRunReason.TARGET_UNREACHABLE : withheld, 0);
+            endNotRun(withheld == null ? NotRunReason.TARGET_UNREACHABLE : withheld);
             return;
         }
         endBroken(true);
         payForNext(mCaution == HealthGate.Caution.MAY_TRY);
         mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
-        afterInterim(
+        mAcknowledgements.after(
                 () ->
                         Outcomes.write(
                                 mResponse, mCallback, new Outcome.Unknown(UnknownReason.STARTED)));
@@ -331,7 +316,7 @@
             body.fail(new TimeoutException("the attempt was given up"));
             return;
         }
-        cancel(mHeartbeat);
+        mAcknowledgements.stop();
         SiteDialect.AnswerKind kind =
                 mContext.dialect()
                         .kindOf(mRequest.getHeaders(), answer.getStatus(), answer.getHeaders());
@@ -354,7 +339,8 @@
                 Callback.from(
                         () -> answered(answer.getStatus()),
                         cause -> answerBroken(watched.hasFailed(), cause));
-        afterInterim(() -> AnswerStream.copyBody(answer, watched, mResponse, whenCopied));
+        mAcknowledgements.after(
+                () -> AnswerStream.copyBody(answer, watched, mResponse, whenCopied));
     }
 
     private void endWithoutAnswer(
@@ -368,7 +354,7 @@
             mContext.metrics().foreignAnswers().inc();
             mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
             Outcome.Unknown lost = new Outcome.Unknown(UnknownReason.ANSWER_LOST);
-            afterInterim(() -> Outcomes.write(mResponse, mCallback, lost));
+            mAcknowledgements.after(() -> Outcomes.write(mResponse, mCallback, lost));
             return;
         }
         mContext.ledger().completed(mAttempt, answer.getStatus(), mContext.ticker().millis());
@@ -391,6 +377,9 @@
         boolean error = HttpStatus.isServerError(status);
         ObservedOutcome seen = error ? errorSeen() : ObservedOutcome.SUCCESS;
         leaveGate(resultOf(shed, error), shed ? ObservedOutcome.SHED : seen);
+        if (status < FIRST_FAILURE_STATUS) {
+            mContext.quarantine().endedWell(mIdentity.fingerprint());
+        }
         mContext.metrics().answered().inc();
         stopTimers();
         mCallback.succeeded();
@@ -456,13 +445,24 @@
         mGate.leave(mTicket, result, serviceMicros);
     }
 
+    private long heldMillis() {
+        return mContext.quarantine().heldMillis(mIdentity.fingerprint());
+    }
+
+    private void endNotRun(NotRunReason reason) {
+        endNotRun(reason, reason == NotRunReason.QUARANTINED ? heldMillis() : 0);
+    }
+
     private void endNotRun(NotRunReason reason, long retryAfterMillis) {
         stopTimers();
         mContext.metrics().notRun().inc();
+        if (reason == NotRunReason.QUARANTINED) {
+            mContext.metrics().quarantined().inc();
+        }
         tellTarget();
         mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
         Outcome.NotRun outcome = new Outcome.NotRun(reason, retryAfterMillis);
-        afterInterim(() -> Outcomes.write(mResponse, mCallback, outcome));
+        mAcknowledgements.after(() -> Outcomes.write(mResponse, mCallback, outcome));
     }
 
     private void tellTarget() {
@@ -473,7 +473,7 @@
     private void stopTimers() {
         HangUpEndPoint.release(mRequest);
         cancel(mTimeout);
-        cancel(mHeartbeat);
+        mAcknowledgements.stop();
     }
 
     private static void cancel(Scheduler.Task task) {
--- a/src/main/java/org/apricotgauge/target/RunIdentity.java
+++ b/src/main/java/org/apricotgauge/target/RunIdentity.java
@@ -2,9 +2,11 @@
 
 import org.apricotgauge.decision.quarantine.BodyHash;
 import org.apricotgauge.decision.quarantine.Fingerprint;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.HashedBody;
 import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.ReplayableBody;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.model.Member;
 import org.eclipse.jetty.server.Request;
@@ -15,12 +17,14 @@
     private final Request mRequest;
     private final long mHead;
     private final BodyHash mBody = new BodyHash();
+    private final ReplayableBody mContent;
 
     /** Reads the head of an attempt as an entry sent it. */
     RunIdentity(Request request, SiteDialect dialect) {
         String member = request.getHeaders().get(HeaderNames.MEMBER);
         mId = dialect.requestId(request.getHeaders());
         mRequest = request;
+        mContent = new ReplayableBody(request, 0);
         mHead = Fingerprints.headOf(request, member == null ? Member.ANONYMOUS_ID : member);
         if (!Fingerprints.hasBody(request)) {
             mBody.end();
@@ -37,10 +41,28 @@
     }
 
     /** Returns the body, which tells the fingerprint as it is read. */
-    org.eclipse.jetty.client.Request.Content hashed(org.eclipse.jetty.client.Request.Content body) {
+    org.eclipse.jetty.client.Request.Content body() {
+        org.eclipse.jetty.client.Request.Content body = mContent.open();
         return mBody.isComplete() ? body : new HashedBody(body, mBody);
     }
 
+    /**
+     * Goes on once the request can be told from others with the same head, if one of those was at
+     * work in a crash; at once otherwise.
+     */
+    void whenTold(QuarantineTable quarantine, Runnable next) {
+        if (mBody.isComplete() || !quarantine.isSuspectHead(mHead)) {
+            next.run();
+            return;
+        }
+        mContent.readAhead(mBody).whenComplete((read, failure) -> next.run());
+    }
+
+    /** Returns whether others with the same head are held, and this one's body is not known. */
+    boolean isUntold(QuarantineTable quarantine) {
+        return !mBody.isComplete() && quarantine.isHeldHead(mHead);
+    }
+
     BrokenRun broken() {
         return new BrokenRun(mId, fingerprint(), Fingerprints.nameOf(mRequest));
     }
--- a/src/main/java/org/apricotgauge/target/RunLog.java
+++ b/src/main/java/org/apricotgauge/target/RunLog.java
@@ -1,9 +1,7 @@
 package org.apricotgauge.target;
 
-import java.util.List;
 import org.apricotgauge.log.BoundedLog;
 import org.apricotgauge.model.SiteView;
-import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 import org.jboss.logging.Logger;
 
@@ -21,9 +19,6 @@
     /** Lines of one node in a second: about 8 KB, whatever the load. */
     static final int LINES_PER_SECOND = 40;
 
-    /** Requests that one line names at most. */
-    private static final int MAX_LOST = 16;
-
     private final BoundedLog mLog;
 
     /**
@@ -46,17 +41,6 @@
             long queuedMillis,
             long connectMillis) {}
 
-    /**
-     * A request that a target took along when it ended.
-     *
-     * @param id identifier that the caller gave the request
-     * @param fingerprint what makes the request the same as others
-     * @param request method, host and path
-     */
-    private record Lost(String id, String fingerprint, String request) {}
-
-    private record Ended(String target, List<Lost> runs, long leftOut) {}
-
     private record Line(Started run, long leftOut) {}
 
     RunLog(Ticker ticker) {
@@ -65,16 +49,6 @@
                         Logger.getLogger("org.apricotgauge.requests"), ticker, LINES_PER_SECOND);
     }
 
-    /** Tells which requests a target was running when it ended. */
-    void targetEnded(Target target, List<BrokenRun> runs) {
-        List<Lost> lost =
-                runs.stream()
-                        .limit(MAX_LOST)
-                        .map(run -> new Lost(run.id(), run.fingerprint().toString(), run.request()))
-                        .toList();
-        mLog.info("target ended", leftOut -> new Ended(target.id(), lost, leftOut));
-    }
-
     void started(Started run) {
         mLog.info("run started", leftOut -> new Line(run, leftOut));
     }
--- a/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
@@ -132,6 +132,8 @@
                         FleetDialect.INSTANCE,
                         EntryOptions.Reach.GUARDS_ONLY,
                         null,
+                        null,
+                        null,
                         null);
         return new TargetChoice(
                 context, () -> ServiceTable.of(service, mCandidates, "entry", "here"), false);
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -21,6 +21,9 @@
 import org.apricotgauge.decision.attempt.RetryPool;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.health.HealthOutlook;
+import org.apricotgauge.decision.quarantine.Fingerprint;
+import org.apricotgauge.decision.quarantine.QuarantineListener;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
 import org.apricotgauge.http.FleetDialect;
@@ -36,6 +39,7 @@
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.target.BrokenRun;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.target.GuardObserver;
 import org.apricotgauge.time.Ticker;
@@ -84,6 +88,8 @@
     /** One VM: its servers, its relay, and what it counts. */
     static final class HopVm {
         private final MetricRegistry mRegistry = new MetricRegistry();
+        private final QuarantineTable mQuarantine =
+                new QuarantineTable(Ticker.system(), new Unheard());
         private GuardHandler mGuard;
         private EntryHandler mEntry;
         private Server mGuardServer;
@@ -98,6 +104,10 @@
             return mRelay;
         }
 
+        QuarantineTable quarantine() {
+            return mQuarantine;
+        }
+
         GuardHandler guard() {
             return mGuard;
         }
@@ -222,6 +232,7 @@
                         Ticker.system(),
                         new Blind(),
                         service -> Optional.empty(),
+                        vm.mQuarantine,
                         EntryOptions.of(KEYS),
                         vm.mRegistry);
         vm.mGuard =
@@ -237,6 +248,7 @@
                         FleetDialect.INSTANCE,
                         AdmissionConfig.SlotUse.SHARED,
                         RetryPool.UNBOUNDED,
+                        vm.mQuarantine,
                         (revision, waitMillis) -> CompletableFuture.completedFuture(new byte[0]),
                         vm.mRegistry);
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
@@ -279,6 +291,21 @@
         mThreads.stop();
     }
 
+    /** Passes on nothing of what changes. */
+    private static final class Unheard implements QuarantineListener {
+        @Override
+        public void held(Fingerprint fingerprint, int crashes, long heldMillis) {}
+
+        @Override
+        public void released(Fingerprint fingerprint) {}
+
+        @Override
+        public void changed(Fingerprint fingerprint, boolean isUrgent) {}
+
+        @Override
+        public void full() {}
+    }
+
     /** Looks at nothing but what the test says. */
     private final class Blind implements EntryObserver, GuardObserver {
         @Override
@@ -309,6 +336,9 @@
         @Override
         public void told(String service, Outcome outcome) {}
 
+        @Override
+        public void targetEnded(Target target, List<BrokenRun> runs) {}
+
         @Override
         public void callFailed(String parentId) {}
 
--- a/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
@@ -130,7 +130,8 @@
                         "--guard-address=" + mGuard,
                         "--admin-address=" + freeAddress(),
                         "--store-address=" + LOOPBACK + ':' + mPlatform.port(),
-                        "--news-address=" + freeAddress());
+                        "--news-address=" + freeAddress(),
+                        "--crash-news-address=" + freeAddress());
         return ((CommandOutcome.Ready<SidecarSettings>)
                         SidecarSettings.command().parse(flags, Map.of()))
                 .settings();
--- a/src/test/java/org/apricotgauge/node/SidecarSettingsTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarSettingsTest.java
@@ -18,7 +18,8 @@
                     "--guard-address=10.0.0.1:81",
                     "--admin-address=10.0.0.1:82",
                     "--store-address=10.0.0.9:83",
-                    "--news-address=10.0.0.1:84");
+                    "--news-address=10.0.0.1:84",
+                    "--crash-news-address=10.0.0.1:85");
 
     @Test
     void aBoundThatIsNotInForceIsLeftEmptyAndHasItsDefault() {
--- a/src/test/java/org/apricotgauge/operator/AdminServerTest.java
+++ b/src/test/java/org/apricotgauge/operator/AdminServerTest.java
@@ -35,13 +35,19 @@
     private final EventRing mRing =
             new EventRing("vm-1", 5, 8, new HybridClock(() -> Instant.ofEpochMilli(1_000)));
     private final MetricRegistry mMetrics = new MetricRegistry();
+    private final OneHeld mQuarantine = new OneHeld();
     private volatile Readiness mReadiness = new Readiness(true, "serving");
     private AdminServer mServer;
 
     @BeforeEach
     void start() throws IOException {
         AdminSources sources =
-                new AdminSources(() -> mReadiness, AdminServerTest::status, mRing::read, mMetrics);
+                new AdminSources(
+                        () -> mReadiness,
+                        AdminServerTest::status,
+                        mRing::read,
+                        mQuarantine,
+                        mMetrics);
         mServer = new AdminServer(sources, "127.0.0.1", 0, mTicker);
         mServer.start();
     }
@@ -175,13 +181,48 @@
     @Test
     void portInUseIsAnIoError() {
         AdminSources sources =
-                new AdminSources(() -> mReadiness, AdminServerTest::status, mRing::read, mMetrics);
+                new AdminSources(
+                        () -> mReadiness,
+                        AdminServerTest::status,
+                        mRing::read,
+                        mQuarantine,
+                        mMetrics);
         AdminServer second = new AdminServer(sources, "127.0.0.1", mServer.port(), mTicker);
 
         assertThatThrownBy(second::start).isInstanceOf(IOException.class);
         second.stop();
     }
 
+    @Test
+    void operatorsSeeAndLiftWhatIsHeld() throws Exception {
+        assertThat(get("/v1/quarantine").body())
+                .contains("\"request\":\"GET site/x\"")
+                .contains("\"crashes\":3");
+
+        assertThat(send("GET", "/v1/quarantine/lift?fingerprint=ab").statusCode()).isEqualTo(405);
+        assertThat(send("POST", "/v1/quarantine/lift").statusCode()).isEqualTo(400);
+        assertThat(send("POST", "/v1/quarantine/lift?fingerprint=cd").statusCode()).isEqualTo(404);
+        assertThat(send("POST", "/v1/quarantine/lift?fingerprint=ab").statusCode()).isEqualTo(200);
+        assertThat(get("/v1/quarantine").body()).isEqualTo("[]");
+    }
+
+    /** Holds one request, until it is lifted. */
+    private static final class OneHeld implements AdminSources.QuarantineSource {
+        private List<HeldRequest> mHeld = List.of(new HeldRequest("ab", "GET site/x", 3, 600_000));
+
+        @Override
+        public List<HeldRequest> read() {
+            return mHeld;
+        }
+
+        @Override
+        public boolean lift(String fingerprint) {
+            boolean known = mHeld.stream().anyMatch(one -> one.fingerprint().equals(fingerprint));
+            mHeld = known ? List.of() : mHeld;
+            return known;
+        }
+    }
+
     private static NodeStatus status() {
         return new NodeStatus(
                 "vm-1",
--- a/src/test/java/org/apricotgauge/operator/timeline/TimelineMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/timeline/TimelineMainTest.java
@@ -135,6 +135,7 @@
                         () -> new Readiness(true, "serving"),
                         () -> null,
                         ring::read,
+                        AdminSources.QuarantineSource.empty(),
                         new MetricRegistry());
         AdminServer server = new AdminServer(sources, "127.0.0.1", 0, Ticker.system());
         server.start();
--- a/src/test/java/org/apricotgauge/operator/watch/WatchMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/watch/WatchMainTest.java
@@ -35,6 +35,7 @@
                         () -> new Readiness(true, "serving"),
                         this::status,
                         (since, limit) -> null,
+                        AdminSources.QuarantineSource.empty(),
                         new MetricRegistry());
         mServer = new AdminServer(sources, "127.0.0.1", 0, Ticker.system());
         mServer.start();
