Bound how long news of crashes takes, whoever missed it; test hold, news and ways to a target

Ruled out: more rumours: a node that was cut off gets none; waiting longer: the bound is the platform's. Change: in each period every node asks the one that stands 1, 2, 4 ... places after it, so that it is asked by one itself; 400 ms between comparisons while something is held or new, 4 s else.

--- a/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
@@ -23,9 +23,10 @@
  * <p>Three crashes may be seen by three nodes, and the next copy arrive at a fourth, so that even
  * the first crash has to be known everywhere within a second or two. News goes to a few nodes drawn
  * at random, which do the same; messages may be lost. What is missed that way, by a node that was
- * cut off or has just started, comes with a comparison of sums each second with one node drawn at
- * random. Nothing is sent while nothing is known, but for the first seconds of a process. Bytes of
- * a node are bounded. Thread-safe.
+ * cut off or has just started, comes with comparisons of sums: in each period every node asks the
+ * one that stands so many places after it, and so is itself asked by one, another each time.
+ * Nothing is sent while nothing is known, but for the first seconds of a process. Bytes of a node
+ * are bounded. Thread-safe.
  */
 public final class CrashGossip {
     /** Ticks in which news is passed on, each time to {@link #FANOUT} nodes. */
@@ -34,8 +35,14 @@
     /** Nodes that are told in a tick: one of the own failure domain, the others of any. */
     static final int FANOUT = 2;
 
-    /** Time between two comparisons. */
-    static final long COMPARE_EVERY_MILLIS = 1_000;
+    /** Time between two comparisons while a request is held or something is new. */
+    static final long COMPARE_MILLIS = 400;
+
+    /** Time between two comparisons while all that is known is old. */
+    static final long COMPARE_OLD_MILLIS = 4_000;
+
+    /** What changed within this time is new. */
+    static final long NEW_MILLIS = 30_000;
 
     /** A process that has started or was paused compares in each tick for so long. */
     static final long EAGER_MILLIS = 1_500;
@@ -56,7 +63,9 @@
     private final TokenBucket mBytes;
     private final Map<Fingerprint, Integer> mRoundsLeft = new LinkedHashMap<>();
     private long mEagerUntilMillis;
-    private long mNextCompareMillis;
+    private long mComparedMillis;
+    private long mChangedMillis;
+    private int mComparisons;
 
     /** Carries messages, which may be lost or come twice; must not block. */
     @FunctionalInterface
@@ -69,16 +78,16 @@
      * The other nodes.
      *
      * @param near those of the own failure domain
-     * @param all every one of them
+     * @param after all, in the one order of the fleet, beginning with the one behind this node
      */
-    public record Peers(List<Address> near, List<Address> all) {
+    public record Peers(List<Address> near, List<Address> after) {
         /** There are none. */
         public static final Peers NONE = new Peers(List.of(), List.of());
 
         /** Checks the parts. */
         public Peers {
             near = List.copyOf(near);
-            all = List.copyOf(all);
+            after = List.copyOf(after);
         }
     }
 
@@ -102,6 +111,8 @@
         mRandom = Checks.notNull("random", random);
         mTicker = Checks.notNull("ticker", ticker);
         mBytes = new TokenBucket(BYTES_PER_SECOND, BURST_BYTES, ticker.millis());
+        mComparedMillis = ticker.millis();
+        mChangedMillis = ticker.millis() - NEW_MILLIS;
         isBehind();
     }
 
@@ -113,24 +124,37 @@
     /** Passes on that the record of a request tells more than before. */
     public synchronized void changed(Fingerprint fingerprint) {
         mRoundsLeft.put(fingerprint, ROUNDS);
+        mChangedMillis = mTicker.millis();
     }
 
     /** Does what is due; called about ten times a second, and after news. */
     public synchronized void tick() {
         Peers peers = mPeers.get();
-        if (peers.all().isEmpty()) {
+        if (peers.after().isEmpty()) {
             return;
         }
         tellNews(peers);
         long nowMillis = mTicker.millis();
         boolean isEager = nowMillis < mEagerUntilMillis;
-        boolean isDue = nowMillis >= mNextCompareMillis && mTable.size() > 0;
+        boolean isDue = mTable.size() > 0 && nowMillis - mComparedMillis >= periodMillis(nowMillis);
         if (isEager || isDue) {
-            mNextCompareMillis = nowMillis + COMPARE_EVERY_MILLIS;
-            send(any(peers.all()), CrashMessage.Kind.ASK, List.of());
+            mComparedMillis = nowMillis;
+            send(nextToCompare(peers.after()), CrashMessage.Kind.ASK, List.of());
         }
     }
 
+    private long periodMillis(long nowMillis) {
+        boolean isNew = nowMillis - mChangedMillis < NEW_MILLIS;
+        return isNew || mTable.held() > 0 ? COMPARE_MILLIS : COMPARE_OLD_MILLIS;
+    }
+
+    // Distances double, so that what one side of a healed cut knows crosses in few steps.
+    private Address nextToCompare(List<Address> after) {
+        int distances = Integer.SIZE - Integer.numberOfLeadingZeros(after.size());
+        int distance = 1 << (mComparisons++ % distances);
+        return after.get(distance - 1);
+    }
+
     private void tellNews(Peers peers) {
         if (mRoundsLeft.isEmpty()) {
             return;
@@ -153,9 +177,9 @@
 
     private List<Address> audience(Peers peers) {
         List<Address> audience = new ArrayList<>(FANOUT);
-        audience.add(any(peers.near().isEmpty() ? peers.all() : peers.near()));
+        audience.add(any(peers.near().isEmpty() ? peers.after() : peers.near()));
         while (audience.size() < FANOUT) {
-            audience.add(any(peers.all()));
+            audience.add(any(peers.after()));
         }
         return audience;
     }
--- a/src/main/java/org/apricotgauge/node/CrashNews.java
+++ b/src/main/java/org/apricotgauge/node/CrashNews.java
@@ -8,7 +8,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousCloseException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
 import java.util.function.BiConsumer;
 import org.apricotgauge.decision.quarantine.CrashMessage;
@@ -88,6 +88,8 @@
         try {
             mChannel.send(
                     ByteBuffer.wrap(encode(message)), new InetSocketAddress(to.host(), to.port()));
+        } catch (ClosedChannelException e) {
+            LOGGER.debugf("closed; crashes are not told to %s", to);
         } catch (IOException e) {
             warn("crashes are not told to " + to, e);
         }
@@ -102,7 +104,7 @@
                 receiver.accept(
                         new Address(from.getAddress().getHostAddress(), from.getPort()),
                         decode(buffer.array(), buffer.position()));
-            } catch (AsynchronousCloseException e) {
+            } catch (ClosedChannelException e) {
                 LOGGER.debug("crash news closed");
             } catch (IOException | RuntimeException e) {
                 warn("a datagram on crashes is not understood", e);
--- a/src/main/java/org/apricotgauge/node/QuarantineService.java
+++ b/src/main/java/org/apricotgauge/node/QuarantineService.java
@@ -7,10 +7,12 @@
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.apricotgauge.decision.quarantine.CrashGossip;
 import org.apricotgauge.decision.quarantine.CrashMessage;
 import org.apricotgauge.decision.quarantine.Fingerprint;
@@ -41,6 +43,10 @@
 
     private static final int LINES_PER_SECOND = 10;
 
+    private static final Comparator<SiteMembers.Peer> ORDER =
+            Comparator.comparing(SiteMembers.Peer::failureDomain)
+                    .thenComparing(peer -> peer.address().toString());
+
     /** Requests that one line names at most. */
     private static final int MAX_LOST = 16;
 
@@ -54,6 +60,8 @@
     private final QuarantineTable mTable;
     private final CrashGossip mGossip;
     private final String mDomain;
+    private Address mOwn;
+    private List<SiteMembers.Peer> mKnownPeers = List.of();
     private volatile CrashGossip.Peers mPeers = CrashGossip.Peers.NONE;
     private volatile CrashNews mNews;
     private volatile long mFullLoggedMillis = Long.MIN_VALUE / 2;
@@ -93,24 +101,41 @@
      *
      * @throws IOException if the UDP port can't be had
      */
-    void start(Address own) throws IOException {
+    synchronized void start(Address own) throws IOException {
         mNews = CrashNews.start(own, mTicker, mGossip::received);
+        mOwn = own;
+        mPeers = peersOf(mKnownPeers, mDomain, own);
     }
 
     QuarantineTable table() {
         return mTable;
     }
 
-    void membersChanged(SiteMembers members) {
-        List<Address> near = new ArrayList<>();
-        List<Address> all = new ArrayList<>();
-        for (SiteMembers.Peer peer : members.peers()) {
-            all.add(peer.address());
-            if (peer.failureDomain().equals(mDomain)) {
-                near.add(peer.address());
-            }
+    synchronized void membersChanged(SiteMembers members) {
+        mKnownPeers = members.peers();
+        if (mOwn != null) {
+            mPeers = peersOf(mKnownPeers, mDomain, mOwn);
         }
-        mPeers = new CrashGossip.Peers(near, all);
+    }
+
+    /** Puts the other nodes in an order that all share: neighbours are of one failure domain. */
+    static CrashGossip.Peers peersOf(List<SiteMembers.Peer> peers, String domain, Address own) {
+        SiteMembers.Peer self = new SiteMembers.Peer(own, domain);
+        List<SiteMembers.Peer> sorted = new ArrayList<>(peers);
+        sorted.sort(ORDER);
+        List<Address> after = new ArrayList<>(sorted.size());
+        sorted.stream().filter(peer -> ORDER.compare(peer, self) > 0).forEach(addTo(after));
+        sorted.stream().filter(peer -> ORDER.compare(peer, self) < 0).forEach(addTo(after));
+        List<Address> near =
+                sorted.stream()
+                        .filter(peer -> peer.failureDomain().equals(domain))
+                        .map(SiteMembers.Peer::address)
+                        .toList();
+        return new CrashGossip.Peers(near, after);
+    }
+
+    private static Consumer<SiteMembers.Peer> addTo(List<Address> addresses) {
+        return peer -> addresses.add(peer.address());
     }
 
     /** Takes in that a target ended while it ran requests, and tells others at once. */
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/quarantine/CrashRecordProperties.java
@@ -0,0 +1,64 @@
+package org.apricotgauge.decision.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+/** Records come to the same, in whatever order and however often news arrives. */
+class CrashRecordProperties {
+    private static final long SPAN_MILLIS = 1_000;
+
+    @Property(seed = "5029", tries = 1_000)
+    void orderDoesNotMatter(@ForAll("records") CrashRecord a, @ForAll("records") CrashRecord b) {
+        assertThat(a.merge(b)).isEqualTo(b.merge(a));
+    }
+
+    @Property(seed = "5030", tries = 1_000)
+    void groupsDoNotMatter(
+            @ForAll("records") CrashRecord a,
+            @ForAll("records") CrashRecord b,
+            @ForAll("records") CrashRecord c) {
+        assertThat(a.merge(b).merge(c)).isEqualTo(a.merge(b.merge(c)));
+    }
+
+    @Property(seed = "5031", tries = 1_000)
+    void repetitionDoesNotMatter(
+            @ForAll("records") CrashRecord a, @ForAll("records") CrashRecord b) {
+        CrashRecord once = a.merge(b);
+
+        assertThat(once.merge(b).merge(a)).isEqualTo(once);
+    }
+
+    @Property(seed = "5032", tries = 1_000)
+    void noCrashIsHeldAgainstARequestThatEndedWellAfterIt(@ForAll("records") CrashRecord a) {
+        CrashRecord cleared = a.voidUntil(SPAN_MILLIS);
+
+        assertThat(cleared.crashes()).isEmpty();
+        assertThat(cleared.merge(a)).isEqualTo(cleared);
+    }
+
+    // One crash has one id and one time, as its node drew them.
+    @Provide
+    Arbitrary<CrashRecord> records() {
+        Arbitrary<List<Crash>> crashes =
+                Arbitraries.longs()
+                        .between(1, SPAN_MILLIS)
+                        .map(id -> new Crash(id, id))
+                        .list()
+                        .uniqueElements()
+                        .ofMaxSize(12);
+        Arbitrary<Long> voids = Arbitraries.longs().between(0, SPAN_MILLIS / 2).injectNull(0.5);
+        return Combinators.combine(crashes, voids)
+                .as(
+                        (list, until) ->
+                                until == null
+                                        ? new CrashRecord(list, Long.MIN_VALUE)
+                                        : new CrashRecord(list, until));
+    }
+}
--- a/src/test/java/org/apricotgauge/functional/CrashingTarget.java
+++ b/src/test/java/org/apricotgauge/functional/CrashingTarget.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BiPredicate;
 
 /** A target whose process ends under certain requests, and is back at its port a while later. */
@@ -14,6 +15,9 @@
     /** How long the process is gone. */
     static final long DOWN_MILLIS = 1_200;
 
+    /** How long a request is at work. */
+    private static final long WORK_MILLIS = 100;
+
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     /** Below the ports that the system gives to connections, so that none takes it meanwhile. */
@@ -26,6 +30,7 @@
     private final ScheduledExecutorService mSupervisor =
             Executors.newSingleThreadScheduledExecutor(CrashingTarget::daemon);
     private final AtomicInteger mLethalRuns = new AtomicInteger();
+    private final AtomicInteger mAtWork = new AtomicInteger();
     private final AtomicInteger mCrashes = new AtomicInteger();
     private final int mPort;
     private RawTarget mProcess;
@@ -66,6 +71,9 @@
             crash();
             return false;
         }
+        mAtWork.incrementAndGet();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WORK_MILLIS));
+        mAtWork.decrementAndGet();
         out.write(OK.getBytes(StandardCharsets.US_ASCII));
         return true;
     }
@@ -102,6 +110,11 @@
         return mLethalRuns.get();
     }
 
+    /** Returns how many requests are at work. */
+    int atWork() {
+        return mAtWork.get();
+    }
+
     int crashes() {
         return mCrashes.get();
     }
