Tell of a broken run once it is known whether its target has ended

Cause: a guard answered a broken run at once, the entry sent the request to its next target a few milliseconds later, and the end of the first was known after 30 ms: the copy that crashed the third target went on to a fourth. Ruled out: waiting for the platform's word, which takes three heartbeats. Change: the answer waits for the check, 100 ms at the most, and says that the request is held if it is; what is held is not sent again. Nodes that start ask nobody: those who know ask them (fewer datagrams at a start). A body's digest is made at its first byte.

--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -27,6 +27,7 @@
     private final AttemptAccount mAccount;
     private volatile UpstreamExchange mUpstream;
     private volatile boolean mAbandoned;
+    private volatile boolean mWithheld;
 
     DirectAttempt(CallerExchange exchange, Candidate candidate) {
         mExchange = exchange;
@@ -56,7 +57,8 @@
 
     @Override
     public boolean onBegin() {
-        return mExchange.quarantine().heldMillis() == 0 && mExchange.mayBegin(this);
+        mWithheld = mExchange.quarantine().heldMillis() > 0;
+        return !mWithheld && mExchange.mayBegin(this);
     }
 
     @Override
@@ -71,16 +73,27 @@
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
         over();
+        if (mWithheld) {
+            mAccount.observed(ObservedOutcome.CANCELLED);
+            long heldMillis = mExchange.quarantine().heldMillis();
+            mExchange.attemptEnded(this, new Outcome.NotRun(NotRunReason.QUARANTINED, heldMillis));
+            return;
+        }
         mAccount.observed(ObservedOutcome.PATH_FAULT);
         mContext.metrics().pathFaults().inc();
-        if (failure.progress() == UpstreamExchange.Progress.MAYBE_SENT && !mAbandoned) {
-            mContext.exits().broken(mCandidate.target(), run());
+        if (failure.progress() == UpstreamExchange.Progress.NOT_SENT) {
+            mExchange.attemptEnded(this, new Outcome.NotRun(NotRunReason.NEVER_SENT, 0));
+            return;
+        }
+        if (mAbandoned) {
+            return;
         }
-        mExchange.attemptEnded(
-                this,
-                failure.progress() == UpstreamExchange.Progress.NOT_SENT
-                        ? new Outcome.NotRun(NotRunReason.NEVER_SENT, 0)
-                        : new Outcome.Unknown(UnknownReason.NO_GUARD));
+        mContext.exits()
+                .broken(mCandidate.target(), run())
+                .whenComplete(
+                        (told, ignored) ->
+                                mExchange.attemptEnded(
+                                        this, new Outcome.Unknown(UnknownReason.NO_GUARD)));
     }
 
     private BrokenRun run() {
--- a/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RepeatPolicy.java
@@ -116,6 +116,9 @@
     }
 
     private static boolean isQuarantined(Outcome outcome) {
+        if (outcome instanceof Outcome.Unknown unknown) {
+            return unknown.reason() == UnknownReason.QUARANTINED;
+        }
         return outcome instanceof Outcome.NotRun notRun
                 && notRun.reason() == NotRunReason.QUARANTINED;
     }
--- a/src/main/java/org/apricotgauge/decision/attempt/UnknownReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/UnknownReason.java
@@ -14,6 +14,8 @@
     NO_GUARD,
     /** The same Idempotency-Key is running now. */
     KEY_RUNNING,
+    /** Its target crashed, as others did under the same request; it is kept from all others. */
+    QUARANTINED,
     /** The last attempt did not run, but an earlier one may have, or did without success. */
     EARLIER_ATTEMPT
 }
--- a/src/main/java/org/apricotgauge/decision/quarantine/BodyHash.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/BodyHash.java
@@ -19,7 +19,7 @@
     /** Bytes of a body that tell it from others. */
     public static final int HASHED_BYTES = 16_384;
 
-    private final MessageDigest mDigest = Sha256.create();
+    private MessageDigest mDigest;
     private int mHashedBytes;
     private boolean mEnded;
     private long mValue = Fingerprint.UNKNOWN_BODY;
@@ -30,6 +30,9 @@
         if (taken <= 0 || mEnded) {
             return;
         }
+        if (mDigest == null) {
+            mDigest = Sha256.create();
+        }
         mDigest.update(bytes.slice(bytes.position(), taken));
         mHashedBytes += taken;
         if (mHashedBytes == HASHED_BYTES) {
--- a/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
@@ -24,9 +24,9 @@
  * the first crash has to be known everywhere within a second or two. News goes to a few nodes drawn
  * at random, which do the same; messages may be lost. What is missed that way, by a node that was
  * cut off or has just started, comes with comparisons of sums: in each period every node asks the
- * one that stands so many places after it, and so is itself asked by one, another each time.
- * Nothing is sent while nothing is known, but for the first seconds of a process. Bytes of a node
- * are bounded. Thread-safe.
+ * one that stands so many places after it, and so is itself asked by one, another each time. A node
+ * that has just started is asked like any other. Nothing is sent while nothing is known. Bytes of a
+ * node are bounded. Thread-safe.
  */
 public final class CrashGossip {
     /** Ticks in which news is passed on, each time to {@link #FANOUT} nodes. */
@@ -44,9 +44,6 @@
     /** What changed within this time is new. */
     static final long NEW_MILLIS = 30_000;
 
-    /** A process that has started or was paused compares in each tick for so long. */
-    static final long EAGER_MILLIS = 1_500;
-
     /** Bytes that a node may send in a second. */
     private static final double BYTES_PER_SECOND = 8_000;
 
@@ -62,7 +59,6 @@
     private final Ticker mTicker;
     private final TokenBucket mBytes;
     private final Map<Fingerprint, Integer> mRoundsLeft = new LinkedHashMap<>();
-    private long mEagerUntilMillis;
     private long mComparedMillis;
     private long mChangedMillis;
     private int mComparisons;
@@ -113,12 +109,6 @@
         mBytes = new TokenBucket(BYTES_PER_SECOND, BURST_BYTES, ticker.millis());
         mComparedMillis = ticker.millis();
         mChangedMillis = ticker.millis() - NEW_MILLIS;
-        isBehind();
-    }
-
-    /** Notes that this process may have missed news: it has just started, or was paused. */
-    public synchronized void isBehind() {
-        mEagerUntilMillis = mTicker.millis() + EAGER_MILLIS;
     }
 
     /** Passes on that the record of a request tells more than before. */
@@ -135,9 +125,7 @@
         }
         tellNews(peers);
         long nowMillis = mTicker.millis();
-        boolean isEager = nowMillis < mEagerUntilMillis;
-        boolean isDue = mTable.size() > 0 && nowMillis - mComparedMillis >= periodMillis(nowMillis);
-        if (isEager || isDue) {
+        if (mTable.size() > 0 && nowMillis - mComparedMillis >= periodMillis(nowMillis)) {
             mComparedMillis = nowMillis;
             send(nextToCompare(peers.after()), CrashMessage.Kind.ASK, List.of());
         }
--- a/src/main/java/org/apricotgauge/node/QuarantineService.java
+++ b/src/main/java/org/apricotgauge/node/QuarantineService.java
@@ -5,7 +5,6 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.io.IOException;
-import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -36,9 +35,6 @@
     /** Requests whose names are kept for operators. */
     private static final int MAX_NAMES = 1_024;
 
-    /** The time of day runs on while a process is suspended; a difference like this tells so. */
-    private static final long PAUSE_MILLIS = 500;
-
     private static final long FULL_LOG_EVERY_MILLIS = 60_000;
 
     private static final int LINES_PER_SECOND = 10;
@@ -51,7 +47,6 @@
     private static final int MAX_LOST = 16;
 
     private final Ticker mTicker;
-    private final InstantSource mClock = InstantSource.system();
     private final NodeEvents mEvents;
     private final BoundedLog mLog;
     private final Counter mCrashes;
@@ -65,7 +60,6 @@
     private volatile CrashGossip.Peers mPeers = CrashGossip.Peers.NONE;
     private volatile CrashNews mNews;
     private volatile long mFullLoggedMillis = Long.MIN_VALUE / 2;
-    private long mClockAheadMillis;
 
     /**
      * A request that a target took along when it ended.
@@ -91,7 +85,6 @@
         mCrashes = registry.counter("quarantine.crashes");
         mTable = new QuarantineTable(ticker, new Changes());
         mGossip = new CrashGossip(mTable, () -> mPeers, this::send, new SplittableRandom(), ticker);
-        mClockAheadMillis = clockAheadMillis();
         registry.gauge("quarantine.held", () -> mTable::held);
         registry.gauge("quarantine.known", () -> mTable::size);
     }
@@ -160,19 +153,10 @@
 
     /** Does what is due; called by one thread. */
     void tick() {
-        long aheadMillis = clockAheadMillis();
-        if (Math.abs(aheadMillis - mClockAheadMillis) >= PAUSE_MILLIS) {
-            mClockAheadMillis = aheadMillis;
-            mGossip.isBehind();
-        }
         mTable.expire();
         mGossip.tick();
     }
 
-    private long clockAheadMillis() {
-        return mClock.millis() - mTicker.millis();
-    }
-
     private void send(Address to, CrashMessage message) {
         CrashNews news = mNews;
         if (news != null) {
--- a/src/main/java/org/apricotgauge/target/ExitWatch.java
+++ b/src/main/java/org/apricotgauge/target/ExitWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,9 @@
     /** Time in which the other connections of a process that ends break as well. */
     static final long SETTLE_MILLIS = 30;
 
+    /** Longest wait for the target's answer before a caller is told of its broken run. */
+    static final long MAX_WAIT_MILLIS = 100;
+
     /** Most runs that are told of one end; the first to break are kept. */
     static final int MAX_RUNS = 256;
 
@@ -34,7 +38,13 @@
     private final Scheduler mScheduler;
     private final Predicate<Target> mTakesWork;
     private final BiConsumer<Target, List<BrokenRun>> mOnEnd;
-    private final ConcurrentMap<String, List<BrokenRun>> mBroken = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Check> mBroken = new ConcurrentHashMap<>();
+
+    /** One question to a target, and the runs that broke until its answer. */
+    private static final class Check {
+        private final List<BrokenRun> mRuns = new ArrayList<>();
+        private final CompletableFuture<Void> mDone = new CompletableFuture<>();
+    }
 
     /**
      * Creates a watch.
@@ -69,34 +79,46 @@
         return new ExitWatch(TargetProbe.connecting(client), scheduler, takesWork, onEnd);
     }
 
-    /** Takes in a run whose connection broke before its answer was whole. */
-    public void broken(Target target, BrokenRun run) {
+    /**
+     * Takes in a run whose connection broke before its answer was whole.
+     *
+     * @return completes once the end of the target, if it has ended, was told; at the latest after
+     *     {@link #MAX_WAIT_MILLIS}
+     */
+    public CompletableFuture<Void> broken(Target target, BrokenRun run) {
         if (!mTakesWork.test(target)) {
-            return;
+            return CompletableFuture.completedFuture(null);
         }
-        mBroken.compute(target.id(), (id, runs) -> add(target, runs, run));
+        return mBroken.compute(target.id(), (id, check) -> add(target, check, run)).mDone;
     }
 
-    private List<BrokenRun> add(Target target, List<BrokenRun> runs, BrokenRun run) {
-        List<BrokenRun> all = runs;
-        if (all == null) {
-            all = new ArrayList<>();
-            mScheduler.schedule(() -> check(target), SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+    private Check add(Target target, Check present, BrokenRun run) {
+        Check check = present;
+        if (check == null) {
+            Check first = new Check();
+            mScheduler.schedule(() -> ask(target), SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+            mScheduler.schedule(
+                    () -> first.mDone.complete(null), MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            check = first;
         }
-        if (all.size() < MAX_RUNS) {
-            all.add(run);
+        if (check.mRuns.size() < MAX_RUNS) {
+            check.mRuns.add(run);
         }
-        return all;
+        return check;
     }
 
-    private void check(Target target) {
+    private void ask(Target target) {
         mProbe.ask(target).thenAccept(answer -> decide(target, answer));
     }
 
     private void decide(Target target, TargetProbe.Answer answer) {
-        List<BrokenRun> runs = mBroken.remove(target.id());
-        if (answer == TargetProbe.Answer.REFUSES && runs != null) {
-            mOnEnd.accept(target, List.copyOf(runs));
+        Check check = mBroken.remove(target.id());
+        if (check == null) {
+            return;
+        }
+        if (answer == TargetProbe.Answer.REFUSES) {
+            mOnEnd.accept(target, List.copyOf(check.mRuns));
         }
+        check.mDone.complete(null);
     }
 }
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
@@ -294,13 +295,18 @@
             endNotRun(withheld == null ? NotRunReason.TARGET_UNREACHABLE : withheld);
             return;
         }
-        endBroken(true);
-        payForNext(mCaution == HealthGate.Caution.MAY_TRY);
+        endBroken(true).whenComplete((told, ignored) -> answerUnknown());
+    }
+
+    // Told at once, the entry would send the request to its next target before anybody knows that
+    // this one has ended.
+    private void answerUnknown() {
+        boolean held = heldMillis() > 0;
+        payForNext(mCaution == HealthGate.Caution.MAY_TRY && !held);
         mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
-        mAcknowledgements.after(
-                () ->
-                        Outcomes.write(
-                                mResponse, mCallback, new Outcome.Unknown(UnknownReason.STARTED)));
+        Outcome.Unknown outcome =
+                new Outcome.Unknown(held ? UnknownReason.QUARANTINED : UnknownReason.STARTED);
+        mAcknowledgements.after(() -> Outcomes.write(mResponse, mCallback, outcome));
     }
 
     /** Pays for the next run of a request that this target failed, if it may have one. */
@@ -414,18 +420,20 @@
         mCallback.failed(cause);
     }
 
-    private void endBroken(boolean byTarget) {
+    private CompletableFuture<Void> endBroken(boolean byTarget) {
+        CompletableFuture<Void> told = CompletableFuture.completedFuture(null);
         mContext.ledger().broken(mAttempt, mContext.ticker().millis());
         if (mTimedOut) {
             leaveGate(Result.CANCELLED, ObservedOutcome.TIMEOUT);
         } else if (byTarget && !mAbandoned) {
             leaveGate(Result.FAILED, ObservedOutcome.TARGET_ERROR);
-            mWatch.broken();
+            told = mWatch.broken();
         } else {
             leaveGate(Result.CANCELLED, ObservedOutcome.CANCELLED);
         }
         mContext.metrics().unknown().inc();
         stopTimers();
+        return told;
     }
 
     private void timedOut() {
--- a/src/main/java/org/apricotgauge/target/RunWatch.java
+++ b/src/main/java/org/apricotgauge/target/RunWatch.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apricotgauge.decision.detection.ObservedOutcome;
@@ -61,9 +62,13 @@
         observe(outcome, serviceMicros);
     }
 
-    /** Notes that the connection to the target broke before the answer was whole. */
-    void broken() {
-        mContext.exits().broken(mGate.target(), mIdentity.broken());
+    /**
+     * Notes that the connection to the target broke before the answer was whole.
+     *
+     * @return completes once it is known whether the target has ended
+     */
+    CompletableFuture<Void> broken() {
+        return mContext.exits().broken(mGate.target(), mIdentity.broken());
     }
 
     private void stillRuns(HealthGate.Run run) {
--- a/src/test/java/org/apricotgauge/decision/attempt/RepeatPolicyTest.java
+++ b/src/test/java/org/apricotgauge/decision/attempt/RepeatPolicyTest.java
@@ -47,6 +47,23 @@
                                 new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT)));
     }
 
+    // Guards against one copy of a request that crashes target after target.
+    @Test
+    void whatCrashesTargetsIsNotSentAgain() {
+        Outcome refused = new Outcome.NotRun(NotRunReason.QUARANTINED, 600_000);
+        Outcome crashed = new Outcome.Unknown(UnknownReason.QUARANTINED);
+        Progress lookup = Progress.of(true, false);
+
+        assertThat(decide(lookup.after(refused))).isEqualTo(new RetryDecision.Finish(refused));
+        assertThat(decide(lookup.after(crashed))).isEqualTo(new RetryDecision.Finish(crashed));
+        assertThat(decide(Progress.of(false, true).after(crashed)))
+                .isEqualTo(new RetryDecision.Finish(crashed));
+        assertThat(decide(lookup.after(UNKNOWN).after(refused)))
+                .isEqualTo(
+                        new RetryDecision.Finish(
+                                new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT)));
+    }
+
     @Test
     void deadlineAndBudgetEndIt() {
         Progress lookup = Progress.of(true, false).after(UNKNOWN);
--- a/src/test/java/org/apricotgauge/target/ExitWatchTest.java
+++ b/src/test/java/org/apricotgauge/target/ExitWatchTest.java
@@ -71,6 +71,28 @@
         assertThat(mScheduler.mTasks).isEmpty();
     }
 
+    // Guards against a request that is sent to its next target before the end of this one is known.
+    @Test
+    void aBrokenRunWaitsUntilTheEndWasTold() {
+        CompletableFuture<Void> told = mExits.broken(TARGET, run("a"));
+        mScheduler.runNext();
+        assertThat(told).isNotDone();
+
+        mAnswer.complete(TargetProbe.Answer.REFUSES);
+
+        assertThat(told).isCompleted();
+        assertThat(mTold).hasSize(1);
+    }
+
+    // Guards against a caller that waits for a target which does not answer.
+    @Test
+    void theWaitIsBounded() {
+        CompletableFuture<Void> told = mExits.broken(TARGET, run("a"));
+        mScheduler.runAll();
+
+        assertThat(told).isCompleted();
+    }
+
     @Test
     void theNextEndIsAskedForAnew() {
         mExits.broken(TARGET, run("a"));
@@ -97,6 +119,10 @@
             return () -> mTasks.remove(task);
         }
 
+        private void runNext() {
+            mTasks.remove(0).run();
+        }
+
         private void runAll() {
             List<Runnable> due = List.copyOf(mTasks);
             mTasks.clear();
