--- a/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
@@ -180,9 +180,7 @@
     public void received(Address from, CrashMessage message) {
         long nowMillis = mTicker.millis();
         boolean isNews = message.kind() == CrashMessage.Kind.NEWS;
-        for (CrashMessage.Line line : message.lines()) {
-            mTable.learn(line.fingerprint(), line.record(nowMillis), isNews);
-        }
+        mTable.learn(message.lines().stream().map(line -> line.entry(nowMillis)).toList(), isNews);
         boolean isSame = message.sum() == mTable.sum();
         if (message.kind() == CrashMessage.Kind.ASK && !isSame) {
             tellAll(from, CrashMessage.Kind.LAST_PART);
--- a/src/main/java/org/apricotgauge/decision/quarantine/CrashMessage.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/CrashMessage.java
@@ -70,16 +70,14 @@
                             .toList());
         }
 
-        Fingerprint fingerprint() {
-            return new Fingerprint(head, body);
-        }
-
-        CrashRecord record(long nowMillis) {
+        QuarantineTable.Entry entry(long nowMillis) {
             CrashRecord record = CrashRecord.NONE;
             for (int i = 0; i < crashIds.size(); i++) {
                 record = record.with(new Crash(crashIds.get(i), nowMillis - agesMillis.get(i)));
             }
-            return voidMillis == NEVER_VOID ? record : record.voidUntil(nowMillis + voidMillis);
+            return new QuarantineTable.Entry(
+                    new Fingerprint(head, body),
+                    voidMillis == NEVER_VOID ? record : record.voidUntil(nowMillis + voidMillis));
         }
     }
 
--- a/src/main/java/org/apricotgauge/decision/quarantine/QuarantineTable.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/QuarantineTable.java
@@ -59,6 +59,8 @@
      */
     public record Entry(Fingerprint fingerprint, CrashRecord record) {}
 
+    private record Change(Fingerprint fingerprint, CrashRecord before, CrashRecord after) {}
+
     /** Creates an empty table. */
     public QuarantineTable(Ticker ticker, QuarantineListener listener) {
         mTicker = Checks.notNull("ticker", ticker);
@@ -101,9 +103,8 @@
     /** Takes in that a target ended while it ran these requests. */
     public void crashed(Collection<Fingerprint> requests, long crashId) {
         Crash crash = new Crash(crashId, mTicker.millis());
-        for (Fingerprint fingerprint : new HashSet<>(requests)) {
-            update(fingerprint, CrashRecord.NONE.with(crash), true);
-        }
+        CrashRecord once = CrashRecord.NONE.with(crash);
+        update(requests.stream().distinct().map(one -> new Entry(one, once)).toList(), true);
     }
 
     /** Takes in that a run of the request ended well. */
@@ -137,10 +138,13 @@
      *
      * @param isNews whether the other node tells it since it is new
      */
-    public void learn(Fingerprint fingerprint, CrashRecord told, boolean isNews) {
-        if (told.forgottenAtMillis() > mTicker.millis()) {
-            update(fingerprint, told, isNews);
-        }
+    public void learn(List<Entry> told, boolean isNews) {
+        long nowMillis = mTicker.millis();
+        update(
+                told.stream()
+                        .filter(entry -> entry.record().forgottenAtMillis() > nowMillis)
+                        .toList(),
+                isNews);
     }
 
     /** Lets requests through that were held for long enough, and forgets what is long past. */
@@ -161,22 +165,33 @@
     }
 
     private void update(Fingerprint fingerprint, CrashRecord told, boolean isNews) {
-        CrashRecord before;
-        CrashRecord after;
-        boolean hasRoom;
+        update(List.of(new Entry(fingerprint, told)), isNews);
+    }
+
+    private void update(List<Entry> told, boolean isNews) {
+        List<Change> changes = new ArrayList<>();
+        boolean isFull = false;
         synchronized (this) {
-            before = mRecords.getOrDefault(fingerprint, CrashRecord.NONE);
-            after = withOwn(fingerprint, before.merge(told));
-            hasRoom = before != CrashRecord.NONE || after.equals(before) || makeRoom();
-            if (hasRoom && !after.equals(before)) {
-                mRecords.put(fingerprint, after);
+            for (Entry entry : told) {
+                CrashRecord before = record(entry.fingerprint());
+                CrashRecord after = withOwn(entry.fingerprint(), before.merge(entry.record()));
+                if (after.equals(before)) {
+                    continue;
+                }
+                if (before == CrashRecord.NONE && !makeRoom()) {
+                    isFull = true;
+                    continue;
+                }
+                mRecords.put(entry.fingerprint(), after);
+                changes.add(new Change(entry.fingerprint(), before, after));
+            }
+            if (!changes.isEmpty()) {
                 refresh();
             }
         }
-        if (!hasRoom) {
+        changes.forEach(change -> tell(change, isNews));
+        if (isFull) {
             mListener.full();
-        } else if (!after.equals(before)) {
-            tell(fingerprint, before, after, isNews);
         }
     }
 
@@ -221,10 +236,11 @@
         mView = new View(held, heldHeads, suspectHeads);
     }
 
-    private void tell(
-            Fingerprint fingerprint, CrashRecord before, CrashRecord after, boolean isNews) {
+    private void tell(Change change, boolean isNews) {
         long nowMillis = mTicker.millis();
-        boolean wasHeld = before.heldUntilMillis() > nowMillis;
+        Fingerprint fingerprint = change.fingerprint();
+        CrashRecord after = change.after();
+        boolean wasHeld = change.before().heldUntilMillis() > nowMillis;
         boolean isHeld = after.heldUntilMillis() > nowMillis && fingerprint.isComplete();
         if (isHeld && !wasHeld) {
             mListener.held(
--- a/src/main/java/org/apricotgauge/operator/AdminHandler.java
+++ b/src/main/java/org/apricotgauge/operator/AdminHandler.java
@@ -97,7 +97,8 @@
     private AdminAnswer answer(Request request, Response response) {
         Endpoint endpoint = mEndpoints.get(unversioned(Request.getPathInContext(request)));
         if (endpoint == null) {
-            return AdminAnswer.line(404, "no such path; see /v1/status, /v1/events, /v1/metrics");
+            return AdminAnswer.line(
+                    404, "no such path; see /v1/status, /v1/events, /v1/quarantine, /v1/metrics");
         }
         String method = request.getMethod();
         boolean changes = endpoint == mEndpoints.get(LIFT);
--- a/src/main/java/org/apricotgauge/operator/AdminServer.java
+++ b/src/main/java/org/apricotgauge/operator/AdminServer.java
@@ -14,7 +14,7 @@
 import org.jboss.logging.Logger;
 
 /**
- * The administration API of a node: read-only, over HTTP, on a port of its own.
+ * The administration API of a node, over HTTP, on a port of its own.
  *
  * <pre>{@code
  * AdminServer server = new AdminServer(sources, "127.0.0.1", 0, Ticker.system());
@@ -24,10 +24,10 @@
  * }</pre>
  *
  * <p>Paths, all also under {@code /v1}: {@code /live}, {@code /ready}, {@code /status}, {@code
- * /events?since=N&limit=M}, {@code /metrics}, {@code /metrics.json}. A bad query gets 400 with a
- * reason in one line, an unknown path 404, another method than GET and HEAD 405. Threads,
- * connections, requests in a second and the size of an answer are bounded, so that an operator's
- * script costs the callers nothing.
+ * /events?since=N&limit=M}, {@code /quarantine}, {@code /metrics}, {@code /metrics.json}; by POST,
+ * {@code /quarantine/lift?fingerprint=F}. A bad query gets 400 with a reason in one line, an
+ * unknown path 404, another method 405. Threads, connections, requests in a second and the size of
+ * an answer are bounded, so that an operator's script costs the callers nothing.
  */
 public final class AdminServer {
     private static final int MAX_THREADS = 6;
--- a/src/main/java/org/apricotgauge/operator/package-info.java
+++ b/src/main/java/org/apricotgauge/operator/package-info.java
@@ -1,4 +1,2 @@
-/**
- * Operators: the read-only administration API of a node, and what the operators' programs share.
- */
+/** Operators: the administration API of a node, and what the operators' programs share. */
 package org.apricotgauge.operator;
--- a/src/test/java/org/apricotgauge/decision/quarantine/QuarantineTableTest.java
+++ b/src/test/java/org/apricotgauge/decision/quarantine/QuarantineTableTest.java
@@ -39,7 +39,7 @@
     @Test
     void oneCrashCountsOnceHoweverOftenItIsTold() {
         for (int i = 0; i < 5; i++) {
-            mTable.learn(LETHAL, CrashRecord.NONE.with(new Crash(7, mTicker.millis())), true);
+            learn(LETHAL, CrashRecord.NONE.with(new Crash(7, mTicker.millis())), true);
         }
 
         assertThat(mTable.heldMillis(LETHAL)).isZero();
@@ -62,7 +62,7 @@
         assertThat(mTable.heldMillis(POPULAR)).isPositive();
 
         long clearedUntilMillis = mTicker.millis() + QuarantineTable.CLEARED_MILLIS;
-        mTable.learn(POPULAR, CrashRecord.NONE.voidUntil(clearedUntilMillis), true);
+        learn(POPULAR, CrashRecord.NONE.voidUntil(clearedUntilMillis), true);
 
         assertThat(mTable.heldMillis(POPULAR)).isZero();
         assertThat(mHeard.mReleased).containsExactly(POPULAR);
@@ -74,7 +74,7 @@
         mTable.endedWell(POPULAR);
         for (int id = 0; id < 5; id++) {
             mTicker.advanceMillis(100);
-            mTable.learn(POPULAR, CrashRecord.NONE.with(new Crash(id, mTicker.millis())), false);
+            learn(POPULAR, CrashRecord.NONE.with(new Crash(id, mTicker.millis())), false);
         }
 
         assertThat(mTable.heldMillis(POPULAR)).isZero();
@@ -163,6 +163,10 @@
         assertThat(mTable.isSuspectHead(1)).isTrue();
     }
 
+    private void learn(Fingerprint fingerprint, CrashRecord record, boolean isNews) {
+        mTable.learn(List.of(new QuarantineTable.Entry(fingerprint, record)), isNews);
+    }
+
     private void crashThrice(Fingerprint fingerprint) {
         for (int i = 0; i < CrashRecord.PROOF; i++) {
             crash(fingerprint);
