--- a/src/main/java/org/apricotgauge/caller/TargetChoice.java
+++ b/src/main/java/org/apricotgauge/caller/TargetChoice.java
@@ -131,8 +131,9 @@
         if (untried.isPresent()) {
             return untried;
         }
-        if (isPathAtFault(last)) {
-            // The only targets left are those whose path failed; a new connection may reach them.
+        if (mayReachAgain(last)) {
+            // The only targets left are those whose path failed, or whose guard had not read the
+            // body in time; a new attempt may reach them.
             return balance(Set.of());
         }
         return leastSick();
@@ -161,11 +162,12 @@
                 mTable.get(), except, ThreadLocalRandom.current(), mContext.ticker().nanos());
     }
 
-    private static boolean isPathAtFault(Outcome last) {
+    private static boolean mayReachAgain(Outcome last) {
         if (last instanceof Outcome.NotRun notRun) {
             return notRun.reason() == NotRunReason.FENCED
                     || notRun.reason() == NotRunReason.GUARD_RESTARTED
-                    || notRun.reason() == NotRunReason.NEVER_SENT;
+                    || notRun.reason() == NotRunReason.NEVER_SENT
+                    || notRun.reason() == NotRunReason.BODY_UNREAD;
         }
         return last instanceof Outcome.Unknown;
     }
