Test that the copy which crashes the third target goes to no fourth

Cause: the wait for the check had a test of the wait, none of what it is for. Ruled out: nothing. Change: a test over sockets: two crashes known, the third ends one run, and the caller is told at once.

--- a/src/test/java/org/apricotgauge/functional/HeldRequestTest.java
+++ b/src/test/java/org/apricotgauge/functional/HeldRequestTest.java
@@ -56,6 +56,29 @@
         }
     }
 
+    // Guards against a copy that goes on to a fourth target before the end of the third is known.
+    @Test
+    void theCopyThatCrashesTheThirdTargetGoesNoFurther() throws Exception {
+        Fingerprint lethal = new Fingerprint(headOf("GET", "/lethal"), Fingerprint.NO_BODY);
+        try (CrashingTarget one = CrashingTarget.start((head, body) -> head.contains("/lethal"));
+                CrashingTarget other =
+                        CrashingTarget.start((head, body) -> head.contains("/lethal"));
+                Hops hops =
+                        new Hops("a", "b", "c")
+                                .target("one", "b", one.port(), 1)
+                                .target("other", "c", other.port(), 1)) {
+            for (String guard : List.of("b", "c")) {
+                hops.vm(guard).quarantine().crashed(List.of(lethal), 1);
+                hops.vm(guard).quarantine().crashed(List.of(lethal), 2);
+            }
+
+            String answer = ask(hops, "GET", "/lethal", "").get();
+
+            assertThat(answer).startsWith("HTTP/1.1 504").contains("quarantined");
+            assertThat(one.lethalRuns() + other.lethalRuns()).isEqualTo(1);
+        }
+    }
+
     // Guards against a body that was on its way when another with its head was held: it may be the
     // same one. It is told "not run", which its entry takes for a reason to send it again.
     @Test
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -230,7 +230,7 @@
                         new AttemptIds(id, id.hashCode()),
                         mScheduler,
                         Ticker.system(),
-                        new Blind(),
+                        new Blind(vm),
                         service -> Optional.empty(),
                         vm.mQuarantine,
                         EntryOptions.of(KEYS),
@@ -243,7 +243,7 @@
                         new AttemptLedger(id.hashCode(), AttemptLimits.DEFAULT),
                         mScheduler,
                         Ticker.system(),
-                        new Blind(),
+                        new Blind(vm),
                         vm.mEntry::handleKeyed,
                         FleetDialect.INSTANCE,
                         AdmissionConfig.SlotUse.SHARED,
@@ -308,6 +308,12 @@
 
     /** Looks at nothing but what the test says. */
     private final class Blind implements EntryObserver, GuardObserver {
+        private final HopVm mVm;
+
+        private Blind(HopVm vm) {
+            mVm = vm;
+        }
+
         @Override
         public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {}
 
@@ -337,7 +343,10 @@
         public void told(String service, Outcome outcome) {}
 
         @Override
-        public void targetEnded(Target target, List<BrokenRun> runs) {}
+        public void targetEnded(Target target, List<BrokenRun> runs) {
+            mVm.mQuarantine.crashed(
+                    runs.stream().map(BrokenRun::fingerprint).toList(), System.nanoTime());
+        }
 
         @Override
         public void callFailed(String parentId) {}
