--- a/src/main/java/org/apricotgauge/operator/story/Story.java
+++ b/src/main/java/org/apricotgauge/operator/story/Story.java
@@ -45,6 +45,23 @@
                         || isTried(line, nameOrId);
     }
 
+    /** Returns whether a line is about copies of a request, by their fingerprint. */
+    static Predicate<StoryLine> aboutFingerprint(String fingerprint) {
+        return line ->
+                line.field("fingerprint").equals(fingerprint)
+                        || line.field("run", "fingerprint").equals(fingerprint)
+                        || isTakenAlong(line, fingerprint);
+    }
+
+    private static boolean isTakenAlong(StoryLine line, String fingerprint) {
+        for (var run : line.change().path("runs")) {
+            if (run.path("fingerprint").asText().equals(fingerprint)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static boolean isRunOf(String id, String nameOrId) {
         return id.equals(nameOrId) || id.startsWith(nameOrId + '_');
     }
--- a/src/main/java/org/apricotgauge/operator/story/StoryMain.java
+++ b/src/main/java/org/apricotgauge/operator/story/StoryMain.java
@@ -49,9 +49,12 @@
     }
 
     private static Predicate<StoryLine> subject(StorySettings settings) {
-        return settings.request()
-                .map(Story::aboutRequest)
-                .orElseGet(() -> Story.aboutTarget(settings.target().orElseThrow()));
+        if (settings.request().isPresent()) {
+            return Story.aboutRequest(settings.request().get());
+        }
+        return settings.target()
+                .map(Story::aboutTarget)
+                .orElseGet(() -> Story.aboutFingerprint(settings.fingerprint().orElseThrow()));
     }
 
     private static void read(InputStream in, String name, Story story) throws IOException {
@@ -69,6 +72,9 @@
         if (settings.target().isPresent()) {
             DepartureSummary.of(story.lines()).ifPresent(summary -> out.print(summary.text()));
         }
+        if (settings.fingerprint().isPresent()) {
+            CrashSummary.of(story.lines()).ifPresent(summary -> out.print(summary.text()));
+        }
         out.flush();
     }
 }
--- a/src/main/java/org/apricotgauge/operator/story/StorySettings.java
+++ b/src/main/java/org/apricotgauge/operator/story/StorySettings.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.apricotgauge.cli.Command;
 import org.apricotgauge.cli.Setting;
 import org.apricotgauge.cli.SettingFault;
@@ -17,11 +18,16 @@
  *
  * @param request id of the request whose story is told
  * @param target name or id of the target whose story is told
+ * @param fingerprint fingerprint of the requests whose story is told
  * @param files what the nodes wrote, a file for each or all in one; standard input if there is none
  * @param log settings of the program's own log
  */
 record StorySettings(
-        Optional<String> request, Optional<String> target, List<Path> files, LogSettings log) {
+        Optional<String> request,
+        Optional<String> target,
+        Optional<String> fingerprint,
+        List<Path> files,
+        LogSettings log) {
     private static final Setting<Optional<String>> REQUEST =
             Setting.optional(
                     "request", SettingKinds.text(), "Lines of this request and of its calls.");
@@ -30,6 +36,11 @@
                     "target",
                     SettingKinds.text(),
                     "Who knew what of this target when, and what was sent to it.");
+    private static final Setting<Optional<String>> FINGERPRINT =
+            Setting.optional(
+                    "fingerprint",
+                    SettingKinds.text(),
+                    "Copies of one request: which targets ended under them, who held them when.");
     private static final Setting<List<String>> FILES =
             Setting.withDefault(
                     "files",
@@ -41,16 +52,17 @@
     StorySettings {
         Checks.notNull("request", request);
         Checks.notNull("target", target);
+        Checks.notNull("fingerprint", fingerprint);
         files = List.copyOf(files);
         Checks.notNull("log", log);
     }
 
     static Command<StorySettings> command() {
-        List<Setting<?>> settings = new ArrayList<>(List.of(REQUEST, TARGET, FILES));
+        List<Setting<?>> settings = new ArrayList<>(List.of(REQUEST, TARGET, FINGERPRINT, FILES));
         settings.addAll(LogSettings.declared());
         return new Command<>(
                 "apricotgauge-story",
-                "Tells the story of one request or one target from the nodes' log lines.",
+                "Tells the story of one request, target or fingerprint from the nodes' log lines.",
                 settings,
                 StorySettings::of,
                 StorySettings::faults);
@@ -60,17 +72,25 @@
         return new StorySettings(
                 values.get(REQUEST),
                 values.get(TARGET),
+                values.get(FINGERPRINT),
                 values.get(FILES).stream().map(Path::of).toList(),
                 LogSettings.of(values));
     }
 
     private static List<SettingFault> faults(SettingValues values) {
-        boolean isOne = values.get(REQUEST).isPresent() != values.get(TARGET).isPresent();
-        return isOne
+        long given =
+                Stream.of(REQUEST, TARGET, FINGERPRINT)
+                        .filter(subject -> values.get(subject).isPresent())
+                        .count();
+        return given == 1
                 ? List.of()
                 : List.of(
                         new SettingFault(
                                 REQUEST.flag(),
-                                "one of it and " + TARGET.flag() + " must be given"));
+                                "just one of it, "
+                                        + TARGET.flag()
+                                        + " and "
+                                        + FINGERPRINT.flag()
+                                        + " must be given"));
     }
 }
--- a/src/test/java/org/apricotgauge/operator/story/StoryMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/story/StoryMainTest.java
@@ -8,8 +8,10 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.apricotgauge.cli.CommandOutcome;
 import org.apricotgauge.cli.ExitCode;
 import org.junit.jupiter.api.Test;
@@ -25,6 +27,12 @@
                     line("vm-3", "04.700", "request ended", ended("ab", "i-7")),
                     line("vm-2", "04.450", "run started", run("ab.1", "i-71")),
                     line("vm-3", "04.710", "request ended", ended("abc", "i-71")),
+                    line("vm-1", "05.000", "target ended", lost("fp-1", "fp-2")),
+                    line("vm-2", "05.100", "target ended", lost("fp-3", "fp-1")),
+                    line("vm-3", "05.200", "target ended", lost("fp-1")),
+                    line("vm-3", "05.200", "RequestHeld", "{\"fingerprint\":\"fp-1\"}"),
+                    line("vm-1", "05.350", "RequestHeld", "{\"fingerprint\":\"fp-1\"}"),
+                    line("vm-1", "05.300", "run started", "{\"run\":{\"fingerprint\":\"fp-1\"}}"),
                     "OpenJDK 64-Bit Server VM warning: {not a line of a node}");
 
     private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
@@ -52,6 +60,18 @@
                 .containsExactly("vm-2", "vm-2", "vm-3");
     }
 
+    @Test
+    void aFingerprintsStoryTellsHowFastItsCrashesBecameKnown() throws Exception {
+        assertThat(tell("--fingerprint=fp-1")).isEqualTo(ExitCode.OK);
+
+        assertThat(told())
+                .endsWith(
+                        "crashed 3 targets, the third (or last) known at 2026-08-01T09:30:05.200Z;"
+                                + " held at 2 nodes, last at vm-1 150 ms later; 1 runs started"
+                                + " after that, the last 100 ms later\n");
+        assertThat(told().lines()).hasSize(7);
+    }
+
     @Test
     void aThingOfWhichNoLineTellsIsANegativeAnswer() throws Exception {
         assertThat(tell("--request=zz")).isEqualTo(ExitCode.NEGATIVE);
@@ -61,7 +81,10 @@
     @Test
     void bothOrNeitherSubjectIsAFaultOfTheFlags() {
         for (List<String> flags :
-                List.of(List.<String>of(), List.of("--request=a", "--target=b"))) {
+                List.of(
+                        List.<String>of(),
+                        List.of("--request=a", "--target=b"),
+                        List.of("--request=a", "--fingerprint=b"))) {
             CommandOutcome<StorySettings> outcome = StorySettings.command().parse(flags, Map.of());
 
             String errors = ((CommandOutcome.Finished<StorySettings>) outcome).errors();
@@ -111,6 +134,12 @@
                 .formatted(id, target);
     }
 
+    private static String lost(String... fingerprints) {
+        return Arrays.stream(fingerprints)
+                .map(one -> "{\"id\":\"x\",\"fingerprint\":\"%s\"}".formatted(one))
+                .collect(Collectors.joining(",", "{\"target\":\"i-9_0\",\"runs\":[", "]}"));
+    }
+
     private static String ended(String id, String target) {
         return """
                {"request":{"id":"%s","steps":["%s_0 at 10.1.0.2 STEADY by revision 26"]}}"""
