Tell of no release where nothing was held

Cause: a record of a head alone (its body was not read) holds nothing, but counted as held where changes are told and room is made: from its third crash on, each further one was told as a release, and it was not evicted. Ruled out: an effect on what is refused: readers asked for the body before. Change: one test of whether a record holds; QuarantineTableTest was red by one release too many. Figures: QuarantineTableTest passes.

--- a/src/main/java/org/apricotgauge/decision/quarantine/QuarantineTable.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/QuarantineTable.java
@@ -210,13 +210,18 @@
         long nowMillis = mTicker.millis();
         Optional<Fingerprint> oldest =
                 mRecords.entrySet().stream()
-                        .filter(entry -> entry.getValue().heldUntilMillis() <= nowMillis)
+                        .filter(entry -> !isHeld(entry.getKey(), entry.getValue(), nowMillis))
                         .min(Comparator.comparingLong(one -> one.getValue().forgottenAtMillis()))
                         .map(Map.Entry::getKey);
         oldest.ifPresent(mRecords::remove);
         return oldest.isPresent();
     }
 
+    // A head alone holds nothing: it would stop all requests that differ in their bodies.
+    private static boolean isHeld(Fingerprint fingerprint, CrashRecord record, long nowMillis) {
+        return fingerprint.isComplete() && record.heldUntilMillis() > nowMillis;
+    }
+
     private void refresh() {
         long nowMillis = mTicker.millis();
         Map<Fingerprint, CrashRecord> held = new HashMap<>();
@@ -228,7 +233,7 @@
                         return;
                     }
                     suspectHeads.add(fingerprint.head());
-                    if (record.heldUntilMillis() > nowMillis && fingerprint.isComplete()) {
+                    if (isHeld(fingerprint, record, nowMillis)) {
                         held.put(fingerprint, record);
                         heldHeads.add(fingerprint.head());
                     }
@@ -240,8 +245,8 @@
         long nowMillis = mTicker.millis();
         Fingerprint fingerprint = change.fingerprint();
         CrashRecord after = change.after();
-        boolean wasHeld = change.before().heldUntilMillis() > nowMillis;
-        boolean isHeld = after.heldUntilMillis() > nowMillis && fingerprint.isComplete();
+        boolean wasHeld = isHeld(fingerprint, change.before(), nowMillis);
+        boolean isHeld = isHeld(fingerprint, after, nowMillis);
         if (isHeld && !wasHeld) {
             mListener.held(
                     fingerprint, after.crashes().size(), after.heldUntilMillis() - nowMillis);
--- a/src/test/java/org/apricotgauge/decision/quarantine/QuarantineTableTest.java
+++ b/src/test/java/org/apricotgauge/decision/quarantine/QuarantineTableTest.java
@@ -157,10 +157,13 @@
     void aFingerprintWithoutItsBodyHoldsNothing() {
         Fingerprint unread = new Fingerprint(1, Fingerprint.UNKNOWN_BODY);
         crashThrice(unread);
+        crash(unread);
 
         assertThat(mTable.heldMillis(unread)).isZero();
         assertThat(mTable.isHeldHead(1)).isFalse();
         assertThat(mTable.isSuspectHead(1)).isTrue();
+        assertThat(mHeard.mHeld).isEmpty();
+        assertThat(mHeard.mReleased).isEmpty();
     }
 
     private void learn(Fingerprint fingerprint, CrashRecord record, boolean isNews) {
