Let health and crash news share one carrier of datagrams

Cause: listening, sending and bounded warnings stood twice. Ruled out: one port for both: a node of an earlier release would take the other kind for garbage. Change: DatagramPort; HealthNews and CrashNews keep their messages. A host that can't be reached no longer keeps health news from the hosts behind it.

--- a/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/CrashGossip.java
@@ -39,7 +39,7 @@
     static final long COMPARE_MILLIS = 400;
 
     /** Time between two comparisons while all that is known is old. */
-    static final long COMPARE_OLD_MILLIS = 4_000;
+    static final long COMPARE_OLD_MILLIS = 4_500;
 
     /** What changed within this time is new. */
     static final long NEW_MILLIS = 30_000;
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/DatagramPort.java
@@ -0,0 +1,124 @@
+package org.apricotgauge.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.DatagramChannel;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.time.Ticker;
+import org.jboss.logging.Logger;
+
+/**
+ * A UDP port at which a node hears one kind of news and from which it tells it.
+ *
+ * <pre>{@code
+ * DatagramPort port = DatagramPort.open(own, "health news", ticker);
+ * port.listen((from, bytes, length) -> ...);
+ * port.send(bytes, to);
+ * }</pre>
+ *
+ * <p>A datagram that can't be sent or read leaves a line in the log at most once a minute; what
+ * rests on datagrams must do without any one of them.
+ */
+final class DatagramPort implements AutoCloseable {
+    private static final Logger LOGGER = Logger.getLogger(DatagramPort.class);
+    private static final int MAX_BYTES = 2_048;
+    private static final long WARN_EVERY_MILLIS = 60_000;
+
+    private final DatagramChannel mChannel;
+    private final String mName;
+    private final Ticker mTicker;
+    private volatile long mWarnedMillis = Long.MIN_VALUE / 2;
+
+    /** Hears datagrams, on the port's own thread. */
+    @FunctionalInterface
+    interface Receiver {
+        /**
+         * Takes a datagram.
+         *
+         * @param from who sent it
+         * @param bytes holds it, until this returns
+         * @param length its length
+         * @throws IOException if it is malformed
+         */
+        void received(Address from, byte[] bytes, int length) throws IOException;
+    }
+
+    private DatagramPort(DatagramChannel channel, String name, Ticker ticker) {
+        mChannel = channel;
+        mName = name;
+        mTicker = ticker;
+    }
+
+    /**
+     * Opens the port.
+     *
+     * @param own own address
+     * @param name what is told there, for the log
+     * @throws IOException if the port can't be had
+     */
+    static DatagramPort open(Address own, String name, Ticker ticker) throws IOException {
+        DatagramChannel channel = DatagramChannel.open();
+        try {
+            channel.bind(new InetSocketAddress(own.host(), own.port()));
+        } catch (IOException e) {
+            channel.close();
+            throw new IOException("UDP port " + own + " for " + name + ": " + e.getMessage(), e);
+        }
+        return new DatagramPort(channel, name, ticker);
+    }
+
+    /** Starts to hear. */
+    void listen(Receiver receiver) {
+        Thread thread = new Thread(() -> receiveUntilClosed(receiver), mName.replace(' ', '-'));
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void receiveUntilClosed(Receiver receiver) {
+        ByteBuffer buffer = ByteBuffer.allocate(MAX_BYTES);
+        while (mChannel.isOpen()) {
+            try {
+                buffer.clear();
+                InetSocketAddress from = (InetSocketAddress) mChannel.receive(buffer);
+                receiver.received(
+                        new Address(from.getAddress().getHostAddress(), from.getPort()),
+                        buffer.array(),
+                        buffer.position());
+            } catch (ClosedChannelException e) {
+                LOGGER.debugf("%s: closed", mName);
+            } catch (IOException | RuntimeException e) {
+                warn("a datagram is not understood", e);
+            }
+        }
+    }
+
+    /** Sends a datagram; it may be lost. */
+    void send(byte[] bytes, Address to) {
+        try {
+            mChannel.send(ByteBuffer.wrap(bytes), new InetSocketAddress(to.host(), to.port()));
+        } catch (ClosedChannelException e) {
+            LOGGER.debugf("%s: closed, nothing is told to %s", mName, to);
+        } catch (IOException e) {
+            warn("nothing is told to " + to, e);
+        }
+    }
+
+    private void warn(String what, Exception e) {
+        long nowMillis = mTicker.millis();
+        if (nowMillis - mWarnedMillis >= WARN_EVERY_MILLIS) {
+            mWarnedMillis = nowMillis;
+            LOGGER.warnf("%s: %s: %s", mName, what, e);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            mChannel.close();
+        } catch (IOException e) {
+            LOGGER.warnf("%s: does not close: %s", mName, e);
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/node/HealthNews.java
+++ b/src/main/java/org/apricotgauge/node/HealthNews.java
@@ -1,12 +1,9 @@
 package org.apricotgauge.node;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousCloseException;
-import java.nio.channels.DatagramChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,32 +12,26 @@
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
-import org.jboss.logging.Logger;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
  * Tells other entries, by datagrams, how the targets of this VM are, and hears it of others.
  *
  * <p>A datagram that is lost is made up for by the next, or by the guard's refusal; nothing rests
- * on them but the choice of a target. One that is malformed, or of an unknown target, is counted by
- * a line in the log at most once a minute.
+ * on them but the choice of a target.
  */
 final class HealthNews implements AutoCloseable {
-    private static final Logger LOGGER = Logger.getLogger(HealthNews.class);
     private static final ObjectMapper MAPPER =
             new ObjectMapper(new MessagePackFactory())
                     .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
-    private static final int MAX_BYTES = 512;
     private static final double PERMILLE = 1_000.0;
-    private static final long WARN_EVERY_MILLIS = 60_000;
 
-    private final DatagramChannel mChannel;
-    private final int mPort;
+    private final DatagramPort mPort;
+    private final int mPortNumber;
     private final RoutingState mState;
     private final Ticker mTicker;
     private final String mDomain;
     private final Map<String, HealthNewsPolicy> mPolicies = new ConcurrentHashMap<>();
-    private volatile long mWarnedMillis = Long.MIN_VALUE / 2;
 
     /**
      * How a target is.
@@ -52,9 +43,9 @@
     record Line(String target, String health, int load) {}
 
     private HealthNews(
-            DatagramChannel channel, int port, RoutingState state, Ticker ticker, String domain) {
-        mChannel = channel;
+            DatagramPort port, int portNumber, RoutingState state, Ticker ticker, String domain) {
         mPort = port;
+        mPortNumber = portNumber;
         mState = state;
         mTicker = ticker;
         mDomain = domain;
@@ -68,12 +59,10 @@
      */
     static HealthNews start(Address address, RoutingState state, Ticker ticker, String domain)
             throws IOException {
-        DatagramChannel channel = DatagramChannel.open();
-        channel.bind(new InetSocketAddress(address.host(), address.port()));
-        HealthNews news = new HealthNews(channel, address.port(), state, ticker, domain);
-        Thread thread = new Thread(news::listen, "health-news");
-        thread.setDaemon(true);
-        thread.start();
+        DatagramPort port = DatagramPort.open(address, "health news", ticker);
+        HealthNews news = new HealthNews(port, address.port(), state, ticker, domain);
+        port.listen(
+                (from, bytes, length) -> news.hear(MAPPER.readValue(bytes, 0, length, Line.class)));
         return news;
     }
 
@@ -98,14 +87,15 @@
         if (hosts.isEmpty()) {
             return;
         }
+        byte[] bytes = encode(new Line(target.id(), health.toText(), loadPermille));
+        hosts.forEach(host -> mPort.send(bytes, new Address(host, mPortNumber)));
+    }
+
+    private static byte[] encode(Line line) {
         try {
-            byte[] bytes =
-                    MAPPER.writeValueAsBytes(new Line(target.id(), health.toText(), loadPermille));
-            for (String host : hosts) {
-                mChannel.send(ByteBuffer.wrap(bytes), new InetSocketAddress(host, mPort));
-            }
-        } catch (IOException e) {
-            warn("health of " + target.id() + " is not told", e);
+            return MAPPER.writeValueAsBytes(line);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a line can always be written", e);
         }
     }
 
@@ -113,21 +103,6 @@
         return mPolicies.computeIfAbsent(target.id(), id -> new HealthNewsPolicy());
     }
 
-    private void listen() {
-        ByteBuffer buffer = ByteBuffer.allocate(MAX_BYTES);
-        while (mChannel.isOpen()) {
-            try {
-                buffer.clear();
-                mChannel.receive(buffer);
-                hear(MAPPER.readValue(buffer.array(), 0, buffer.position(), Line.class));
-            } catch (AsynchronousCloseException e) {
-                LOGGER.debug("health news closed");
-            } catch (IOException | RuntimeException e) {
-                warn("a datagram is not understood", e);
-            }
-        }
-    }
-
     private void hear(Line line) {
         Target target = mState.table().target(line.target());
         if (target == null) {
@@ -145,20 +120,8 @@
                         });
     }
 
-    private void warn(String what, Exception e) {
-        long nowMillis = mTicker.millis();
-        if (nowMillis - mWarnedMillis >= WARN_EVERY_MILLIS) {
-            mWarnedMillis = nowMillis;
-            LOGGER.warnf("%s: %s", what, e);
-        }
-    }
-
     @Override
     public void close() {
-        try {
-            mChannel.close();
-        } catch (IOException e) {
-            LOGGER.warnf("health news does not close: %s", e);
-        }
+        mPort.close();
     }
 }
