Hash a body anew for each attempt past the guards

Cause: an attempt straight at a target that broke before its body was read left a hash half filled, and the next one went on filling it: crashes of one request would have had other fingerprints (found by reading). Ruled out: the guards: each attempt there has a hash of its own.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -15,6 +15,7 @@
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.ServiceTable;
+import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.HangUpEndPoint;
 import org.apricotgauge.http.ReplayableBody;
 import org.eclipse.jetty.io.Content;
@@ -86,7 +87,12 @@
         mDelivery = new AnswerDelivery(context, mReport, request, response, callback);
         mChoice = new TargetChoice(context, present, asked.repeatable());
         mBody = new ReplayableBody(request, REPLAY_LIMIT_BYTES);
-        mQuarantine = new QuarantineCheck(context.quarantine(), asked, request, mBody);
+        mQuarantine =
+                new QuarantineCheck(
+                        context.quarantine(),
+                        () -> Fingerprints.headOf(request, asked.memberId()),
+                        Fingerprints.hasBody(request),
+                        mBody);
         mDeadlineMillis = context.ticker().millis() + asked.timeoutMillis();
         mProgress = Progress.of(asked.repeatable(), false);
     }
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -22,7 +22,6 @@
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.Outcomes;
 import org.apricotgauge.model.Route;
-import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.target.ExitWatch;
 import org.apricotgauge.time.Ticker;
@@ -101,7 +100,11 @@
                         new LagMeter(scheduler, ticker),
                         options.dialect(),
                         options.reach(),
-                        ExitWatch.of(direct, scheduler, this::takesWork, observer::targetEnded),
+                        ExitWatch.of(
+                                direct,
+                                scheduler,
+                                target -> mTable.get().takesWork(target),
+                                observer::targetEnded),
                         quarantine,
                         new DecisionLog(ticker),
                         EntryMetrics.of(registry));
@@ -109,13 +112,6 @@
         mBudgets = new RetryBudgets(options.entryRetries(), ticker.millis());
     }
 
-    private boolean takesWork(Target target) {
-        return mTable.get()
-                .service(target.service())
-                .flatMap(service -> service.candidate(target.id()))
-                .isPresent();
-    }
-
     /** Starts what runs beside the requests; the scheduler must have been started. */
     public void open() {
         mContext.lag().start();
--- a/src/main/java/org/apricotgauge/caller/QuarantineCheck.java
+++ b/src/main/java/org/apricotgauge/caller/QuarantineCheck.java
@@ -1,9 +1,9 @@
 package org.apricotgauge.caller;
 
+import java.util.function.LongSupplier;
 import org.apricotgauge.decision.quarantine.BodyHash;
 import org.apricotgauge.decision.quarantine.Fingerprint;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
-import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.HashedBody;
 import org.apricotgauge.http.ReplayableBody;
 import org.eclipse.jetty.client.Request;
@@ -20,22 +20,24 @@
  */
 final class QuarantineCheck {
     private final QuarantineTable mTable;
-    private final org.eclipse.jetty.server.Request mRequest;
-    private final String mMember;
+    private final LongSupplier mReadHead;
     private final ReplayableBody mContent;
-    private final BodyHash mBody = new BodyHash();
+    private volatile BodyHash mBody = new BodyHash();
     private Long mHead;
 
+    /**
+     * Creates the check of one request.
+     *
+     * @param readHead hashes the request's head; asked when it is first needed
+     * @param hasBody whether the request may have a body
+     * @param content the body
+     */
     QuarantineCheck(
-            QuarantineTable table,
-            CallerRequest asked,
-            org.eclipse.jetty.server.Request request,
-            ReplayableBody content) {
+            QuarantineTable table, LongSupplier readHead, boolean hasBody, ReplayableBody content) {
         mTable = table;
-        mMember = asked.memberId();
-        mRequest = request;
+        mReadHead = readHead;
         mContent = content;
-        if (!Fingerprints.hasBody(request)) {
+        if (!hasBody) {
             mBody.end();
         }
     }
@@ -61,12 +63,18 @@
     /** Returns the request's body for an attempt past the guards, which tells its fingerprint. */
     Request.Content hashedBody() {
         Request.Content body = mContent.open();
-        return mBody.isComplete() ? body : new HashedBody(body, mBody);
+        if (mBody.isComplete()) {
+            return body;
+        }
+        // What an attempt before had hashed of the body is sent and hashed again.
+        BodyHash hash = new BodyHash();
+        mBody = hash;
+        return new HashedBody(body, hash);
     }
 
     private synchronized long head() {
         if (mHead == null) {
-            mHead = Fingerprints.headOf(mRequest, mMember);
+            mHead = mReadHead.getAsLong();
         }
         return mHead;
     }
--- a/src/main/java/org/apricotgauge/decision/routing/RoutingTable.java
+++ b/src/main/java/org/apricotgauge/decision/routing/RoutingTable.java
@@ -66,6 +66,13 @@
         return Optional.ofNullable(mServices.get(id));
     }
 
+    /** Returns whether a target is there and takes new work: it is neither leaving nor gone. */
+    public boolean takesWork(Target target) {
+        return service(target.service())
+                .flatMap(service -> service.candidate(target.id()))
+                .isPresent();
+    }
+
     /** Returns the configured target, or null if there is none of that name. */
     public Target target(String id) {
         return mConfiguration.target(id);
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -341,10 +341,7 @@
 
     // Work that waited here while its target left would reach it later than targets serve on.
     private boolean takesWork(Target target) {
-        return mTable.get()
-                .service(target.service())
-                .flatMap(service -> service.candidate(target.id()))
-                .isPresent();
+        return mTable.get().takesWork(target);
     }
 
     private Target targetOf(Request request) {
--- /dev/null
+++ b/src/test/java/org/apricotgauge/caller/QuarantineCheckTest.java
@@ -0,0 +1,109 @@
+package org.apricotgauge.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.apricotgauge.decision.quarantine.BodyHash;
+import org.apricotgauge.decision.quarantine.DeafListener;
+import org.apricotgauge.decision.quarantine.Fingerprint;
+import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.http.ReplayableBody;
+import org.apricotgauge.time.ManualTicker;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.io.Content;
+import org.junit.jupiter.api.Test;
+
+class QuarantineCheckTest {
+    private static final long HEAD = 7;
+    private static final byte[] FIRST = {1, 2, 3};
+    private static final byte[] SECOND = {4, 5};
+
+    private final QuarantineTable mTable =
+            new QuarantineTable(new ManualTicker(), new DeafListener());
+    private final ReplayableBody mBody =
+            new ReplayableBody(new BytesRequestContent(FIRST, SECOND), 1_000);
+    private int mHeadsRead;
+
+    // Guards against a fingerprint that changes with the number of attempts, so that crashes of one
+    // request would never add up.
+    @Test
+    void aBodyThatIsSentAgainHasTheSameFingerprint() {
+        QuarantineCheck check = check(true);
+        check.hashedBody().read();
+        assertThat(check.fingerprint().isComplete()).isFalse();
+
+        readAll(check.hashedBody());
+
+        assertThat(check.fingerprint()).isEqualTo(new Fingerprint(HEAD, hashOf(FIRST, SECOND)));
+    }
+
+    @Test
+    void aHeldHeadIsToldByItsBodyWhichIsStillSentWhole() {
+        hold(new Fingerprint(HEAD, hashOf(FIRST)));
+        QuarantineCheck check = check(true);
+        List<Long> heldMillis = new ArrayList<>();
+
+        check.whenTold(() -> heldMillis.add(check.heldMillis()));
+
+        assertThat(heldMillis).containsExactly(0L);
+        assertThat(readAll(check.hashedBody())).isEqualTo(FIRST.length + SECOND.length);
+        hold(new Fingerprint(HEAD, hashOf(FIRST, SECOND)));
+        assertThat(check.heldMillis()).isPositive();
+    }
+
+    // Guards against holding up bodies, or hashing heads, while nothing is held.
+    @Test
+    void whileNothingIsHeldNothingIsRead() {
+        QuarantineCheck check = check(true);
+        check.whenTold(() -> assertThat(check.heldMillis()).isZero());
+
+        assertThat(mHeadsRead).isZero();
+        assertThat(readAll(mBody.open())).isEqualTo(FIRST.length + SECOND.length);
+    }
+
+    @Test
+    void aRequestWithoutABodyIsKnownByItsHead() {
+        hold(new Fingerprint(HEAD, Fingerprint.NO_BODY));
+
+        assertThat(check(false).heldMillis()).isPositive();
+    }
+
+    private QuarantineCheck check(boolean hasBody) {
+        return new QuarantineCheck(
+                mTable,
+                () -> {
+                    mHeadsRead++;
+                    return HEAD;
+                },
+                hasBody,
+                mBody);
+    }
+
+    private void hold(Fingerprint fingerprint) {
+        for (int crashId = 0; crashId < 3; crashId++) {
+            mTable.crashed(List.of(fingerprint), crashId);
+        }
+    }
+
+    private static int readAll(Request.Content content) {
+        int bytes = 0;
+        Content.Chunk chunk;
+        do {
+            chunk = content.read();
+            bytes += chunk.remaining();
+        } while (!chunk.isLast());
+        return bytes;
+    }
+
+    private static long hashOf(byte[]... parts) {
+        BodyHash hash = new BodyHash();
+        for (byte[] part : parts) {
+            hash.update(ByteBuffer.wrap(part));
+        }
+        hash.end();
+        return hash.value();
+    }
+}
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -21,8 +21,7 @@
 import org.apricotgauge.decision.attempt.RetryPool;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.health.HealthOutlook;
-import org.apricotgauge.decision.quarantine.Fingerprint;
-import org.apricotgauge.decision.quarantine.QuarantineListener;
+import org.apricotgauge.decision.quarantine.DeafListener;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
@@ -89,7 +88,7 @@
     static final class HopVm {
         private final MetricRegistry mRegistry = new MetricRegistry();
         private final QuarantineTable mQuarantine =
-                new QuarantineTable(Ticker.system(), new Unheard());
+                new QuarantineTable(Ticker.system(), new DeafListener());
         private GuardHandler mGuard;
         private EntryHandler mEntry;
         private Server mGuardServer;
@@ -291,21 +290,6 @@
         mThreads.stop();
     }
 
-    /** Passes on nothing of what changes. */
-    private static final class Unheard implements QuarantineListener {
-        @Override
-        public void held(Fingerprint fingerprint, int crashes, long heldMillis) {}
-
-        @Override
-        public void released(Fingerprint fingerprint) {}
-
-        @Override
-        public void changed(Fingerprint fingerprint, boolean isUrgent) {}
-
-        @Override
-        public void full() {}
-    }
-
     /** Looks at nothing but what the test says. */
     private final class Blind implements EntryObserver, GuardObserver {
         private final HopVm mVm;
