Name the reading ahead of a body for what it is for

Cause: "told" and "untold" are ambiguous beside what nodes tell each other. Ruled out: nothing. Change: whenIdentified, isUnidentified; where a body that breaks off meanwhile shows.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -120,7 +120,7 @@
                                 TimeUnit.MILLISECONDS);
         mRequest.addFailureListener(this::callerGone);
         HangUpEndPoint.watch(mRequest, () -> callerGone(HangUpEndPoint.hangUp()));
-        mQuarantine.whenTold(this::next);
+        mQuarantine.whenIdentified(this::next);
     }
 
     EntryContext context() {
--- a/src/main/java/org/apricotgauge/caller/QuarantineCheck.java
+++ b/src/main/java/org/apricotgauge/caller/QuarantineCheck.java
@@ -12,7 +12,7 @@
  * Tells whether a caller's request is kept from targets because it crashes them.
  *
  * <pre>{@code
- * check.whenTold(() -> { if (check.heldMillis() > 0) refuse(); });
+ * check.whenIdentified(() -> { if (check.heldMillis() > 0) refuse(); });
  * }</pre>
  *
  * <p>While nothing is held it costs a look at an empty set. The guard looks as well, just before
@@ -43,11 +43,12 @@
     }
 
     /** Goes on once the request can be told from those held with the same head, if any are. */
-    void whenTold(Runnable next) {
+    void whenIdentified(Runnable next) {
         if (mBody.isComplete() || mTable.held() == 0 || !mTable.isHeldHead(head())) {
             next.run();
             return;
         }
+        // A body that breaks off meanwhile fails the attempt that reads it next.
         mContent.readAhead(mBody).whenComplete((read, failure) -> next.run());
     }
 
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -120,7 +120,7 @@
     void begin() {
         HangUpEndPoint.watch(mRequest, this::entryGone);
         mAcknowledgements.tell();
-        mAcknowledgements.after(() -> mIdentity.whenTold(mContext.quarantine(), this::enter));
+        mAcknowledgements.after(() -> mIdentity.whenIdentified(mContext.quarantine(), this::enter));
     }
 
     /** Takes the request out of the queue after a fence; a started one goes on. */
@@ -259,7 +259,7 @@
         if (heldMillis() > 0) {
             return NotRunReason.QUARANTINED;
         }
-        if (mIdentity.isUntold(mContext.quarantine())) {
+        if (mIdentity.isUnidentified(mContext.quarantine())) {
             return NotRunReason.BODY_UNREAD;
         }
         return mContext.ledger().started(mAttempt) ? null : NotRunReason.FENCED;
--- a/src/main/java/org/apricotgauge/target/RunIdentity.java
+++ b/src/main/java/org/apricotgauge/target/RunIdentity.java
@@ -50,16 +50,17 @@
      * Goes on once the request can be told from others with the same head, if one of those was at
      * work in a crash; at once otherwise.
      */
-    void whenTold(QuarantineTable quarantine, Runnable next) {
+    void whenIdentified(QuarantineTable quarantine, Runnable next) {
         if (mBody.isComplete() || !quarantine.isSuspectHead(mHead)) {
             next.run();
             return;
         }
+        // A body that breaks off meanwhile fails the attempt that reads it next.
         mContent.readAhead(mBody).whenComplete((read, failure) -> next.run());
     }
 
     /** Returns whether others with the same head are held, and this one's body is not known. */
-    boolean isUntold(QuarantineTable quarantine) {
+    boolean isUnidentified(QuarantineTable quarantine) {
         return !mBody.isComplete() && quarantine.isHeldHead(mHead);
     }
 
--- a/src/test/java/org/apricotgauge/caller/QuarantineCheckTest.java
+++ b/src/test/java/org/apricotgauge/caller/QuarantineCheckTest.java
@@ -46,7 +46,7 @@
         QuarantineCheck check = check(true);
         List<Long> heldMillis = new ArrayList<>();
 
-        check.whenTold(() -> heldMillis.add(check.heldMillis()));
+        check.whenIdentified(() -> heldMillis.add(check.heldMillis()));
 
         assertThat(heldMillis).containsExactly(0L);
         assertThat(readAll(check.hashedBody())).isEqualTo(FIRST.length + SECOND.length);
@@ -58,7 +58,7 @@
     @Test
     void whileNothingIsHeldNothingIsRead() {
         QuarantineCheck check = check(true);
-        check.whenTold(() -> assertThat(check.heldMillis()).isZero());
+        check.whenIdentified(() -> assertThat(check.heldMillis()).isZero());
 
         assertThat(mHeadsRead).isZero();
         assertThat(readAll(mBody.open())).isEqualTo(FIRST.length + SECOND.length);
