--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -32,7 +33,7 @@
  * }</pre>
  *
  * <p>The store holds one configuration, with the route {@link #PATH} at its host ({@link
- * #address}), and one target of its service. Both are there once they are published.
+ * #address}), and targets of its service. They are there once they are published.
  */
 public final class KvStandin implements AutoCloseable {
     private static final String HOST = "standin.example";
@@ -96,6 +97,11 @@
 
     /** Publishes the configuration and the target, which stands on the VM of this host. */
     public void publish(String host, String service) {
+        publish(service, List.of(host + ':' + port()));
+    }
+
+    /** Publishes the configuration and targets at these addresses, in the place of its own. */
+    public void publish(String service, List<String> addresses) {
         String configuration =
                 """
                 {"version":"r1","baseVersion":"r0","services":[{"name":"%s"}],
@@ -105,19 +111,19 @@
                   "maxAttempts":2}]}]}
                 """
                         .formatted(service, HOST, PATH, service);
-        String target =
-                """
-                {"address":"%s:%d","info":{"service":"%s","version":"v1","zone":"hall","slots":3},
-                 "status":{"state":"ready","sequence":1,"coldRemainingMs":0}}
-                """
-                        .formatted(host, port(), service);
         long revision = mState.revision() + 1;
-        mState =
-                new State(
-                        revision,
-                        List.of(
-                                item("op/config", configuration, revision),
-                                item("servers/i-1", target, revision)));
+        List<Item> items = new ArrayList<>();
+        items.add(item("op/config", configuration, revision));
+        for (String address : addresses) {
+            String target =
+                    """
+                    {"address":"%s","info":{"service":"%s","version":"v1","zone":"hall","slots":3},
+                     "status":{"state":"ready","sequence":1,"coldRemainingMs":0}}
+                    """
+                            .formatted(address, service);
+            items.add(item("servers/i-" + items.size(), target, revision));
+        }
+        mState = new State(revision, List.copyOf(items));
     }
 
     /** Writes what a caller's request to the one route bears. */
--- a/src/test/java/org/apricotgauge/functional/CrashingTarget.java
+++ b/src/test/java/org/apricotgauge/functional/CrashingTarget.java
@@ -11,7 +11,7 @@
 import java.util.function.BiPredicate;
 
 /** A target whose process ends under certain requests, and is back at its port a while later. */
-final class CrashingTarget implements AutoCloseable {
+public final class CrashingTarget implements AutoCloseable {
     /** How long the process is gone. */
     static final long DOWN_MILLIS = 1_200;
 
@@ -26,6 +26,7 @@
     private static final int LAST_PORT = 32_000;
     private static final AtomicInteger NEXT_PORT = new AtomicInteger(FIRST_PORT);
 
+    private final String mHost;
     private final BiPredicate<String, byte[]> mIsLethal;
     private final ScheduledExecutorService mSupervisor =
             Executors.newSingleThreadScheduledExecutor(CrashingTarget::daemon);
@@ -35,7 +36,8 @@
     private final int mPort;
     private RawTarget mProcess;
 
-    private CrashingTarget(BiPredicate<String, byte[]> isLethal) throws IOException {
+    private CrashingTarget(String host, BiPredicate<String, byte[]> isLethal) throws IOException {
+        mHost = host;
         mIsLethal = isLethal;
         mProcess = startAtFreePort();
         mPort = mProcess.port();
@@ -43,7 +45,13 @@
 
     /** Starts a target that ends under the requests, by head and body, that the predicate names. */
     static CrashingTarget start(BiPredicate<String, byte[]> isLethal) throws IOException {
-        return new CrashingTarget(isLethal);
+        return start("127.0.0.1", isLethal);
+    }
+
+    /** Starts one at an IP number. */
+    public static CrashingTarget start(String host, BiPredicate<String, byte[]> isLethal)
+            throws IOException {
+        return new CrashingTarget(host, isLethal);
     }
 
     private static Thread daemon(Runnable work) {
@@ -56,7 +64,7 @@
         while (true) {
             int port = NEXT_PORT.getAndIncrement();
             try {
-                return RawTarget.start(port, this::answer);
+                return RawTarget.start(mHost, port, this::answer);
             } catch (IOException e) {
                 if (port >= LAST_PORT) {
                     throw e;
@@ -91,13 +99,14 @@
 
     private synchronized void restart() {
         try {
-            mProcess = RawTarget.start(mPort, this::answer);
+            mProcess = RawTarget.start(mHost, mPort, this::answer);
         } catch (IOException e) {
             mSupervisor.schedule(this::restart, DOWN_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
-    int port() {
+    /** Returns the port that it listens at. */
+    public int port() {
         return mPort;
     }
 
@@ -106,7 +115,7 @@
     }
 
     /** Returns how many lethal requests reached the target. */
-    int lethalRuns() {
+    public int lethalRuns() {
         return mLethalRuns.get();
     }
 
--- a/src/test/java/org/apricotgauge/functional/RawTarget.java
+++ b/src/test/java/org/apricotgauge/functional/RawTarget.java
@@ -15,6 +15,8 @@
 
 /** A hand-written target that answers each request with the bytes that a script gives. */
 final class RawTarget implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+
     private final ServerSocket mServer;
     private final Script mScript;
     private final List<String> mHeads = new CopyOnWriteArrayList<>();
@@ -29,19 +31,19 @@
                 throws IOException, InterruptedException;
     }
 
-    private RawTarget(int port, Script script) throws IOException {
+    private RawTarget(String host, int port, Script script) throws IOException {
         mScript = script;
-        mServer = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
+        mServer = new ServerSocket(port, 64, InetAddress.getByName(host));
         start("raw-target", this::accept);
     }
 
     static RawTarget start(Script script) throws IOException {
-        return new RawTarget(0, script);
+        return new RawTarget(LOOPBACK, 0, script);
     }
 
-    /** Starts at a port. */
-    static RawTarget start(int port, Script script) throws IOException {
-        return new RawTarget(port, script);
+    /** Starts at an address. */
+    static RawTarget start(String host, int port, Script script) throws IOException {
+        return new RawTarget(host, port, script);
     }
 
     /** Returns a script that answers every request alike and keeps the connection. */
