Let members in by their API keys, and tell targets who asks

Cause: no code knew a key. Ruled out: a check at the guard as well (two versions of the configuration would undo each other's verdict); keys in the clear anywhere (a dump or a log would give them away). Change: members have keys (digests), a rank and a limit; routes may be open to all. AccessPolicy decides for each request at the entry; name and rank ride on the hop; Authorization ends at the entry; what a caller writes in the place of the member's name is dropped. Patches know the fields from rules 2 on. platform/kv only translates. A request that is denied leaves a line without its key.

--- a/src/main/java/org/apricotgauge/caller/CallerRequest.java
+++ b/src/main/java/org/apricotgauge/caller/CallerRequest.java
@@ -4,10 +4,8 @@
 import org.apricotgauge.decision.attempt.IdempotencyKey;
 import org.apricotgauge.decision.attempt.RepeatHeader;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
-import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.SiteDialect;
-import org.apricotgauge.model.Checks;
-import org.apricotgauge.model.Member;
+import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Route;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -15,14 +13,16 @@
  * What a caller asked for, read once from the head of the request.
  *
  * @param route the route it falls under
- * @param memberId member on whose behalf it comes
+ * @param requester who asks
+ * @param priority how long its caller can wait
  * @param timeoutMillis time it may take in all, in milliseconds
  * @param repeatable whether it may run more than once
  * @param key its idempotency key, if it has one
  */
 record CallerRequest(
         Route route,
-        String memberId,
+        Requester requester,
+        Priority priority,
         long timeoutMillis,
         boolean repeatable,
         Optional<IdempotencyKey> key) {
@@ -32,20 +32,24 @@
      *
      * @throws IllegalArgumentException naming the header that is at fault
      */
-    static CallerRequest of(String method, HttpFields headers, Route route, SiteDialect dialect) {
-        String memberId = memberOf(headers);
+    static CallerRequest of(
+            String method,
+            HttpFields headers,
+            Route route,
+            Requester requester,
+            SiteDialect dialect) {
         RepeatHeader repeat = RepeatHeader.parse(headers.get(RepeatHeader.HEADER));
         return new CallerRequest(
                 route,
-                memberId,
+                requester,
+                requester.priorityOr(route.priority()),
                 timeoutOf(headers, route, dialect),
                 RepeatPolicy.isRepeatable(method, route.repeatability(), repeat),
-                keyOf(headers, route, memberId));
+                keyOf(headers, route, requester.memberId()));
     }
 
-    private static String memberOf(HttpFields headers) {
-        String member = headers.get(HeaderNames.MEMBER);
-        return member == null ? Member.ANONYMOUS_ID : Checks.id(HeaderNames.MEMBER, member);
+    String memberId() {
+        return requester.memberId();
     }
 
     private static long timeoutOf(HttpFields headers, Route route, SiteDialect dialect) {
--- a/src/main/java/org/apricotgauge/caller/DecisionLog.java
+++ b/src/main/java/org/apricotgauge/caller/DecisionLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apricotgauge.decision.access.Access;
 import org.apricotgauge.log.BoundedLog;
 import org.apricotgauge.time.Ticker;
 import org.jboss.logging.Logger;
@@ -52,6 +53,10 @@
 
     private record Line(Ended request, long leftOut) {}
 
+    /** A request that was not let in; its key, right or wrong, is never written. */
+    private record Denied(
+            String id, String route, Access.Reason reason, String origin, long leftOut) {}
+
     DecisionLog(Ticker ticker) {
         mLog =
                 new BoundedLog(
@@ -63,6 +68,11 @@
         return mWell.getAndIncrement() % SAMPLE == 0;
     }
 
+    /** Tells of a request that was refused for what it brought to show whom it comes from. */
+    void denied(String id, String route, Access.Reason reason, String origin) {
+        mLog.info("request denied", leftOut -> new Denied(id, route, reason, origin, leftOut));
+    }
+
     void ended(Ended request) {
         mLog.info("request ended", leftOut -> new Line(request, leftOut));
     }
--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -7,7 +7,6 @@
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.ForwardedHeaders;
-import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.UpstreamExchange;
 import org.apricotgauge.target.BrokenRun;
 import org.eclipse.jetty.client.Request;
@@ -49,7 +48,13 @@
         to.headers(
                 headers -> {
                     ForwardedHeaders.copyRequest(from.getHeaders(), headers);
-                    headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
+                    mExchange.asked().requester().hideCredentials(headers);
+                    mContext.dialect()
+                            .towardsTarget(
+                                    headers,
+                                    mCandidate.target().id(),
+                                    leftMillis,
+                                    mExchange.asked().requester().told());
                 });
         to.body(mExchange.quarantine().hashedBody());
         mUpstream = UpstreamExchange.send(to, this);
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.apricotgauge.decision.access.Access;
+import org.apricotgauge.decision.access.AccessPolicy;
 import org.apricotgauge.decision.attempt.AttemptIds;
 import org.apricotgauge.decision.attempt.IdempotencyKey;
 import org.apricotgauge.decision.attempt.KeyHome;
@@ -18,14 +20,19 @@
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.decision.routing.SplitPolicy;
+import org.apricotgauge.http.BearerKey;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.ForwardedHeaders;
+import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.Outcomes;
+import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.target.ExitWatch;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
@@ -148,7 +155,7 @@
             tellNotRun(response, counted, unable.get());
             return true;
         }
-        Routed routed = route(request, response, counted);
+        Routed routed = route(request, response, counted, this::requesterOf);
         if (routed == null) {
             return true;
         }
@@ -201,7 +208,7 @@
     /** Serves a request that another node sent here because this one remembers its key. */
     public boolean handleKeyed(Request request, Response response, Callback callback) {
         Callback counted = counted(callback);
-        Routed routed = route(request, response, counted);
+        Routed routed = route(request, response, counted, EntryHandler::requesterOfHop);
         if (routed == null) {
             return true;
         }
@@ -239,8 +246,52 @@
     /** What a request asks for, and the service that shall answer it. */
     private record Routed(CallerRequest asked, ServiceTable table, long version) {}
 
+    /** Tells who asks; nothing if the request may not come in. */
+    @FunctionalInterface
+    private interface RequesterLookup {
+        Optional<Requester> find(Configuration configuration, Route route, Request request);
+    }
+
+    private Optional<Requester> requesterOf(
+            Configuration configuration, Route route, Request request) {
+        HttpFields headers = request.getHeaders();
+        if (!configuration.hasKeys()) {
+            return Optional.of(Requester.named(mContext.dialect().namedMember(headers)));
+        }
+        Access access = AccessPolicy.decide(configuration, route, BearerKey.read(headers));
+        if (access instanceof Access.Granted granted) {
+            return Optional.of(Requester.proven(granted.member()));
+        }
+        mContext.log()
+                .denied(
+                        mContext.dialect().requestId(headers),
+                        route.id(),
+                        ((Access.Denied) access).reason(),
+                        Request.getRemoteAddr(request));
+        return Optional.empty();
+    }
+
+    // Another entry has let the request in, perhaps by another version.
+    private static Optional<Requester> requesterOfHop(
+            Configuration configuration, Route route, Request request) {
+        String id = request.getHeaders().get(HeaderNames.MEMBER);
+        return Optional.of(
+                new Requester(
+                        Optional.ofNullable(id).map(configuration::member),
+                        id == null ? Member.ANONYMOUS_ID : id,
+                        configuration.hasKeys()));
+    }
+
+    private void deny(Response response, Callback callback) {
+        mContext.metrics().denied().inc();
+        response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
+        Bodies.writeText(
+                response, callback, HttpStatus.UNAUTHORIZED_401, "no API key that is in force\n");
+    }
+
     /** Finds the route and checks the head; answers and returns null if that fails. */
-    private Routed route(Request request, Response response, Callback callback) {
+    private Routed route(
+            Request request, Response response, Callback callback, RequesterLookup requesters) {
         RoutingTable table = mTable.get();
         String path = request.getHttpURI().getPath();
         Optional<Route> route =
@@ -253,11 +304,18 @@
             return null;
         }
         try {
+            Optional<Requester> requester =
+                    requesters.find(table.configuration(), route.get(), request);
+            if (requester.isEmpty()) {
+                deny(response, callback);
+                return null;
+            }
             CallerRequest asked =
                     CallerRequest.of(
                             request.getMethod(),
                             request.getHeaders(),
                             route.get(),
+                            requester.get(),
                             mContext.dialect());
             return new Routed(asked, service.get(), table.version());
         } catch (IllegalArgumentException e) {
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -111,6 +111,7 @@
         to.headers(
                 headers -> {
                     ForwardedHeaders.copyRequest(from.getHeaders(), headers);
+                    mExchange.asked().requester().hideCredentials(headers);
                     headers.put(Attempt.HEADER, mAttempt.toString());
                     headers.put(HeaderNames.TARGET, mCandidate.target().id());
                     headers.put(HeaderNames.MEMBER, mExchange.asked().memberId());
@@ -152,7 +153,7 @@
     }
 
     private String priority() {
-        return mExchange.asked().route().priority().name().toLowerCase(Locale.ROOT);
+        return mExchange.asked().priority().name().toLowerCase(Locale.ROOT);
     }
 
     private long firstWordMillis() {
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -71,6 +71,7 @@
         to.headers(
                 headers -> {
                     ForwardedHeaders.copyRequest(from.getHeaders(), headers);
+                    mExchange.asked().requester().hideCredentials(headers);
                     headers.put(HeaderNames.CONTROL, GuardHandler.CONTROL_KEYED);
                     headers.put(Attempt.HEADER, attempt.toString());
                     headers.put(HeaderNames.MEMBER, mKey.member());
--- a/src/main/java/org/apricotgauge/config/ConfigHistory.java
+++ b/src/main/java/org/apricotgauge/config/ConfigHistory.java
@@ -151,7 +151,7 @@
     }
 
     private FoldResult fold(LogEntry entry, Patch patch) {
-        PatchFold fold = new PatchFold(mConfiguration, mContent);
+        PatchFold fold = new PatchFold(mConfiguration, mContent, patch.rulesVersion());
         List<RefusalReason> reasons = fold.apply(patch.operations());
         return reasons.isEmpty()
                 ? new FoldResult.Accepted(accept(entry, patch, fold), patch)
--- a/src/main/java/org/apricotgauge/config/PatchFold.java
+++ b/src/main/java/org/apricotgauge/config/PatchFold.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.KeyDigest;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.Service;
@@ -20,16 +21,24 @@
 final class PatchFold {
     private static final int MAX_REASONS = 20;
 
+    private final int mRulesVersion;
     private final Set<String> mTouchedServices = new LinkedHashSet<>();
     private final Set<String> mTouchedTargets = new LinkedHashSet<>();
     private final Set<String> mTouchedRoutes = new LinkedHashSet<>();
+    private final List<ClaimedKey> mClaimedKeys = new ArrayList<>();
     private final List<RefusalReason> mReasons = new ArrayList<>();
     private Configuration mConfiguration;
     private Digest mContent;
 
-    PatchFold(Configuration configuration, Digest content) {
+    /**
+     * A key that a member gets while another holds it; that one may lose it by a later operation.
+     */
+    private record ClaimedKey(String member, String holder, KeyDigest key) {}
+
+    PatchFold(Configuration configuration, Digest content, int rulesVersion) {
         mConfiguration = configuration;
         mContent = content;
+        mRulesVersion = rulesVersion;
     }
 
     /** Applies the operations and returns why they can't take effect; empty if they can. */
@@ -38,6 +47,7 @@
         mTouchedServices.forEach(this::checkService);
         mTouchedTargets.forEach(this::checkTarget);
         mTouchedRoutes.forEach(this::checkRoute);
+        mClaimedKeys.forEach(this::checkKey);
         if (mReasons.size() <= MAX_REASONS) {
             return mReasons;
         }
@@ -98,16 +108,42 @@
     }
 
     private void put(Route route) {
+        if (route.openAccess() != null) {
+            requireAccessRules(EntityKind.ROUTE, route.id());
+        }
         exchange(EntityKind.ROUTE, mConfiguration.route(route.id()), route);
         mConfiguration = mConfiguration.withRoute(route);
         mTouchedRoutes.add(route.id());
     }
 
     private void put(Member member) {
+        if (member.hasAccessSettings()) {
+            requireAccessRules(EntityKind.MEMBER, member.id());
+        }
         exchange(EntityKind.MEMBER, mConfiguration.member(member.id()), member);
+        claimKeys(member);
         mConfiguration = mConfiguration.withMember(member);
     }
 
+    private void claimKeys(Member member) {
+        if (member.keys() == null) {
+            return;
+        }
+        for (KeyDigest key : member.keys()) {
+            Member holder = mConfiguration.memberOf(key);
+            if (holder != null && !holder.id().equals(member.id())) {
+                mClaimedKeys.add(new ClaimedKey(member.id(), holder.id(), key));
+            }
+        }
+    }
+
+    // An older release refuses these fields under the rules that it knows, and so must this one.
+    private void requireAccessRules(EntityKind kind, String id) {
+        if (mRulesVersion < Rules.ACCESS) {
+            mReasons.add(new RefusalReason.NeedsRules(kind, id, Rules.ACCESS));
+        }
+    }
+
     private void removeService(String id) {
         if (subtract(EntityKind.SERVICE, id, mConfiguration.service(id))) {
             mConfiguration = mConfiguration.withoutService(id);
@@ -209,6 +245,17 @@
                                                 target.vm(), target.failureDomain(), other)));
     }
 
+    private void checkKey(ClaimedKey claim) {
+        Member holder = mConfiguration.member(claim.holder());
+        Member member = mConfiguration.member(claim.member());
+        if (holder != null
+                && holder.holds(claim.key())
+                && member != null
+                && member.holds(claim.key())) {
+            mReasons.add(new RefusalReason.KeyTaken(claim.member(), claim.holder(), claim.key()));
+        }
+    }
+
     private void checkRoute(String id) {
         Route route = mConfiguration.route(id);
         if (route == null) {
--- a/src/main/java/org/apricotgauge/config/RefusalReason.java
+++ b/src/main/java/org/apricotgauge/config/RefusalReason.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.apricotgauge.model.KeyDigest;
 
 /**
  * Why a patch was refused.
@@ -107,6 +108,32 @@
         }
     }
 
+    /** Two members would hold one key; the line gives its digest, never the key. */
+    record KeyTaken(String member, String otherMember, KeyDigest key) implements RefusalReason {
+        @Override
+        public String message() {
+            return "member \""
+                    + member
+                    + "\" has the key "
+                    + key
+                    + " that member \""
+                    + otherMember
+                    + "\" has already";
+        }
+    }
+
+    /** An entity has fields that the rules it is judged by don't know. */
+    record NeedsRules(EntityKind kind, String id, int rulesVersion) implements RefusalReason {
+        @Override
+        public String message() {
+            return kind.label()
+                    + " \""
+                    + id
+                    + "\" has fields that need rulesVersion "
+                    + rulesVersion;
+        }
+    }
+
     /** The targets of one VM would stand in two failure domains. */
     record VmInTwoFailureDomains(String vm, String failureDomain, String otherFailureDomain)
             implements RefusalReason {
--- a/src/main/java/org/apricotgauge/config/Rules.java
+++ b/src/main/java/org/apricotgauge/config/Rules.java
@@ -12,8 +12,11 @@
     /** The rules in force in an empty history. */
     public static final int FIRST = 1;
 
+    /** From these rules on members have keys, rank and limit, and routes may be open to all. */
+    public static final int ACCESS = 2;
+
     /** The newest rules that this release knows. */
-    public static final int NEWEST = 1;
+    public static final int NEWEST = ACCESS;
 
     private Rules() {}
 }
--- a/src/main/java/org/apricotgauge/directory/PublishedConfiguration.java
+++ b/src/main/java/org/apricotgauge/directory/PublishedConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Route;
 
 /**
@@ -11,6 +12,7 @@
  * @param baseVersion the version that the operator's patch was made against
  * @param services names of the services
  * @param routes all routes
+ * @param members all members that have keys
  * @param idleMillis how long a caller's connection may stay unused, in milliseconds
  */
 public record PublishedConfiguration(
@@ -18,6 +20,7 @@
         long baseVersion,
         List<String> services,
         List<Route> routes,
+        List<Member> members,
         long idleMillis) {
 
     /** Checks the parts and copies the lists. */
@@ -27,5 +30,16 @@
         Checks.inRange("configuration.idleMillis", idleMillis, 1, Long.MAX_VALUE);
         services = List.copyOf(Checks.notNull("configuration.services", services));
         routes = List.copyOf(Checks.notNull("configuration.routes", routes));
+        members = List.copyOf(Checks.notNull("configuration.members", members));
+    }
+
+    /** Creates a version in which no member has keys. */
+    public PublishedConfiguration(
+            long version,
+            long baseVersion,
+            List<String> services,
+            List<Route> routes,
+            long idleMillis) {
+        this(version, baseVersion, services, routes, List.of(), idleMillis);
     }
 }
--- a/src/main/java/org/apricotgauge/http/FleetDialect.java
+++ b/src/main/java/org/apricotgauge/http/FleetDialect.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.http;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Route;
@@ -46,8 +47,18 @@
     public void markOrigin(HttpFields.Mutable headers) {}
 
     @Override
-    public void towardsTarget(HttpFields.Mutable headers, String targetId, long leftMillis) {
+    public void towardsTarget(
+            HttpFields.Mutable headers, String targetId, long leftMillis, Optional<String> member) {
         headers.put(HeaderNames.TIMEOUT_MILLIS, leftMillis);
+        member.ifPresent(id -> headers.put(HeaderNames.MEMBER, id));
+    }
+
+    @Override
+    public Optional<String> namedMember(HttpFields headers) {
+        String member = headers.get(HeaderNames.MEMBER);
+        return member == null
+                ? Optional.empty()
+                : Optional.of(Checks.id(HeaderNames.MEMBER, member));
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/http/SiteDialect.java
+++ b/src/main/java/org/apricotgauge/http/SiteDialect.java
@@ -9,7 +9,7 @@
  *
  * <pre>{@code
  * OptionalLong timeoutMillis = dialect.timeoutMillis(request.getHeaders());
- * dialect.towardsTarget(headers, target.id(), leftMillis);
+ * dialect.towardsTarget(headers, target.id(), leftMillis, member);
  * }</pre>
  *
  * <p>A dialect names and translates; it decides nothing. {@link FleetDialect} is the fleet's own.
@@ -54,8 +54,20 @@
      *
      * @param targetId the one target that may run it
      * @param leftMillis time left until the answer is of no more use, in milliseconds
+     * @param member id of the member on whose behalf it comes; nothing if it names none
      */
-    void towardsTarget(HttpFields.Mutable headers, String targetId, long leftMillis);
+    void towardsTarget(
+            HttpFields.Mutable headers, String targetId, long leftMillis, Optional<String> member);
+
+    /**
+     * Returns the member that a caller names without a key; believed only where the configuration
+     * holds no keys.
+     *
+     * @throws IllegalArgumentException naming the header that is at fault
+     */
+    default Optional<String> namedMember(HttpFields headers) {
+        return Optional.empty();
+    }
 
     /** Returns what the head of an answer says. */
     AnswerKind kindOf(HttpFields request, int status, HttpFields answer);
--- a/src/main/java/org/apricotgauge/model/Configuration.java
+++ b/src/main/java/org/apricotgauge/model/Configuration.java
@@ -1,6 +1,8 @@
 package org.apricotgauge.model;
 
 import java.util.Collection;
+import org.pcollections.HashPMap;
+import org.pcollections.HashTreePMap;
 import org.pcollections.TreePMap;
 
 /**
@@ -25,6 +27,7 @@
     private final Index<String, Route> mRoutesByService;
     private final Index<RouteMatch, Route> mRoutesByMatch;
     private final TreePMap<String, Member> mMembers;
+    private final HashPMap<KeyDigest, Member> mMembersByKey;
 
     private Configuration(Parts parts) {
         mServices = parts.mServices;
@@ -35,6 +38,7 @@
         mRoutesByService = parts.mRoutesByService;
         mRoutesByMatch = parts.mRoutesByMatch;
         mMembers = parts.mMembers;
+        mMembersByKey = parts.mMembersByKey;
     }
 
     /** Returns the service, or null if there is none of that name. */
@@ -57,6 +61,16 @@
         return mMembers.get(id);
     }
 
+    /** Returns the member that holds the key, or null if none does. */
+    public Member memberOf(KeyDigest key) {
+        return mMembersByKey.get(key);
+    }
+
+    /** Returns whether members are told by their keys: some member has one. */
+    public boolean hasKeys() {
+        return !mMembersByKey.isEmpty();
+    }
+
     /** Returns all services, in the order of their names. */
     public Collection<Service> services() {
         return mServices.values();
@@ -168,13 +182,20 @@
     /** Returns this configuration with the member added or replaced. */
     public Configuration withMember(Member member) {
         Parts parts = new Parts(this);
+        parts.remove(mMembers.get(member.id()));
         parts.mMembers = mMembers.plus(member.id(), member);
+        if (member.keys() != null) {
+            for (KeyDigest key : member.keys()) {
+                parts.mMembersByKey = parts.mMembersByKey.plus(key, member);
+            }
+        }
         return new Configuration(parts);
     }
 
     /** Returns this configuration without the member. */
     public Configuration withoutMember(String id) {
         Parts parts = new Parts(this);
+        parts.remove(mMembers.get(id));
         parts.mMembers = mMembers.minus(id);
         return new Configuration(parts);
     }
@@ -239,6 +260,7 @@
         private Index<String, Route> mRoutesByService = Index.empty();
         private Index<RouteMatch, Route> mRoutesByMatch = Index.empty();
         private TreePMap<String, Member> mMembers = TreePMap.empty();
+        private HashPMap<KeyDigest, Member> mMembersByKey = HashTreePMap.empty();
 
         Parts() {}
 
@@ -251,6 +273,20 @@
             mRoutesByService = from.mRoutesByService;
             mRoutesByMatch = from.mRoutesByMatch;
             mMembers = from.mMembers;
+            mMembersByKey = from.mMembersByKey;
+        }
+
+        // Moved to another member by one patch, a key may be the other's by now.
+        void remove(Member member) {
+            if (member == null || member.keys() == null) {
+                return;
+            }
+            for (KeyDigest key : member.keys()) {
+                Member holder = mMembersByKey.get(key);
+                if (holder != null && holder.id().equals(member.id())) {
+                    mMembersByKey = mMembersByKey.minus(key);
+                }
+            }
         }
 
         void remove(Target target) {
--- a/src/main/java/org/apricotgauge/model/Route.java
+++ b/src/main/java/org/apricotgauge/model/Route.java
@@ -20,6 +20,7 @@
  * @param maxRuns most targets that may run one request; null for the fleet's own bound
  * @param targetLatencyMillis time within which an answer is worth most to its caller, in
  *     milliseconds; null if the operator named none
+ * @param openAccess whether requests need no API key; null for no
  */
 public record Route(
         String id,
@@ -31,7 +32,8 @@
         long deadlineMillis,
         List<ServiceShare> split,
         Integer maxRuns,
-        Long targetLatencyMillis) {
+        Long targetLatencyMillis,
+        Boolean openAccess) {
     /** The longest deadline that a route may set, in milliseconds. */
     public static final long MAX_DEADLINE_MILLIS = 600_000;
 
@@ -95,9 +97,15 @@
                 deadlineMillis,
                 null,
                 null,
+                null,
                 null);
     }
 
+    /** Returns whether requests need no API key. */
+    public boolean isOpen() {
+        return Boolean.TRUE.equals(openAccess);
+    }
+
     /** Returns the services that answer, with the weight of each; one for an unsplit route. */
     public List<ServiceShare> shares() {
         return split == null ? List.of(new ServiceShare(service, 1)) : split;
@@ -120,6 +128,7 @@
                 deadlineMillis,
                 split,
                 maxRuns,
-                targetLatencyMillis);
+                targetLatencyMillis,
+                openAccess);
     }
 }
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -27,6 +27,7 @@
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
@@ -61,6 +62,7 @@
     private final AtomicLong mToldAgeAtMillis = new AtomicLong(Long.MIN_VALUE / 2);
     private Configuration mConfiguration = Configuration.EMPTY;
     private List<Route> mRoutes = List.of();
+    private List<Member> mMembers = List.of();
     private Set<String> mLeaving = Set.of();
     private volatile Mark mMark = new Mark("", "", 0);
 
@@ -131,6 +133,7 @@
             return;
         }
         followRoutes(published);
+        followMembers(published.members());
         Set<String> leaving = followTargets(directory.registrations());
         String version = "r" + published.version();
         mMark = new Mark(version, version, mFeed.newestRevision());
@@ -179,6 +182,25 @@
         }
     }
 
+    private void followMembers(List<Member> wanted) {
+        if (wanted.equals(mMembers)) {
+            return;
+        }
+        mMembers = wanted;
+        Set<String> present = new HashSet<>();
+        wanted.forEach(member -> present.add(member.id()));
+        for (Member known : new ArrayList<>(mConfiguration.members())) {
+            if (!present.contains(known.id())) {
+                mConfiguration = mConfiguration.withoutMember(known.id());
+            }
+        }
+        for (Member member : wanted) {
+            if (!member.equals(mConfiguration.member(member.id()))) {
+                mConfiguration = mConfiguration.withMember(member);
+            }
+        }
+    }
+
     private Set<String> followTargets(List<Registration> registrations) {
         Set<String> present = new HashSet<>();
         Set<String> leaving = new HashSet<>();
--- a/src/main/java/org/apricotgauge/platform/kv/ConfigDocument.java
+++ b/src/main/java/org/apricotgauge/platform/kv/ConfigDocument.java
@@ -10,13 +10,15 @@
  * @param services the services
  * @param limits bounds on callers
  * @param hosts the routes, by host
+ * @param tenants the members; null if requests need no keys
  */
 record ConfigDocument(
         String version,
         String baseVersion,
         List<ServiceLine> services,
         Limits limits,
-        List<HostLine> hosts) {
+        List<HostLine> hosts,
+        List<TenantLine> tenants) {
 
     /** A service; its health path is not used, since real work is the evidence. */
     record ServiceLine(String name) {}
@@ -40,6 +42,7 @@
      * @param priority rank, 0 the most urgent
      * @param service the service that answers, unless {@code weightedServices} share the requests
      * @param maxAttempts most targets that may run one request
+     * @param publicAccess whether its requests need no key
      */
     record RouteLine(
             String name,
@@ -50,7 +53,23 @@
             int priority,
             String service,
             List<WeightLine> weightedServices,
-            Integer maxAttempts) {}
+            Integer maxAttempts,
+            Boolean publicAccess) {}
+
+    /**
+     * A member.
+     *
+     * @param apiKeys keys that its requests carry
+     * @param priority rank of its requests, 0 the most urgent; null for that of their routes
+     * @param requestsPerS most requests a second; 0 or null for no bound
+     * @param burst requests that it may save up
+     */
+    record TenantLine(
+            String name,
+            List<String> apiKeys,
+            Integer priority,
+            Double requestsPerS,
+            Double burst) {}
 
     /** A service's part of a route. */
     record WeightLine(String service, int weight) {}
--- a/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
@@ -17,7 +17,10 @@
 import org.apricotgauge.directory.SiteChange;
 import org.apricotgauge.directory.SiteDecoder;
 import org.apricotgauge.model.Checks;
+import org.apricotgauge.model.KeyDigest;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Priority;
+import org.apricotgauge.model.RateLimit;
 import org.apricotgauge.model.Repeatability;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.ServiceShare;
@@ -82,9 +85,27 @@
                         version(document.baseVersion()),
                         document.services().stream().map(ConfigDocument.ServiceLine::name).toList(),
                         routes,
+                        members(document.tenants()),
                         document.limits().idleTimeoutMs()));
     }
 
+    private static List<Member> members(List<ConfigDocument.TenantLine> tenants) {
+        return tenants == null ? List.of() : tenants.stream().map(KvDecoder::member).toList();
+    }
+
+    private static Member member(ConfigDocument.TenantLine line) {
+        List<KeyDigest> keys =
+                line.apiKeys() == null ? null : line.apiKeys().stream().map(KeyDigest::of).toList();
+        boolean isBounded = line.requestsPerS() != null && line.requestsPerS() > 0;
+        double burst = line.burst() == null ? 0 : line.burst();
+        return new Member(
+                line.name(),
+                Member.DEFAULT_WEIGHT,
+                keys,
+                line.priority() == null ? null : priority(line.priority()),
+                isBounded ? new RateLimit(line.requestsPerS(), burst) : null);
+    }
+
     private static long version(String text) {
         if (text == null || text.isEmpty() || text.charAt(0) != VERSION_LETTER) {
             throw new IllegalArgumentException("version must be r and a number, was " + text);
@@ -109,7 +130,8 @@
                 line.timeoutMs(),
                 split,
                 line.maxAttempts(),
-                line.targetLatencyMs());
+                line.targetLatencyMs(),
+                line.publicAccess());
     }
 
     /**
--- a/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
@@ -33,6 +33,9 @@
     /** Service of the VM where the request began. */
     static final String ORIGIN = "X-Caller-Service";
 
+    /** The member on whose behalf a request comes, to targets; callers' own is dropped. */
+    static final String MEMBER = "X-Tenant";
+
     /** A target's mark on its answers. */
     static final String TARGET_MARK = "X-Server-Signature";
 
@@ -82,9 +85,12 @@
     }
 
     @Override
-    public void towardsTarget(HttpFields.Mutable headers, String targetId, long leftMillis) {
+    public void towardsTarget(
+            HttpFields.Mutable headers, String targetId, long leftMillis, Optional<String> member) {
         headers.put(TIMEOUT, leftMillis);
         headers.put(TARGET_RUN, TargetRun.nameOf(targetId));
+        headers.remove(MEMBER);
+        member.ifPresent(id -> headers.put(MEMBER, id));
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -23,6 +24,7 @@
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.UpstreamExchange;
 import org.apricotgauge.http.WatchedSource;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.SiteView;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
@@ -207,6 +209,11 @@
         mGate.leave(mTicket, Result.CANCELLED, 0);
     }
 
+    private Optional<String> memberNamed() {
+        String id = mTicket.member().id();
+        return id.equals(Member.ANONYMOUS_ID) ? Optional.empty() : Optional.of(id);
+    }
+
     private org.eclipse.jetty.client.Request targetRequest(long leftMillis) {
         org.eclipse.jetty.client.Request request =
                 mContext.client()
@@ -216,7 +223,8 @@
         request.headers(
                 headers -> {
                     ForwardedHeaders.copyRequest(mRequest.getHeaders(), headers);
-                    mContext.dialect().towardsTarget(headers, mGate.target().id(), leftMillis);
+                    mContext.dialect()
+                            .towardsTarget(headers, mGate.target().id(), leftMillis, memberNamed());
                 });
         request.body(mIdentity.body());
         return request;
--- a/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
@@ -93,7 +93,7 @@
     @Test
     void patchOfANewerReleaseIsUndecided() throws IOException {
         Path patch = mDirectory.resolve("patch.json");
-        Files.writeString(patch, "{\"baseVersion\":0,\"rulesVersion\":2,\"new\":true}");
+        Files.writeString(patch, "{\"baseVersion\":0,\"rulesVersion\":3,\"new\":true}");
         Path config = mDirectory.resolve("config.json");
         Files.writeString(config, "[]");
 
--- a/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.Optional;
 import org.apricotgauge.http.SiteDialect.AnswerKind;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
@@ -63,7 +64,7 @@
                         .put("X-Timeout-Remaining", "9000")
                         .put("X-Expected-Instance", "x");
 
-        mDialect.towardsTarget(headers, "i-1", 250);
+        mDialect.towardsTarget(headers, "i-1", 250, Optional.empty());
 
         assertThat(headers.getValuesList("X-Timeout-Remaining")).containsExactly("250");
         assertThat(headers.getValuesList("X-Expected-Instance")).containsExactly("i-1");
