Keep members to their limits over all nodes, by a home for each that lends tokens

Cause: a member's limit binds the sum over all nodes, and no node knew it. Even shares of a small member are less than a token, and telling everybody costs what grows with the fleet. Change: decision/allotment. An entry asks the member's home (rendezvous hashing) for a token, twice, then its stand-in, which asks the home on its behalf; out of reach of both a node has half of the tolerated slack, dealt out by rank. A part of the tolerated slack may be saved up: a burst of one token refuses two requests that come together.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/bench/allotment/AskedHomes.java
@@ -0,0 +1,123 @@
+package org.apricotgauge.bench.allotment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.apricotgauge.decision.allotment.AllotmentDesk;
+import org.apricotgauge.decision.allotment.Homes;
+import org.apricotgauge.decision.allotment.Message;
+import org.apricotgauge.decision.allotment.Reserve;
+import org.apricotgauge.decision.allotment.Verdict;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.RateLimit;
+
+/** The product's own way: entries ask the node that counts the member's tokens. */
+final class AskedHomes implements AllotmentWay {
+    private static final int PORT = 7_000;
+    private static final int EXPIRE_EVERY_MILLIS = 20;
+    private static final int HOSTS_PER_NET = 200;
+    private static final int MAX_DELAY_MILLIS = 3;
+
+    private final List<SimulatedMember> mMembers;
+    private final LongSupplier mNowMillis;
+    private final Reserve.Tolerance mTolerance;
+    private final double mLoss;
+    private final Random mRandom;
+    private final List<Address> mAddresses = new ArrayList<>();
+    private final AllotmentDesk[] mDesks;
+    private final boolean[] mIsCut;
+    private final PriorityQueue<Delivery> mWay =
+            new PriorityQueue<>((one, other) -> Long.compare(one.atMillis(), other.atMillis()));
+    private long mMessages;
+
+    private record Delivery(long atMillis, int from, int to, Message message) {}
+
+    AskedHomes(
+            List<SimulatedMember> members,
+            int nodes,
+            LongSupplier nowMillis,
+            Reserve.Tolerance tolerance,
+            double loss,
+            long seed) {
+        mMembers = members;
+        mNowMillis = nowMillis;
+        mTolerance = tolerance;
+        mLoss = loss;
+        mRandom = new Random(seed);
+        mDesks = new AllotmentDesk[nodes];
+        mIsCut = new boolean[nodes];
+        for (int node = 0; node < nodes; node++) {
+            String host = "10.0." + node / HOSTS_PER_NET + '.' + (1 + node % HOSTS_PER_NET);
+            mAddresses.add(new Address(host, PORT));
+        }
+        for (int node = 0; node < nodes; node++) {
+            restart(node);
+        }
+    }
+
+    private static String nameOf(int member) {
+        return "team-" + member;
+    }
+
+    private RateLimit limitOf(String member) {
+        return mMembers.get(Integer.parseInt(member.substring("team-".length()))).limit();
+    }
+
+    @Override
+    public void restart(int node) {
+        List<Address> others = new ArrayList<>(mAddresses);
+        others.remove(node);
+        mDesks[node] =
+                new AllotmentDesk(
+                        Homes.of(mAddresses.get(node), others),
+                        (to, message) -> send(node, mAddresses.indexOf(to), message),
+                        this::limitOf,
+                        mTolerance,
+                        mNowMillis.getAsLong());
+    }
+
+    private void send(int from, int to, Message message) {
+        mMessages++;
+        if (mIsCut[from] || mIsCut[to] || mRandom.nextDouble() < mLoss) {
+            return;
+        }
+        long atMillis = mNowMillis.getAsLong() + 1 + mRandom.nextInt(MAX_DELAY_MILLIS);
+        mWay.add(new Delivery(atMillis, from, to, message));
+    }
+
+    @Override
+    public void arrives(int node, int member, Consumer<Boolean> verdict) {
+        mDesks[node].take(
+                nameOf(member),
+                mMembers.get(member).limit(),
+                mNowMillis.getAsLong(),
+                told -> verdict.accept(told instanceof Verdict.Granted));
+    }
+
+    @Override
+    public void tick() {
+        long nowMillis = mNowMillis.getAsLong();
+        while (!mWay.isEmpty() && mWay.peek().atMillis() <= nowMillis) {
+            Delivery next = mWay.poll();
+            mDesks[next.to()].received(mAddresses.get(next.from()), next.message(), nowMillis);
+        }
+        if (nowMillis % EXPIRE_EVERY_MILLIS == 0) {
+            for (AllotmentDesk desk : mDesks) {
+                desk.expire(nowMillis);
+            }
+        }
+    }
+
+    @Override
+    public void cut(int node, boolean isCut) {
+        mIsCut[node] = isCut;
+    }
+
+    @Override
+    public long messages() {
+        return mMessages;
+    }
+}
--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -104,6 +104,11 @@
         start();
     }
 
+    /** Ends before anything was sent. */
+    void refuse(Outcome.NotRun refusal) {
+        finish(refusal);
+    }
+
     void start() {
         mAtPredecessor =
                 mHome == null && PredecessorShare.covers(mTable.service(), mAsked, mRequest);
@@ -116,7 +121,7 @@
                 mContext.scheduler()
                         .schedule(
                                 this::deadlinePassed,
-                                mAsked.timeoutMillis(),
+                                Math.max(1, leftMillis()),
                                 TimeUnit.MILLISECONDS);
         mRequest.addFailureListener(this::callerGone);
         HangUpEndPoint.watch(mRequest, () -> callerGone(HangUpEndPoint.hangUp()));
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import org.apricotgauge.decision.access.Access;
 import org.apricotgauge.decision.access.AccessPolicy;
+import org.apricotgauge.decision.allotment.Verdict;
 import org.apricotgauge.decision.attempt.AttemptIds;
 import org.apricotgauge.decision.attempt.IdempotencyKey;
 import org.apricotgauge.decision.attempt.KeyHome;
@@ -52,6 +53,7 @@
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final Supplier<RoutingTable> mTable;
+    private final MemberLimits mLimits;
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mMayAct;
     private final EntryContext mContext;
@@ -74,6 +76,7 @@
      * @param observer hears how attempts ended
      * @param probes which ejected targets to try
      * @param quarantine which requests are kept from targets
+     * @param limits which requests members may have run
      * @param options what differs between sites
      * @param registry takes the counters
      */
@@ -89,9 +92,11 @@
             EntryObserver observer,
             ProbeSource probes,
             QuarantineTable quarantine,
+            MemberLimits limits,
             EntryOptions options,
             MetricRegistry registry) {
         mTable = table;
+        mLimits = limits;
         mStopping = stopping;
         mMayAct = mayAct;
         mContext =
@@ -177,14 +182,36 @@
                         request,
                         response,
                         counted);
-        if (home.isPresent()) {
-            exchange.startAtHome(home.get());
-        } else {
-            exchange.start();
-        }
+        startWithinLimit(
+                exchange,
+                routed.asked().requester(),
+                () -> home.ifPresentOrElse(exchange::startAtHome, exchange::start));
         return true;
     }
 
+    private void startWithinLimit(CallerExchange exchange, Requester requester, Runnable start) {
+        Optional<Member> limited = requester.member().filter(member -> member.limit() != null);
+        if (limited.isEmpty()) {
+            start.run();
+            return;
+        }
+        mLimits.take(
+                limited.get(),
+                verdict -> {
+                    if (verdict instanceof Verdict.Granted) {
+                        start.run();
+                    } else if (verdict instanceof Verdict.Refused refused) {
+                        refuse(exchange, NotRunReason.OVER_LIMIT, refused.retryAfterMillis());
+                    } else {
+                        refuse(exchange, NotRunReason.LIMIT_UNKNOWN, RETRY_AFTER_MILLIS);
+                    }
+                });
+    }
+
+    private static void refuse(CallerExchange exchange, NotRunReason reason, long retryMillis) {
+        exchange.refuse(new Outcome.NotRun(reason, retryMillis));
+    }
+
     /** Returns why this node takes no request at all now, if so. */
     private Optional<NotRunReason> unable() {
         // What came now could not end before the stop does; its caller is told to come back, by
--- a/src/main/java/org/apricotgauge/decision/access/AccessPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/access/AccessPolicy.java
@@ -35,7 +35,7 @@
         if (credentials instanceof Credentials.Unreadable) {
             return new Access.Denied(Access.Reason.KEY_UNREADABLE);
         }
-        return route.isOpen()
+        return route.opensToAll()
                 ? new Access.Granted(Optional.empty())
                 : new Access.Denied(Access.Reason.KEY_MISSING);
     }
--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -44,6 +44,10 @@
     KEY_HISTORY_UNKNOWN,
     /** The node that would remember its Idempotency-Key is not to be seen from here. */
     KEY_HOME_UNREACHABLE,
+    /** Its member has asked for more than its limit. */
+    OVER_LIMIT,
+    /** Its member has a limit, and no node that counts its requests could be asked. */
+    LIMIT_UNKNOWN,
     /** The guard has no room to remember one more attempt or key. */
     LEDGER_FULL
 }
--- a/src/main/java/org/apricotgauge/http/Outcomes.java
+++ b/src/main/java/org/apricotgauge/http/Outcomes.java
@@ -19,9 +19,9 @@
  * Optional<Outcome> outcome = Outcomes.read(guardAnswer.getHeaders());
  * }</pre>
  *
- * <p>Not run is 503 with {@code Retry-After} (RFC 9110 section 10.2.3); unknown is 504. The header
- * {@link HeaderNames#OUTCOME} tells the two from a target's own 503 or 504, since it is removed
- * from every answer of a target.
+ * <p>Not run is 503, or 429 where the member is over its limit, with {@code Retry-After} (RFC 9110
+ * section 10.2.3); unknown is 504. The header {@link HeaderNames#OUTCOME} tells the two from a
+ * target's own 503 or 504, since it is removed from every answer of a target.
  */
 public final class Outcomes {
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
@@ -48,7 +48,9 @@
         write(
                 response,
                 callback,
-                HttpStatus.SERVICE_UNAVAILABLE_503,
+                outcome.reason() == NotRunReason.OVER_LIMIT
+                        ? HttpStatus.TOO_MANY_REQUESTS_429
+                        : HttpStatus.SERVICE_UNAVAILABLE_503,
                 HeaderNames.OUTCOME_NOT_RUN,
                 wordOf(outcome.reason()));
     }
--- a/src/main/java/org/apricotgauge/model/Route.java
+++ b/src/main/java/org/apricotgauge/model/Route.java
@@ -102,7 +102,7 @@
     }
 
     /** Returns whether requests need no API key. */
-    public boolean isOpen() {
+    public boolean opensToAll() {
         return Boolean.TRUE.equals(openAccess);
     }
 
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/AllotmentService.java
@@ -0,0 +1,154 @@
+package org.apricotgauge.node;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apricotgauge.caller.MemberLimits;
+import org.apricotgauge.decision.allotment.AllotmentDesk;
+import org.apricotgauge.decision.allotment.Homes;
+import org.apricotgauge.decision.allotment.Message;
+import org.apricotgauge.decision.allotment.Reserve;
+import org.apricotgauge.decision.allotment.Verdict;
+import org.apricotgauge.model.Address;
+import org.apricotgauge.model.Member;
+import org.apricotgauge.model.RateLimit;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/** Gives the {@link AllotmentDesk} its datagrams, its clock and its turns. */
+final class AllotmentService implements MemberLimits {
+    private static final long EXPIRE_EVERY_MILLIS = 20;
+
+    private final RoutingState mState;
+    private final Ticker mTicker;
+    private final Scheduler mScheduler;
+    private final Executor mExecutor;
+    private final Reserve.Tolerance mTolerance;
+    private final Counter mGranted;
+    private final Counter mRefused;
+    private final Counter mUnknown;
+    private final Counter mMessages;
+    private List<Runnable> mDue = new ArrayList<>();
+    private List<Address> mOthers = List.of();
+    private Address mOwn;
+    private AllotmentDesk mDesk;
+    private boolean mIsExpiring;
+    private volatile DatagramPort mPort;
+
+    AllotmentService(
+            RoutingState state,
+            Ticker ticker,
+            Scheduler scheduler,
+            Executor executor,
+            Reserve.Tolerance tolerance,
+            MetricRegistry registry) {
+        mState = state;
+        mTicker = ticker;
+        mScheduler = scheduler;
+        mExecutor = executor;
+        mTolerance = tolerance;
+        mGranted = registry.counter("allotments.granted");
+        mRefused = registry.counter("allotments.refused");
+        mUnknown = registry.counter("allotments.unknown");
+        mMessages = registry.counter("allotments.messages_sent");
+    }
+
+    /** Starts to ask and to answer; the port is its owner's. */
+    synchronized void start(Address own, DatagramPort port) {
+        mOwn = own;
+        mPort = port;
+        mDesk =
+                new AllotmentDesk(
+                        Homes.of(own, mOthers),
+                        this::send,
+                        this::limitOf,
+                        mTolerance,
+                        mTicker.millis());
+    }
+
+    synchronized void membersChanged(SiteMembers members) {
+        List<Address> others = members.peers().stream().map(SiteMembers.Peer::address).toList();
+        if (others.equals(mOthers)) {
+            return;
+        }
+        mOthers = others;
+        if (mDesk != null) {
+            mDesk.fleetChanged(Homes.of(mOwn, others), mTicker.millis());
+        }
+    }
+
+    private RateLimit limitOf(String memberId) {
+        Member member = mState.table().configuration().member(memberId);
+        return member == null ? null : member.limit();
+    }
+
+    private void send(Address to, Message message) {
+        mMessages.inc();
+        byte[] bytes = AllotmentCodec.encode(message);
+        mPort.send(bytes, to);
+    }
+
+    @Override
+    public void take(Member member, Consumer<Verdict> request) {
+        Consumer<Verdict> counted =
+                verdict -> {
+                    count(verdict);
+                    request.accept(verdict);
+                };
+        take(
+                desk ->
+                        desk.take(
+                                member.id(),
+                                member.limit(),
+                                mTicker.millis(),
+                                verdict -> mDue.add(() -> counted.accept(verdict))),
+                Runnable::run);
+    }
+
+    private void count(Verdict verdict) {
+        if (verdict instanceof Verdict.Granted) {
+            mGranted.inc();
+        } else if (verdict instanceof Verdict.Refused) {
+            mRefused.inc();
+        } else {
+            mUnknown.inc();
+        }
+    }
+
+    /** Takes a message of another node, on the port's thread. */
+    void received(Address from, Message message) {
+        take(desk -> desk.received(from, message, mTicker.millis()), mExecutor);
+    }
+
+    // Requests go on outside the lock: they take other locks, and send.
+    private void take(Consumer<AllotmentDesk> work, Executor executor) {
+        List<Runnable> due;
+        synchronized (this) {
+            work.accept(mDesk);
+            due = mDue;
+            if (!due.isEmpty()) {
+                mDue = new ArrayList<>();
+            }
+            expireWhileWaiting();
+        }
+        due.forEach(executor::execute);
+    }
+
+    private void expireWhileWaiting() {
+        if (!mIsExpiring && mDesk.isWaiting()) {
+            mIsExpiring = true;
+            mScheduler.schedule(this::expire, EXPIRE_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void expire() {
+        synchronized (this) {
+            mIsExpiring = false;
+        }
+        take(desk -> desk.expire(mTicker.millis()), mExecutor);
+    }
+}
--- a/src/main/java/org/apricotgauge/node/CrashNews.java
+++ b/src/main/java/org/apricotgauge/node/CrashNews.java
@@ -23,7 +23,8 @@
 
     private final DatagramPort mPort;
 
-    private CrashNews(DatagramPort port) {
+    /** Creates a carrier on a port that others may share. */
+    CrashNews(DatagramPort port) {
         mPort = port;
     }
 
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -66,6 +66,7 @@
     private final DetectionService mDetection;
     private final ProbeTokens mProbes;
     private final QuarantineService mQuarantine;
+    private final AllotmentService mAllotments;
     private final EvidencePublisher mPublisher;
     private final EntryHandler mEntry;
     private final GuardHandler mGuard;
@@ -75,6 +76,7 @@
     private final CompletableFuture<RuntimeException> mBroken = new CompletableFuture<>();
     private volatile NodeControl mControl = new UnstartedControl();
     private volatile Optional<HealthNews> mNews = Optional.empty();
+    private volatile DatagramPort mNodePort;
     private volatile NodePhase mPhase = NodePhase.STARTING;
     private volatile boolean mDraining;
 
@@ -88,6 +90,14 @@
         mState = new RoutingState(vm.id(), vm.failureDomain(), mTicker);
         mProbes = new ProbeTokens(mTicker, mState::nodes);
         mQuarantine = new QuarantineService(vm.failureDomain(), mTicker, mEvents, mRegistry);
+        mAllotments =
+                new AllotmentService(
+                        mState,
+                        mTicker,
+                        mHttp.scheduler(),
+                        mHttp.executor(),
+                        profile.limitTolerance(),
+                        mRegistry);
         VerdictRecorder recorder = new VerdictRecorder(mEvents, mWindows);
         mDetection =
                 new DetectionService(
@@ -145,6 +155,7 @@
                 observer,
                 mProbes::take,
                 mQuarantine.table(),
+                mAllotments,
                 mProfile.entry(),
                 mRegistry);
     }
@@ -222,7 +233,7 @@
                                 mWorker,
                                 mTicker,
                                 mHttp.fencing()));
-        mQuarantine.start(crashNewsAddress());
+        startDatagrams();
         if (mProfile.opensEarly()) {
             openCallerPort();
         }
@@ -234,6 +245,23 @@
         mControl.opened().thenRunAsync(this::open, mWorker);
     }
 
+    private void startDatagrams() throws IOException {
+        Address own = crashNewsAddress();
+        DatagramPort port = DatagramPort.open(own, "node news", mTicker);
+        mNodePort = port;
+        mQuarantine.start(own, new CrashNews(port));
+        mAllotments.start(own, port);
+        port.listen(this::heard);
+    }
+
+    private void heard(Address from, byte[] bytes, int length) throws IOException {
+        if (AllotmentCodec.isMessage(bytes, length)) {
+            mAllotments.received(from, AllotmentCodec.decode(bytes, length));
+        } else {
+            mQuarantine.received(from, CrashNews.decode(bytes, length));
+        }
+    }
+
     private Address crashNewsAddress() {
         return mProfile.crashNews() != null
                 ? mProfile.crashNews()
@@ -327,6 +355,7 @@
         public void onMembers(SiteMembers members) {
             mWorker.execute(guarded(() -> mState.membersChanged(members)));
             mQuarantine.membersChanged(members);
+            mAllotments.membersChanged(members);
         }
 
         @Override
@@ -443,12 +472,19 @@
         mEvents.record(new StopPhaseEntered(phase, inFlight()));
     }
 
+    private void closeNodePort() {
+        DatagramPort port = mNodePort;
+        if (port != null) {
+            port.close();
+        }
+    }
+
     @Override
     public void close() {
         mPhase = NodePhase.STOPPING;
         NodeHttp.stop(mControl::close);
         mNews.ifPresent(HealthNews::close);
-        mQuarantine.close();
+        closeNodePort();
         mWorker.shutdownNow();
         NodeHttp.stop(mCallerServer::stop);
         NodeHttp.stop(mGuardServer::stop);
--- a/src/main/java/org/apricotgauge/node/NodeHttp.java
+++ b/src/main/java/org/apricotgauge/node/NodeHttp.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.node;
 
+import java.util.concurrent.Executor;
 import org.apricotgauge.http.HttpClientFactory;
 import org.apricotgauge.http.HttpServerFactory;
 import org.eclipse.jetty.client.HttpClient;
@@ -61,6 +62,11 @@
         return mScheduler;
     }
 
+    /** Runs what must not hold up a port's own thread. */
+    Executor executor() {
+        return mThreads;
+    }
+
     /** Carries attempts to guards. */
     HttpClient forwarding() {
         return mForwarding;
--- a/src/main/java/org/apricotgauge/node/NodeProfile.java
+++ b/src/main/java/org/apricotgauge/node/NodeProfile.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import org.apricotgauge.caller.EntryOptions;
+import org.apricotgauge.decision.allotment.Reserve;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Vm;
@@ -18,6 +19,7 @@
  * @param news address at which the node hears of targets' health; null if nobody tells it
  * @param crashNews address at which the node hears of crashes; null for the peer port
  * @param evidenceBytesPerSecond most bytes of evidence that the node puts on its answers
+ * @param limitTolerance what the operator tolerates beyond members' limits
  * @param entry what differs between sites on the way from callers
  */
 record NodeProfile(
@@ -30,11 +32,13 @@
         Address news,
         Address crashNews,
         int evidenceBytesPerSecond,
+        Reserve.Tolerance limitTolerance,
         EntryOptions entry) {
 
     /** Checks the parts. */
     NodeProfile {
         Checks.notNull("vm", vm);
+        Checks.notNull("limitTolerance", limitTolerance);
         Checks.notNull("entry", entry);
         readyPaths = Set.copyOf(readyPaths);
     }
--- a/src/main/java/org/apricotgauge/node/QuarantineService.java
+++ b/src/main/java/org/apricotgauge/node/QuarantineService.java
@@ -4,7 +4,6 @@
 import com.codahale.metrics.MetricRegistry;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -29,7 +28,7 @@
 import org.jboss.logging.Logger;
 
 /** Knows which requests crash targets, tells the other nodes, and lets operators look and lift. */
-final class QuarantineService implements AdminSources.QuarantineSource, AutoCloseable {
+final class QuarantineService implements AdminSources.QuarantineSource {
     private static final Logger LOGGER = Logger.getLogger(QuarantineService.class);
 
     /** Requests whose names are kept for operators. */
@@ -89,17 +88,18 @@
         registry.gauge("quarantine.known", () -> mTable::size);
     }
 
-    /**
-     * Starts to tell and to hear.
-     *
-     * @throws IOException if the UDP port can't be had
-     */
-    synchronized void start(Address own) throws IOException {
-        mNews = CrashNews.start(own, mTicker, mGossip::received);
+    /** Starts to tell and to hear; the port of the news is its owner's. */
+    synchronized void start(Address own, CrashNews news) {
+        mNews = news;
         mOwn = own;
         mPeers = peersOf(mKnownPeers, mDomain, own);
     }
 
+    /** Takes a message of another node, on the port's thread. */
+    void received(Address from, CrashMessage message) {
+        mGossip.received(from, message);
+    }
+
     QuarantineTable table() {
         return mTable;
     }
@@ -196,14 +196,6 @@
         return name == null ? "not seen at this node" : name;
     }
 
-    @Override
-    public void close() {
-        CrashNews news = mNews;
-        if (news != null) {
-            news.close();
-        }
-    }
-
     /** Passes on, logs and counts what changes. */
     private final class Changes implements QuarantineListener {
         @Override
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -9,6 +9,7 @@
 import org.apricotgauge.cli.SettingKind;
 import org.apricotgauge.cli.SettingKinds;
 import org.apricotgauge.cli.SettingValues;
+import org.apricotgauge.decision.allotment.Reserve;
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
 import org.apricotgauge.decision.attempt.RetryPool;
@@ -43,6 +44,7 @@
  *     leaves
  * @param heartbeatMillis how often a target writes its registration
  * @param stopSeconds longest time that a stop takes
+ * @param limitTolerance what is tolerated beyond members' limits
  * @param log settings of the log
  */
 public record SidecarSettings(
@@ -61,6 +63,7 @@
         double servesOnMillis,
         double heartbeatMillis,
         double stopSeconds,
+        Reserve.Tolerance limitTolerance,
         LogSettings log) {
     private static final double ALL_PERCENT = 100.0;
     private static final double MILLIS_PER_SECOND = 1_000.0;
@@ -179,6 +182,25 @@
                     6.0,
                     "Longest time that a stop takes, until the platform kills the process.");
 
+    private static final Setting<Double> LIMIT_WINDOW =
+            Setting.withDefault(
+                    "limit-window-seconds",
+                    orDefault(SettingKinds.decimal("seconds", 0.1, 3_600), 1.0),
+                    1.0,
+                    "Length of the windows in which members' requests are counted.");
+    private static final Setting<Double> LIMIT_OVER =
+            Setting.withDefault(
+                    "limit-over-share",
+                    orDefault(SettingKinds.decimal("share", 0, 10), 0.0),
+                    0.0,
+                    "Share of a member's limit that is tolerated beyond it.");
+    private static final Setting<Double> LIMIT_SLACK =
+            Setting.withDefault(
+                    "limit-slack",
+                    orDefault(SettingKinds.decimal("requests", 0, 1_000_000), 0.0),
+                    0.0,
+                    "Requests in a window that are tolerated beyond a member's limit.");
+
     /** Checks the parts. */
     public SidecarSettings {
         Checks.id("failureDomain", failureDomain);
@@ -189,6 +211,7 @@
         Checks.notNull("platform", platform);
         Checks.notNull("news", news);
         Checks.notNull("crashNews", crashNews);
+        Checks.notNull("limitTolerance", limitTolerance);
         Checks.notNull("log", log);
     }
 
@@ -215,6 +238,7 @@
         settings.addAll(List.of(NEWS, CRASH_NEWS));
         settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, RETRY_WINDOW));
         settings.addAll(List.of(SERVES_ON, HEARTBEAT, STOP));
+        settings.addAll(List.of(LIMIT_WINDOW, LIMIT_OVER, LIMIT_SLACK));
         settings.addAll(LogSettings.declared());
         return List.copyOf(settings);
     }
@@ -236,6 +260,8 @@
                 values.get(SERVES_ON),
                 values.get(HEARTBEAT),
                 values.get(STOP),
+                new Reserve.Tolerance(
+                        values.get(LIMIT_WINDOW), values.get(LIMIT_OVER), values.get(LIMIT_SLACK)),
                 LogSettings.of(values));
     }
 
@@ -259,6 +285,7 @@
                 news,
                 crashNews,
                 EVIDENCE_BYTES_PER_SECOND,
+                limitTolerance,
                 new EntryOptions(
                         dialect,
                         EntryOptions.Reach.GUARDS_ONLY,
--- /dev/null
+++ b/src/test/java/org/apricotgauge/bench/allotment/AllotmentFleetProperties.java
@@ -0,0 +1,51 @@
+package org.apricotgauge.bench.allotment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.apricotgauge.decision.allotment.Reserve;
+import org.junit.jupiter.api.Test;
+
+/** A fleet under one hot member, lost datagrams, cuts and kills: the sum over all nodes holds. */
+class AllotmentFleetProperties {
+    private static final double OVER_SHARE = 0.25;
+    private static final double SLACK = 20;
+
+    // Guards against limits that hold at each node and not over all of them.
+    @Property(tries = 40, seed = "20261203")
+    void noMemberRunsMoreThanItsLimitAllows(
+            @ForAll @IntRange(min = 2, max = 60) int nodes,
+            @ForAll @DoubleRange(min = 0, max = 0.6) double faultShare,
+            @ForAll @DoubleRange(min = 0, max = 0.1) double loss,
+            @ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
+        AllotmentFleet.Result result = play(nodes, faultShare, loss, seed);
+
+        assertThat(result.worstShare()).isLessThanOrEqualTo(1);
+    }
+
+    // Guards against members within their limits that are refused since none of a hundred nodes
+    // sees enough of them.
+    @Test
+    void whatLiesWithinALimitIsServed() {
+        assertThat(play(106, 0, 0.01, 1).refusedShare()).isLessThan(0.01);
+    }
+
+    private static AllotmentFleet.Result play(int nodes, double faultShare, double loss, int seed) {
+        return new AllotmentFleet(MeasureAllotments.members(), nodes, faultShare, seed)
+                .play(
+                        fleet ->
+                                new AskedHomes(
+                                        fleet.members(),
+                                        fleet.nodes(),
+                                        fleet::nowMillis,
+                                        new Reserve.Tolerance(
+                                                AllotmentFleet.WINDOW_SECONDS, OVER_SHARE, SLACK),
+                                        loss,
+                                        seed),
+                        OVER_SHARE,
+                        SLACK);
+    }
+}
--- a/src/test/java/org/apricotgauge/config/Patches.java
+++ b/src/test/java/org/apricotgauge/config/Patches.java
@@ -1,7 +1,10 @@
 package org.apricotgauge.config;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.apricotgauge.model.DetectionOdds;
+import org.apricotgauge.model.KeyDigest;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Repeatability;
 import org.apricotgauge.model.Route;
@@ -31,6 +34,16 @@
         return new LogEntry(position, PatchCodec.encode(patch));
     }
 
+    static LogEntry accessEntry(long position, long baseVersion, PatchOperation... operations) {
+        Patch patch = new Patch(baseVersion, "almaz", "test", Rules.ACCESS, List.of(operations));
+        return new LogEntry(position, PatchCodec.encode(patch));
+    }
+
+    static PatchOperation putMember(String id, String... keys) {
+        List<KeyDigest> digests = Stream.of(keys).map(KeyDigest::of).toList();
+        return new PatchOperation.PutMember(new Member(id, 1, digests, null, null));
+    }
+
     static PatchOperation putService(String id) {
         return new PatchOperation.PutService(service(id));
     }
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/access/AccessPolicyTest.java
@@ -0,0 +1,74 @@
+package org.apricotgauge.decision.access;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.KeyDigest;
+import org.apricotgauge.model.Member;
+import org.apricotgauge.model.Priority;
+import org.apricotgauge.model.Repeatability;
+import org.apricotgauge.model.Route;
+import org.junit.jupiter.api.Test;
+
+/** Who comes in, by key and route. */
+class AccessPolicyTest {
+    private static final KeyDigest KEY = KeyDigest.of("k1");
+    private static final Member STABLE = new Member("stable", 1, List.of(KEY), null, null);
+    private static final Configuration KEYED = Configuration.EMPTY.withMember(STABLE);
+    private static final Credentials KNOWN = Credentials.ofKey(KEY);
+    private static final Credentials UNKNOWN = Credentials.ofKey(KeyDigest.of("k9"));
+    private static final Route SHUT = route(null);
+    private static final Route OPEN = route(true);
+
+    @Test
+    void aKeyNamesItsMember() {
+        for (Route route : List.of(SHUT, OPEN)) {
+            assertThat(AccessPolicy.decide(KEYED, route, KNOWN))
+                    .isEqualTo(new Access.Granted(Optional.of(STABLE)));
+        }
+    }
+
+    @Test
+    void aKeyThatNobodyHasIsRefusedOnOpenRoutesToo() {
+        for (Route route : List.of(SHUT, OPEN)) {
+            assertThat(AccessPolicy.decide(KEYED, route, UNKNOWN))
+                    .isEqualTo(new Access.Denied(Access.Reason.KEY_UNKNOWN));
+            assertThat(AccessPolicy.decide(KEYED, route, Credentials.UNREADABLE))
+                    .isEqualTo(new Access.Denied(Access.Reason.KEY_UNREADABLE));
+        }
+    }
+
+    @Test
+    void onlyAnOpenRouteNeedsNoKey() {
+        assertThat(AccessPolicy.decide(KEYED, OPEN, Credentials.NONE))
+                .isEqualTo(new Access.Granted(Optional.empty()));
+        assertThat(AccessPolicy.decide(KEYED, SHUT, Credentials.NONE))
+                .isEqualTo(new Access.Denied(Access.Reason.KEY_MISSING));
+    }
+
+    // Guards against a site without keys that refuses callers for what they send.
+    @Test
+    void whereNobodyHasAKeyEverybodyComesIn() {
+        for (Credentials any : List.of(Credentials.NONE, UNKNOWN, Credentials.UNREADABLE)) {
+            assertThat(AccessPolicy.decide(Configuration.EMPTY, SHUT, any))
+                    .isEqualTo(new Access.Granted(Optional.empty()));
+        }
+    }
+
+    private static Route route(Boolean openAccess) {
+        return new Route(
+                "r",
+                "*",
+                "/",
+                "s",
+                Priority.NORMAL,
+                Repeatability.ALWAYS,
+                1_000,
+                null,
+                null,
+                null,
+                openAccess);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/apricotgauge/decision/allotment/ReserveTest.java
@@ -0,0 +1,37 @@
+package org.apricotgauge.decision.allotment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.apricotgauge.model.RateLimit;
+import org.junit.jupiter.api.Test;
+
+/** What nodes out of touch grant, all together. */
+class ReserveTest {
+    private static final RateLimit LIMIT = new RateLimit(8, 8);
+    private static final Reserve.Tolerance TOLERANCE = new Reserve.Tolerance(5, 0.25, 20);
+
+    // Guards against a fleet cut to pieces whose nodes grant one request each.
+    @Test
+    void allNodesTogetherGrantHalfOfTheTolerance() {
+        int granted = 0;
+        for (int rank = 0; rank < 1_000; rank++) {
+            Reserve reserve = new Reserve(TOLERANCE);
+            granted += reserve.take("stable", LIMIT, rank, 0) ? 1 : 0;
+            granted += reserve.take("stable", LIMIT, rank, 5_000) ? 1 : 0;
+        }
+        assertThat(granted).isEqualTo(16);
+    }
+
+    @Test
+    void theNextWindowHasItsOwn() {
+        Reserve reserve = new Reserve(TOLERANCE);
+        assertThat(reserve.take("stable", LIMIT, 0, 0)).isTrue();
+
+        assertThat(reserve.take("stable", LIMIT, 0, 5_001)).isTrue();
+    }
+
+    @Test
+    void withoutToleranceNothingIsGranted() {
+        assertThat(new Reserve(Reserve.Tolerance.NONE).take("stable", LIMIT, 0, 0)).isFalse();
+    }
+}
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -11,6 +11,7 @@
 import org.apricotgauge.caller.EntryHandler;
 import org.apricotgauge.caller.EntryObserver;
 import org.apricotgauge.caller.EntryOptions;
+import org.apricotgauge.caller.MemberLimits;
 import org.apricotgauge.decision.admission.AdmissionConfig;
 import org.apricotgauge.decision.attempt.AttemptIds;
 import org.apricotgauge.decision.attempt.AttemptLedger;
@@ -31,6 +32,7 @@
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.DetectionOdds;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Repeatability;
 import org.apricotgauge.model.Route;
@@ -89,6 +91,7 @@
         private final MetricRegistry mRegistry = new MetricRegistry();
         private final QuarantineTable mQuarantine =
                 new QuarantineTable(Ticker.system(), new DeafListener());
+        private volatile MemberLimits mLimits = MemberLimits.UNBOUNDED;
         private GuardHandler mGuard;
         private EntryHandler mEntry;
         private Server mGuardServer;
@@ -160,6 +163,37 @@
         return this;
     }
 
+    /** Adds a member, or replaces the one of its name. */
+    Hops member(Member member) {
+        mConfiguration = mConfiguration.withMember(member);
+        return this;
+    }
+
+    /** Adds a route below a prefix that needs no key. */
+    Hops openRoute(String prefix) {
+        mConfiguration =
+                mConfiguration.withRoute(
+                        new Route(
+                                "open",
+                                "*",
+                                prefix,
+                                SERVICE,
+                                Priority.NORMAL,
+                                Repeatability.BY_METHOD,
+                                DEADLINE_MILLIS,
+                                null,
+                                null,
+                                null,
+                                true));
+        return this;
+    }
+
+    /** Lets the entry of a VM ask these limits. */
+    Hops limits(String vm, MemberLimits limits) {
+        mVms.get(vm).mLimits = limits;
+        return this;
+    }
+
     /** Gives the fleet a share of the service; the older system at the port has the rest. */
     Hops share(int percent, int olderPort) {
         mConfiguration =
@@ -232,6 +266,7 @@
                         new Blind(vm),
                         service -> Optional.empty(),
                         vm.mQuarantine,
+                        (member, request) -> vm.mLimits.take(member, request),
                         EntryOptions.of(KEYS),
                         vm.mRegistry);
         vm.mGuard =
--- a/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
@@ -14,6 +14,7 @@
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.http.HttpClientFactory;
 import org.apricotgauge.model.Address;
+import org.apricotgauge.operator.NodePhase;
 import org.apricotgauge.platform.kv.KvDecoder;
 import org.apricotgauge.platform.kv.KvDialect;
 import org.apricotgauge.platform.kv.KvSource;
@@ -75,7 +76,8 @@
         assertThat(call("first").getStatus()).isEqualTo(503);
 
         mPlatform.publish(LOOPBACK, "desk");
-        LocalFleet.await(() -> mNode.version() == 1);
+        // The version is in force a moment before the node's view of the site is confirmed.
+        LocalFleet.await(() -> mNode.version() == 1 && mNode.phase() == NodePhase.SERVING);
         ContentResponse answer = call("second");
 
         assertThat(answer.getStatus()).isEqualTo(200);
--- a/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
@@ -93,14 +93,18 @@
     @Test
     void patchOfANewerReleaseIsUndecided() throws IOException {
         Path patch = mDirectory.resolve("patch.json");
-        Files.writeString(patch, "{\"baseVersion\":0,\"rulesVersion\":3,\"new\":true}");
+        Files.writeString(patch, "{\"baseVersion\":1,\"rulesVersion\":3,\"new\":true}");
         Path config = mDirectory.resolve("config.json");
-        Files.writeString(config, "[]");
+        Files.writeString(
+                config,
+                "[{\"baseVersion\":0,\"author\":\"a\",\"note\":\"\",\"rulesVersion\":2,"
+                        + "\"operations\":[{\"op\":\"putMember\","
+                        + "\"member\":{\"id\":\"stable\",\"weight\":1}}]}]");
 
         ExitCode code = run(List.of("--patch", patch.toString(), "--config", config.toString()));
 
         assertThat(code).isEqualTo(ExitCode.NEGATIVE);
-        assertThat(text()).startsWith("undecided: the patch needs rules version 2");
+        assertThat(text()).startsWith("undecided: the patch needs rules version 3");
     }
 
     // The saved list lacks an entry. A verdict over the rest would be of a version that never was.
--- a/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
@@ -3,9 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.apricotgauge.directory.PublishedItem;
 import org.apricotgauge.directory.SiteChange;
+import org.apricotgauge.model.KeyDigest;
+import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Priority;
+import org.apricotgauge.model.RateLimit;
 import org.apricotgauge.model.Repeatability;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.ServiceShare;
@@ -49,6 +53,41 @@
         assertThat(single.maxRunsOr(9)).isEqualTo(2);
     }
 
+    @Test
+    void readsMembersAndKeepsNoKey() {
+        String tenants =
+                """
+                "tenants":[{"name":"stable","apiKeys":["k1","k2"],"priority":1,
+                 "requestsPerS":44,"burst":40},{"name":"yard","apiKeys":["k3"],"requestsPerS":0}],
+                "hosts":[{"host":"one.example","paths":[{"name":"r-1","pathPrefix":"/x/",
+                 "kind":"idempotent","timeoutMs":1200,"priority":2,"service":"a",
+                 "publicAccess":true}]}]}
+                """;
+        SiteChange change =
+                decode("op/config", CONFIG.substring(0, CONFIG.indexOf("\"hosts\"")) + tenants);
+
+        var configuration = ((SiteChange.Configured) change).configuration();
+        assertThat(configuration.members())
+                .containsExactly(
+                        new Member(
+                                "stable",
+                                1,
+                                List.of(KeyDigest.of("k1"), KeyDigest.of("k2")),
+                                Priority.URGENT,
+                                new RateLimit(44, 40)),
+                        new Member("yard", 1, List.of(KeyDigest.of("k3")), null, null));
+        assertThat(configuration.routes().get(0).opensToAll()).isTrue();
+        assertThat(configuration.toString()).doesNotContain("k1").doesNotContain("k3");
+    }
+
+    @Test
+    void withoutTenantsThereAreNoMembers() {
+        var configuration = ((SiteChange.Configured) decode("op/config", CONFIG)).configuration();
+
+        assertThat(configuration.members()).isEmpty();
+        assertThat(configuration.routes().get(0).opensToAll()).isFalse();
+    }
+
     @Test
     void readsATarget() {
         SiteChange change =
--- a/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
@@ -70,6 +70,26 @@
         assertThat(headers.getValuesList("X-Expected-Instance")).containsExactly("i-1");
     }
 
+    // Guards against a caller that is served as another member by writing that one's name.
+    @Test
+    void aTargetIsToldTheMemberAndNeverWhatTheCallerWrote() {
+        HttpFields.Mutable headers =
+                HttpFields.build().add("x-tenant", "forged").add("X-TENANT", "forged too");
+
+        mDialect.towardsTarget(headers, "i-1", 250, Optional.of("stable"));
+        assertThat(headers.getValuesList("X-Tenant")).containsExactly("stable");
+
+        mDialect.towardsTarget(headers, "i-1", 250, Optional.empty());
+        assertThat(headers.contains("X-Tenant")).isFalse();
+    }
+
+    @Test
+    void aMemberIsNamedByItsKeyAlone() {
+        HttpFields forged = HttpFields.build().put("Apricotgauge-Member", "stable");
+
+        assertThat(mDialect.namedMember(forged)).isEmpty();
+    }
+
     @Test
     void readsTheCallersTimeAndNamesTheHeaderAtFault() {
         assertThat(mDialect.timeoutMillis(HttpFields.EMPTY)).isEmpty();
