Take a run for hung once it is far beyond its kind, and send it elsewhere if it may repeat

Cause: on the shifted site three targets in ten are in a spell in which they answer 15 of 100 requests and say nothing to the rest. Ways: today's, which waits to the deadline; and a patience learned for each target and kind of work (mean and three mean deviations of the runs that it answered; before five answers three quarters of the useful time), after which the guard takes the silence for a failure, and, where the request may repeat and the retry is paid for, cancels the run and lets the entry send it elsewhere.

--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -60,6 +60,8 @@
     private volatile long mSentAtNanos;
     private volatile UpstreamExchange mExchange;
     private volatile Scheduler.Task mTimeout;
+    private volatile Scheduler.Task mOverdue;
+    private volatile boolean mPaidNext;
     private final Acknowledgements mAcknowledgements;
     private final RunIdentity mIdentity;
     private final RunWatch mWatch;
@@ -193,7 +195,13 @@
         mContext.observer().runStarted(requestId());
         long leftMillis = mTime.leftMillis(mContext.ticker().millis());
         mTimeout = mContext.scheduler().schedule(this::timedOut, leftMillis, TimeUnit.MILLISECONDS);
-        mWatch.begin(leftMillis);
+        long patienceMillis = mGate.patienceMillis(mTicket);
+        mWatch.begin(leftMillis, patienceMillis);
+        if (mCaution == HealthGate.Caution.MAY_TRY && patienceMillis < leftMillis) {
+            mOverdue =
+                    mContext.scheduler()
+                            .schedule(this::overdue, patienceMillis, TimeUnit.MILLISECONDS);
+        }
         mExchange = UpstreamExchange.send(targetRequest(leftMillis), this);
         if (mAbandoned) {
             // Given up between the slot and the sending, when there was nothing yet to abort.
@@ -319,7 +327,7 @@
 
     /** Pays for the next run of a request that this target failed, if it may have one. */
     private void payForNext(boolean mayRunAgain) {
-        if (mayRunAgain && mPass.tryPayNext()) {
+        if (mayRunAgain && (mPaidNext || mPass.tryPayNext())) {
             mResponse.getHeaders().put(HeaderNames.RETRY_PAID, "1");
         }
     }
@@ -444,6 +452,18 @@
         return told;
     }
 
+    // A target that hangs would hold the request to its deadline, though others could serve it.
+    private void overdue() {
+        UpstreamExchange exchange = mExchange;
+        if (exchange == null || mPhase.get() != Phase.SENDING || !mPass.tryPayNext()) {
+            return;
+        }
+        mPaidNext = true;
+        mTimedOut = true;
+        mContext.metrics().overdue().inc();
+        exchange.abort(new TimeoutException("runs for far longer than its kind"));
+    }
+
     private void timedOut() {
         mTimedOut = true;
         UpstreamExchange exchange = mExchange;
@@ -489,6 +509,7 @@
     private void stopTimers() {
         HangUpEndPoint.release(mRequest);
         cancel(mTimeout);
+        cancel(mOverdue);
         mAcknowledgements.stop();
     }
 
--- a/src/main/java/org/apricotgauge/target/RunWatch.java
+++ b/src/main/java/org/apricotgauge/target/RunWatch.java
@@ -11,7 +11,7 @@
  * What one run at a target shows of the target, while it goes on and when it ends.
  *
  * <pre>{@code
- * watch.begin(leftMillis);
+ * watch.begin(leftMillis, patienceMillis);
  * watch.end(ObservedOutcome.SUCCESS, serviceMicros);
  * }</pre>
  *
@@ -34,8 +34,13 @@
         mIdentity = identity;
     }
 
-    /** Notes that the run starts, just before its first byte. */
-    void begin(long leftMillis) {
+    /**
+     * Notes that the run starts, just before its first byte.
+     *
+     * @param leftMillis time left to the request's deadline
+     * @param patienceMillis time after which the run is taken for hung
+     */
+    void begin(long leftMillis, long patienceMillis) {
         HealthGate.Run run = mGate.health().started(mContext.ticker().millis());
         mRun = run;
         if (run.checkMillis() < leftMillis) {
@@ -44,7 +49,10 @@
                             .schedule(
                                     () -> stillRuns(run), run.checkMillis(), TimeUnit.MILLISECONDS);
         }
-        long overdueMicros = mContext.observer().overdueMicros(mGate.target());
+        long overdueMicros =
+                Math.min(
+                        mContext.observer().overdueMicros(mGate.target()),
+                        TimeUnit.MILLISECONDS.toMicros(patienceMillis));
         if (overdueMicros < TimeUnit.MILLISECONDS.toMicros(leftMillis)) {
             mOverdue =
                     mContext.scheduler()
