--- a/src/main/java/org/apricotgauge/bench/MeasureAdmin.java
+++ b/src/main/java/org/apricotgauge/bench/MeasureAdmin.java
@@ -144,6 +144,7 @@
                 () -> status(statuses, windows),
                 ring::read,
                 AdminSources.QuarantineSource.empty(),
+                List::of,
                 metrics);
     }
 
--- a/src/main/java/org/apricotgauge/decision/allotment/AllotmentDesk.java
+++ b/src/main/java/org/apricotgauge/decision/allotment/AllotmentDesk.java
@@ -424,8 +424,8 @@
         }
     }
 
-    /** Returns the tokens left of a member whose home this node is, for operators. */
-    public double tokensLeft(String member) {
-        return mLender.tokensLeft(member);
+    /** Returns the node that counts the member's tokens. */
+    public Address home(String member) {
+        return mHomes.home(member);
     }
 }
--- a/src/main/java/org/apricotgauge/decision/allotment/Lender.java
+++ b/src/main/java/org/apricotgauge/decision/allotment/Lender.java
@@ -108,8 +108,8 @@
         return Math.max(1, (long) Math.ceil(promisedMillis - nowMillis));
     }
 
-    /** Returns the tokens left of a member, for operators; 0 if nothing is counted here. */
-    public double tokensLeft(String member) {
+    /** Returns the tokens left of a member; 0 if nothing is counted here. */
+    double tokensLeft(String member) {
         Bucket bucket = mBuckets.get(member);
         return bucket == null ? 0 : bucket.mTokens;
     }
--- a/src/main/java/org/apricotgauge/node/AllotmentService.java
+++ b/src/main/java/org/apricotgauge/node/AllotmentService.java
@@ -2,10 +2,14 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import org.apricotgauge.caller.MemberLimits;
 import org.apricotgauge.decision.allotment.AllotmentDesk;
@@ -16,13 +20,18 @@
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.RateLimit;
+import org.apricotgauge.operator.AdminSources;
+import org.apricotgauge.operator.MemberUse;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Gives the {@link AllotmentDesk} its datagrams, its clock and its turns. */
-final class AllotmentService implements MemberLimits {
+final class AllotmentService implements MemberLimits, AdminSources.AllotmentSource {
     private static final long EXPIRE_EVERY_MILLIS = 20;
 
+    /** Members whose requests are counted for operators. */
+    private static final int MAX_COUNTED = 4_096;
+
     private final RoutingState mState;
     private final Ticker mTicker;
     private final Scheduler mScheduler;
@@ -32,6 +41,8 @@
     private final Counter mRefused;
     private final Counter mUnknown;
     private final Counter mMessages;
+    private final Cache<String, Counts> mCounts =
+            Caffeine.newBuilder().maximumSize(MAX_COUNTED).executor(Runnable::run).build();
     private List<Runnable> mDue = new ArrayList<>();
     private List<Address> mOthers = List.of();
     private Address mOwn;
@@ -39,6 +50,13 @@
     private boolean mIsExpiring;
     private volatile DatagramPort mPort;
 
+    /** What became of one member's requests at this node. */
+    private static final class Counts {
+        private final LongAdder mGranted = new LongAdder();
+        private final LongAdder mRefused = new LongAdder();
+        private final LongAdder mUnknown = new LongAdder();
+    }
+
     AllotmentService(
             RoutingState state,
             Ticker ticker,
@@ -96,7 +114,7 @@
     public void take(Member member, Consumer<Verdict> request) {
         Consumer<Verdict> counted =
                 verdict -> {
-                    count(verdict);
+                    count(member.id(), verdict);
                     request.accept(verdict);
                 };
         take(
@@ -109,16 +127,44 @@
                 Runnable::run);
     }
 
-    private void count(Verdict verdict) {
+    private void count(String member, Verdict verdict) {
+        Counts counts = mCounts.get(member, id -> new Counts());
         if (verdict instanceof Verdict.Granted) {
             mGranted.inc();
+            counts.mGranted.increment();
         } else if (verdict instanceof Verdict.Refused) {
             mRefused.inc();
+            counts.mRefused.increment();
         } else {
             mUnknown.inc();
+            counts.mUnknown.increment();
         }
     }
 
+    @Override
+    public List<MemberUse> read() {
+        return mCounts.asMap().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(entry -> useOf(entry.getKey(), entry.getValue()))
+                .toList();
+    }
+
+    private MemberUse useOf(String member, Counts counts) {
+        RateLimit limit = limitOf(member);
+        return new MemberUse(
+                member,
+                limit == null ? 0 : limit.requestsPerSecond(),
+                limit == null ? 0 : limit.burst(),
+                counts.mGranted.sum(),
+                counts.mRefused.sum(),
+                counts.mUnknown.sum(),
+                homeOf(member));
+    }
+
+    private synchronized String homeOf(String member) {
+        return mDesk == null ? "" : mDesk.home(member).toString();
+    }
+
     /** Takes a message of another node, on the port's thread. */
     void received(Address from, Message message) {
         take(desk -> desk.received(from, message, mTicker.millis()), mExecutor);
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -135,6 +135,7 @@
                                 () -> status.read(mPhase, mControl.mark()),
                                 mEvents::read,
                                 mQuarantine,
+                                mAllotments,
                                 mRegistry),
                         vm.host(),
                         vm.adminPort(),
--- a/src/main/java/org/apricotgauge/operator/AdminHandler.java
+++ b/src/main/java/org/apricotgauge/operator/AdminHandler.java
@@ -48,26 +48,17 @@
         mSources = sources;
         RateBound pages = new RateBound(ticker, PAGES_PER_SECOND, PAGES_BURST);
         RateBound metrics = new RateBound(ticker, METRICS_PER_SECOND, METRICS_BURST);
-        Map<String, Endpoint> endpoints =
-                new HashMap<>(
-                        Map.of(
-                                "/live",
-                                Endpoint.free(query -> AdminAnswer.line(200, "live")),
-                                "/ready",
-                                Endpoint.free(this::ready),
-                                "/status",
-                                new Endpoint(Set.of("service"), pages::tryTake, this::status),
-                                "/events",
-                                new Endpoint(
-                                        Set.of("since", "limit"), pages::tryTake, this::events),
-                                "/quarantine",
-                                new Endpoint(Set.of(), pages::tryTake, this::quarantine),
-                                LIFT,
-                                new Endpoint(Set.of("fingerprint"), pages::tryTake, this::lift),
-                                "/metrics",
-                                new Endpoint(Set.of(), metrics::tryTake, this::metrics),
-                                "/metrics.json",
-                                new Endpoint(Set.of(), metrics::tryTake, this::metricsJson)));
+        Map<String, Endpoint> endpoints = new HashMap<>();
+        endpoints.put("/live", Endpoint.free(query -> AdminAnswer.line(200, "live")));
+        endpoints.put("/ready", Endpoint.free(this::ready));
+        endpoints.put("/status", new Endpoint(Set.of("service"), pages::tryTake, this::status));
+        endpoints.put(
+                "/events", new Endpoint(Set.of("since", "limit"), pages::tryTake, this::events));
+        endpoints.put("/quarantine", new Endpoint(Set.of(), pages::tryTake, this::quarantine));
+        endpoints.put(LIFT, new Endpoint(Set.of("fingerprint"), pages::tryTake, this::lift));
+        endpoints.put("/allotments", new Endpoint(Set.of(), pages::tryTake, this::allotments));
+        endpoints.put("/metrics", new Endpoint(Set.of(), metrics::tryTake, this::metrics));
+        endpoints.put("/metrics.json", new Endpoint(Set.of(), metrics::tryTake, this::metricsJson));
         readyPaths.forEach(path -> endpoints.put(path, Endpoint.free(this::ready)));
         mEndpoints = Map.copyOf(endpoints);
     }
@@ -98,7 +89,9 @@
         Endpoint endpoint = mEndpoints.get(unversioned(Request.getPathInContext(request)));
         if (endpoint == null) {
             return AdminAnswer.line(
-                    404, "no such path; see /v1/status, /v1/events, /v1/quarantine, /v1/metrics");
+                    404,
+                    "no such path; see /v1/status, /v1/events, /v1/quarantine, /v1/allotments,"
+                            + " /v1/metrics");
         }
         String method = request.getMethod();
         boolean changes = endpoint == mEndpoints.get(LIFT);
@@ -147,6 +140,10 @@
         return AdminAnswer.json(json(mSources.quarantine().read()));
     }
 
+    private AdminAnswer allotments(AdminQuery query) {
+        return AdminAnswer.json(json(mSources.allotments().read()));
+    }
+
     private AdminAnswer lift(AdminQuery query) {
         String fingerprint = query.text("fingerprint");
         if (fingerprint == null) {
--- a/src/main/java/org/apricotgauge/operator/AdminSources.java
+++ b/src/main/java/org/apricotgauge/operator/AdminSources.java
@@ -9,13 +9,14 @@
  * Where the administration API gets its values from; each source must be quick and thread-safe.
  *
  * <pre>{@code
- * new AdminSources(node::readiness, node::status, ring::read, quarantine, registry);
+ * new AdminSources(node::readiness, node::status, ring::read, quarantine, uses, registry);
  * }</pre>
  *
  * @param readiness for {@code /ready}
  * @param status for {@code /status}
  * @param events for {@code /events}
  * @param quarantine for {@code /quarantine}
+ * @param allotments for {@code /allotments}
  * @param metrics for {@code /metrics} and {@code /metrics.json}
  */
 public record AdminSources(
@@ -23,6 +24,7 @@
         StatusSource status,
         EventSource events,
         QuarantineSource quarantine,
+        AllotmentSource allotments,
         MetricRegistry metrics) {
 
     /** Says whether callers should be sent to the node. */
@@ -79,12 +81,21 @@
         }
     }
 
+    /** Knows what members with limits have asked of the node. */
+    @FunctionalInterface
+    public interface AllotmentSource {
+
+        /** Returns the members that asked lately, in the order of their names. */
+        List<MemberUse> read();
+    }
+
     /** Checks the parts. */
     public AdminSources {
         Checks.notNull("readiness", readiness);
         Checks.notNull("status", status);
         Checks.notNull("events", events);
         Checks.notNull("quarantine", quarantine);
+        Checks.notNull("allotments", allotments);
         Checks.notNull("metrics", metrics);
     }
 }
--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -100,17 +100,33 @@
         publish(service, List.of(host + ':' + port()));
     }
 
+    /**
+     * Publishes as {@link #publish(String, String)}, with one member that has the key and a limit.
+     */
+    public void publishWithKey(String host, String service, String key) {
+        String tenants =
+                """
+                "tenants":[{"name":"stable","apiKeys":["%s"],"priority":1,
+                 "requestsPerS":50,"burst":50}],"""
+                        .formatted(key);
+        publish(service, List.of(host + ':' + port()), tenants);
+    }
+
     /** Publishes the configuration and targets at these addresses, in the place of its own. */
     public void publish(String service, List<String> addresses) {
+        publish(service, addresses, "");
+    }
+
+    private void publish(String service, List<String> addresses, String tenants) {
         String configuration =
                 """
                 {"version":"r1","baseVersion":"r0","services":[{"name":"%s"}],
-                 "limits":{"idleTimeoutMs":15000},
+                 "limits":{"idleTimeoutMs":15000},%s
                  "hosts":[{"host":"%s","paths":[{"name":"route-1","pathPrefix":"%s",
                   "kind":"idempotent","timeoutMs":5000,"priority":0,"service":"%s",
                   "maxAttempts":2}]}]}
                 """
-                        .formatted(service, HOST, PATH, service);
+                        .formatted(service, tenants, HOST, PATH, service);
         long revision = mState.revision() + 1;
         List<Item> items = new ArrayList<>();
         items.add(item("op/config", configuration, revision));
--- a/src/test/java/org/apricotgauge/operator/AdminServerTest.java
+++ b/src/test/java/org/apricotgauge/operator/AdminServerTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class AdminServerTest {
+    private static final MemberUse USE = new MemberUse("stable", 5, 5, 40, 2, 1, "10.0.0.1:7000");
     private final HttpClient mClient = HttpClient.newHttpClient();
     private final ManualTicker mTicker = new ManualTicker();
     private final EventRing mRing =
@@ -47,6 +48,7 @@
                         AdminServerTest::status,
                         mRing::read,
                         mQuarantine,
+                        () -> List.of(USE),
                         mMetrics);
         mServer = new AdminServer(sources, "127.0.0.1", 0, mTicker);
         mServer.start();
@@ -97,6 +99,14 @@
         assertThat(response.headers().firstValue("Allow")).contains("GET, HEAD");
     }
 
+    @Test
+    void allotmentsTellWhatMembersAskedOfTheNode() throws Exception {
+        String body = get("/v1/allotments").body();
+
+        assertThat(JsonMapper.builder().build().readValue(body, MemberUse[].class))
+                .containsExactly(USE);
+    }
+
     @Test
     void readyFollowsItsSource() throws Exception {
         assertThat(get("/ready").statusCode()).isEqualTo(200);
@@ -186,6 +196,7 @@
                         AdminServerTest::status,
                         mRing::read,
                         mQuarantine,
+                        () -> List.of(USE),
                         mMetrics);
         AdminServer second = new AdminServer(sources, "127.0.0.1", mServer.port(), mTicker);
 
--- a/src/test/java/org/apricotgauge/operator/timeline/TimelineMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/timeline/TimelineMainTest.java
@@ -136,6 +136,7 @@
                         () -> null,
                         ring::read,
                         AdminSources.QuarantineSource.empty(),
+                        List::of,
                         new MetricRegistry());
         AdminServer server = new AdminServer(sources, "127.0.0.1", 0, Ticker.system());
         server.start();
--- a/src/test/java/org/apricotgauge/operator/watch/WatchMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/watch/WatchMainTest.java
@@ -36,6 +36,7 @@
                         this::status,
                         (since, limit) -> null,
                         AdminSources.QuarantineSource.empty(),
+                        List::of,
                         new MetricRegistry());
         mServer = new AdminServer(sources, "127.0.0.1", 0, Ticker.system());
         mServer.start();
