--- a/src/main/java/org/apricotgauge/decision/health/HealthGate.java
+++ b/src/main/java/org/apricotgauge/decision/health/HealthGate.java
@@ -9,7 +9,7 @@
  * if (!gate.mayPass(Caution.STEADY, nowMillis)) {
  *     return notRun(NotRunReason.TARGET_SUSPECT);   // the entry goes to another target
  * }
- * HealthGate.Run run = gate.started("route-7", usefulMillis, nowMillis);
+ * HealthGate.Run run = gate.started("route-7", nowMillis);
  * gate.stillRuns(run, nowMillis);                    // after run.checkMillis(), again and again
  * gate.ended(run, failed, nowMillis);
  * }</pre>
@@ -69,15 +69,13 @@
     /** A request at the target; belongs to the gate that made it. */
     public static final class Run {
         private final String mWork;
-        private final long mUsefulMillis;
         private final long mStartMillis;
         private long mCheckMillis = Long.MAX_VALUE;
         private double mAnsweredBefore;
         private double mFailedBefore;
 
-        private Run(String work, long usefulMillis, long startMillis) {
+        private Run(String work, long startMillis) {
             mWork = work;
-            mUsefulMillis = usefulMillis;
             mStartMillis = startMillis;
         }
 
@@ -114,17 +112,16 @@
 
     /** Takes in that a request goes to the target, of which no other work is told apart. */
     public Run started(long nowMillis) {
-        return started("", Long.MAX_VALUE, nowMillis);
+        return started("", nowMillis);
     }
 
     /**
      * Takes in that a request goes to the target.
      *
      * @param work name of the kind of work it is
-     * @param usefulMillis time within which its answer is of full use
      */
-    public synchronized Run started(String work, long usefulMillis, long nowMillis) {
-        Run run = new Run(work, usefulMillis, nowMillis);
+    public synchronized Run started(String work, long nowMillis) {
+        Run run = new Run(work, nowMillis);
         run.mCheckMillis = nextCheckMillis(run, 0);
         return run;
     }
@@ -132,9 +129,7 @@
     private long nextCheckMillis(Run run, long millis) {
         long failureMillis = mFailureTimes.checkMillis();
         long markMillis =
-                mFailureTimes.areSilent()
-                        ? mRunTimes.markAfter(run.mWork, run.mUsefulMillis, millis)
-                        : Long.MAX_VALUE;
+                mFailureTimes.areSilent() ? mRunTimes.markAfter(run.mWork, millis) : Long.MAX_VALUE;
         return failureMillis > millis ? Math.min(failureMillis, markMillis) : markMillis;
     }
 
@@ -152,14 +147,12 @@
         if (isOutdated(run)) {
             return;
         }
-        Run before = new Run(run.mWork, run.mUsefulMillis, run.mStartMillis);
+        Run before = new Run(run.mWork, run.mStartMillis);
         before.mAnsweredBefore = run.mAnsweredBefore;
         before.mFailedBefore = run.mFailedBefore;
         if (mFailureTimes.areSilent()) {
             run.mAnsweredBefore =
-                    Math.max(
-                            run.mAnsweredBefore,
-                            mRunTimes.answeredWithin(run.mWork, run.mUsefulMillis, millis));
+                    Math.max(run.mAnsweredBefore, mRunTimes.answeredWithin(run.mWork, millis));
         }
         run.mFailedBefore = Math.max(run.mFailedBefore, mFailureTimes.within(millis));
         mFilter.saw(fails -> run.silent(fails) / before.silent(fails), nowMillis);
@@ -173,8 +166,14 @@
      */
     public synchronized Silence overdue(Run run, long nowMillis) {
         stillRuns(run, nowMillis);
+        if (!mFailureTimes.areSilent()) {
+            return Silence.SLOW;
+        }
+        if (!mRunTimes.knows(run.mWork)) {
+            return Silence.DOUBTFUL;
+        }
         double sick = mFilter.sickAt(nowMillis);
-        if (!mFailureTimes.areSilent() || sick < WORTH_LEAVING) {
+        if (sick < WORTH_LEAVING) {
             return Silence.SLOW;
         }
         return sick < SUSPECT ? Silence.DOUBTFUL : Silence.HUNG;
--- a/src/main/java/org/apricotgauge/decision/health/RunTimes.java
+++ b/src/main/java/org/apricotgauge/decision/health/RunTimes.java
@@ -25,9 +25,6 @@
     /** Operators name a useful time of some two to three times what the work takes. */
     static final double USEFUL_PART = 0.75;
 
-    /** Mean that goes with that. */
-    private static final double USEFUL_MEAN = 0.4;
-
     /** Below, the scheduling of a busy VM decides. */
     static final long LEAST_MILLIS = 50;
 
@@ -78,9 +75,21 @@
         mByWork.computeIfAbsent(known ? work : OTHER_KINDS, kind -> new Estimate()).add(millis);
     }
 
-    /** Returns the part of the answers to this work that come within a time, from 0 to 1. */
-    synchronized double answeredWithin(String work, long usefulMillis, double millis) {
-        Law law = lawOf(work, usefulMillis);
+    /** Returns whether enough answers to this work came to tell how long they take. */
+    synchronized boolean knows(String work) {
+        Estimate known = mByWork.get(work);
+        return known != null && known.mCount >= ENOUGH;
+    }
+
+    /**
+     * Returns the part of the answers to this work that come within a time, from 0 to 1; 0 while
+     * that is not known.
+     */
+    synchronized double answeredWithin(String work, double millis) {
+        if (!knows(work)) {
+            return 0;
+        }
+        Law law = lawOf(work);
         double scale = Math.max(1, law.deviationMillis() * LOGISTIC_SCALE);
         return (1 - UNFORESEEN) / (1 + Math.exp((law.meanMillis() - millis) / scale));
     }
@@ -89,8 +98,11 @@
      * Returns the next time after which a run that goes on tells something new, in milliseconds
      * since its start; {@link Long#MAX_VALUE} if none is to come.
      */
-    synchronized long markAfter(String work, long usefulMillis, long millis) {
-        Law law = lawOf(work, usefulMillis);
+    synchronized long markAfter(String work, long millis) {
+        if (!knows(work)) {
+            return Long.MAX_VALUE;
+        }
+        Law law = lawOf(work);
         for (double mark : MARKS) {
             long markMillis = (long) (law.meanMillis() + mark * law.deviationMillis());
             if (markMillis > Math.max(millis, LEAST_MILLIS)) {
@@ -106,18 +118,16 @@
      * @param usefulMillis time within which its answer is of full use
      */
     public synchronized long patienceMillis(String work, long usefulMillis) {
-        Law law = lawOf(work, usefulMillis);
-        double millis = law.meanMillis() + DEVIATIONS * law.deviationMillis();
+        double millis = USEFUL_PART * usefulMillis;
+        if (knows(work)) {
+            Law law = lawOf(work);
+            millis = law.meanMillis() + DEVIATIONS * law.deviationMillis();
+        }
         return Math.max(LEAST_MILLIS, (long) millis);
     }
 
-    private Law lawOf(String work, long usefulMillis) {
+    private Law lawOf(String work) {
         Estimate known = mByWork.get(work);
-        if (known == null || known.mCount < ENOUGH) {
-            double meanMillis = USEFUL_MEAN * usefulMillis;
-            double patienceMillis = USEFUL_PART * usefulMillis;
-            return new Law(meanMillis, (patienceMillis - meanMillis) / DEVIATIONS);
-        }
         double least = LEAST_DEVIATION * known.mMeanMillis;
         return new Law(known.mMeanMillis, Math.max(least, known.mDeviationMillis));
     }
--- a/src/main/java/org/apricotgauge/target/RunWatch.java
+++ b/src/main/java/org/apricotgauge/target/RunWatch.java
@@ -51,7 +51,7 @@
      */
     void begin(String work, long usefulMillis, long leftMillis, Runnable whenHung) {
         long nowMillis = mContext.ticker().millis();
-        HealthGate.Run run = mGate.health().started(work, usefulMillis, nowMillis);
+        HealthGate.Run run = mGate.health().started(work, nowMillis);
         mRun = run;
         mStartMillis = nowMillis;
         mUntilMillis = leftMillis;
--- a/src/test/java/org/apricotgauge/config/ConfigHistoryTest.java
+++ b/src/test/java/org/apricotgauge/config/ConfigHistoryTest.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.config;
 
 import static org.apricotgauge.config.Patches.accepted;
+import static org.apricotgauge.config.Patches.accessEntry;
 import static org.apricotgauge.config.Patches.entry;
 import static org.apricotgauge.config.Patches.putService;
 import static org.apricotgauge.config.Patches.route;
@@ -92,13 +93,12 @@
     // the old one could refuse what the new one takes; it must stop instead, and say so.
     @Test
     void rulesOfANewerReleaseStopTheFold() {
-        LogEntry entry = new LogEntry(1, patchText(0, Rules.NEWEST + 1, "{\"op\":\"unheard\"}"));
+        ConfigHistory history = underNewestRules();
+        LogEntry entry = new LogEntry(2, patchText(1, Rules.NEWEST + 1, "{\"op\":\"unheard\"}"));
 
-        FoldResult result = ConfigHistory.EMPTY.apply(entry);
+        FoldResult result = history.apply(entry);
 
-        assertThat(result)
-                .isEqualTo(
-                        new FoldResult.UnsupportedRules(ConfigHistory.EMPTY, 1, Rules.NEWEST + 1));
+        assertThat(result).isEqualTo(new FoldResult.UnsupportedRules(history, 2, Rules.NEWEST + 1));
     }
 
     // During a rollout an old node stops at the entry that needs the next rules, and its successor
@@ -108,7 +108,7 @@
     void oldReleaseStopsWhereANewOneGoesOnAlike() {
         int next = Rules.NEWEST + 1;
         LogEntry raise = new LogEntry(2, patchText(1, next, ""));
-        ConfigHistory one = accepted(putService("lessons"));
+        ConfigHistory one = underNewestRules();
 
         ConfigHistory old = one.apply(raise).history();
         ConfigHistory upgraded = old.apply(raise, next).history();
@@ -182,6 +182,10 @@
         assertThat(bad.versionDigest()).isEqualTo(one.versionDigest());
     }
 
+    private static ConfigHistory underNewestRules() {
+        return ConfigHistory.EMPTY.apply(accessEntry(1, 0, putService("lessons"))).history();
+    }
+
     private static String patchText(long baseVersion, int rulesVersion, String operation) {
         return "{\"baseVersion\":"
                 + baseVersion
--- a/src/test/java/org/apricotgauge/config/SnapshotCodecTest.java
+++ b/src/test/java/org/apricotgauge/config/SnapshotCodecTest.java
@@ -90,7 +90,7 @@
         assertThat(SnapshotCodec.decode(List.of(newer)))
                 .isEqualTo(
                         new SnapshotAssembler.Rejected(
-                                "rules version 2 is newer than this release knows (1)"));
+                                "rules version 3 is newer than this release knows (2)"));
     }
 
     @Test
