Log when a view of the site is older than it should be, and which pages are large

Cause: a node's lines told the age of its view at each run, and nothing of why it was old: whether it had asked, and what its links were busy with. Change: one line when a node's view grows older than its bound and one when it is young again; one line for each page of 100 KB or more, with its source and the view's age before it. No change of what is done.

--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -229,6 +229,7 @@
         }
         long nowMillis = mParts.ticker().millis();
         wakeIfPaused(nowMillis);
+        mLog.viewIs(newestRevision(), ageMillis(), mParts.times().viewBoundMillis());
         mWatch.expire(nowMillis);
         mPlatform.expire(nowMillis);
         mParent.expire(nowMillis);
--- a/src/main/java/org/apricotgauge/directory/DirectoryLog.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryLog.java
@@ -6,8 +6,12 @@
 
 /** The lines that tell what a node believes of its site, and what each belief rests on. */
 final class DirectoryLog {
+    /** A page of at least this many bytes takes a narrow link a tenth of a second. */
+    private static final long LARGE_PAGE_BYTES = 100_000;
+
     private final StateLog mLog = new StateLog(Logger.getLogger(DirectoryFeed.class));
     private Reading mReading = Reading.TIME;
+    private boolean mIsViewOld;
 
     /**
      * What a step in the belief of a target rests on.
@@ -30,6 +34,10 @@
 
     private record Lost(String reason, long revision) {}
 
+    private record LargePage(String source, long revision, long bytes, long viewAgeMillis) {}
+
+    private record ViewAge(long revision, long ageMillis) {}
+
     private record Parent(String source, long revision) {}
 
     private record PeerFailed(String peer, String reason) {}
@@ -39,6 +47,38 @@
         mReading = reading;
     }
 
+    /**
+     * Notes how large a page is.
+     *
+     * @param viewAgeMillis time since the last confirmation before it
+     */
+    void pageRead(String source, PublishedPage page, long viewAgeMillis) {
+        long bytes = page.items().stream().mapToLong(item -> item.value().length).sum();
+        if (bytes >= LARGE_PAGE_BYTES) {
+            mLog.info(
+                    "large page read",
+                    new LargePage(source, page.revision(), bytes, viewAgeMillis));
+        }
+    }
+
+    /**
+     * Notes how old the view is.
+     *
+     * @param boundMillis age from which on it is older than it should be
+     */
+    void viewIs(long revision, long ageMillis, long boundMillis) {
+        boolean isOld = ageMillis > boundMillis;
+        if (isOld == mIsViewOld) {
+            return;
+        }
+        mIsViewOld = isOld;
+        if (isOld) {
+            mLog.warn("view of the site is too old", new ViewAge(revision, ageMillis));
+        } else {
+            mLog.info("view of the site is young again", new ViewAge(revision, ageMillis));
+        }
+    }
+
     void believes(TargetChange change) {
         mLog.info("target changed", new Believed(change, mReading));
     }
--- a/src/main/java/org/apricotgauge/directory/SiteFold.java
+++ b/src/main/java/org/apricotgauge/directory/SiteFold.java
@@ -56,6 +56,7 @@
             return false;
         }
         mItems.set(after);
+        mLog.pageRead(origin.source(), page, origin.viewAgeMillis());
         List<Change> changes = after.changedSince(before).stream().map(this::decode).toList();
         boolean changed = false;
         for (Change change : changes) {
