Reproduce that views pass for younger than they are, and that work reaches targets that left

Cause: the way of a head that tells a view's age is not counted, nor that of a watch's answer. Ruled out: that the users' platform is needed for it: a fake platform whose answers are 600 ms on their way does it. Their bound is the stated one: targets serve on for 2,000 ms, less 100 ms for the last hop.

--- a/src/test/java/org/apricotgauge/directory/FakePlatform.java
+++ b/src/test/java/org/apricotgauge/directory/FakePlatform.java
@@ -11,13 +11,18 @@
     private final Ticker mTicker;
     private final List<PublishedItem> mItems = new ArrayList<>();
     private final List<Watch> mWaiting = new ArrayList<>();
+    private final List<Delivery> mUnderWay = new ArrayList<>();
     private long mRevision;
+    private long mWayMillis;
     private boolean mAway;
     private boolean mSilent;
 
     private record Watch(
             long afterRevision, long untilMillis, CompletableFuture<PublishedPage> answer) {}
 
+    private record Delivery(
+            long atMillis, PublishedPage page, CompletableFuture<PublishedPage> answer) {}
+
     FakePlatform(Ticker ticker) {
         mTicker = ticker;
     }
@@ -72,8 +77,14 @@
         answerDue();
     }
 
+    /** Lets each answer be on its way for a time from now on. */
+    void setWay(long millis) {
+        mWayMillis = millis;
+    }
+
     /** Answers what has something to tell or has waited for long enough. */
     void answerDue() {
+        deliverDue();
         if (mSilent) {
             return;
         }
@@ -85,7 +96,20 @@
                                                 || watch.untilMillis() <= mTicker.millis())
                         .toList();
         mWaiting.removeAll(due);
-        due.forEach(watch -> watch.answer().complete(page(watch.afterRevision())));
+        due.forEach(this::answer);
+        deliverDue();
+    }
+
+    private void answer(Watch watch) {
+        long atMillis = mTicker.millis() + mWayMillis;
+        mUnderWay.add(new Delivery(atMillis, page(watch.afterRevision()), watch.answer()));
+    }
+
+    private void deliverDue() {
+        List<Delivery> due =
+                mUnderWay.stream().filter(one -> one.atMillis() <= mTicker.millis()).toList();
+        mUnderWay.removeAll(due);
+        due.forEach(one -> one.answer().complete(one.page()));
     }
 
     private PublishedPage page(long afterRevision) {
--- a/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
+++ b/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
@@ -30,6 +30,9 @@
     /** What a request takes from the last look at the table to the target, with a late timer. */
     private static final long LAST_HOP_MILLIS = 100;
 
+    /** What an answer takes on a link that a large configuration has filled. */
+    private static final long LATE_ANSWER_MILLIS = 600;
+
     private final ManualTicker mTicker = new ManualTicker();
     private final FakePlatform mPlatform = new FakePlatform(mTicker);
     private SiteDirectory mSite;
@@ -70,6 +73,19 @@
         assertThat(takingWork()).containsExactly("b", "c");
     }
 
+    /** Guards against work for a target that left while a change before it was on its way. */
+    @Test
+    void aRegistrationThatEndsIsObeyedInTimeThoughAnswersAreLate() {
+        mPlatform.setWay(LATE_ANSWER_MILLIS);
+        mPlatform.publish("d", bytes("ready"));
+        mTicker.advanceMillis(1);
+
+        mPlatform.remove("a");
+        pass(SERVES_ON_MILLIS - LAST_HOP_MILLIS);
+
+        assertThat(takingWork()).containsExactly("b", "c", "d");
+    }
+
     @Test
     void aRegistrationThatEndsIsObeyedInTimeThoughACallFailedBefore() {
         // One call of this node fails, and the next is answered: the platform was never away. A
--- /dev/null
+++ b/src/test/java/org/apricotgauge/node/DirectoryControlTest.java
@@ -0,0 +1,110 @@
+package org.apricotgauge.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apricotgauge.directory.PlatformTimes;
+import org.apricotgauge.directory.PublishedConfiguration;
+import org.apricotgauge.directory.PublishedItem;
+import org.apricotgauge.directory.PublishedPage;
+import org.apricotgauge.directory.SiteChange;
+import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.DetectionOdds;
+import org.apricotgauge.model.Vm;
+import org.apricotgauge.time.ManualTicker;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DirectoryControlTest {
+    private static final PlatformTimes TIMES = new PlatformTimes(2_000, 1_500);
+    private static final PublishedItem CONFIGURATION =
+            new PublishedItem("config", new byte[] {1}, 5, false);
+
+    private final ManualTicker mTicker = new ManualTicker();
+    private final ScheduledExecutorService mWorker = Executors.newSingleThreadScheduledExecutor();
+    private final List<CompletableFuture<PublishedPage>> mReads = new ArrayList<>();
+    private NodeControl mControl;
+
+    private static final class DeafListener implements NodeControl.Listener {
+        @Override
+        public void onConfiguration(
+                long version, Configuration configuration, NodeControl.Mark mark) {}
+
+        @Override
+        public void onMembers(SiteMembers members) {}
+
+        @Override
+        public void onEvidence(String vm, String service, byte[] payload) {}
+
+        @Override
+        public void onBroken(RuntimeException failure) {
+            throw failure;
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        NodeControl.Parts parts =
+                new NodeControl.Parts(
+                        new Vm("vm", "here", "127.0.0.1", 81, 82, 83, 84),
+                        0,
+                        new DeafListener(),
+                        new NodeEvents("vm", 1),
+                        new MetricRegistry(),
+                        mWorker,
+                        mTicker,
+                        null);
+        mControl =
+                DirectoryControl.factory(
+                                client -> (after, waitMillis) -> read(),
+                                item -> configured(),
+                                new SiteDefaults(70, new DetectionOdds(1, 1), 20),
+                                TIMES)
+                        .start(parts);
+        awaitWorker();
+        mReads.get(0).complete(new PublishedPage(5, true, List.of(CONFIGURATION)));
+        awaitWorker();
+    }
+
+    @AfterEach
+    void stop() {
+        mControl.close();
+        mWorker.shutdownNow();
+    }
+
+    private CompletableFuture<PublishedPage> read() {
+        CompletableFuture<PublishedPage> read = new CompletableFuture<>();
+        mReads.add(read);
+        return read;
+    }
+
+    private static SiteChange configured() {
+        return new SiteChange.Configured(
+                new PublishedConfiguration(1, 0, List.of("s"), List.of(), 1_000));
+    }
+
+    private void awaitWorker() throws Exception {
+        mWorker.submit(() -> {}).get();
+    }
+
+    /** Guards against views that pass for young since the heads that told their age were late. */
+    @Test
+    void anAgeToldOnAHopMakesNoViewYounger() {
+        mTicker.advanceMillis(700);
+
+        mControl.hopArrived(
+                HttpFields.build()
+                        .put(HeaderNames.DIRECTORY, "5;127.0.0.2:82")
+                        .put("Apricotgauge-View-Age-Millis", "0"));
+
+        assertThat(mControl.siteView().ageMillis()).isGreaterThanOrEqualTo(700);
+    }
+}
