Test that a large configuration on narrow links holds no later change up

Ruled out, in the simulated site: with answers counted from their questions each node that is told nothing asks the platform in time, over its own link. Change: links in SimulatedSite; pages are written and read by PageCodec, out of DirectoryControl, so that the test knows how large they are. No change of what is done.

--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -1,8 +1,5 @@
 package org.apricotgauge.node;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,10 +11,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.apricotgauge.directory.DirectoryFeed;
+import org.apricotgauge.directory.PageCodec;
 import org.apricotgauge.directory.PlatformTimes;
 import org.apricotgauge.directory.PublishedConfiguration;
-import org.apricotgauge.directory.PublishedItem;
-import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.directory.PublishedSource;
 import org.apricotgauge.directory.ReaderTree;
 import org.apricotgauge.directory.Registration;
@@ -33,7 +29,6 @@
 import org.apricotgauge.model.Target;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
  * The control of a fleet whose platform publishes the configuration whole and lets targets register
@@ -44,9 +39,6 @@
  * DirectoryFeed}.
  */
 final class DirectoryControl implements NodeControl {
-    private static final ObjectMapper MAPPER =
-            new ObjectMapper(new MessagePackFactory())
-                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     private static final char SEPARATOR = ';';
     private static final String UNREADABLE = "directory.unreadable_hints";
 
@@ -59,6 +51,7 @@
     private final Parts mParts;
     private final SiteDefaults mDefaults;
     private final DirectoryFeed mFeed;
+    private final PageCodec mCodec = new PageCodec();
     private final long mMaxAgeMillis;
     private final AtomicLong mToldAgeAtMillis = new AtomicLong(Long.MIN_VALUE / 2);
     private Configuration mConfiguration = Configuration.EMPTY;
@@ -80,7 +73,7 @@
                 new DirectoryFeed(
                         new DirectoryFeed.Parts(
                                 platform,
-                                peer -> new PeerSource(parts.questions(), peer),
+                                peer -> new PeerSource(parts.questions(), mCodec, peer),
                                 decoder,
                                 parts.worker(),
                                 parts.ticker(),
@@ -102,32 +95,6 @@
                         parts, platform.apply(parts.questions()), decoder, defaults, times);
     }
 
-    /** A page on the wire; a node of an earlier release tells no age. */
-    private record PageMessage(
-            long revision, boolean whole, List<PublishedItem> items, Long ageMillis) {
-        static PageMessage of(PublishedPage page) {
-            return new PageMessage(page.revision(), page.whole(), page.items(), page.ageMillis());
-        }
-
-        PublishedPage page() {
-            long knownAgeMillis = ageMillis == null ? PublishedPage.UNKNOWN_AGE : ageMillis;
-            return new PublishedPage(revision, whole, items, knownAgeMillis);
-        }
-    }
-
-    static byte[] encode(PublishedPage page) {
-        try {
-            return MAPPER.writeValueAsBytes(PageMessage.of(page));
-        } catch (IOException e) {
-            throw new IllegalStateException("a page can always be written", e);
-        }
-    }
-
-    /** Reads a page. */
-    static PublishedPage decode(byte[] bytes) throws IOException {
-        return MAPPER.readValue(bytes, PageMessage.class).page();
-    }
-
     private void onSite(SiteDirectory directory) {
         PublishedConfiguration published = directory.configuration();
         if (published == null) {
@@ -356,7 +323,7 @@
 
     @Override
     public CompletableFuture<byte[]> published(long afterRevision, long waitMillis) {
-        return mFeed.published(afterRevision, waitMillis).thenApply(DirectoryControl::encode);
+        return mFeed.published(afterRevision, waitMillis).thenApply(mCodec::encode);
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/node/PeerSource.java
+++ b/src/main/java/org/apricotgauge/node/PeerSource.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.directory.PageCodec;
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.directory.PublishedSource;
 import org.apricotgauge.http.HeaderNames;
@@ -25,10 +26,12 @@
     private static final int MAX_BYTES = 4 << 20;
 
     private final HttpClient mClient;
+    private final PageCodec mCodec;
     private final Address mGuard;
 
-    PeerSource(HttpClient client, Address guard) {
+    PeerSource(HttpClient client, PageCodec codec, Address guard) {
         mClient = client;
+        mCodec = codec;
         mGuard = guard;
     }
 
@@ -46,18 +49,16 @@
                                     headers.put(HeaderNames.DIRECTORY, afterRevision);
                                     headers.put(HeaderNames.DIRECTORY_WAIT_MILLIS, waitMillis);
                                 });
-        return new CompletableResponseListener(request, MAX_BYTES)
-                .send()
-                .thenApply(PeerSource::page);
+        return new CompletableResponseListener(request, MAX_BYTES).send().thenApply(this::page);
     }
 
-    private static PublishedPage page(ContentResponse answer) {
+    private PublishedPage page(ContentResponse answer) {
         if (answer.getStatus() != HttpStatus.OK_200) {
             throw new CompletionException(
                     new IOException("peer answered with status " + answer.getStatus()));
         }
         try {
-            return DirectoryControl.decode(answer.getContent());
+            return mCodec.decode(answer.getContent());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/test/java/org/apricotgauge/directory/ReaderFleetTest.java
+++ b/src/test/java/org/apricotgauge/directory/ReaderFleetTest.java
@@ -13,6 +13,9 @@
 class ReaderFleetTest {
     private static final long SECOND_MILLIS = 1_000;
 
+    /** A link of 10 Mbit/s. */
+    private static final long NARROW_LINK_BYTES_PER_MILLI = 1_250;
+
     @Test
     void callsAtRestDoNotGrowWithTheNodesOfAFailureDomain() {
         // Each node that reads the platform itself costs a waiting watch, a question every second
@@ -88,6 +91,34 @@
         assertThat(site.nodes()).allMatch(node -> node.feed().newestRevision() == 38);
     }
 
+    /** Guards against a word of leaving that waits behind a large configuration on its way. */
+    @Test
+    void aLargeConfigurationOnNarrowLinksHoldsNoLaterChangeUp() {
+        SimulatedSite site = new SimulatedSite(3, 24, 8);
+        site.setLinks(NARROW_LINK_BYTES_PER_MILLI);
+        site.pass(10 * SECOND_MILLIS);
+
+        site.publish("config", configurationOf(1_400));
+        site.pass(300);
+        site.publish("x", "d0");
+        site.pass(SimulatedSite.TIMES.servesOnMillis() - 100);
+
+        assertThat(site.nodes()).allMatch(node -> node.feed().newestRevision() == 75);
+    }
+
+    private static String configurationOf(int routes) {
+        SplittableRandom random = new SplittableRandom(9);
+        StringBuilder text = new StringBuilder();
+        for (int route = 0; route < routes; route++) {
+            text.append("{\"name\":\"r-").append(Long.toHexString(random.nextLong()));
+            text.append("\",\"pathPrefix\":\"/").append(Integer.toHexString(random.nextInt()));
+            text.append("/\",\"service\":\"service-").append(random.nextInt(3));
+            text.append("\",\"kind\":\"idempotent\",\"priority\":1,\"maxAttempts\":3,");
+            text.append("\"timeoutMs\":6000,\"targetLatencyMs\":1500,\"publicAccess\":false},\n");
+        }
+        return text.toString();
+    }
+
     @Test
     void aReaderThatDiesOrIsCutOffOrWakesLateHoldsNobodyUp() {
         // The nodes of a failure domain learn all they know from one of them. It dies, or is
--- a/src/test/java/org/apricotgauge/directory/SimulatedSite.java
+++ b/src/test/java/org/apricotgauge/directory/SimulatedSite.java
@@ -42,6 +42,11 @@
     private static final long PLATFORM_WAY_MILLIS = 2;
     private static final long NODE_WAY_MILLIS = 1;
 
+    /** The platform's values are base64 on the wire: four bytes for three. */
+    private static final int BASE64_OF_3_BYTES = 4;
+
+    private static final long UNBOUNDED = Long.MAX_VALUE;
+
     private final ManualTicker mTicker = new ManualTicker();
     private final SplittableRandom mRandom;
     private final PriorityQueue<Event> mEvents =
@@ -50,6 +55,7 @@
     private final SimulatedPlatform mPlatform = new SimulatedPlatform(mTicker);
     private final List<SiteNode> mNodes = new ArrayList<>();
     private final Set<List<SiteNode>> mCutPaths = new HashSet<>();
+    private long mLinkBytesPerMilli = UNBOUNDED;
     private long mEventNumber;
 
     private record Event(long atMillis, long number, Runnable action) {}
@@ -66,6 +72,11 @@
         mNodes.forEach(SiteNode::start);
     }
 
+    /** Bounds what the link of each node carries either way; messages wait for each other. */
+    void setLinks(long bytesPerMilli) {
+        mLinkBytesPerMilli = bytesPerMilli;
+    }
+
     SimulatedPlatform platform() {
         return mPlatform;
     }
@@ -157,6 +168,8 @@
         private long mTimeOfDayOffMillis;
         private long mPausedAtMillis;
         private long mCalmFromMillis;
+        private final PageCodec mCodec = new PageCodec();
+        private long mLinkFreeAtMillis;
         private final List<Runnable> mHeldUp = new ArrayList<>();
 
         private SiteNode(String domain, String host) {
@@ -308,13 +321,33 @@
             later(PLATFORM_WAY_MILLIS, () -> mPlatform.read(this, after, wait, there));
             there.whenComplete(
                     (page, failure) ->
-                            later(PLATFORM_WAY_MILLIS, () -> deliver(epoch, page, failure, back)));
+                            later(
+                                    PLATFORM_WAY_MILLIS + onLinkMillis(bytesOfPlatform(page)),
+                                    () -> deliver(epoch, page, failure, back)));
             if (wait > 0) {
                 later(PLATFORM_WAY_MILLIS + wait, mPlatform::answerDue);
             }
             return back;
         }
 
+        /** Puts bytes on the node's link; returns when the last of them has left it. */
+        private long onLinkMillis(long bytes) {
+            mLinkFreeAtMillis = Math.max(now(), mLinkFreeAtMillis) + bytes / mLinkBytesPerMilli;
+            return mLinkFreeAtMillis - now();
+        }
+
+        private long onLinkMillis(PublishedPage page) {
+            return onLinkMillis(page == null ? 0 : mCodec.encode(page).length);
+        }
+
+        private long bytesOfPlatform(PublishedPage page) {
+            return page == null
+                    ? 0
+                    : page.items().stream().mapToLong(item -> item.value().length).sum()
+                            * BASE64_OF_3_BYTES
+                            / (BASE64_OF_3_BYTES - 1);
+        }
+
         private void deliver(
                 long epoch,
                 PublishedPage page,
@@ -365,7 +398,7 @@
                                         (page, failure) -> {
                                             if (!isCut(other, this) && otherEpoch == other.mEpoch) {
                                                 later(
-                                                        NODE_WAY_MILLIS,
+                                                        NODE_WAY_MILLIS + other.onLinkMillis(page),
                                                         () -> deliver(epoch, page, failure, back));
                                             }
                                         });
--- a/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.cli.CommandOutcome;
+import org.apricotgauge.directory.PageCodec;
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.http.HttpClientFactory;
 import org.apricotgauge.model.Address;
@@ -154,7 +155,7 @@
     void anotherNodeReadsTheSiteFromThisOne() throws Exception {
         // Over real connections: a question is answered with the site and the age of the view, and
         // a watch by the change that comes while it waits.
-        PeerSource peer = new PeerSource(mCaller, mGuard);
+        PeerSource peer = new PeerSource(mCaller, new PageCodec(), mGuard);
         mPlatform.publish(LOOPBACK, "desk");
         LocalFleet.await(() -> mNode.version() == 1);
 
@@ -176,7 +177,7 @@
                         .writeValueAsBytes(
                                 Map.of("revision", 5, "whole", true, "items", List.of()));
 
-        assertThat(DirectoryControl.decode(page).tellsAge()).isFalse();
+        assertThat(new PageCodec().decode(page).tellsAge()).isFalse();
     }
 
     private ContentResponse call(String id) throws Exception {
