Send no work by a view of the site that is too old, while the platform answers

Callers saw nothing; a guard sent work to its target by a view that it knew to be seconds old, in which time the target may have left. Cause: the bound on the age of a view was a time to ask. Nothing looked at the age when work was sent, and a guard that woke from a pause sent what came by what it knew before. Change: at the slot and just before the first byte the guard asks whether the view is within 19 of 20 parts of the time that targets serve on, or the platform away: a call that failed, or a question without an answer for three twentieths of that time. If neither, the request is told not run, and goes to another target. Tests: StoppingGuardTest.aGuardThatHasNotHeardOfTheSiteForTooLongSendsNothing fails without the look (run so); aNodeThatWokeSendsNoWorkUntilItsViewIsConfirmed; aPlatformThatFallsSilentHardlyStopsWork bounds what it costs when the platform falls silent to two ticks. SendCheck holds what GuardedRequest asked in two places. Conclusion: why it works: whoever acts has heard within the bound, or has asked and got no answer. Open: a node whose own link delays the platform's answer for longer takes the platform for away.

--- a/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/NotRunReason.java
@@ -38,7 +38,7 @@
     LEAVING,
     /** The target is leaving or gone, and gets no new work. */
     TARGET_LEAVING,
-    /** The node was paused, and has not yet heard that what it knows is still in force. */
+    /** The node has not heard for too long, or not since a pause, that what it knows holds. */
     STATE_UNCONFIRMED,
     /** The guard of its Idempotency-Key restarted too lately to know whether the key was used. */
     KEY_HISTORY_UNKNOWN,
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -145,6 +145,16 @@
         return mOpened.isDone() && mAge.isAwake();
     }
 
+    /**
+     * Returns whether work may be sent to targets by what is known; cheap, from any thread.
+     *
+     * <p>A target may have left since the last confirmation, and serves on for a bounded time.
+     * While the platform does not answer, targets are served as they were last known.
+     */
+    public boolean isCurrent() {
+        return mAge.millis() <= mParts.times().actBoundMillis() || mPlatform.isAway();
+    }
+
     /** Notes the newest change that a peer knows; cheap, from any thread. */
     public void hint(long newestRevision, Address peer) {
         mHints.hint(newestRevision, peer, mParts.ticker().millis(), !mOpened.isDone());
--- a/src/main/java/org/apricotgauge/directory/PlatformLink.java
+++ b/src/main/java/org/apricotgauge/directory/PlatformLink.java
@@ -5,14 +5,17 @@
 /**
  * What a node knows of the platform's answering it, and the question that confirms its view.
  *
- * <p>Not thread-safe.
+ * <p>Not thread-safe, but for {@link #isAway}.
  */
 final class PlatformLink {
+    private static final long NOT_ASKED = Long.MAX_VALUE;
+
     private final DirectoryFeed.Parts mParts;
     private final DirectoryLog mLog;
     private final PendingRead mQuestion;
     private final RetryPause mRetryPause;
-    private boolean mIsLost;
+    private volatile boolean mIsLost;
+    private volatile long mAskedMillis = NOT_ASKED;
     private long mNextTryMillis;
 
     /**
@@ -34,6 +37,14 @@
         return mIsLost;
     }
 
+    /** Returns whether the last call failed, or the question is unanswered for too long. */
+    boolean isAway() {
+        long askedMillis = mAskedMillis;
+        return mIsLost
+                || (askedMillis != NOT_ASKED
+                        && mParts.ticker().millis() - askedMillis >= mParts.times().answerMillis());
+    }
+
     /** Returns when a lost platform is to be tried again. */
     long nextTryMillis() {
         return mNextTryMillis;
@@ -44,6 +55,7 @@
         if (mQuestion.isUnderWay()) {
             return false;
         }
+        mAskedMillis = nowMillis;
         mQuestion.begin(
                 mParts.platform(),
                 new PendingRead.Question(revision, 0),
@@ -54,6 +66,7 @@
 
     /** Notes an answer, or that others have one. */
     void answered(long revision) {
+        mAskedMillis = NOT_ASKED;
         mRetryPause.reset();
         if (mIsLost) {
             mIsLost = false;
@@ -63,6 +76,7 @@
 
     /** Notes a call that failed. */
     void failed(String reason, long revision, ReaderTree tree, long nowMillis) {
+        mAskedMillis = NOT_ASKED;
         mNextTryMillis = nowMillis + mRetryPause.nextMillis(tree);
         if (!mIsLost) {
             mIsLost = true;
@@ -77,6 +91,7 @@
 
     /** Gives a question up. */
     void drop() {
+        mAskedMillis = NOT_ASKED;
         mQuestion.drop();
     }
 }
--- a/src/main/java/org/apricotgauge/directory/PlatformTimes.java
+++ b/src/main/java/org/apricotgauge/directory/PlatformTimes.java
@@ -66,6 +66,22 @@
         return Math.max(1, viewBoundMillis() / 8);
     }
 
+    /**
+     * Returns up to which age of its view a node sends work to targets, in milliseconds; the rest
+     * of the time that targets serve on is left for the request's last hop.
+     */
+    long actBoundMillis() {
+        return Math.max(1, servesOnMillis * 19 / 20);
+    }
+
+    /**
+     * Returns how long the platform may take to confirm a view, in milliseconds; one that takes
+     * longer counts as away, before the view is too old to act on.
+     */
+    long answerMillis() {
+        return Math.max(1, servesOnMillis * 3 / 20);
+    }
+
     /** Returns how long an ended registration is kept at the most while the platform is there. */
     long keepMillis() {
         return servesOnMillis / 2;
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -230,6 +230,11 @@
         return mFeed.mayAct();
     }
 
+    @Override
+    public boolean isCurrent() {
+        return mFeed.isCurrent();
+    }
+
     @Override
     public SiteView siteView() {
         return mFeed.view();
--- a/src/main/java/org/apricotgauge/node/GossipControl.java
+++ b/src/main/java/org/apricotgauge/node/GossipControl.java
@@ -89,6 +89,11 @@
         return new Mark(digest, history.digest().toString(), history.position());
     }
 
+    @Override
+    public boolean isCurrent() {
+        return true;
+    }
+
     @Override
     public SiteView siteView() {
         return SiteView.NONE;
--- a/src/main/java/org/apricotgauge/node/NodeControl.java
+++ b/src/main/java/org/apricotgauge/node/NodeControl.java
@@ -40,6 +40,12 @@
     /** Returns what tells two nodes' histories apart. */
     Mark mark();
 
+    /**
+     * Returns whether what is known of the site is young enough to send work to targets by it;
+     * cheap enough for each request.
+     */
+    boolean isCurrent();
+
     /** Returns what is known of the site, and since when; cheap enough for each request. */
     SiteView siteView();
 
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -79,6 +79,11 @@
         mControl.get().beforeAcknowledgement(headers);
     }
 
+    @Override
+    public boolean isSiteCurrent() {
+        return mControl.get().isCurrent();
+    }
+
     @Override
     public SiteView siteView() {
         return mControl.get().siteView();
--- a/src/main/java/org/apricotgauge/node/UnstartedControl.java
+++ b/src/main/java/org/apricotgauge/node/UnstartedControl.java
@@ -37,6 +37,11 @@
         return new Mark("", "", 0);
     }
 
+    @Override
+    public boolean isCurrent() {
+        return true;
+    }
+
     @Override
     public SiteView siteView() {
         return SiteView.NONE;
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -41,6 +41,9 @@
      */
     void healthSeen(Target target, HealthOutlook.Told health, int loadPermille);
 
+    /** Returns whether what this node knows of the site is young enough to send work by it. */
+    boolean isSiteCurrent();
+
     /** Returns what this node knows of the site now, for the line of a decision. */
     SiteView siteView();
 
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -61,6 +61,7 @@
     private final Acknowledgements mAcknowledgements;
     private final RunIdentity mIdentity;
     private final RunWatch mWatch;
+    private final SendCheck mCheck;
     private volatile boolean mTimedOut;
 
     /** Why nothing was written though the request had its slot; null while nothing forbids it. */
@@ -102,6 +103,7 @@
         mGate = gate;
         mIdentity = new RunIdentity(request, context.dialect());
         mWatch = new RunWatch(context, gate, mIdentity);
+        mCheck = new SendCheck(context, gate, mIdentity);
         mAttempt = attempt;
         mTicket = ticket;
         mRequest = request;
@@ -176,16 +178,9 @@
     public void admitted() {
         mSlotAtMillis = mContext.ticker().millis();
         mView = mContext.observer().siteView();
-        if (!mContext.takesWork().test(mGate.target())) {
-            refuseAtSlot(NotRunReason.TARGET_LEAVING);
-            return;
-        }
-        if (!mGate.health().mayPass(mCaution, mContext.ticker().millis())) {
-            refuseAtSlot(NotRunReason.TARGET_SUSPECT);
-            return;
-        }
-        if (!mPass.tryPass()) {
-            refuseAtSlot(NotRunReason.RETRIES_SPENT);
+        NotRunReason refused = mCheck.atSlot(mCaution, mPass);
+        if (refused != null) {
+            refuseAtSlot(refused);
             return;
         }
         if (!mPhase.compareAndSet(Phase.WAITING, Phase.SENDING)) {
@@ -235,29 +230,13 @@
     @Override
     public boolean onBegin() {
         mSentAtNanos = mContext.ticker().nanos();
-        mWithheld = reasonToWithhold();
+        mWithheld = mCheck.beforeFirstByte(mAttempt);
         if (mWithheld == null) {
             logStart();
         }
         return mWithheld == null;
     }
 
-    // Since the slot was given, while this waited for a connection, the target may have said that
-    // it leaves, and would get work after the time for which it serves on; the third target may
-    // have ended under another copy of the request; or a fence was answered "not run".
-    private NotRunReason reasonToWithhold() {
-        if (!mContext.takesWork().test(mGate.target())) {
-            return NotRunReason.TARGET_LEAVING;
-        }
-        if (heldMillis() > 0) {
-            return NotRunReason.QUARANTINED;
-        }
-        if (mIdentity.isUnidentified(mContext.quarantine())) {
-            return NotRunReason.BODY_UNREAD;
-        }
-        return mContext.ledger().started(mAttempt) ? null : NotRunReason.FENCED;
-    }
-
     private void logStart() {
         mContext.log()
                 .started(
--- a/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
+++ b/src/test/java/org/apricotgauge/directory/DirectoryFeedTest.java
@@ -213,6 +213,22 @@
         assertThat(mFeed.view().ageMillis()).isEqualTo(100);
     }
 
+    /** Guards against work sent by what was known before a pause, when targets may have left. */
+    @Test
+    void aNodeThatWokeSendsNoWorkUntilItsViewIsConfirmed() {
+        mFeed.start();
+        mPlatform.answer(5, true, config(5, 1));
+        pass(100);
+        assertThat(mFeed.isCurrent()).isTrue();
+
+        mSuspendedMillis += 5_000;
+        pass(100);
+        assertThat(mFeed.isCurrent()).isFalse();
+
+        mPlatform.answer(5, false);
+        assertThat(mFeed.isCurrent()).isTrue();
+    }
+
     @Test
     void aFeedThatIsClosedCallsNobody() {
         mFeed.start();
--- a/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
+++ b/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
@@ -30,6 +30,8 @@
     /** What a request takes from the last look at the table to the target, with a late timer. */
     private static final long LAST_HOP_MILLIS = 100;
 
+    private static final long TICK_MILLIS = 100;
+
     /** What an answer takes on a link that a large configuration has filled. */
     private static final long LATE_ANSWER_MILLIS = 600;
 
@@ -142,6 +144,19 @@
         assertThat(takingWork()).containsExactly("a", "b", "c");
     }
 
+    /** Guards against a fleet that refuses all work because its platform is away. */
+    @Test
+    void aPlatformThatFallsSilentHardlyStopsWork() {
+        mPlatform.setSilent(true);
+        int stoppedTicks = 0;
+        for (int tick = 0; tick < 100; tick++) {
+            pass(TICK_MILLIS);
+            stoppedTicks += mFeed.isCurrent() ? 0 : 1;
+        }
+
+        assertThat(stoppedTicks).isLessThanOrEqualTo(2);
+    }
+
     private List<String> takingWork() {
         return mSite.registrations().stream()
                 .filter(one -> !one.leaving())
@@ -153,7 +168,7 @@
     private void pass(long millis) {
         long left = millis;
         while (left > 0) {
-            long step = Math.min(left, 100);
+            long step = Math.min(left, TICK_MILLIS);
             mTicker.advanceMillis(step);
             mPlatform.answerDue();
             mFeed.tick();
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -80,6 +80,7 @@
     private final int mTargetConnections;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
+    private volatile boolean mIsSiteCurrent = true;
     private Configuration mConfiguration =
             Configuration.EMPTY
                     .withService(new Service(SERVICE, 0, new DetectionOdds(1, 1), 100, 100, null))
@@ -157,6 +158,11 @@
         return this;
     }
 
+    /** Sets whether what the guards know of the site is young enough. */
+    void setSiteCurrent(boolean current) {
+        mIsSiteCurrent = current;
+    }
+
     /** Lets a target begin to leave. */
     Hops leave(String id) {
         mLeaving = id;
@@ -345,6 +351,11 @@
         @Override
         public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {}
 
+        @Override
+        public boolean isSiteCurrent() {
+            return mIsSiteCurrent;
+        }
+
         @Override
         public SiteView siteView() {
             return SiteView.NONE;
--- a/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
+++ b/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
@@ -81,6 +81,21 @@
         }
     }
 
+    /** Guards against work for a target that may have left since the guard last heard of it. */
+    @Test
+    void aGuardThatHasNotHeardOfTheSiteForTooLongSendsNothing() throws Exception {
+        CountDownLatch go = new CountDownLatch(0);
+        try (RawTarget target = RawTarget.start(answersAfter(go));
+                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1)) {
+            hops.setSiteCurrent(false);
+            assertThat(book(hops).get()).startsWith("HTTP/1.1 503").contains("not-run");
+            assertThat(target.runs()).isZero();
+
+            hops.setSiteCurrent(true);
+            assertThat(book(hops).get()).startsWith("HTTP/1.1 200");
+        }
+    }
+
     private static RawTarget.Script answersAfter(CountDownLatch go) {
         return (head, body, out) -> {
             go.await();
