Let no older write of a target undo its word that it leaves

Cause: a registration was believed whatever its sequence. The platform may do a write seconds late; one that was sent before the target's word to leave, and arrives after it, made the target count as ready again. Change: of one run, a write with a lower sequence changes nothing once the run has said that it leaves. Another run of the same name is not held to it. Tests: SiteDirectoryTest.anOlderWriteUndoesNoWordOfLeaving failed before (leaving was false).

--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -113,6 +113,10 @@
         }
         boolean sameRun =
                 known != null && known.registration().target().equals(registration.target());
+        // A write that was delayed on its way; it would undo the target's later word.
+        if (sameRun && known.registration().leaving() && isOlder(registration, known)) {
+            return false;
+        }
         long order = sameRun ? known.order() : mNextOrder++;
         Entry entry = new Entry(registration, order);
         mRegistrations.put(registration.name(), entry);
@@ -120,6 +124,10 @@
         return true;
     }
 
+    private static boolean isOlder(Registration registration, Entry known) {
+        return registration.sequence() < known.registration().sequence();
+    }
+
     private boolean configure(PublishedConfiguration configuration) {
         if (mConfiguration != null && configuration.version() <= mConfiguration.version()) {
             return false;
--- a/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
+++ b/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
@@ -105,6 +105,25 @@
         assertThat(mDirectory.registrations()).extracting(Registration::name).containsExactly("a");
     }
 
+    /** Guards against work for a leaving target whose older registration was written late. */
+    @Test
+    void anOlderWriteUndoesNoWordOfLeaving() {
+        Target target = new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3);
+        Target nextRun = new Target("a_2", "s", "vm", "here", "127.0.0.1", 1, 3);
+        take(new SiteChange.Registered(new Registration("a", target, true, 8, 0)), 0);
+
+        assertThat(take(new SiteChange.Registered(new Registration("a", target, false, 7, 0)), 10))
+                .isFalse();
+        assertThat(mDirectory.registrations())
+                .extracting(Registration::leaving)
+                .containsExactly(true);
+
+        take(new SiteChange.Registered(new Registration("a", nextRun, false, 1, 0)), 20);
+        assertThat(mDirectory.registrations())
+                .extracting(Registration::leaving)
+                .containsExactly(false);
+    }
+
     @Test
     void anOlderVersionNeverComesBack() {
         take(new SiteChange.Configured(configuration(7)), 0);
