Reproduce that targets get more requests than the limit that they name

Cause: no code reads a limit that a target names in its answers. Ruled out: that the users' platform is needed for it. The test's bound is the stated one: one and a half times the limit in 4 s, and five requests.

--- /dev/null
+++ b/src/test/java/org/apricotgauge/functional/LimitedTargetTest.java
@@ -0,0 +1,95 @@
+package org.apricotgauge.functional;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Targets that name in their answers how many requests a second they take from all nodes. */
+class LimitedTargetTest {
+    private static final int LIMIT_PER_SECOND = 2;
+
+    /** Within a window of 4 s, one and a half times the limit and five requests are borne. */
+    private static final double WINDOW_SECONDS = 4;
+
+    private static final double BORNE_SHARE = 1.5;
+    private static final int BORNE_REQUESTS = 5;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** Guards against a target in need that gets as many requests as before. */
+    @Test
+    void aTargetThatNamesALimitGetsNoMoreFromAllEntriesTogether() throws Exception {
+        try (RawTarget target = RawTarget.start(limited());
+                Hops hops = new Hops("a", "b", "c").target("t", "b", target.port(), 8)) {
+            get(hops, "a");
+            get(hops, "c");
+            int told = target.runs();
+            long startNanos = System.nanoTime();
+
+            List<String> answers =
+                    IntStream.range(0, 60)
+                            .mapToObj(i -> get(hops, i % 2 == 0 ? "a" : "c"))
+                            .toList();
+
+            double seconds = (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+            assertThat(target.runs() - told).isLessThanOrEqualTo(borneIn(seconds));
+            assertThat(answers).allMatch(one -> one.startsWith("HTTP/1.1 200") || isNotRun(one));
+        }
+    }
+
+    /** Guards against a limited target that makes callers wait whom another can serve at once. */
+    @Test
+    void whatALimitedTargetCannotTakeGoesToAnother() throws Exception {
+        AtomicInteger others = new AtomicInteger();
+        try (RawTarget target = RawTarget.start(limited());
+                RawTarget other =
+                        RawTarget.start(
+                                (head, body, out) -> {
+                                    others.incrementAndGet();
+                                    out.write(answer("").getBytes());
+                                    return true;
+                                });
+                Hops hops =
+                        new Hops("a", "b", "c")
+                                .target("t", "b", target.port(), 8)
+                                .target("u", "c", other.port(), 8)) {
+            long startNanos = System.nanoTime();
+            for (int i = 0; i < 60; i++) {
+                assertThat(get(hops, "a")).startsWith("HTTP/1.1 200");
+            }
+
+            double seconds = (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+            assertThat(target.runs()).isLessThanOrEqualTo(borneIn(seconds));
+        }
+    }
+
+    private static int borneIn(double seconds) {
+        return (int)
+                (BORNE_SHARE * LIMIT_PER_SECOND * Math.max(WINDOW_SECONDS, seconds)
+                        + BORNE_REQUESTS);
+    }
+
+    private static RawTarget.Script limited() {
+        return RawTarget.always(answer("Apricotgauge-Target-Limit: " + LIMIT_PER_SECOND + "\r\n"));
+    }
+
+    private static String answer(String header) {
+        return "HTTP/1.1 200 OK\r\n" + header + "Content-Length: 0\r\n\r\n";
+    }
+
+    private static boolean isNotRun(String answer) {
+        return answer.startsWith("HTTP/1.1 503") && answer.contains("not-run");
+    }
+
+    private static String get(Hops hops, String vm) {
+        try (RawCaller caller = new RawCaller(hops.vm(vm).callerPort())) {
+            return caller.request("GET", "/any", "Apricotgauge-Timeout-Millis: 300").readAll();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
