Keep to the limit of requests a second that a target names in its answers

Targets that had asked to be spared got up to three times what they take, and answered later for it. Cause: nothing read the limit; it went through to the caller like any other header. Change: the guard beside a target reads the limit from each of its answers, and its queue starts no more than that; all nodes' requests pass there, so that one count is the sum. What finds no place there is refused as busy at once, with when it may start, or waits as for a slot; the guard tells all slots as taken meanwhile, so that entries choose others. Entries are told the limit and tell it to a guard that has restarted. A target without a guard gets from each node its part. An answer without the limit lifts it if its request was sent after the limit was last named; answers overtake each other. What can't be read changes nothing and leaves a line. Hops keeps each entry's loads between requests. Conclusion: why it works: whatever way a request takes, one count stands before the target.

--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -7,6 +7,7 @@
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.ForwardedHeaders;
+import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.http.UpstreamExchange;
 import org.apricotgauge.target.BrokenRun;
 import org.eclipse.jetty.client.Request;
@@ -38,6 +39,13 @@
     @Override
     public void send() {
         mAccount.begin();
+        int nodes = mContext.observer().nodes();
+        if (!mCandidate.load().tryStartDirect(nodes, mContext.ticker().millis())) {
+            over();
+            mAccount.observed(ObservedOutcome.CANCELLED);
+            mExchange.attemptEnded(this, new Outcome.NotRun(NotRunReason.BUSY, 0));
+            return;
+        }
         org.eclipse.jetty.server.Request from = mExchange.request();
         Request to =
                 mContext.direct()
@@ -68,6 +76,10 @@
 
     @Override
     public void onAnswer(Response answer, Content.Source body) {
+        TargetNotice notice = mContext.dialect().noticeOf(answer.getHeaders());
+        if (notice.unreadable().isEmpty()) {
+            mCandidate.load().reportLimit(notice.limit().orElse(null));
+        }
         mAccount.observed(AttemptAccount.outcomeOf(answer.getStatus()));
         if (HttpStatus.isSuccess(answer.getStatus())) {
             mContext.quarantine().endedWell(mExchange.quarantine().fingerprint());
--- a/src/main/java/org/apricotgauge/caller/EntryObserver.java
+++ b/src/main/java/org/apricotgauge/caller/EntryObserver.java
@@ -21,6 +21,9 @@
      */
     void attempted(Target target, ObservedOutcome outcome, long totalMicros);
 
+    /** Returns how many nodes there are. */
+    int nodes();
+
     /** Returns what this node knows of the site now, for the line of a decision. */
     SiteView siteView();
 
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -19,6 +19,7 @@
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.Outcomes;
 import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.model.StartLimit;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
@@ -121,6 +122,11 @@
                     headers.put(
                             HeaderNames.CAUTION,
                             mExchange.caution().name().toLowerCase(Locale.ROOT));
+                    mCandidate
+                            .load()
+                            .limit()
+                            .ifPresent(
+                                    limit -> headers.put(HeaderNames.TARGET_LIMIT, limit.toText()));
                     addPatience(headers);
                     addRepeat(headers);
                     mContext.dialect().markOrigin(headers);
@@ -225,6 +231,8 @@
         long loadPermille = headers.getLongField(HeaderNames.LOAD_PERMILLE);
         if (loadPermille >= 0) {
             mCandidate.load().report((int) loadPermille, mContext.ticker().nanos());
+            String limit = headers.get(HeaderNames.TARGET_LIMIT);
+            mCandidate.load().reportLimit(StartLimit.parseOrNone(limit).orElse(null));
         }
         HealthOutlook.Told.parse(headers.get(HeaderNames.HEALTH))
                 .map(told -> told.heardAt(mContext.ticker().millis()))
--- a/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -33,6 +33,7 @@
     private final AdmissionConfig mConfig;
     private final FairQueue mWaiting;
     private final AdaptiveLimit mLimit;
+    private final Pace mPace = new Pace();
     private final ServiceTimes mServiceTimes;
     private final Map<Long, Running> mRunning = new HashMap<>();
 
@@ -55,24 +56,24 @@
         }
         mLimit.onTick(nowMillis);
         if (ticket.deadlineMillis() <= nowMillis) {
-            return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
+            return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT, nowMillis);
         }
-        if (mWaiting.size() == 0 && mRunning.size() < mLimit.get()) {
+        if (mWaiting.size() == 0 && mRunning.size() < mLimit.get() && mPace.tryStart(nowMillis)) {
             run(mWaiting.startNow(ticket), nowMillis);
             return new Offer.Admitted();
         }
-        boolean useful = isUseful(ticket, nowMillis + waitMillis(ticket, true));
+        boolean useful = isUseful(ticket, nowMillis + waitMillis(ticket, true, nowMillis));
         if (!mayWait(ticket, useful)) {
-            return refused(ticket, RefusalReason.BUSY);
+            return refused(ticket, RefusalReason.BUSY, nowMillis);
         }
-        double neededMillis = waitMillis(ticket, useful) + allowanceMillis(ticket);
+        double neededMillis = waitMillis(ticket, useful, nowMillis) + allowanceMillis(ticket);
         if (nowMillis + neededMillis > ticket.deadlineMillis()) {
-            return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT);
+            return refused(ticket, RefusalReason.DEADLINE_TOO_SHORT, nowMillis);
         }
         if (!useful && !mayWaitLate(ticket)) {
-            return refused(ticket, RefusalReason.BUSY);
+            return refused(ticket, RefusalReason.BUSY, nowMillis);
         }
-        return enqueue(ticket, useful);
+        return enqueue(ticket, useful, nowMillis);
     }
 
     private static boolean mayWait(Ticket ticket, boolean useful) {
@@ -83,18 +84,18 @@
         };
     }
 
-    private Offer enqueue(Ticket ticket, boolean useful) {
+    private Offer enqueue(Ticket ticket, boolean useful, long nowMillis) {
         if (mWaiting.size() < mConfig.maxQueued()) {
             mWaiting.add(ticket, useful);
             return new Offer.Queued(List.of());
         }
         Ticket victim = mWaiting.victimFor(ticket);
         if (victim == null) {
-            return refused(ticket, RefusalReason.QUEUE_FULL);
+            return refused(ticket, RefusalReason.QUEUE_FULL, nowMillis);
         }
         mWaiting.remove(victim);
         mWaiting.add(ticket, useful);
-        return new Offer.Queued(List.of(refusal(victim, RefusalReason.QUEUE_FULL)));
+        return new Offer.Queued(List.of(refusal(victim, RefusalReason.QUEUE_FULL, nowMillis)));
     }
 
     /**
@@ -111,6 +112,9 @@
         if (running == null) {
             throw new IllegalStateException("ticket released that has no slot: " + ticket);
         }
+        if (result == Result.UNSENT) {
+            mPace.giveBack();
+        }
         mWaiting.settle(running.charge(), serviceMicros);
         boolean batchDone = false;
         if (result == Result.ANSWERED) {
@@ -139,6 +143,26 @@
         }
     }
 
+    /**
+     * Keeps the starts to a limit that the target has named.
+     *
+     * @param perSecond starts in a second, more than 0
+     */
+    public synchronized void limitStarts(double perSecond, long nowMillis) {
+        mPace.limit(perSecond, nowMillis);
+    }
+
+    /** Keeps the starts to no limit any more; returns what may start now. */
+    public synchronized Changes liftLimit(long nowMillis) {
+        mPace.lift();
+        return fill(nowMillis);
+    }
+
+    /** Returns whether a request could start but for the limit that the target has named. */
+    public synchronized boolean isPaced(long nowMillis) {
+        return !mPace.mayStart(nowMillis);
+    }
+
     /** Takes out the waiting tickets that can't be served any more; answer them at once. */
     public synchronized Changes expire(long nowMillis) {
         mLimit.onTick(nowMillis);
@@ -174,11 +198,8 @@
         List<Ticket> admitted = new ArrayList<>();
         List<Refusal> refused = new ArrayList<>();
         dropLate(nowMillis, refused);
-        while (mRunning.size() < mLimit.get()) {
+        while (mWaiting.size() > 0 && mRunning.size() < mLimit.get() && mPace.tryStart(nowMillis)) {
             FairQueue.Charge next = mWaiting.poll();
-            if (next == null) {
-                break;
-            }
             run(next, nowMillis);
             admitted.add(next.ticket());
         }
@@ -191,17 +212,17 @@
         for (Ticket ticket : mWaiting.tickets()) {
             if (nowMillis + allowanceMillis(ticket) > ticket.deadlineMillis()) {
                 mWaiting.remove(ticket);
-                refused.add(refusal(ticket, RefusalReason.DEADLINE_PASSED));
+                refused.add(refusal(ticket, RefusalReason.DEADLINE_PASSED, nowMillis));
             } else if (mWaiting.isUseful(ticket) && !isUseful(ticket, nowMillis)) {
-                loseUse(ticket, refused);
+                loseUse(ticket, refused, nowMillis);
             }
         }
     }
 
-    private void loseUse(Ticket ticket, List<Refusal> refused) {
+    private void loseUse(Ticket ticket, List<Refusal> refused, long nowMillis) {
         mWaiting.remove(ticket);
         if (ticket.patience() == Patience.WHILE_USEFUL || !mayWaitLate(ticket)) {
-            refused.add(refusal(ticket, RefusalReason.BUSY));
+            refused.add(refusal(ticket, RefusalReason.BUSY, nowMillis));
         } else {
             mWaiting.add(ticket, false);
         }
@@ -222,17 +243,19 @@
         mRunning.put(charge.ticket().id(), new Running(charge, nowMillis));
     }
 
-    private Offer refused(Ticket ticket, RefusalReason reason) {
-        return new Offer.Refused(refusal(ticket, reason));
+    private Offer refused(Ticket ticket, RefusalReason reason, long nowMillis) {
+        return new Offer.Refused(refusal(ticket, reason, nowMillis));
     }
 
-    private Refusal refusal(Ticket ticket, RefusalReason reason) {
-        return new Refusal(
-                ticket, reason, (long) Math.ceil(Math.max(1, waitMillis(ticket, false))));
+    private Refusal refusal(Ticket ticket, RefusalReason reason, long nowMillis) {
+        double waitMillis = waitMillis(ticket, false, nowMillis);
+        return new Refusal(ticket, reason, (long) Math.ceil(Math.max(1, waitMillis)));
     }
 
-    private double waitMillis(Ticket ticket, boolean useful) {
-        return mWaiting.servicesAhead(ticket, useful) * serviceMillis() / Math.max(1, mLimit.get());
+    private double waitMillis(Ticket ticket, boolean useful, long nowMillis) {
+        double starts = mWaiting.servicesAhead(ticket, useful);
+        double slotMillis = starts * serviceMillis() / Math.max(1, mLimit.get());
+        return Math.max(slotMillis, mPace.waitMillis(starts, nowMillis));
     }
 
     private double serviceMillis() {
--- a/src/main/java/org/apricotgauge/decision/admission/Result.java
+++ b/src/main/java/org/apricotgauge/decision/admission/Result.java
@@ -9,5 +9,7 @@
     /** The target failed, or its connection broke. */
     FAILED,
     /** It was given up before the target ended; its service time tells nothing. */
-    CANCELLED
+    CANCELLED,
+    /** No byte of it was written to the target. */
+    UNSENT
 }
--- a/src/main/java/org/apricotgauge/decision/routing/TargetLoad.java
+++ b/src/main/java/org/apricotgauge/decision/routing/TargetLoad.java
@@ -1,8 +1,11 @@
 package org.apricotgauge.decision.routing;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.apricotgauge.decision.admission.Pace;
 import org.apricotgauge.decision.health.HealthOutlook;
+import org.apricotgauge.model.StartLimit;
 
 /**
  * The load of one target as one entry sees it; survives changes of the routing table.
@@ -24,6 +27,9 @@
     private final AtomicInteger mInFlight = new AtomicInteger();
     private volatile Report mReport = new Report(0, Long.MIN_VALUE / 2);
 
+    private final Pace mDirectPace = new Pace();
+    private volatile StartLimit mLimit;
+
     private volatile HealthOutlook mHealth = HealthOutlook.unknown();
 
     private record Report(int loadPermille, long atNanos) {}
@@ -53,6 +59,34 @@
         mReport = new Report(loadPermille, nowNanos);
     }
 
+    /** Takes how many requests a second the target takes; null if it names no limit. */
+    public void reportLimit(StartLimit limit) {
+        mLimit = limit;
+    }
+
+    /** Returns how many requests a second the target takes; nothing if it names no limit. */
+    public Optional<StartLimit> limit() {
+        return Optional.ofNullable(mLimit);
+    }
+
+    /**
+     * Counts a request that goes to the target past any guard, if the target's limit lets it; with
+     * nobody to count for all nodes, each keeps to its part.
+     *
+     * @param nodes how many nodes there are
+     * @param nowMillis present time
+     */
+    public boolean tryStartDirect(int nodes, long nowMillis) {
+        StartLimit limit = mLimit;
+        if (limit == null) {
+            return true;
+        }
+        synchronized (mDirectPace) {
+            mDirectPace.limit(limit.keptPerSecond() / Math.max(1, nodes), nowMillis);
+            return mDirectPace.tryStart(nowMillis);
+        }
+    }
+
     /** Takes how likely the target is to be sick, as its guard told. */
     public void reportHealth(HealthOutlook health) {
         mHealth = health;
--- a/src/main/java/org/apricotgauge/http/FleetDialect.java
+++ b/src/main/java/org/apricotgauge/http/FleetDialect.java
@@ -66,6 +66,11 @@
         return AnswerKind.ANSWER;
     }
 
+    @Override
+    public TargetNotice noticeOf(HttpFields answer) {
+        return TargetNotice.ofLimits(answer.getValuesList(HeaderNames.TARGET_LIMIT));
+    }
+
     /** Returns whole seconds, as RFC 9110 section 10.2.3 asks, rounded up. */
     @Override
     public String retryAfter(long millis) {
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -31,6 +31,12 @@
     /** Hops: when a request that was not run may come back, in milliseconds. */
     public static final String RETRY_AFTER_MILLIS = "Apricotgauge-Retry-After-Millis";
 
+    /**
+     * Answers of targets and guards: how many requests a second the target takes from all nodes;
+     * requests: the same as the entry was told.
+     */
+    public static final String TARGET_LIMIT = "Apricotgauge-Target-Limit";
+
     /** Hops: load of the target as the guard sees it, in permille of its slots. */
     public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
 
--- a/src/main/java/org/apricotgauge/http/SiteDialect.java
+++ b/src/main/java/org/apricotgauge/http/SiteDialect.java
@@ -72,6 +72,9 @@
     /** Returns what the head of an answer says. */
     AnswerKind kindOf(HttpFields request, int status, HttpFields answer);
 
+    /** Returns what a target says of itself with an answer to this request. */
+    TargetNotice noticeOf(HttpFields answer);
+
     /**
      * Returns the value of {@code Retry-After}.
      *
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -103,6 +103,7 @@
         mPublisher = new EvidencePublisher(vm.id(), mState, mDetection, mTicker);
         NodeObserver observer =
                 new NodeObserver(
+                        mState,
                         mDetection,
                         mWindows,
                         mEvents,
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -26,6 +26,7 @@
 final class NodeObserver implements EntryObserver, GuardObserver {
     private static final int FIRST_ERROR_STATUS = 500;
 
+    private final RoutingState mState;
     private final DetectionService mDetection;
     private final EvidenceShare mShare;
     private final OutcomeWindows mWindows;
@@ -38,6 +39,7 @@
     private final RecentRequests mAtWork;
 
     NodeObserver(
+            RoutingState state,
             DetectionService detection,
             OutcomeWindows windows,
             NodeEvents events,
@@ -46,6 +48,7 @@
             Supplier<Optional<HealthNews>> news,
             QuarantineService quarantine,
             int evidenceBytesPerSecond) {
+        mState = state;
         mNews = news;
         mQuarantine = quarantine;
         mLostCalls = new RecentRequests(ticker);
@@ -79,6 +82,11 @@
         mControl.get().beforeAcknowledgement(headers);
     }
 
+    @Override
+    public int nodes() {
+        return mState.nodes();
+    }
+
     @Override
     public boolean isSiteCurrent() {
         return mControl.get().isCurrent();
--- a/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.apricotgauge.http.SiteDialect;
+import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.model.Route;
 import org.eclipse.jetty.http.HttpField;
@@ -42,6 +43,9 @@
     /** On a target's refusal: the request was not run. */
     static final String NOT_RUN = "X-Not-Executed";
 
+    /** On a target's answers: the requests a second that it takes from all nodes together. */
+    static final String LIMIT = "Server-Limit";
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final String mService;
@@ -112,6 +116,11 @@
         return HttpStatus.isSuccess(status) && unmarked ? AnswerKind.FOREIGN : AnswerKind.ANSWER;
     }
 
+    @Override
+    public TargetNotice noticeOf(HttpFields answer) {
+        return TargetNotice.ofLimits(answer.getValuesList(LIMIT));
+    }
+
     /** Returns seconds with their fraction. */
     @Override
     public String retryAfter(long millis) {
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -37,6 +37,7 @@
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Route;
+import org.apricotgauge.model.StartLimit;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.client.HttpClient;
@@ -152,7 +153,7 @@
                         quarantine,
                         new RunLog(ticker),
                         GuardMetrics.of(registry));
-        mGates = new TargetGates(slotUse, ticker, this::expireWhileQueued);
+        mGates = new TargetGates(slotUse, ticker, mContext.log(), this::expireWhileQueued);
     }
 
     // Waiting requests are looked at every few milliseconds; while none waits, no timer runs.
@@ -304,6 +305,8 @@
             refuse(arrival, response, callback);
             return;
         }
+        StartLimit.parseOrNone(request.getHeaders().get(HeaderNames.TARGET_LIMIT))
+                .ifPresent(gate::heardLimit);
         Ticket ticket = ticketOf(attempt, request);
         mInFlight.incrementAndGet();
         Callback counted =
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -55,6 +55,7 @@
     private volatile SiteView mView = SiteView.NONE;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
     private volatile long mSentAtNanos;
+    private volatile long mSentAtMillis;
     private volatile UpstreamExchange mExchange;
     private volatile Scheduler.Task mTimeout;
     private volatile boolean mPaidNext;
@@ -184,7 +185,7 @@
             return;
         }
         if (!mPhase.compareAndSet(Phase.WAITING, Phase.SENDING)) {
-            mGate.leave(mTicket, Result.CANCELLED, 0);
+            mGate.leave(mTicket, Result.UNSENT, 0);
             return;
         }
         mContext.observer().runStarted(requestId());
@@ -207,7 +208,7 @@
             mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
             endNotRun(reason);
         }
-        mGate.leave(mTicket, Result.CANCELLED, 0);
+        mGate.leave(mTicket, Result.UNSENT, 0);
     }
 
     @Override
@@ -230,6 +231,7 @@
     @Override
     public boolean onBegin() {
         mSentAtNanos = mContext.ticker().nanos();
+        mSentAtMillis = mContext.ticker().millis();
         mWithheld = mCheck.beforeFirstByte(mAttempt);
         if (mWithheld == null) {
             logStart();
@@ -259,7 +261,7 @@
             NotRunReason withheld = mWithheld;
             boolean isUnstarted = mContext.ledger().withdraw(mAttempt, mContext.ticker().millis());
             leaveGate(
-                    withheld == null ? Result.FAILED : Result.CANCELLED,
+                    withheld == null ? Result.FAILED : Result.UNSENT,
                     withheld == null ? ObservedOutcome.TARGET_ERROR : ObservedOutcome.CANCELLED);
             if (!isUnstarted) {
                 throw new IllegalStateException("attempt not sent, yet started: " + mAttempt);
@@ -298,6 +300,9 @@
         SiteDialect.AnswerKind kind =
                 mContext.dialect()
                         .kindOf(mRequest.getHeaders(), answer.getStatus(), answer.getHeaders());
+        if (kind == SiteDialect.AnswerKind.ANSWER || kind == SiteDialect.AnswerKind.SHED) {
+            mGate.told(mContext.dialect().noticeOf(answer.getHeaders()), mSentAtMillis);
+        }
         if (kind != SiteDialect.AnswerKind.ANSWER) {
             endWithoutAnswer(kind, answer, body);
             return;
@@ -463,6 +468,12 @@
     private void tellTarget() {
         mResponse.getHeaders().put(HeaderNames.LOAD_PERMILLE, mGate.loadPermille());
         mResponse.getHeaders().put(HeaderNames.HEALTH, mGate.healthTold().toText());
+        mGate.limitInForce()
+                .ifPresent(
+                        limit ->
+                                mResponse
+                                        .getHeaders()
+                                        .put(HeaderNames.TARGET_LIMIT, limit.toText()));
     }
 
     private void stopTimers() {
--- a/src/main/java/org/apricotgauge/target/RunLog.java
+++ b/src/main/java/org/apricotgauge/target/RunLog.java
@@ -2,6 +2,8 @@
 
 import org.apricotgauge.log.BoundedLog;
 import org.apricotgauge.model.SiteView;
+import org.apricotgauge.model.StartLimit;
+import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 import org.jboss.logging.Logger;
 
@@ -43,6 +45,11 @@
 
     private record Line(Started run, long leftOut) {}
 
+    /** A change of a target's limit, in requests a second; null where there is none. */
+    private record Limit(String target, Double perSecond, Double before, long leftOut) {}
+
+    private record Unreadable(String target, String text, long leftOut) {}
+
     RunLog(Ticker ticker) {
         mLog =
                 new BoundedLog(
@@ -52,4 +59,26 @@
     void started(Started run) {
         mLog.info("run started", leftOut -> new Line(run, leftOut));
     }
+
+    /** Tells that a target names a limit, or another one; {@code before} is null if it had none. */
+    void limitNamed(Target target, StartLimit limit, StartLimit before) {
+        Double known = before == null ? null : before.perSecond();
+        mLog.info(
+                "target names a limit",
+                leftOut -> new Limit(target.id(), limit.perSecond(), known, leftOut));
+    }
+
+    /** Tells that a target names its limit no more. */
+    void limitLifted(Target target, StartLimit before) {
+        mLog.info(
+                "target names no limit any more",
+                leftOut -> new Limit(target.id(), null, before.perSecond(), leftOut));
+    }
+
+    /** Tells that a target names something as its limit that is none; the known one holds. */
+    void unreadableLimit(Target target, String text) {
+        mLog.info(
+                "limit of a target is unreadable",
+                leftOut -> new Unreadable(target.id(), text, leftOut));
+    }
 }
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.target;
 
 import java.net.URI;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.apricotgauge.decision.admission.AdmissionConfig;
@@ -13,7 +14,9 @@
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.health.HealthOutlook;
 import org.apricotgauge.http.Hosts;
+import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.model.Address;
+import org.apricotgauge.model.StartLimit;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
 
@@ -34,6 +37,7 @@
     private final Target mTarget;
     private final URI mUri;
     private final AdmissionQueue mQueue;
+    private final TargetLimit mLimit;
     private final Ticker mTicker;
     private final Runnable mOnQueued;
     private volatile boolean mReplaced;
@@ -49,11 +53,17 @@
         void refused(Refusal refusal);
     }
 
-    TargetGate(Target target, AdmissionConfig.SlotUse use, Ticker ticker, Runnable onQueued) {
+    TargetGate(
+            Target target,
+            AdmissionConfig.SlotUse use,
+            Ticker ticker,
+            RunLog log,
+            Runnable onQueued) {
         mOnQueued = onQueued;
         mTarget = target;
         mUri = Hosts.uriOf(new Address(target.host(), target.port()));
         mQueue = new AdmissionQueue(AdmissionConfig.forSlots(target.slots(), use));
+        mLimit = new TargetLimit(target, mQueue, log);
         mTicker = ticker;
     }
 
@@ -75,6 +85,25 @@
         return mReplaced;
     }
 
+    /** Returns how many requests a second the target takes; nothing if it names no limit. */
+    Optional<StartLimit> limitInForce() {
+        return mLimit.inForce();
+    }
+
+    /**
+     * Takes what the target says of itself with an answer.
+     *
+     * @param sentMillis when the request that it answers was sent
+     */
+    void told(TargetNotice notice, long sentMillis) {
+        apply(mLimit.told(notice, sentMillis, mTicker.millis()));
+    }
+
+    /** Takes a limit that an entry was told by the target. */
+    void heardLimit(StartLimit limit) {
+        mLimit.heard(limit, mTicker.millis());
+    }
+
     HealthGate health() {
         return mHealth;
     }
@@ -128,10 +157,16 @@
         }
     }
 
-    /** Returns requests running and waiting, in permille of the slots usable now. */
+    /**
+     * Returns requests running and waiting, in permille of the slots usable now; all slots count as
+     * taken while the target's limit lets nothing start.
+     */
     int loadPermille() {
+        int usable = Math.max(1, mQueue.limit());
         int inUse = mQueue.inFlight() + mQueue.queued();
-        return (int) Math.round(PERMILLE * inUse / Math.max(1, mQueue.limit()));
+        boolean isPaced = mQueue.isPaced(mTicker.millis());
+        int taken = isPaced ? Math.max(usable + mQueue.queued(), inUse) : inUse;
+        return (int) Math.round(PERMILLE * taken / usable);
     }
 
     int queued() {
--- a/src/main/java/org/apricotgauge/target/TargetGates.java
+++ b/src/main/java/org/apricotgauge/target/TargetGates.java
@@ -11,15 +11,18 @@
     private final ConcurrentMap<String, TargetGate> mGates = new ConcurrentHashMap<>();
     private final AdmissionConfig.SlotUse mUse;
     private final Ticker mTicker;
+    private final RunLog mLog;
     private final Runnable mOnQueued;
 
     /**
      * Creates the gates.
      *
      * @param use who else uses the targets' slots
+     * @param log takes changes of the targets' limits
      * @param onQueued runs whenever a request has to wait at one of them
      */
-    TargetGates(AdmissionConfig.SlotUse use, Ticker ticker, Runnable onQueued) {
+    TargetGates(AdmissionConfig.SlotUse use, Ticker ticker, RunLog log, Runnable onQueued) {
+        mLog = log;
         mUse = use;
         mOnQueued = onQueued;
         mTicker = ticker;
@@ -36,7 +39,7 @@
                 (id, old) ->
                         old != null && old.target().equals(target)
                                 ? old
-                                : new TargetGate(target, mUse, mTicker, mOnQueued));
+                                : new TargetGate(target, mUse, mTicker, mLog, mOnQueued));
     }
 
     /** Refuses what can't be served in time any more; returns whether requests still wait. */
--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/TargetLimit.java
@@ -0,0 +1,75 @@
+package org.apricotgauge.target;
+
+import java.util.Optional;
+import org.apricotgauge.decision.admission.AdmissionQueue;
+import org.apricotgauge.decision.admission.Changes;
+import org.apricotgauge.http.TargetNotice;
+import org.apricotgauge.model.StartLimit;
+import org.apricotgauge.model.Target;
+
+/**
+ * Keeps a target's queue to the limit that the target names in its answers, for as long as it does.
+ *
+ * <p>All requests pass the guard beside the target, so that one count is that of all nodes. Not all
+ * answers arrive in the order in which they were given: only one to a request that was sent after
+ * the limit was last named shows that it is lifted. Thread-safe.
+ */
+final class TargetLimit {
+    private final Target mTarget;
+    private final AdmissionQueue mQueue;
+    private final RunLog mLog;
+    private volatile StartLimit mLimit;
+    private long mNamedMillis;
+    private boolean mAnswered;
+
+    TargetLimit(Target target, AdmissionQueue queue, RunLog log) {
+        mTarget = target;
+        mQueue = queue;
+        mLog = log;
+    }
+
+    /** Returns the limit in force. */
+    Optional<StartLimit> inForce() {
+        return Optional.ofNullable(mLimit);
+    }
+
+    /**
+     * Takes what the target says with an answer; returns what may start now.
+     *
+     * @param sentMillis when the request that it answers was sent
+     */
+    synchronized Changes told(TargetNotice notice, long sentMillis, long nowMillis) {
+        mAnswered = true;
+        if (notice.unreadable().isPresent()) {
+            mLog.unreadableLimit(mTarget, notice.unreadable().get());
+            return Changes.NONE;
+        }
+        if (notice.limit().isPresent()) {
+            mNamedMillis = nowMillis;
+            change(notice.limit().get(), nowMillis);
+            return Changes.NONE;
+        }
+        if (mLimit == null || sentMillis < mNamedMillis) {
+            return Changes.NONE;
+        }
+        mLog.limitLifted(mTarget, mLimit);
+        mLimit = null;
+        return mQueue.liftLimit(nowMillis);
+    }
+
+    /** Takes a limit that an entry was told; believed until the target has answered this guard. */
+    synchronized void heard(StartLimit limit, long nowMillis) {
+        if (!mAnswered) {
+            change(limit, nowMillis);
+        }
+    }
+
+    private void change(StartLimit limit, long nowMillis) {
+        if (limit.equals(mLimit)) {
+            return;
+        }
+        mLog.limitNamed(mTarget, limit, mLimit);
+        mLimit = limit;
+        mQueue.limitStarts(limit.keptPerSecond(), nowMillis);
+    }
+}
--- a/src/test/java/org/apricotgauge/decision/admission/AdmissionQueueTest.java
+++ b/src/test/java/org/apricotgauge/decision/admission/AdmissionQueueTest.java
@@ -31,6 +31,58 @@
                         });
     }
 
+    /** Guards against requests that wait for a limited target though another could serve them. */
+    @Test
+    void aLimitedTargetRefusesAtOnceWhatMayNotWaitAndTellsWhenItMayStart() {
+        mQueue.limitStarts(1, 0);
+
+        Ticket hasty =
+                new Ticket(
+                        mNextId++,
+                        new Member("m", 1),
+                        Priority.NORMAL,
+                        "w",
+                        false,
+                        Patience.NO_WAIT,
+                        10_000,
+                        10_000);
+        assertThat(mQueue.offer(hasty, 0))
+                .isInstanceOfSatisfying(
+                        Offer.Refused.class,
+                        refused -> {
+                            assertThat(refused.refusal().reason()).isEqualTo(RefusalReason.BUSY);
+                            assertThat(refused.refusal().retryAfterMillis()).isEqualTo(1_000);
+                        });
+        assertThat(mQueue.offer(ticket("m", Priority.NORMAL, 900), 0))
+                .isInstanceOf(Offer.Refused.class);
+    }
+
+    @Test
+    void whatWaitsForALimitedTargetStartsInItsTurn() {
+        mQueue.limitStarts(1, 0);
+        Ticket first = ticket("m", Priority.NORMAL, 10_000);
+        Ticket second = ticket("m", Priority.NORMAL, 10_000);
+        assertThat(mQueue.offer(first, 0)).isInstanceOf(Offer.Queued.class);
+        assertThat(mQueue.offer(second, 0)).isInstanceOf(Offer.Queued.class);
+
+        assertThat(mQueue.expire(999).admitted()).isEmpty();
+        assertThat(mQueue.expire(1_000).admitted()).containsExactly(first);
+        assertThat(mQueue.release(first, Result.UNSENT, 0, 1_001).admitted())
+                .containsExactly(second);
+        assertThat(mQueue.release(second, Result.ANSWERED, SERVICE_MICROS, 1_100).admitted())
+                .isEmpty();
+        assertThat(mQueue.isPaced(1_100)).isTrue();
+    }
+
+    @Test
+    void aLiftedLimitLetsStartWhatWaits() {
+        mQueue.limitStarts(1, 0);
+        Ticket waiting = ticket("m", Priority.NORMAL, 10_000);
+        mQueue.offer(waiting, 0);
+
+        assertThat(mQueue.liftLimit(10).admitted()).containsExactly(waiting);
+    }
+
     @Test
     void whatWaitedTooLongIsGivenBackNotServed() {
         List<Ticket> running = fillSlots();
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -92,6 +92,7 @@
         private final MetricRegistry mRegistry = new MetricRegistry();
         private final QuarantineTable mQuarantine =
                 new QuarantineTable(Ticker.system(), new DeafListener());
+        private final RoutingTableFactory mTables;
         private volatile MemberLimits mLimits = MemberLimits.UNBOUNDED;
         private GuardHandler mGuard;
         private EntryHandler mEntry;
@@ -99,6 +100,10 @@
         private Server mEntryServer;
         private Relay mRelay;
 
+        private HopVm(String id) {
+            mTables = new RoutingTableFactory(id, "here");
+        }
+
         int callerPort() {
             return HttpServerFactory.portOf(mEntryServer);
         }
@@ -130,7 +135,7 @@
         mThreads.start();
         mScheduler.start();
         for (String vm : vms) {
-            mVms.put(vm, new HopVm());
+            mVms.put(vm, new HopVm(vm));
         }
         for (String vm : vms) {
             start(vm, mVms.get(vm));
@@ -224,8 +229,10 @@
     private RoutingTable table(String entryVm) {
         RoutingTableFactory.View view =
                 new RoutingTableFactory.View(this::guardOf, this::isLeaving, target -> 1.0);
-        return new RoutingTableFactory(entryVm, "here")
-                .create(RoutingTable.EMPTY, 1, mConfiguration, view, 0);
+        RoutingTableFactory factory = mVms.get(entryVm).mTables;
+        synchronized (factory) {
+            return factory.create(RoutingTable.EMPTY, 1, mConfiguration, view, 0);
+        }
     }
 
     private boolean isLeaving(Target target) {
@@ -351,6 +358,11 @@
         @Override
         public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {}
 
+        @Override
+        public int nodes() {
+            return mVms.size();
+        }
+
         @Override
         public boolean isSiteCurrent() {
             return mIsSiteCurrent;
--- a/src/test/java/org/apricotgauge/functional/LimitedTargetTest.java
+++ b/src/test/java/org/apricotgauge/functional/LimitedTargetTest.java
@@ -41,6 +41,25 @@
         }
     }
 
+    /** Guards against a limit that is kept by guards alone, while a target has none. */
+    @Test
+    void aTargetWithoutAGuardGetsNoMoreEither() throws Exception {
+        try (RawTarget target = RawTarget.start(limited());
+                Hops hops = new Hops("a", "c").target("t", "bare", target.port(), 8)) {
+            get(hops, "a");
+            get(hops, "c");
+            int told = target.runs();
+            long startNanos = System.nanoTime();
+
+            for (int i = 0; i < 60; i++) {
+                get(hops, i % 2 == 0 ? "a" : "c");
+            }
+
+            double seconds = (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+            assertThat(target.runs() - told).isLessThanOrEqualTo(borneIn(seconds));
+        }
+    }
+
     /** Guards against a limited target that makes callers wait whom another can serve at once. */
     @Test
     void whatALimitedTargetCannotTakeGoesToAnother() throws Exception {
--- a/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
@@ -5,6 +5,7 @@
 
 import java.util.Optional;
 import org.apricotgauge.http.SiteDialect.AnswerKind;
+import org.apricotgauge.model.StartLimit;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 
@@ -112,4 +113,18 @@
         }
         return mDialect.kindOf(mRequest, status, answer);
     }
+
+    @Test
+    void aTargetsLimitIsRead() {
+        HttpFields named = HttpFields.build().put("Server-Limit", "2.7");
+        HttpFields twice = HttpFields.build().add("Server-Limit", "2.7").add("Server-Limit", "1");
+        HttpFields wrong = HttpFields.build().put("Server-Limit", "-1");
+        KvDialect dialect = new KvDialect("booking");
+
+        assertThat(dialect.noticeOf(named).limit()).contains(new StartLimit(2.7));
+        assertThat(dialect.noticeOf(twice).limit()).contains(new StartLimit(1));
+        assertThat(dialect.noticeOf(wrong).limit()).isEmpty();
+        assertThat(dialect.noticeOf(wrong).unreadable()).isPresent();
+        assertThat(dialect.noticeOf(HttpFields.EMPTY).limit()).isEmpty();
+    }
 }
--- /dev/null
+++ b/src/test/java/org/apricotgauge/target/TargetLimitTest.java
@@ -0,0 +1,72 @@
+package org.apricotgauge.target;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.apricotgauge.decision.admission.AdmissionConfig;
+import org.apricotgauge.decision.admission.AdmissionQueue;
+import org.apricotgauge.http.TargetNotice;
+import org.apricotgauge.model.StartLimit;
+import org.apricotgauge.model.Target;
+import org.apricotgauge.time.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+class TargetLimitTest {
+    private static final TargetNotice NONE = TargetNotice.ofLimits(List.of());
+
+    private final AdmissionQueue mQueue = new AdmissionQueue(AdmissionConfig.forSlots(3));
+    private final TargetLimit mLimit =
+            new TargetLimit(
+                    new Target("t", "s", "vm", "here", "127.0.0.1", 1, 3),
+                    mQueue,
+                    new RunLog(new ManualTicker()));
+
+    private static TargetNotice named(String... values) {
+        return TargetNotice.ofLimits(List.of(values));
+    }
+
+    @Test
+    void aLimitHoldsUntilAnAnswerComesWithoutIt() {
+        mLimit.told(named("2"), 0, 100);
+        assertThat(mLimit.inForce()).contains(new StartLimit(2));
+        assertThat(mQueue.isPaced(100)).isTrue();
+
+        mLimit.told(named("0.5"), 100, 200);
+        assertThat(mLimit.inForce()).contains(new StartLimit(0.5));
+
+        mLimit.told(NONE, 200, 300);
+        assertThat(mLimit.inForce()).isEmpty();
+        assertThat(mQueue.isPaced(300)).isFalse();
+    }
+
+    /** Guards against a limit lifted by an answer that was given before it was named. */
+    @Test
+    void anAnswerThatWasOvertakenLiftsNothing() {
+        mLimit.told(named("2"), 0, 100);
+
+        mLimit.told(NONE, 99, 101);
+
+        assertThat(mLimit.inForce()).contains(new StartLimit(2));
+    }
+
+    @Test
+    void whatCannotBeReadLeavesTheLimitAsItIs() {
+        mLimit.told(named("2"), 0, 100);
+
+        mLimit.told(named("a few"), 200, 300);
+
+        assertThat(mLimit.inForce()).contains(new StartLimit(2));
+    }
+
+    /** Guards against a burst from a guard that has restarted and knows no limit. */
+    @Test
+    void anEntrysWordCountsUntilTheTargetHasAnswered() {
+        mLimit.heard(new StartLimit(2), 0);
+        assertThat(mLimit.inForce()).contains(new StartLimit(2));
+
+        mLimit.told(NONE, 10, 20);
+        mLimit.heard(new StartLimit(2), 30);
+
+        assertThat(mLimit.inForce()).isEmpty();
+    }
+}
