Send nothing new to a target that says in an answer that it leaves

A target tells each node that it answers; its callers' requests reached it all the same until the platform's word came, or for good while the platform was away. Cause: nothing read the word; the platform's was the only source. Change: the guard reads the word from each answer, and so does an entry that reaches a target past any guard. A node's routing table holds such a run for leaving as long as it lasts, whatever the members say: two sources of one fact, neither of which undoes the other; the next run under the same name is another. The guard tells it with its answers and refusals, so that entries that got none of the target's answers hear of it at their next try. TargetLeaving on the time line names the target as its source. TargetGate writes all that entries should know of a target into an answer's head. Conclusion: why it works: whoever passed such an answer on has marked the run before, and the guard stops all others.

--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -77,6 +77,9 @@
     @Override
     public void onAnswer(Response answer, Content.Source body) {
         TargetNotice notice = mContext.dialect().noticeOf(answer.getHeaders());
+        if (notice.leaving()) {
+            mContext.observer().targetLeaving(mCandidate.target());
+        }
         if (notice.unreadable().isEmpty()) {
             mCandidate.load().reportLimit(notice.limit().orElse(null));
         }
--- a/src/main/java/org/apricotgauge/caller/EntryObserver.java
+++ b/src/main/java/org/apricotgauge/caller/EntryObserver.java
@@ -56,6 +56,9 @@
     /** Called when a call that a target made for another request, of this id, has failed. */
     void callFailed(String parentId);
 
+    /** Called when a target says in an answer, or its guard tells, that it leaves. */
+    void targetLeaving(Target target);
+
     /**
      * Called when the process of a target that was reached directly ended while it ran requests.
      *
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -195,6 +195,9 @@
         mContext.guards().sighted(mCandidate.guard(), headers);
         mContext.observer().guardAnswered(mCandidate.target(), headers);
         reportLoad(headers);
+        if (headers.contains(HeaderNames.TARGET_LEAVING)) {
+            mContext.observer().targetLeaving(mCandidate.target());
+        }
         if (headers.contains(HeaderNames.RETRY_PAID)) {
             mExchange.paid(this);
         }
--- a/src/main/java/org/apricotgauge/event/TargetLeaving.java
+++ b/src/main/java/org/apricotgauge/event/TargetLeaving.java
@@ -8,7 +8,7 @@
  *
  * @param service id of the service
  * @param target id of the target
- * @param source who told it: guard, peer or platform
+ * @param source who told it: the target itself, a guard, a peer or the platform
  */
 public record TargetLeaving(String service, String target, String source) implements EventBody {
 
--- a/src/main/java/org/apricotgauge/http/FleetDialect.java
+++ b/src/main/java/org/apricotgauge/http/FleetDialect.java
@@ -68,7 +68,9 @@
 
     @Override
     public TargetNotice noticeOf(HttpFields answer) {
-        return TargetNotice.ofLimits(answer.getValuesList(HeaderNames.TARGET_LIMIT));
+        return TargetNotice.of(
+                answer.get(HeaderNames.TARGET_LEAVING),
+                answer.getValuesList(HeaderNames.TARGET_LIMIT));
     }
 
     /** Returns whole seconds, as RFC 9110 section 10.2.3 asks, rounded up. */
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -31,6 +31,9 @@
     /** Hops: when a request that was not run may come back, in milliseconds. */
     public static final String RETRY_AFTER_MILLIS = "Apricotgauge-Retry-After-Millis";
 
+    /** Answers of targets and guards: {@code 1} if the target leaves and takes nothing new. */
+    public static final String TARGET_LEAVING = "Apricotgauge-Target-Leaving";
+
     /**
      * Answers of targets and guards: how many requests a second the target takes from all nodes;
      * requests: the same as the entry was told.
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.decision.health.HealthOutlook;
 import org.apricotgauge.event.FenceResult;
 import org.apricotgauge.event.FenceUsed;
+import org.apricotgauge.event.TargetLeaving;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
@@ -82,6 +83,13 @@
         mControl.get().beforeAcknowledgement(headers);
     }
 
+    @Override
+    public void targetLeaving(Target target) {
+        if (mState.saysItLeaves(target)) {
+            mEvents.record(new TargetLeaving(target.service(), target.id(), "target"));
+        }
+    }
+
     @Override
     public int nodes() {
         return mState.nodes();
--- a/src/main/java/org/apricotgauge/node/RoutingState.java
+++ b/src/main/java/org/apricotgauge/node/RoutingState.java
@@ -1,10 +1,13 @@
 package org.apricotgauge.node;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apricotgauge.decision.detection.Verdicts;
 import org.apricotgauge.decision.gossip.LiveView;
@@ -29,11 +32,16 @@
  * never wait.
  */
 final class RoutingState {
+    /** Runs of targets that are remembered to leave; those before them are long gone. */
+    private static final int MOST_LEAVING = 4_096;
+
     private final AtomicReference<RoutingTable> mTable = new AtomicReference<>(RoutingTable.EMPTY);
     private final RoutingTableFactory mFactory;
     private final Ticker mTicker;
     private final RoutingTableFactory.View mView;
     private final Map<String, Verdicts> mVerdicts = new HashMap<>();
+    private final Set<String> mSaidTheyLeave = ConcurrentHashMap.newKeySet();
+    private final Deque<String> mSaidInOrder = new ArrayDeque<>();
     private volatile SiteMembers mMembers = SiteMembers.of(LiveView.EMPTY, "");
 
     RoutingState(String vm, String failureDomain, Ticker ticker) {
@@ -74,9 +82,32 @@
         refresh(service);
     }
 
-    /** Returns whether a target must get no new work, by membership and not by detection. */
+    /**
+     * Notes that a target itself said that it leaves, for as long as its run lasts and whatever the
+     * members say; returns whether that is news.
+     */
+    boolean saysItLeaves(Target target) {
+        if (mSaidTheyLeave.contains(target.id())) {
+            return false;
+        }
+        return addLeaving(target);
+    }
+
+    private synchronized boolean addLeaving(Target target) {
+        if (!mSaidTheyLeave.add(target.id())) {
+            return false;
+        }
+        mSaidInOrder.add(target.id());
+        if (mSaidInOrder.size() > MOST_LEAVING) {
+            mSaidTheyLeave.remove(mSaidInOrder.remove());
+        }
+        refresh(target.service());
+        return true;
+    }
+
+    /** Returns whether a target must get no new work, by its word or by membership. */
     boolean isLeaving(Target target) {
-        return mMembers.isLeaving(target);
+        return mSaidTheyLeave.contains(target.id()) || mMembers.isLeaving(target);
     }
 
     /** Returns how many nodes there are. */
--- a/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDialect.java
@@ -46,6 +46,9 @@
     /** On a target's answers: the requests a second that it takes from all nodes together. */
     static final String LIMIT = "Server-Limit";
 
+    /** On a target's answers: it leaves and takes nothing new. */
+    static final String LEAVING = "Server-Leaving";
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final String mService;
@@ -118,7 +121,7 @@
 
     @Override
     public TargetNotice noticeOf(HttpFields answer) {
-        return TargetNotice.ofLimits(answer.getValuesList(LIMIT));
+        return TargetNotice.of(answer.get(LEAVING), answer.getValuesList(LIMIT));
     }
 
     /** Returns seconds with their fraction. */
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -59,6 +59,9 @@
     /** Returns whether a call that a target made for this request, by its id, has failed. */
     boolean hasLostCall(String requestId);
 
+    /** Called when a target says in an answer that it leaves. */
+    void targetLeaving(Target target);
+
     /**
      * Called when a target's process ended while it ran requests.
      *
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -20,6 +20,7 @@
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.Outcomes;
 import org.apricotgauge.http.SiteDialect;
+import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.http.UpstreamExchange;
 import org.apricotgauge.http.WatchedSource;
 import org.apricotgauge.model.SiteView;
@@ -301,7 +302,7 @@
                 mContext.dialect()
                         .kindOf(mRequest.getHeaders(), answer.getStatus(), answer.getHeaders());
         if (kind == SiteDialect.AnswerKind.ANSWER || kind == SiteDialect.AnswerKind.SHED) {
-            mGate.told(mContext.dialect().noticeOf(answer.getHeaders()), mSentAtMillis);
+            takeNotice(mContext.dialect().noticeOf(answer.getHeaders()));
         }
         if (kind != SiteDialect.AnswerKind.ANSWER) {
             endWithoutAnswer(kind, answer, body);
@@ -315,7 +316,7 @@
         if (HttpStatus.isServerError(answer.getStatus()) && hasLostCall()) {
             mResponse.getHeaders().put(HeaderNames.CALL_LOST, "1");
         }
-        tellTarget();
+        mGate.tell(mResponse.getHeaders());
         mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
         WatchedSource watched = new WatchedSource(body);
         Callback whenCopied =
@@ -326,6 +327,13 @@
                 () -> AnswerStream.copyBody(answer, watched, mResponse, whenCopied));
     }
 
+    private void takeNotice(TargetNotice notice) {
+        mGate.told(notice, mSentAtMillis);
+        if (notice.leaving()) {
+            mContext.observer().targetLeaving(mGate.target());
+        }
+    }
+
     private void endWithoutAnswer(
             SiteDialect.AnswerKind kind,
             org.eclipse.jetty.client.Response answer,
@@ -459,23 +467,12 @@
         if (reason == NotRunReason.QUARANTINED) {
             mContext.metrics().quarantined().inc();
         }
-        tellTarget();
+        mGate.tell(mResponse.getHeaders());
         mContext.observer().beforeAnswer(mGate.target(), mResponse.getHeaders());
         Outcome.NotRun outcome = new Outcome.NotRun(reason, retryAfterMillis);
         mAcknowledgements.after(() -> Outcomes.write(mResponse, mCallback, outcome));
     }
 
-    private void tellTarget() {
-        mResponse.getHeaders().put(HeaderNames.LOAD_PERMILLE, mGate.loadPermille());
-        mResponse.getHeaders().put(HeaderNames.HEALTH, mGate.healthTold().toText());
-        mGate.limitInForce()
-                .ifPresent(
-                        limit ->
-                                mResponse
-                                        .getHeaders()
-                                        .put(HeaderNames.TARGET_LIMIT, limit.toText()));
-    }
-
     private void stopTimers() {
         HangUpEndPoint.release(mRequest);
         cancel(mTimeout);
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -1,7 +1,6 @@
 package org.apricotgauge.target;
 
 import java.net.URI;
-import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.apricotgauge.decision.admission.AdmissionConfig;
@@ -13,12 +12,14 @@
 import org.apricotgauge.decision.admission.Ticket;
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.health.HealthOutlook;
+import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.Hosts;
 import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.StartLimit;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * The slots of one target with the requests that wait for them.
@@ -41,6 +42,7 @@
     private final Ticker mTicker;
     private final Runnable mOnQueued;
     private volatile boolean mReplaced;
+    private volatile boolean mSaysItLeaves;
     private final HealthGate mHealth = new HealthGate();
     private final ConcurrentMap<Long, Work> mWaiting = new ConcurrentHashMap<>();
 
@@ -85,17 +87,13 @@
         return mReplaced;
     }
 
-    /** Returns how many requests a second the target takes; nothing if it names no limit. */
-    Optional<StartLimit> limitInForce() {
-        return mLimit.inForce();
-    }
-
     /**
      * Takes what the target says of itself with an answer.
      *
      * @param sentMillis when the request that it answers was sent
      */
     void told(TargetNotice notice, long sentMillis) {
+        mSaysItLeaves |= notice.leaving();
         apply(mLimit.told(notice, sentMillis, mTicker.millis()));
     }
 
@@ -169,6 +167,16 @@
         return (int) Math.round(PERMILLE * taken / usable);
     }
 
+    /** Adds to the head of an answer what entries should know of the target. */
+    void tell(HttpFields.Mutable headers) {
+        headers.put(HeaderNames.LOAD_PERMILLE, loadPermille());
+        headers.put(HeaderNames.HEALTH, healthTold().toText());
+        if (mSaysItLeaves) {
+            headers.put(HeaderNames.TARGET_LEAVING, "1");
+        }
+        mLimit.inForce().ifPresent(limit -> headers.put(HeaderNames.TARGET_LIMIT, limit.toText()));
+    }
+
     int queued() {
         return mQueue.queued();
     }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.caller.EntryHandler;
 import org.apricotgauge.caller.EntryObserver;
@@ -92,6 +94,7 @@
         private final MetricRegistry mRegistry = new MetricRegistry();
         private final QuarantineTable mQuarantine =
                 new QuarantineTable(Ticker.system(), new DeafListener());
+        private final Set<String> mToldLeaving = ConcurrentHashMap.newKeySet();
         private final RoutingTableFactory mTables;
         private volatile MemberLimits mLimits = MemberLimits.UNBOUNDED;
         private GuardHandler mGuard;
@@ -112,6 +115,13 @@
             return mRelay;
         }
 
+        /**
+         * Returns the ids of targets that this VM's node was told of, by themselves, as leaving.
+         */
+        Set<String> toldLeaving() {
+            return mToldLeaving;
+        }
+
         QuarantineTable quarantine() {
             return mQuarantine;
         }
@@ -227,9 +237,13 @@
 
     /** Builds the table anew for each reading; tests change the site between requests only. */
     private RoutingTable table(String entryVm) {
+        HopVm vm = mVms.get(entryVm);
         RoutingTableFactory.View view =
-                new RoutingTableFactory.View(this::guardOf, this::isLeaving, target -> 1.0);
-        RoutingTableFactory factory = mVms.get(entryVm).mTables;
+                new RoutingTableFactory.View(
+                        this::guardOf,
+                        target -> isLeaving(target) || vm.mToldLeaving.contains(target.id()),
+                        target -> 1.0);
+        RoutingTableFactory factory = vm.mTables;
         synchronized (factory) {
             return factory.create(RoutingTable.EMPTY, 1, mConfiguration, view, 0);
         }
@@ -358,6 +372,11 @@
         @Override
         public void attempted(Target target, ObservedOutcome outcome, long totalMicros) {}
 
+        @Override
+        public void targetLeaving(Target target) {
+            mVm.mToldLeaving.add(target.id());
+        }
+
         @Override
         public int nodes() {
             return mVms.size();
--- a/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDialectTest.java
@@ -114,6 +114,17 @@
         return mDialect.kindOf(mRequest, status, answer);
     }
 
+    @Test
+    void aTargetsWordThatItLeavesIsRead() {
+        KvDialect dialect = new KvDialect("booking");
+
+        assertThat(dialect.noticeOf(HttpFields.build().put("Server-Leaving", "1")).leaving())
+                .isTrue();
+        assertThat(dialect.noticeOf(HttpFields.build().put("Server-Leaving", "0")).leaving())
+                .isFalse();
+        assertThat(dialect.noticeOf(HttpFields.EMPTY).leaving()).isFalse();
+    }
+
     @Test
     void aTargetsLimitIsRead() {
         HttpFields named = HttpFields.build().put("Server-Limit", "2.7");
--- a/src/test/java/org/apricotgauge/target/TargetLimitTest.java
+++ b/src/test/java/org/apricotgauge/target/TargetLimitTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 class TargetLimitTest {
-    private static final TargetNotice NONE = TargetNotice.ofLimits(List.of());
+    private static final TargetNotice NONE = TargetNotice.of(null, List.of());
 
     private final AdmissionQueue mQueue = new AdmissionQueue(AdmissionConfig.forSlots(3));
     private final TargetLimit mLimit =
@@ -22,7 +22,7 @@
                     new RunLog(new ManualTicker()));
 
     private static TargetNotice named(String... values) {
-        return TargetNotice.ofLimits(List.of(values));
+        return TargetNotice.of(null, List.of(values));
     }
 
     @Test
