Reproduce that a large configuration holds up the word that a target leaves

The test of it passed since its links were taken at the sender's end alone; a page takes the reader's link as well, which the platform's answers use too. Change: pages between nodes take both links in SimulatedSite. The test's bound is as it was.

--- a/src/test/java/org/apricotgauge/directory/SimulatedSite.java
+++ b/src/test/java/org/apricotgauge/directory/SimulatedSite.java
@@ -336,8 +336,9 @@
             return mLinkFreeAtMillis - now();
         }
 
-        private long onLinkMillis(PublishedPage page) {
-            return onLinkMillis(page == null ? 0 : mCodec.encode(page).length);
+        private long waysMillis(SiteNode from, PublishedPage page) {
+            long bytes = page == null ? 0 : mCodec.encode(page).length;
+            return Math.max(from.onLinkMillis(bytes), onLinkMillis(bytes));
         }
 
         private long bytesOfPlatform(PublishedPage page) {
@@ -398,7 +399,7 @@
                                         (page, failure) -> {
                                             if (!isCut(other, this) && otherEpoch == other.mEpoch) {
                                                 later(
-                                                        NODE_WAY_MILLIS + other.onLinkMillis(page),
+                                                        NODE_WAY_MILLIS + waysMillis(other, page),
                                                         () -> deliver(epoch, page, failure, back));
                                             }
                                         });
