Compress large values on their way from node to node

Callers saw nothing; the word that a target leaves reached nodes 3.3 s late, behind a configuration. Cause: a node tells up to twelve others, each the whole configuration, and again with each question of one that lacks it. 220 KB fill a link of 10 Mbit/s for 0.18 s each time; connections to such a node time out after 0.4 s, it passes for dead, and those that read from it turn to others and to the platform, whose links fill as well. Change: values of 1 KB or more are deflated for readers whose question says that they take them so; a node passes on what it got without doing it anew. Nodes of an earlier release ask for none and get none. Tests: PageCodecTest. Conclusion: why it works: the tree carries a part of the bytes, so that it does not fall apart when they are many. The platform's own answers are as large as before.

--- a/src/main/java/org/apricotgauge/directory/PageCodec.java
+++ b/src/main/java/org/apricotgauge/directory/PageCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -10,45 +11,78 @@
  * Writes pages as nodes send them to each other, in MessagePack, and reads them back.
  *
  * <pre>{@code
- * byte[] bytes = codec.encode(page);
+ * byte[] bytes = codec.encode(page, true);
  * PublishedPage page = codec.decode(bytes);
  * }</pre>
  *
- * <p>Thread-safe.
+ * <p>A node tells up to a dozen others. Sent as it is, a configuration of a thousand routes keeps a
+ * narrow link busy for seconds, and whatever changes meanwhile waits behind it; so large values are
+ * compressed for readers that can take them so. Thread-safe.
  */
 public final class PageCodec {
     private static final ObjectMapper MAPPER =
             new ObjectMapper(new MessagePackFactory())
                     .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+    private final ValuePacker mPacker = new ValuePacker();
+
+    /**
+     * An item on the wire.
+     *
+     * @param plainBytes length of the value before it was compressed; null if it was not
+     */
+    private record ItemMessage(
+            String key, byte[] value, long revision, boolean removed, Integer plainBytes) {}
+
     /** A page on the wire; a node of an earlier release tells no age. */
     private record PageMessage(
-            long revision, boolean whole, List<PublishedItem> items, Long ageMillis) {
-        static PageMessage of(PublishedPage page) {
-            return new PageMessage(page.revision(), page.whole(), page.items(), page.ageMillis());
-        }
-
-        PublishedPage page() {
-            long knownAgeMillis = ageMillis == null ? PublishedPage.UNKNOWN_AGE : ageMillis;
-            return new PublishedPage(revision, whole, items, knownAgeMillis);
-        }
-    }
+            long revision, boolean whole, List<ItemMessage> items, Long ageMillis) {}
 
-    /** Returns the bytes of a page. */
-    public byte[] encode(PublishedPage page) {
+    /**
+     * Returns the bytes of a page.
+     *
+     * @param compressed whether the reader takes compressed values
+     */
+    public byte[] encode(PublishedPage page, boolean compressed) {
+        List<ItemMessage> items =
+                page.items().stream().map(item -> message(item, compressed)).toList();
+        PageMessage message =
+                new PageMessage(page.revision(), page.whole(), items, page.ageMillis());
         try {
-            return MAPPER.writeValueAsBytes(PageMessage.of(page));
+            return MAPPER.writeValueAsBytes(message);
         } catch (IOException e) {
             throw new IllegalStateException("a page can always be written", e);
         }
     }
 
+    private ItemMessage message(PublishedItem item, boolean compressed) {
+        boolean packs = compressed && item.value().length >= ValuePacker.LEAST_BYTES;
+        byte[] value = packs ? mPacker.pack(item.value()) : item.value();
+        Integer plainBytes = packs ? item.value().length : null;
+        return new ItemMessage(item.key(), value, item.revision(), item.removed(), plainBytes);
+    }
+
     /**
      * Returns the page that the bytes hold.
      *
      * @throws IOException if they hold none
      */
     public PublishedPage decode(byte[] bytes) throws IOException {
-        return MAPPER.readValue(bytes, PageMessage.class).page();
+        PageMessage message = MAPPER.readValue(bytes, PageMessage.class);
+        List<PublishedItem> items = new ArrayList<>(message.items().size());
+        for (ItemMessage item : message.items()) {
+            items.add(item(item));
+        }
+        long ageMillis =
+                message.ageMillis() == null ? PublishedPage.UNKNOWN_AGE : message.ageMillis();
+        return new PublishedPage(message.revision(), message.whole(), items, ageMillis);
+    }
+
+    private PublishedItem item(ItemMessage message) throws IOException {
+        byte[] value =
+                message.plainBytes() == null
+                        ? message.value()
+                        : mPacker.unpack(message.value(), message.plainBytes());
+        return new PublishedItem(message.key(), value, message.revision(), message.removed());
     }
 }
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -94,6 +94,9 @@
      */
     public static final String DIRECTORY = "Apricotgauge-Directory";
 
+    /** Questions: {@code 1} if the asker of {@link #DIRECTORY} takes compressed values. */
+    public static final String DIRECTORY_COMPRESSED = "Apricotgauge-Directory-Compressed";
+
     /** Questions: how long the asker of {@link #DIRECTORY} waits for a change, in milliseconds. */
     public static final String DIRECTORY_WAIT_MILLIS = "Apricotgauge-Directory-Wait-Millis";
 
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -327,8 +327,10 @@
     }
 
     @Override
-    public CompletableFuture<byte[]> published(long afterRevision, long waitMillis) {
-        return mFeed.published(afterRevision, waitMillis).thenApply(mCodec::encode);
+    public CompletableFuture<byte[]> published(
+            long afterRevision, long waitMillis, boolean compressed) {
+        return mFeed.published(afterRevision, waitMillis)
+                .thenApply(page -> mCodec.encode(page, compressed));
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/node/GossipControl.java
+++ b/src/main/java/org/apricotgauge/node/GossipControl.java
@@ -114,7 +114,8 @@
     public void acknowledged(HttpFields headers, long askedMillis) {}
 
     @Override
-    public CompletableFuture<byte[]> published(long afterRevision, long waitMillis) {
+    public CompletableFuture<byte[]> published(
+            long afterRevision, long waitMillis, boolean compressed) {
         return CompletableFuture.completedFuture(NOTHING);
     }
 
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -170,7 +170,8 @@
                 mProfile.entry().slotUse(),
                 mProfile.entry().guardRetries(),
                 mQuarantine.table(),
-                (revision, waitMillis) -> mControl.published(revision, waitMillis),
+                (revision, waitMillis, compressed) ->
+                        mControl.published(revision, waitMillis, compressed),
                 mRegistry);
     }
 
--- a/src/main/java/org/apricotgauge/node/NodeControl.java
+++ b/src/main/java/org/apricotgauge/node/NodeControl.java
@@ -73,8 +73,9 @@
      *
      * @param afterRevision revision that the peer has
      * @param waitMillis how long it waits for a change; 0 if it asks for a younger view
+     * @param compressed whether it takes compressed values
      */
-    CompletableFuture<byte[]> published(long afterRevision, long waitMillis);
+    CompletableFuture<byte[]> published(long afterRevision, long waitMillis, boolean compressed);
 
     @Override
     void close();
--- a/src/main/java/org/apricotgauge/node/PeerSource.java
+++ b/src/main/java/org/apricotgauge/node/PeerSource.java
@@ -48,6 +48,7 @@
                                             HeaderNames.CONTROL, GuardHandler.CONTROL_DIRECTORY);
                                     headers.put(HeaderNames.DIRECTORY, afterRevision);
                                     headers.put(HeaderNames.DIRECTORY_WAIT_MILLIS, waitMillis);
+                                    headers.put(HeaderNames.DIRECTORY_COMPRESSED, "1");
                                 });
         return new CompletableResponseListener(request, MAX_BYTES).send().thenApply(this::page);
     }
--- a/src/main/java/org/apricotgauge/node/UnstartedControl.java
+++ b/src/main/java/org/apricotgauge/node/UnstartedControl.java
@@ -62,7 +62,8 @@
     public void acknowledged(HttpFields headers, long askedMillis) {}
 
     @Override
-    public CompletableFuture<byte[]> published(long afterRevision, long waitMillis) {
+    public CompletableFuture<byte[]> published(
+            long afterRevision, long waitMillis, boolean compressed) {
         return CompletableFuture.completedFuture(NOTHING);
     }
 
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -98,8 +98,10 @@
          *
          * @param afterRevision revision that the peer has
          * @param waitMillis how long it waits for a change; 0 if it asks for a younger view
+         * @param compressed whether it takes compressed values
          */
-        CompletableFuture<byte[]> published(long afterRevision, long waitMillis);
+        CompletableFuture<byte[]> published(
+                long afterRevision, long waitMillis, boolean compressed);
     }
 
     /**
@@ -240,7 +242,10 @@
         long afterRevision = Math.max(0, question.getLongField(HeaderNames.DIRECTORY));
         long waitMillis = Math.max(0, question.getLongField(HeaderNames.DIRECTORY_WAIT_MILLIS));
         mDirectory
-                .published(afterRevision, waitMillis)
+                .published(
+                        afterRevision,
+                        waitMillis,
+                        question.contains(HeaderNames.DIRECTORY_COMPRESSED))
                 .whenComplete(
                         (page, failure) -> {
                             if (failure == null) {
--- /dev/null
+++ b/src/test/java/org/apricotgauge/directory/PageCodecTest.java
@@ -0,0 +1,72 @@
+package org.apricotgauge.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PageCodecTest {
+    private static final byte[] LARGE =
+            "a route like the one before, ".repeat(8_000).getBytes(StandardCharsets.UTF_8);
+    private static final PublishedPage PAGE =
+            new PublishedPage(
+                    7,
+                    true,
+                    List.of(
+                            new PublishedItem("small", new byte[] {1, 2}, 5, false),
+                            new PublishedItem("large", LARGE, 6, false),
+                            PublishedItem.removed("gone", 7)),
+                    250);
+
+    private final PageCodec mCodec = new PageCodec();
+
+    @Test
+    void aPageComesBackAsItWas() throws Exception {
+        for (boolean compressed : new boolean[] {true, false}) {
+            PublishedPage back = mCodec.decode(mCodec.encode(PAGE, compressed));
+
+            assertThat(back.revision()).isEqualTo(7);
+            assertThat(back.whole()).isTrue();
+            assertThat(back.ageMillis()).isEqualTo(250);
+            assertThat(back.items())
+                    .extracting(PublishedItem::key)
+                    .containsExactly("small", "large", "gone");
+            assertThat(back.items().get(1).value()).isEqualTo(LARGE);
+            assertThat(back.items().get(2).removed()).isTrue();
+        }
+    }
+
+    @Test
+    void aLargeValueTakesAPartOfItsBytes() {
+        assertThat(mCodec.encode(PAGE, true).length).isLessThan(LARGE.length / 8);
+        assertThat(mCodec.encode(PAGE, false).length).isGreaterThan(LARGE.length);
+    }
+
+    @Test
+    void aValueThatIsPassedOnIsCompressedOnce() throws Exception {
+        ValuePacker packer = new ValuePacker();
+        byte[] packed = packer.pack(LARGE);
+
+        assertThat(packer.pack(LARGE)).isSameAs(packed);
+        byte[] plain = packer.unpack(packed, LARGE.length);
+        assertThat(packer.pack(plain)).isSameAs(packed);
+    }
+
+    @Test
+    void whatIsNoCompressedValueOfItsLengthIsRefused() {
+        ValuePacker packer = new ValuePacker();
+        byte[] packed = packer.pack(LARGE);
+
+        assertThatThrownBy(() -> packer.unpack(packed, LARGE.length - 1))
+                .isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> packer.unpack(packed, LARGE.length + 1))
+                .isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> packer.unpack(new byte[] {9, 9, 9}, 100))
+                .isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> packer.unpack(packed, Integer.MAX_VALUE))
+                .isInstanceOf(IOException.class);
+    }
+}
