Wait in a test until the node serves, not until a version is in force

A start may read the platform's cheap range after the operator has published; the version is then in force before any answer confirms how old it is, and requests are refused as not run until one does, by design. The test asked in between. Change: the test waits for the phase that the readiness path tells, as its neighbour does, and the version; what it asserts is as it was. Conclusion: traced; a fault of the test's wait.

--- a/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
@@ -92,7 +92,7 @@
         assertThat(call("first").getStatus()).isEqualTo(503);
 
         mPlatform.publish(LOOPBACK, "desk");
-        LocalFleet.await(() -> mNode.version() == 1);
+        LocalFleet.await(() -> mNode.phase() == NodePhase.SERVING && mNode.version() == 1);
         ContentResponse answer = call("second");
 
         assertThat(answer.getStatus()).isEqualTo(200);
