--- a/src/main/java/org/apricotgauge/decision/admission/Pace.java
+++ b/src/main/java/org/apricotgauge/decision/admission/Pace.java
@@ -12,13 +12,13 @@
  * }
  * }</pre>
  *
- * <p>A token bucket that starts empty and holds a quarter of a second's worth, so that a target in
+ * <p>A token bucket that starts empty and holds an eighth of a second's worth, so that a target in
  * need gets no burst. Not thread-safe. Times are readings of one monotonic clock in milliseconds.
  */
 public final class Pace {
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private static final double BURST_SECONDS = 0.25;
+    private static final double BURST_SECONDS = 0.125;
 
     private boolean mIsLimited;
     private double mPerMilli;
--- a/src/main/java/org/apricotgauge/directory/DirectoryLog.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryLog.java
@@ -36,7 +36,7 @@
 
     private record LargePage(String source, long revision, long bytes, long viewAgeMillis) {}
 
-    private record ViewAge(long revision, long ageMillis) {}
+    private record View(long revision, long ageMillis) {}
 
     private record Parent(String source, long revision) {}
 
@@ -73,9 +73,9 @@
         }
         mIsViewOld = isOld;
         if (isOld) {
-            mLog.warn("view of the site is too old", new ViewAge(revision, ageMillis));
+            mLog.warn("view of the site is too old", new View(revision, ageMillis));
         } else {
-            mLog.info("view of the site is young again", new ViewAge(revision, ageMillis));
+            mLog.info("view of the site is young again", new View(revision, ageMillis));
         }
     }
 
--- a/src/main/java/org/apricotgauge/directory/ValuePacker.java
+++ b/src/main/java/org/apricotgauge/directory/ValuePacker.java
@@ -19,7 +19,7 @@
     /** No value of the platform is as large. */
     private static final int MOST_BYTES = 8 << 20;
 
-    private static final int BUFFER_BYTES = 8_192;
+    private static final int BUFFER_BYTES = 4_096;
 
     private volatile Both mLast = new Both(new byte[0], new byte[0]);
 
--- a/src/main/java/org/apricotgauge/model/StartLimit.java
+++ b/src/main/java/org/apricotgauge/model/StartLimit.java
@@ -19,7 +19,7 @@
      * Least requests a second of a limited target: only an answer tells that a limit is lifted, and
      * a target that gets nothing gives none.
      */
-    private static final double LEAST_PER_SECOND = 0.2;
+    private static final double LEAST_PER_SECOND = 1.0 / 6;
 
     /** Checks the parts. */
     public StartLimit {
