Count the targets that name a limit now

Cause: no metric told of limits, only the guard's lines. Change: guard.limited_targets, up when a target names a limit and down when it lifts it. Tests: TargetLimitTest.

--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -155,7 +155,13 @@
                         quarantine,
                         new RunLog(ticker),
                         GuardMetrics.of(registry));
-        mGates = new TargetGates(slotUse, ticker, mContext.log(), this::expireWhileQueued);
+        mGates =
+                new TargetGates(
+                        slotUse,
+                        ticker,
+                        mContext.log(),
+                        mContext.metrics().limitedTargets(),
+                        this::expireWhileQueued);
     }
 
     // Waiting requests are looked at every few milliseconds; while none waits, no timer runs.
--- a/src/main/java/org/apricotgauge/target/GuardMetrics.java
+++ b/src/main/java/org/apricotgauge/target/GuardMetrics.java
@@ -15,6 +15,7 @@
         Counter fences,
         Counter badRequests,
         Counter foreignAnswers,
+        Counter limitedTargets,
         Timer service) {
 
     static GuardMetrics of(MetricRegistry registry) {
@@ -28,6 +29,7 @@
                 registry.counter("guard.fences"),
                 registry.counter("guard.bad_requests"),
                 registry.counter("guard.foreign_answers"),
+                registry.counter("guard.limited_targets"),
                 registry.timer("guard.service_time"));
     }
 }
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import com.codahale.metrics.Counter;
 import java.net.URI;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -60,12 +61,13 @@
             AdmissionConfig.SlotUse use,
             Ticker ticker,
             RunLog log,
+            Counter limited,
             Runnable onQueued) {
         mOnQueued = onQueued;
         mTarget = target;
         mUri = Hosts.uriOf(new Address(target.host(), target.port()));
         mQueue = new AdmissionQueue(AdmissionConfig.forSlots(target.slots(), use));
-        mLimit = new TargetLimit(target, mQueue, log);
+        mLimit = new TargetLimit(target, mQueue, log, limited);
         mTicker = ticker;
     }
 
--- a/src/main/java/org/apricotgauge/target/TargetGates.java
+++ b/src/main/java/org/apricotgauge/target/TargetGates.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import com.codahale.metrics.Counter;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.apricotgauge.decision.admission.AdmissionConfig;
@@ -12,6 +13,7 @@
     private final AdmissionConfig.SlotUse mUse;
     private final Ticker mTicker;
     private final RunLog mLog;
+    private final Counter mLimited;
     private final Runnable mOnQueued;
 
     /**
@@ -19,10 +21,17 @@
      *
      * @param use who else uses the targets' slots
      * @param log takes changes of the targets' limits
+     * @param limited counts the targets that name a limit now
      * @param onQueued runs whenever a request has to wait at one of them
      */
-    TargetGates(AdmissionConfig.SlotUse use, Ticker ticker, RunLog log, Runnable onQueued) {
+    TargetGates(
+            AdmissionConfig.SlotUse use,
+            Ticker ticker,
+            RunLog log,
+            Counter limited,
+            Runnable onQueued) {
         mLog = log;
+        mLimited = limited;
         mUse = use;
         mOnQueued = onQueued;
         mTicker = ticker;
@@ -39,7 +48,7 @@
                 (id, old) ->
                         old != null && old.target().equals(target)
                                 ? old
-                                : new TargetGate(target, mUse, mTicker, mLog, mOnQueued));
+                                : new TargetGate(target, mUse, mTicker, mLog, mLimited, mOnQueued));
     }
 
     /** Refuses what can't be served in time any more; returns whether requests still wait. */
--- a/src/main/java/org/apricotgauge/target/TargetLimit.java
+++ b/src/main/java/org/apricotgauge/target/TargetLimit.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import com.codahale.metrics.Counter;
 import java.util.Optional;
 import org.apricotgauge.decision.admission.AdmissionQueue;
 import org.apricotgauge.decision.admission.Changes;
@@ -18,11 +19,19 @@
     private final Target mTarget;
     private final AdmissionQueue mQueue;
     private final RunLog mLog;
+    private final Counter mLimited;
     private volatile StartLimit mLimit;
     private long mNamedMillis;
     private boolean mAnswered;
 
-    TargetLimit(Target target, AdmissionQueue queue, RunLog log) {
+    /**
+     * Creates what keeps a queue to no limit.
+     *
+     * @param log takes changes of the limit
+     * @param limited counts the targets that have a limit now
+     */
+    TargetLimit(Target target, AdmissionQueue queue, RunLog log, Counter limited) {
+        mLimited = limited;
         mTarget = target;
         mQueue = queue;
         mLog = log;
@@ -53,6 +62,7 @@
             return Changes.NONE;
         }
         mLog.limitLifted(mTarget, mLimit);
+        mLimited.dec();
         mLimit = null;
         return mQueue.liftLimit(nowMillis);
     }
@@ -69,6 +79,7 @@
             return;
         }
         mLog.limitNamed(mTarget, limit, mLimit);
+        mLimited.inc(mLimit == null ? 1 : 0);
         mLimit = limit;
         mQueue.limitStarts(limit.keptPerSecond(), nowMillis);
     }
--- a/src/test/java/org/apricotgauge/target/TargetLimitTest.java
+++ b/src/test/java/org/apricotgauge/target/TargetLimitTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.Counter;
 import java.util.List;
 import org.apricotgauge.decision.admission.AdmissionConfig;
 import org.apricotgauge.decision.admission.AdmissionQueue;
@@ -15,11 +16,13 @@
     private static final TargetNotice NONE = TargetNotice.of(null, List.of());
 
     private final AdmissionQueue mQueue = new AdmissionQueue(AdmissionConfig.forSlots(3));
+    private final Counter mLimited = new Counter();
     private final TargetLimit mLimit =
             new TargetLimit(
                     new Target("t", "s", "vm", "here", "127.0.0.1", 1, 3),
                     mQueue,
-                    new RunLog(new ManualTicker()));
+                    new RunLog(new ManualTicker()),
+                    mLimited);
 
     private static TargetNotice named(String... values) {
         return TargetNotice.of(null, List.of(values));
@@ -33,10 +36,12 @@
 
         mLimit.told(named("0.5"), 100, 200);
         assertThat(mLimit.inForce()).contains(new StartLimit(0.5));
+        assertThat(mLimited.getCount()).isEqualTo(1);
 
         mLimit.told(NONE, 200, 300);
         assertThat(mLimit.inForce()).isEmpty();
         assertThat(mQueue.isPaced(300)).isFalse();
+        assertThat(mLimited.getCount()).isZero();
     }
 
     /** Guards against a limit lifted by an answer that was given before it was named. */
