Reproduce that a node takes its own silence for the platform's absence

The test: answers of the platform take 3.5 s to one node, while guards that this node sent requests to tell that they read the platform 0.3 s before. A registration ends meanwhile. The node learns of it, finds that it has heard nothing for two heartbeats, and keeps the target. It fails on this code: [a, b, c] get work, [b, c] may. Beside it stands what the fix may not undo, which passes: after an absence of the platform of which all nodes told, registrations that ran out are kept.

--- a/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
+++ b/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.ManualTicker;
 import org.junit.jupiter.api.BeforeEach;
@@ -35,6 +37,14 @@
     /** What an answer takes on a link that a large configuration has filled. */
     private static final long LATE_ANSWER_MILLIS = 600;
 
+    /** What a page takes on a link that is full for longer than two heartbeats. */
+    private static final long FULL_LINK_MILLIS = 3_500;
+
+    /** What another guard's word takes on such a link, and how old its view is. */
+    private static final long LATE_WORD_MILLIS = 1_200;
+
+    private static final long TOLD_AGE_MILLIS = 300;
+
     private final ManualTicker mTicker = new ManualTicker();
     private final FakePlatform mPlatform = new FakePlatform(mTicker);
     private SiteDirectory mSite;
@@ -144,6 +154,35 @@
         assertThat(takingWork()).containsExactly("a", "b", "c");
     }
 
+    /**
+     * Guards against work for a target that left, by a node that took its own silence for the
+     * platform's.
+     */
+    @Test
+    void aRegistrationThatEndsIsNotKeptWhileOthersReadThePlatform() {
+        mPlatform.setWay(FULL_LINK_MILLIS);
+        pass(1_000);
+
+        mPlatform.remove("a");
+        passHearing(FULL_LINK_MILLIS + TICK_MILLIS, () -> TOLD_AGE_MILLIS);
+
+        assertThat(takingWork()).containsExactly("b", "c");
+    }
+
+    /** Guards against a service without targets after an absence of which others told all along. */
+    @Test
+    void registrationsThatRanOutAreKeptThoughOthersTellHowOldTheirViewsAre() {
+        long awayFromMillis = mTicker.millis();
+        mPlatform.setAway(true);
+        passHearing(6_000, () -> mTicker.millis() - awayFromMillis);
+
+        mPlatform.remove("a", "b", "c");
+        mPlatform.setAway(false);
+        passHearing(1_900, () -> TOLD_AGE_MILLIS);
+
+        assertThat(takingWork()).containsExactly("a", "b", "c");
+    }
+
     /** Guards against a fleet that refuses all work because its platform is away. */
     @Test
     void aPlatformThatFallsSilentHardlyStopsWork() {
@@ -176,6 +215,15 @@
         }
     }
 
+    /** As {@link #pass}, while guards that know more tell how old their views are. */
+    private void passHearing(long millis, LongSupplier toldAgeMillis) {
+        for (long left = millis; left > 0; left -= TICK_MILLIS) {
+            pass(TICK_MILLIS);
+            SiteView told = new SiteView(Long.MAX_VALUE, toldAgeMillis.getAsLong());
+            mFeed.confirm(told, mFeed.elapsedMillis() - LATE_WORD_MILLIS);
+        }
+    }
+
     private static byte[] bytes(String state) {
         return state.getBytes(StandardCharsets.UTF_8);
     }
