Take the platform for away only if it answered nobody that is heard of

What callers saw: requests reached targets that had left. Cause: an absence of the platform was told by the node's own silence. The same error in a second place: after any pause of the process, also one far shorter than a lease, all was counted as an absence. Change: Confirmations keeps when the platform last answered anybody, apart from when it last confirmed this node's view. A guard that tells how old its view is says so even if it knows more than this node, which was passed over before. An absence ends when this node learns of it, as when it reads itself: who tells of it may have asked before it ended. ConfirmationsTest.aPauseShorterThanAnAbsence... fails with the old forget. Remains: a node that nothing reaches at all cannot tell the two apart.

--- a/src/main/java/org/apricotgauge/directory/Confirmations.java
+++ b/src/main/java/org/apricotgauge/directory/Confirmations.java
@@ -3,19 +3,23 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * When the platform was last known to hold nothing newer than this node knows.
+ * When the platform was last known to hold nothing newer than this node knows, and when it was last
+ * known to answer anybody.
  *
  * <pre>{@code
- * confirmations.confirmed(askedMillis - ageMillis);  // read from the platform or another node
- * confirmations.heard(askedMillis - ageMillis);      // told by a guard that this node sent to
+ * long atMillis = askedMillis - ageMillis;
+ * confirmations.confirmed(atMillis, nowMillis);  // read from the platform or another node
+ * confirmations.heard(atMillis, nowMillis);      // told by a guard that knows no more
+ * confirmations.answered(atMillis, nowMillis);   // told by a guard that knows more
  * }</pre>
  *
  * <p>Nobody knows how long a message was on its way, and an age does not grow meanwhile. So only
  * answers count, and each as if it had been given when this node asked. What was heard counts for
  * this node alone; it tells others only what it read itself.
  *
- * <p>It also tells when the platform came back, as far as this node can know: when the first word
- * of it came after so long without one that registrations may have run out meanwhile. Thread-safe.
+ * <p>It also tells when the platform came back, as far as this node can know: when it first
+ * answered anybody again after so long that registrations may have run out meanwhile. That this
+ * node heard nothing does not make it an absence; its own link may be full. Thread-safe.
  */
 final class Confirmations {
     private static final long NEVER = Long.MIN_VALUE / 4;
@@ -23,44 +27,73 @@
     private final PlatformTimes mTimes;
     private final AtomicReference<State> mState;
 
-    private record State(long confirmedMillis, long readMillis, long returnedMillis) {}
+    /**
+     * What is known.
+     *
+     * @param confirmedMillis when the platform last held nothing that is unknown here
+     * @param readMillis the same, by what this node read itself
+     * @param answeredMillis when the platform last answered any node
+     * @param returnedMillis when this node learned that it does again, after its last absence
+     */
+    private record State(
+            long confirmedMillis, long readMillis, long answeredMillis, long returnedMillis) {}
 
     Confirmations(PlatformTimes times, long nowMillis) {
         mTimes = times;
-        mState = new AtomicReference<>(new State(nowMillis, nowMillis, NEVER));
+        mState = new AtomicReference<>(new State(nowMillis, nowMillis, nowMillis, NEVER));
     }
 
     /** Notes that this node read that at that time the platform held nothing that it lacks. */
-    void confirmed(long atMillis) {
+    void confirmed(long atMillis, long nowMillis) {
         mState.updateAndGet(
                 known -> {
-                    State heard = withConfirmation(known, atMillis);
+                    State heard = withConfirmation(known, atMillis, nowMillis);
                     return new State(
                             heard.confirmedMillis,
                             Math.max(known.readMillis, atMillis),
+                            heard.answeredMillis,
                             heard.returnedMillis);
                 });
     }
 
-    /** Notes that another node said so on a hop. */
-    void heard(long atMillis) {
-        mState.updateAndGet(known -> withConfirmation(known, atMillis));
+    /** Notes that another node said so, in answer to this one. */
+    void heard(long atMillis, long nowMillis) {
+        mState.updateAndGet(known -> withConfirmation(known, atMillis, nowMillis));
+    }
+
+    /** Notes that at that time the platform answered another node. */
+    void answered(long atMillis, long nowMillis) {
+        mState.updateAndGet(known -> withAnswer(known, atMillis, nowMillis));
+    }
+
+    private State withConfirmation(State known, long atMillis, long nowMillis) {
+        State answered = withAnswer(known, atMillis, nowMillis);
+        return new State(
+                Math.max(known.confirmedMillis, atMillis),
+                known.readMillis,
+                answered.answeredMillis,
+                answered.returnedMillis);
     }
 
-    private State withConfirmation(State known, long atMillis) {
-        return atMillis <= known.confirmedMillis
+    private State withAnswer(State known, long atMillis, long nowMillis) {
+        return atMillis <= known.answeredMillis
                 ? known
-                : new State(atMillis, known.readMillis, returnedMillis(known, atMillis));
+                : new State(
+                        known.confirmedMillis,
+                        known.readMillis,
+                        atMillis,
+                        returnedMillis(known, atMillis, nowMillis));
     }
 
-    private long returnedMillis(State known, long atMillis) {
-        boolean wasAway = atMillis - known.confirmedMillis >= mTimes.awayMillis();
-        return wasAway ? atMillis : known.returnedMillis;
+    private long returnedMillis(State known, long answeredMillis, long nowMillis) {
+        boolean wasAway = answeredMillis - known.answeredMillis >= mTimes.awayMillis();
+        return wasAway ? nowMillis : known.returnedMillis;
     }
 
     /** Forgets that anything was confirmed: time has passed that no steady clock tells. */
     void forget() {
-        mState.updateAndGet(known -> new State(NEVER, NEVER, known.returnedMillis));
+        mState.updateAndGet(
+                known -> new State(NEVER, NEVER, known.answeredMillis, known.returnedMillis));
     }
 
     /** Returns the time since the last confirmation, in milliseconds. */
@@ -89,6 +122,8 @@
                 Math.min(
                         nowMillis + mTimes.keepMillis(),
                         known.confirmedMillis + mTimes.worksOnMillis());
-        return Math.max(usualMillis, returnedMillis(known, nowMillis) + PlatformTimes.BACK_MILLIS);
+        return Math.max(
+                usualMillis,
+                returnedMillis(known, nowMillis, nowMillis) + PlatformTimes.BACK_MILLIS);
     }
 }
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -174,8 +174,14 @@
      */
     public void confirm(SiteView told, long askedMillis) {
         // After a pause of this process the word may have waited here for as long as the pause.
-        if (told.revision() <= mSite.items().revision() && mayAct()) {
-            mAge.heard(askedMillis - told.ageMillis());
+        if (!mayAct()) {
+            return;
+        }
+        long atMillis = askedMillis - told.ageMillis();
+        if (told.revision() <= mSite.items().revision()) {
+            mAge.heard(atMillis);
+        } else {
+            mAge.answered(atMillis);
         }
     }
 
--- a/src/main/java/org/apricotgauge/directory/ViewAge.java
+++ b/src/main/java/org/apricotgauge/directory/ViewAge.java
@@ -75,13 +75,19 @@
 
     /** Notes a page that was read and lacks nothing that the node knows. */
     void read(PublishedPage page) {
-        mConfirmations.confirmed(mElapsed.millis() - page.ageMillis());
+        long nowMillis = mElapsed.millis();
+        mConfirmations.confirmed(nowMillis - page.ageMillis(), nowMillis);
         mFreshness.onConfirmed();
         mWasRead = true;
     }
 
     /** Notes that another node told that at that time the platform held nothing that is unknown. */
     void heard(long atMillis) {
-        mConfirmations.heard(atMillis);
+        mConfirmations.heard(atMillis, mElapsed.millis());
+    }
+
+    /** Notes that at that time the platform answered another node, which knows more than this. */
+    void answered(long atMillis) {
+        mConfirmations.answered(atMillis, mElapsed.millis());
     }
 }
--- a/src/test/java/org/apricotgauge/directory/ConfirmationFleetTest.java
+++ b/src/test/java/org/apricotgauge/directory/ConfirmationFleetTest.java
@@ -93,7 +93,7 @@
             boolean isDue = now - mToldAtMillis[from] >= TELL_EVERY_MILLIS;
             if (isDue && ageMillis < TIMES.viewBoundMillis()) {
                 mToldAtMillis[from] = now;
-                mViews.get(to).heard(now - HOP_MILLIS - ageMillis);
+                mViews.get(to).heard(now - HOP_MILLIS - ageMillis, now);
             }
         }
 
@@ -102,7 +102,7 @@
             for (int node = 0; node < mNodes; node++) {
                 if (mAnsweredAtMillis[node] <= now) {
                     mAnsweredAtMillis[node] = Long.MAX_VALUE;
-                    mViews.get(node).confirmed(now);
+                    mViews.get(node).confirmed(now, now);
                 }
                 boolean ticks = (now + node) % TICK_MILLIS == 0;
                 boolean waits = mAnsweredAtMillis[node] != Long.MAX_VALUE;
--- a/src/test/java/org/apricotgauge/directory/ConfirmationsTest.java
+++ b/src/test/java/org/apricotgauge/directory/ConfirmationsTest.java
@@ -16,8 +16,8 @@
         Confirmations one = new Confirmations(TIMES, 0);
         Confirmations other = new Confirmations(TIMES, 0);
         for (long nowMillis = 10; nowMillis <= 10_000; nowMillis += 10) {
-            other.heard(nowMillis - one.toldAgeMillis(nowMillis - 5));
-            one.heard(nowMillis + 5 - other.toldAgeMillis(nowMillis));
+            other.heard(nowMillis - one.toldAgeMillis(nowMillis - 5), nowMillis);
+            one.heard(nowMillis + 5 - other.toldAgeMillis(nowMillis), nowMillis + 5);
         }
 
         assertThat(one.ageMillis(10_000)).isGreaterThanOrEqualTo(9_990);
@@ -28,12 +28,24 @@
     void whatWasReadIsToldAndWhatWasHeardIsNot() {
         Confirmations confirmations = new Confirmations(TIMES, 0);
 
-        confirmations.heard(900);
+        confirmations.heard(900, 1_000);
         assertThat(confirmations.ageMillis(1_000)).isEqualTo(100);
         assertThat(confirmations.toldAgeMillis(1_000)).isEqualTo(1_000);
-        confirmations.confirmed(950);
+        confirmations.confirmed(950, 1_000);
 
         assertThat(confirmations.ageMillis(1_000)).isEqualTo(50);
         assertThat(confirmations.toldAgeMillis(1_000)).isEqualTo(50);
     }
+
+    /** Guards against a target that keeps its place beyond its end because this process paused. */
+    @Test
+    void aPauseShorterThanAnAbsenceOfThePlatformKeepsNoTarget() {
+        Confirmations confirmations = new Confirmations(TIMES, 0);
+
+        confirmations.forget();
+        confirmations.confirmed(TIMES.awayMillis() - 1, TIMES.awayMillis());
+
+        assertThat(confirmations.keepsPlaceUntilMillis(TIMES.awayMillis()))
+                .isLessThanOrEqualTo(TIMES.awayMillis() + TIMES.keepMillis());
+    }
 }
--- a/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
+++ b/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
@@ -5,7 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.function.LongSupplier;
+import java.util.function.LongUnaryOperator;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.ManualTicker;
@@ -154,17 +154,14 @@
         assertThat(takingWork()).containsExactly("a", "b", "c");
     }
 
-    /**
-     * Guards against work for a target that left, by a node that took its own silence for the
-     * platform's.
-     */
+    /** Guards against work for a target that left, by a node that nothing reached for a while. */
     @Test
     void aRegistrationThatEndsIsNotKeptWhileOthersReadThePlatform() {
         mPlatform.setWay(FULL_LINK_MILLIS);
         pass(1_000);
 
         mPlatform.remove("a");
-        passHearing(FULL_LINK_MILLIS + TICK_MILLIS, () -> TOLD_AGE_MILLIS);
+        passHearing(FULL_LINK_MILLIS + TICK_MILLIS, atMillis -> atMillis - TOLD_AGE_MILLIS);
 
         assertThat(takingWork()).containsExactly("b", "c");
     }
@@ -174,11 +171,12 @@
     void registrationsThatRanOutAreKeptThoughOthersTellHowOldTheirViewsAre() {
         long awayFromMillis = mTicker.millis();
         mPlatform.setAway(true);
-        passHearing(6_000, () -> mTicker.millis() - awayFromMillis);
+        passHearing(6_000, atMillis -> Math.min(atMillis, awayFromMillis));
 
         mPlatform.remove("a", "b", "c");
         mPlatform.setAway(false);
-        passHearing(1_900, () -> TOLD_AGE_MILLIS);
+        long backFromMillis = mTicker.millis();
+        passHearing(1_900, atMillis -> atMillis < backFromMillis ? awayFromMillis : atMillis);
 
         assertThat(takingWork()).containsExactly("a", "b", "c");
     }
@@ -215,12 +213,19 @@
         }
     }
 
-    /** As {@link #pass}, while guards that know more tell how old their views are. */
-    private void passHearing(long millis, LongSupplier toldAgeMillis) {
+    /**
+     * As {@link #pass}, while guards that know more tell how old their views are.
+     *
+     * @param readMillis when a guard had last read the platform, by the time at which it tells
+     */
+    private void passHearing(long millis, LongUnaryOperator readMillis) {
         for (long left = millis; left > 0; left -= TICK_MILLIS) {
             pass(TICK_MILLIS);
-            SiteView told = new SiteView(Long.MAX_VALUE, toldAgeMillis.getAsLong());
-            mFeed.confirm(told, mFeed.elapsedMillis() - LATE_WORD_MILLIS);
+            long toldMillis = mTicker.millis() - LATE_WORD_MILLIS;
+            long ageMillis = toldMillis - readMillis.applyAsLong(toldMillis);
+            mFeed.confirm(
+                    new SiteView(Long.MAX_VALUE, ageMillis),
+                    mFeed.elapsedMillis() - LATE_WORD_MILLIS);
         }
     }
 
