Believe no write of a target that is older than the word it ended with

What callers would see: requests at a target that has left, for as long as a write of its own, delayed at the platform by seconds, keeps it listed. Cause: the platform may do a write late. Once a registration had ended, nothing of it was remembered, so an earlier write of the same run looked like a target that registers. While it was listed as leaving this was guarded against already. Change: the last registration of each run that ended is remembered, the newest 1,024 of them, and an older write of the same run, told by its sequence, changes nothing; nor does it end the time that a registration that vanished is kept. A newer write and another run count as before. Remains: a write that this node saw nothing newer of is believed, so a target that leaves without a word may be taken for living once more.

--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,7 +36,17 @@
         }
     }
 
+    /** Most ended registrations that are remembered; the earliest is forgotten first. */
+    private static final int MAX_ENDED = 1_024;
+
     private final Map<String, Entry> mRegistrations = new TreeMap<>();
+    private final Map<String, Registration> mEnded =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Registration> eldest) {
+                    return size() > MAX_ENDED;
+                }
+            };
     private long mNextOrder;
     private final Map<String, Long> mVanishedUntilMillis = new HashMap<>();
     private final Consumer<TargetChange> mOnTarget;
@@ -79,6 +90,10 @@
         Presence before = presenceOf(name);
         mVanishedUntilMillis.remove(name);
         Entry entry = mRegistrations.remove(name);
+        if (entry != null) {
+            mEnded.remove(name);
+            mEnded.put(name, entry.registration());
+        }
         tell(entry, before, Presence.ABSENT);
         return entry != null;
     }
@@ -104,6 +119,9 @@
     }
 
     private boolean register(Registration registration) {
+        if (isLateWrite(registration)) {
+            return false;
+        }
         Presence before = presenceOf(registration.name());
         boolean back = mVanishedUntilMillis.remove(registration.name()) != null;
         Entry known = mRegistrations.get(registration.name());
@@ -113,10 +131,6 @@
         }
         boolean sameRun =
                 known != null && known.registration().target().equals(registration.target());
-        // A write that was delayed on its way; it would undo the target's later word.
-        if (sameRun && known.registration().leaving() && isOlder(registration, known)) {
-            return false;
-        }
         long order = sameRun ? known.order() : mNextOrder++;
         Entry entry = new Entry(registration, order);
         mRegistrations.put(registration.name(), entry);
@@ -124,8 +138,22 @@
         return true;
     }
 
-    private static boolean isOlder(Registration registration, Entry known) {
-        return registration.sequence() < known.registration().sequence();
+    // A write that was delayed on its way would undo that the target leaves or has left.
+    private boolean isLateWrite(Registration registration) {
+        Entry entry = mRegistrations.get(registration.name());
+        if (entry == null) {
+            return isOlder(registration, mEnded.get(registration.name()));
+        }
+        boolean isGoing =
+                entry.registration().leaving()
+                        || mVanishedUntilMillis.containsKey(registration.name());
+        return isGoing && isOlder(registration, entry.registration());
+    }
+
+    private static boolean isOlder(Registration registration, Registration known) {
+        return known != null
+                && known.target().equals(registration.target())
+                && registration.sequence() < known.sequence();
     }
 
     private boolean configure(PublishedConfiguration configuration) {
--- a/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
+++ b/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
@@ -124,6 +124,50 @@
                 .containsExactly(false);
     }
 
+    /** Guards against work for a target that left, whose older registration was written late. */
+    @Test
+    void anOlderWriteBringsNoEndedTargetBack() {
+        Target target = new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3);
+        Target nextRun = new Target("a_2", "s", "vm", "here", "127.0.0.1", 1, 3);
+        take(new SiteChange.Registered(new Registration("a", target, true, 8, 0)), 0);
+        take(new SiteChange.Unregistered("a"), 10);
+
+        assertThat(take(new SiteChange.Registered(new Registration("a", target, false, 7, 0)), 20))
+                .isFalse();
+        assertThat(mDirectory.registrations()).isEmpty();
+
+        take(new SiteChange.Registered(new Registration("a", nextRun, false, 1, 0)), 30);
+        assertThat(mDirectory.registrations())
+                .extracting(one -> one.target().id())
+                .containsExactly("a_2");
+    }
+
+    /** Guards against a target that keeps its place beyond its time by a write that came late. */
+    @Test
+    void anOlderWriteKeepsNoTargetWhoseRegistrationEnded() {
+        Target target = new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3);
+        take(new SiteChange.Registered(new Registration("a", target, false, 8, 0)), 0);
+        take(new SiteChange.Unregistered("a"), 10);
+
+        take(new SiteChange.Registered(new Registration("a", target, false, 7, 0)), 20);
+
+        assertThat(mDirectory.expire(10 + KEEP_MILLIS)).isTrue();
+        assertThat(mDirectory.registrations()).isEmpty();
+    }
+
+    /** Guards against a living target that stays out, since its registration had run out. */
+    @Test
+    void aNewerWriteBringsAnEndedTargetBack() {
+        Target target = new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3);
+        take(new SiteChange.Registered(new Registration("a", target, false, 7, 0)), 0);
+        take(new SiteChange.Unregistered("a"), 10);
+        mDirectory.expire(10 + KEEP_MILLIS);
+
+        take(new SiteChange.Registered(new Registration("a", target, false, 8, 0)), 5_000);
+
+        assertThat(mDirectory.registrations()).hasSize(1);
+    }
+
     @Test
     void anOlderVersionNeverComesBack() {
         take(new SiteChange.Configured(configuration(7)), 0);
