Let a request that was broken off return to where it ran if nobody else takes it

Cause, by the code: a run is broken off before anybody else is known to take it, and the choice of targets then ends once each other one has refused; only targets that had refused as suspect were gone back to. Change: a target that ran a repeatable request without an answer counts as a suspect for this request, so that it is the last resort, once, and waits for a slot there. Retries and runs stay bounded as before. Evidence: TargetChoiceTest.whatNobodyElseTakesGoesBackToWhereItRan failed before (no target) and passes.

--- a/src/main/java/org/apricotgauge/caller/TargetChoice.java
+++ b/src/main/java/org/apricotgauge/caller/TargetChoice.java
@@ -21,8 +21,8 @@
  * <p>The first attempts look for a free slot and wait nowhere. The next ones wait at a target as
  * long as the answer can be of full use, the last ones to the deadline, also at targets that were
  * too busy before. Once all others are tried, the request goes to the target that is the least
- * likely to be sick. Used by one exchange, whose attempts follow each other; not thread-safe beyond
- * that.
+ * likely to be sick, also to one that ran it without an answer if it may run again. Used by one
+ * exchange, whose attempts follow each other; not thread-safe beyond that.
  */
 final class TargetChoice {
     /**
@@ -99,8 +99,7 @@
             mBusy.add(id);
             mRefusedBusy++;
         }
-        if (last instanceof Outcome.NotRun notRun
-                && notRun.reason() == NotRunReason.TARGET_SUSPECT) {
+        if (isSuspect(last)) {
             mSuspects.put(id, mLast);
         }
         if (mRefusedBusy == LOOKING_ATTEMPTS
@@ -111,6 +110,13 @@
         }
     }
 
+    private boolean isSuspect(Outcome last) {
+        if (last instanceof Outcome.NotRun notRun) {
+            return notRun.reason() == NotRunReason.TARGET_SUSPECT;
+        }
+        return mRepeatable && last instanceof Outcome.Unknown;
+    }
+
     // Sent to a guard that has just refused connections, a request would use up its attempts there
     // while other targets idle.
     private boolean isShut(Candidate candidate) {
--- a/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetChoiceTest.java
@@ -11,6 +11,7 @@
 import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.RepeatPolicy;
+import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.decision.routing.TargetLoad;
@@ -88,6 +89,23 @@
         assertThat(choice.next(refused(NotRunReason.QUEUE_FULL))).isEmpty();
     }
 
+    /**
+     * Guards against the early failure of a request that was broken off and that nobody else takes.
+     */
+    @Test
+    void whatNobodyElseTakesGoesBackToWhereItRan() {
+        TargetChoice choice = choice(true);
+        Candidate ran = choice.next(null).orElseThrow();
+        choice.next(new Outcome.Unknown(UnknownReason.STARTED));
+        for (int i = 2; i < TARGETS; i++) {
+            choice.next(refused(NotRunReason.QUEUE_FULL));
+        }
+
+        assertThat(choice.next(refused(NotRunReason.QUEUE_FULL))).containsSame(ran);
+        assertThat(choice.patience()).isEqualTo(Patience.MAY_WAIT);
+        assertThat(choice.next(refused(NotRunReason.QUEUE_FULL))).isEmpty();
+    }
+
     @Test
     void aTargetThatBeganToLeaveSinceTheRequestCameIsTriedNoMore() {
         // A request is turned away by its first target. While it was there, all others but one said
@@ -112,6 +130,10 @@
     }
 
     private TargetChoice choice() {
+        return choice(false);
+    }
+
+    private TargetChoice choice(boolean repeatable) {
         if (mCandidates.isEmpty()) {
             for (int i = 0; i < TARGETS; i++) {
                 mCandidates.add(candidate("t" + i, "10.0.0." + i));
@@ -136,7 +158,7 @@
                         null,
                         null);
         return new TargetChoice(
-                context, () -> ServiceTable.of(service, mCandidates, "entry", "here"), false);
+                context, () -> ServiceTable.of(service, mCandidates, "entry", "here"), repeatable);
     }
 
     private static Candidate candidate(String id, String host) {
