Lift no limit of a target by a refusal that does not name it

What callers would see: a target in need gets as many requests as its slots hold, as soon as it turns one away without naming its limit in the refusal. Cause: any answer without the limit lifted it, also one by which the target ran nothing. Change: only an answer to a request that ran lifts a limit; one that a refusal names counts as before. Evidence: TargetLimitTest.aRefusalLiftsNothing fails without the new condition.

--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -302,7 +302,7 @@
                 mContext.dialect()
                         .kindOf(mRequest.getHeaders(), answer.getStatus(), answer.getHeaders());
         if (kind == SiteDialect.AnswerKind.ANSWER || kind == SiteDialect.AnswerKind.SHED) {
-            takeNotice(mContext.dialect().noticeOf(answer.getHeaders()));
+            takeNotice(kind, mContext.dialect().noticeOf(answer.getHeaders()));
         }
         if (kind != SiteDialect.AnswerKind.ANSWER) {
             endWithoutAnswer(kind, answer, body);
@@ -327,8 +327,8 @@
                 () -> AnswerStream.copyBody(answer, watched, mResponse, whenCopied));
     }
 
-    private void takeNotice(TargetNotice notice) {
-        mGate.told(notice, mSentAtMillis);
+    private void takeNotice(SiteDialect.AnswerKind kind, TargetNotice notice) {
+        mGate.told(notice, kind == SiteDialect.AnswerKind.ANSWER, mSentAtMillis);
         if (notice.leaving()) {
             mContext.observer().targetLeaving(mGate.target());
         }
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -92,11 +92,12 @@
     /**
      * Takes what the target says of itself with an answer.
      *
+     * @param ran whether the target ran the request
      * @param sentMillis when the request that it answers was sent
      */
-    void told(TargetNotice notice, long sentMillis) {
+    void told(TargetNotice notice, boolean ran, long sentMillis) {
         mSaysItLeaves |= notice.leaving();
-        apply(mLimit.told(notice, sentMillis, mTicker.millis()));
+        apply(mLimit.told(notice, ran, sentMillis, mTicker.millis()));
     }
 
     /** Takes a limit that an entry was told by the target. */
--- a/src/main/java/org/apricotgauge/target/TargetLimit.java
+++ b/src/main/java/org/apricotgauge/target/TargetLimit.java
@@ -45,9 +45,11 @@
     /**
      * Takes what the target says with an answer; returns what may start now.
      *
+     * @param ran whether the target ran the request; one that turns it away is in need, and does
+     *     not lift its limit by leaving it out
      * @param sentMillis when the request that it answers was sent
      */
-    synchronized Changes told(TargetNotice notice, long sentMillis, long nowMillis) {
+    synchronized Changes told(TargetNotice notice, boolean ran, long sentMillis, long nowMillis) {
         mAnswered = true;
         if (notice.unreadable().isPresent()) {
             mLog.unreadableLimit(mTarget, notice.unreadable().get());
@@ -58,7 +60,7 @@
             change(notice.limit().get(), nowMillis);
             return Changes.NONE;
         }
-        if (mLimit == null || sentMillis < mNamedMillis) {
+        if (mLimit == null || !ran || sentMillis < mNamedMillis) {
             return Changes.NONE;
         }
         mLog.limitLifted(mTarget, mLimit);
--- a/src/test/java/org/apricotgauge/target/TargetLimitTest.java
+++ b/src/test/java/org/apricotgauge/target/TargetLimitTest.java
@@ -30,15 +30,15 @@
 
     @Test
     void aLimitHoldsUntilAnAnswerComesWithoutIt() {
-        mLimit.told(named("2"), 0, 100);
+        mLimit.told(named("2"), true, 0, 100);
         assertThat(mLimit.inForce()).contains(new StartLimit(2));
         assertThat(mQueue.isPaced(100)).isTrue();
 
-        mLimit.told(named("0.5"), 100, 200);
+        mLimit.told(named("0.5"), true, 100, 200);
         assertThat(mLimit.inForce()).contains(new StartLimit(0.5));
         assertThat(mLimited.getCount()).isEqualTo(1);
 
-        mLimit.told(NONE, 200, 300);
+        mLimit.told(NONE, true, 200, 300);
         assertThat(mLimit.inForce()).isEmpty();
         assertThat(mQueue.isPaced(300)).isFalse();
         assertThat(mLimited.getCount()).isZero();
@@ -47,18 +47,28 @@
     /** Guards against a limit lifted by an answer that was given before it was named. */
     @Test
     void anAnswerThatWasOvertakenLiftsNothing() {
-        mLimit.told(named("2"), 0, 100);
+        mLimit.told(named("2"), true, 0, 100);
 
-        mLimit.told(NONE, 99, 101);
+        mLimit.told(NONE, true, 99, 101);
+
+        assertThat(mLimit.inForce()).contains(new StartLimit(2));
+    }
+
+    /** Guards against a flood at a target whose refusals do not name its limit again. */
+    @Test
+    void aRefusalLiftsNothing() {
+        mLimit.told(named("2"), true, 0, 100);
+
+        mLimit.told(NONE, false, 200, 201);
 
         assertThat(mLimit.inForce()).contains(new StartLimit(2));
     }
 
     @Test
     void whatCannotBeReadLeavesTheLimitAsItIs() {
-        mLimit.told(named("2"), 0, 100);
+        mLimit.told(named("2"), true, 0, 100);
 
-        mLimit.told(named("a few"), 200, 300);
+        mLimit.told(named("a few"), true, 200, 300);
 
         assertThat(mLimit.inForce()).contains(new StartLimit(2));
     }
@@ -69,7 +79,7 @@
         mLimit.heard(new StartLimit(2), 0);
         assertThat(mLimit.inForce()).contains(new StartLimit(2));
 
-        mLimit.told(NONE, 10, 20);
+        mLimit.told(NONE, true, 10, 20);
         mLimit.heard(new StartLimit(2), 30);
 
         assertThat(mLimit.inForce()).isEmpty();
