Test limits of targets for keyed requests and behind a restarted guard

Two ways to a target had been told from reading alone: requests with an Idempotency-Key, which the home of their key runs, and a guard that has restarted and knows no limit. Hops can restart a guard now. Evidence: both pass on the code as it is. With the guard's hearing of limits taken out, the test of the restart fails, as it should.

--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -305,6 +305,15 @@
                         (member, request) -> vm.mLimits.take(member, request),
                         EntryOptions.of(KEYS),
                         vm.mRegistry);
+        startGuard(id, vm, targets);
+        HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
+        vm.mEntryServer = servers.create("127.0.0.1", 0, vm.mEntry, vm.mEntry::refused);
+        vm.mEntry.open();
+        vm.mEntryServer.start();
+        vm.mRelay = new Relay(() -> HttpServerFactory.portOf(vm.mGuardServer));
+    }
+
+    private void startGuard(String id, HopVm vm, HttpClient targets) throws Exception {
         vm.mGuard =
                 new GuardHandler(
                         id,
@@ -322,13 +331,17 @@
                         (revision, waitMillis, compressed) ->
                                 CompletableFuture.completedFuture(new byte[0]),
                         vm.mRegistry);
-        HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
-        vm.mGuardServer = servers.create("127.0.0.1", 0, vm.mGuard, () -> {});
-        vm.mEntryServer = servers.create("127.0.0.1", 0, vm.mEntry, vm.mEntry::refused);
+        vm.mGuardServer =
+                new HttpServerFactory(mThreads, mScheduler)
+                        .create("127.0.0.1", 0, vm.mGuard, () -> {});
         vm.mGuardServer.start();
-        vm.mEntry.open();
-        vm.mEntryServer.start();
-        vm.mRelay = new Relay(() -> HttpServerFactory.portOf(vm.mGuardServer));
+    }
+
+    /** Ends the guard of a VM, its connections with it, and starts one that knows nothing. */
+    void restartGuard(String id) throws Exception {
+        HopVm vm = mVms.get(id);
+        vm.mGuardServer.stop();
+        startGuard(id, vm, client(TO_TARGETS, mTargetConnections));
     }
 
     private HttpClient client(String name, int connections) throws Exception {
--- a/src/test/java/org/apricotgauge/functional/LimitedTargetTest.java
+++ b/src/test/java/org/apricotgauge/functional/LimitedTargetTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
@@ -86,6 +87,41 @@
         }
     }
 
+    /** Guards against a limit that is kept for some kinds of requests only. */
+    @Test
+    void keyedAndUnrepeatableRequestsCountAsAllOthers() throws Exception {
+        try (RawTarget target = RawTarget.start(limited());
+                Hops hops = new Hops("a", "b", "c").target("t", "b", target.port(), 8)) {
+            get(hops, "a");
+            get(hops, "c");
+            int told = target.runs();
+            long startNanos = System.nanoTime();
+
+            for (int i = 0; i < 20; i++) {
+                get(hops, "a");
+                ask(hops, "a", "POST", "/once", "Content-Length: 0");
+                ask(hops, "c", "POST", "/once", "Content-Length: 0", "Idempotency-Key: k" + i);
+            }
+
+            double seconds = (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+            assertThat(target.runs() - told).isLessThanOrEqualTo(borneIn(seconds));
+        }
+    }
+
+    /** Guards against a burst through a guard that has restarted and forgotten the limit. */
+    @Test
+    void aGuardThatRestartsHearsTheLimitFromEntriesThatWereTold() throws Exception {
+        String oneInTwoSeconds = answer("Apricotgauge-Target-Limit: 0.5\r\n");
+        try (RawTarget target = RawTarget.start(RawTarget.always(oneInTwoSeconds));
+                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 8)) {
+            assertThat(get(hops, "a")).startsWith("HTTP/1.1 200");
+            hops.restartGuard("b");
+
+            assertThat(get(hops, "a")).matches(LimitedTargetTest::isNotRun);
+            assertThat(target.runs()).isEqualTo(1);
+        }
+    }
+
     private static int borneIn(double seconds) {
         return (int)
                 (BORNE_SHARE * LIMIT_PER_SECOND * Math.max(WINDOW_SECONDS, seconds)
@@ -105,8 +141,14 @@
     }
 
     private static String get(Hops hops, String vm) {
+        return ask(hops, vm, "GET", "/any");
+    }
+
+    private static String ask(Hops hops, String vm, String method, String path, String... more) {
+        List<String> headers = new ArrayList<>(List.of(more));
+        headers.add("Apricotgauge-Timeout-Millis: 300");
         try (RawCaller caller = new RawCaller(hops.vm(vm).callerPort())) {
-            return caller.request("GET", "/any", "Apricotgauge-Timeout-Millis: 300").readAll();
+            return caller.request(method, path, headers.toArray(String[]::new)).readAll();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
