Record on the time line which limit a target names

What operators could not see: that a target was limited, once the guard's lines were cut at 40 a second, which runs share; only a counter told. Change: the guard's report of a limit holds the line, the counter and an event, target-limited, with the requests a second, or null once the target names none. TargetLimit takes this report in place of a log and a counter. Evidence: TargetLimitTest asserts what is reported of two changes and the lifting; EventCodecTest writes and reads the new kind. Remains: no page of the administration API lists limits.

--- a/src/main/java/org/apricotgauge/event/EventBody.java
+++ b/src/main/java/org/apricotgauge/event/EventBody.java
@@ -15,6 +15,7 @@
                 TargetEjected,
                 TargetReadmitted,
                 TargetLeaving,
+                TargetLimited,
                 VmLeaving,
                 PeerSuspected,
                 PeerAlive,
--- a/src/main/java/org/apricotgauge/node/NodeObserver.java
+++ b/src/main/java/org/apricotgauge/node/NodeObserver.java
@@ -13,8 +13,10 @@
 import org.apricotgauge.event.FenceResult;
 import org.apricotgauge.event.FenceUsed;
 import org.apricotgauge.event.TargetLeaving;
+import org.apricotgauge.event.TargetLimited;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.model.SiteView;
+import org.apricotgauge.model.StartLimit;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.operator.OutcomeKind;
 import org.apricotgauge.operator.OutcomeWindows;
@@ -90,6 +92,12 @@
         }
     }
 
+    @Override
+    public void targetLimited(Target target, Optional<StartLimit> limit) {
+        Double perSecond = limit.map(StartLimit::perSecond).orElse(null);
+        mEvents.record(new TargetLimited(target.service(), target.id(), perSecond));
+    }
+
     @Override
     public int nodes() {
         return mState.nodes();
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -159,8 +159,10 @@
                 new TargetGates(
                         slotUse,
                         ticker,
-                        mContext.log(),
-                        mContext.metrics().limitedTargets(),
+                        new LimitReport(
+                                mContext.log(),
+                                mContext.metrics().limitedTargets(),
+                                observer::targetLimited),
                         this::expireWhileQueued);
     }
 
--- a/src/main/java/org/apricotgauge/target/GuardObserver.java
+++ b/src/main/java/org/apricotgauge/target/GuardObserver.java
@@ -1,9 +1,11 @@
 package org.apricotgauge.target;
 
 import java.util.List;
+import java.util.Optional;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.health.HealthOutlook;
 import org.apricotgauge.model.SiteView;
+import org.apricotgauge.model.StartLimit;
 import org.apricotgauge.model.Target;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -59,6 +61,13 @@
     /** Returns whether a call that a target made for this request, by its id, has failed. */
     boolean hasLostCall(String requestId);
 
+    /**
+     * Called when a target names another limit than before.
+     *
+     * @param limit what it names from now on; nothing if it names none
+     */
+    void targetLimited(Target target, Optional<StartLimit> limit);
+
     /** Called when a target says in an answer that it leaves. */
     void targetLeaving(Target target);
 
--- a/src/main/java/org/apricotgauge/target/RunLog.java
+++ b/src/main/java/org/apricotgauge/target/RunLog.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import java.util.Optional;
 import org.apricotgauge.log.BoundedLog;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.StartLimit;
@@ -60,19 +61,15 @@
         mLog.info("run started", leftOut -> new Line(run, leftOut));
     }
 
-    /** Tells that a target names a limit, or another one; {@code before} is null if it had none. */
-    void limitNamed(Target target, StartLimit limit, StartLimit before) {
-        Double known = before == null ? null : before.perSecond();
+    /** Tells that a target names another limit than before, or none any more. */
+    void limitChanged(Target target, Optional<StartLimit> limit, Optional<StartLimit> before) {
         mLog.info(
-                "target names a limit",
-                leftOut -> new Limit(target.id(), limit.perSecond(), known, leftOut));
+                limit.isPresent() ? "target names a limit" : "target names no limit any more",
+                leftOut -> new Limit(target.id(), perSecond(limit), perSecond(before), leftOut));
     }
 
-    /** Tells that a target names its limit no more. */
-    void limitLifted(Target target, StartLimit before) {
-        mLog.info(
-                "target names no limit any more",
-                leftOut -> new Limit(target.id(), null, before.perSecond(), leftOut));
+    private static Double perSecond(Optional<StartLimit> limit) {
+        return limit.map(StartLimit::perSecond).orElse(null);
     }
 
     /** Tells that a target names something as its limit that is none; the known one holds. */
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.target;
 
-import com.codahale.metrics.Counter;
 import java.net.URI;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -60,14 +59,13 @@
             Target target,
             AdmissionConfig.SlotUse use,
             Ticker ticker,
-            RunLog log,
-            Counter limited,
+            LimitReport limits,
             Runnable onQueued) {
         mOnQueued = onQueued;
         mTarget = target;
         mUri = Hosts.uriOf(new Address(target.host(), target.port()));
         mQueue = new AdmissionQueue(AdmissionConfig.forSlots(target.slots(), use));
-        mLimit = new TargetLimit(target, mQueue, log, limited);
+        mLimit = new TargetLimit(target, mQueue, limits);
         mTicker = ticker;
     }
 
--- a/src/main/java/org/apricotgauge/target/TargetGates.java
+++ b/src/main/java/org/apricotgauge/target/TargetGates.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.target;
 
-import com.codahale.metrics.Counter;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.apricotgauge.decision.admission.AdmissionConfig;
@@ -12,26 +11,18 @@
     private final ConcurrentMap<String, TargetGate> mGates = new ConcurrentHashMap<>();
     private final AdmissionConfig.SlotUse mUse;
     private final Ticker mTicker;
-    private final RunLog mLog;
-    private final Counter mLimited;
+    private final LimitReport mLimits;
     private final Runnable mOnQueued;
 
     /**
      * Creates the gates.
      *
      * @param use who else uses the targets' slots
-     * @param log takes changes of the targets' limits
-     * @param limited counts the targets that name a limit now
+     * @param limits takes changes of the targets' limits
      * @param onQueued runs whenever a request has to wait at one of them
      */
-    TargetGates(
-            AdmissionConfig.SlotUse use,
-            Ticker ticker,
-            RunLog log,
-            Counter limited,
-            Runnable onQueued) {
-        mLog = log;
-        mLimited = limited;
+    TargetGates(AdmissionConfig.SlotUse use, Ticker ticker, LimitReport limits, Runnable onQueued) {
+        mLimits = limits;
         mUse = use;
         mOnQueued = onQueued;
         mTicker = ticker;
@@ -48,7 +39,7 @@
                 (id, old) ->
                         old != null && old.target().equals(target)
                                 ? old
-                                : new TargetGate(target, mUse, mTicker, mLog, mLimited, mOnQueued));
+                                : new TargetGate(target, mUse, mTicker, mLimits, mOnQueued));
     }
 
     /** Refuses what can't be served in time any more; returns whether requests still wait. */
--- a/src/main/java/org/apricotgauge/target/TargetLimit.java
+++ b/src/main/java/org/apricotgauge/target/TargetLimit.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.target;
 
-import com.codahale.metrics.Counter;
 import java.util.Optional;
 import org.apricotgauge.decision.admission.AdmissionQueue;
 import org.apricotgauge.decision.admission.Changes;
@@ -18,8 +17,7 @@
 final class TargetLimit {
     private final Target mTarget;
     private final AdmissionQueue mQueue;
-    private final RunLog mLog;
-    private final Counter mLimited;
+    private final LimitReport mReport;
     private volatile StartLimit mLimit;
     private long mNamedMillis;
     private boolean mAnswered;
@@ -27,14 +25,12 @@
     /**
      * Creates what keeps a queue to no limit.
      *
-     * @param log takes changes of the limit
-     * @param limited counts the targets that have a limit now
+     * @param report takes changes of the limit
      */
-    TargetLimit(Target target, AdmissionQueue queue, RunLog log, Counter limited) {
-        mLimited = limited;
+    TargetLimit(Target target, AdmissionQueue queue, LimitReport report) {
         mTarget = target;
         mQueue = queue;
-        mLog = log;
+        mReport = report;
     }
 
     /** Returns the limit in force. */
@@ -52,7 +48,7 @@
     synchronized Changes told(TargetNotice notice, boolean ran, long sentMillis, long nowMillis) {
         mAnswered = true;
         if (notice.unreadable().isPresent()) {
-            mLog.unreadableLimit(mTarget, notice.unreadable().get());
+            mReport.unreadable(mTarget, notice.unreadable().get());
             return Changes.NONE;
         }
         if (notice.limit().isPresent()) {
@@ -63,8 +59,7 @@
         if (mLimit == null || !ran || sentMillis < mNamedMillis) {
             return Changes.NONE;
         }
-        mLog.limitLifted(mTarget, mLimit);
-        mLimited.dec();
+        mReport.changed(mTarget, Optional.empty(), inForce());
         mLimit = null;
         return mQueue.liftLimit(nowMillis);
     }
@@ -80,8 +75,7 @@
         if (limit.equals(mLimit)) {
             return;
         }
-        mLog.limitNamed(mTarget, limit, mLimit);
-        mLimited.inc(mLimit == null ? 1 : 0);
+        mReport.changed(mTarget, Optional.of(limit), inForce());
         mLimit = limit;
         mQueue.limitStarts(limit.keptPerSecond(), nowMillis);
     }
--- a/src/test/java/org/apricotgauge/event/EventCodecTest.java
+++ b/src/test/java/org/apricotgauge/event/EventCodecTest.java
@@ -20,6 +20,7 @@
                 new TargetEjected("s", "t", "12 of 20 \"failed\"\n"),
                 new TargetReadmitted("s", "t", "3 of 3 answered"),
                 new TargetLeaving("s", "t", "guard"),
+                new TargetLimited("s", "t", 2.7),
                 new VmLeaving("vm-2", "peer"),
                 new PeerSuspected("vm-2", "no answer"),
                 new PeerAlive("vm-2", "heard"),
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -40,6 +40,7 @@
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.Service;
 import org.apricotgauge.model.SiteView;
+import org.apricotgauge.model.StartLimit;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.target.BrokenRun;
@@ -391,6 +392,9 @@
             mVm.mToldLeaving.add(target.id());
         }
 
+        @Override
+        public void targetLimited(Target target, Optional<StartLimit> limit) {}
+
         @Override
         public int nodes() {
             return mVms.size();
--- a/src/test/java/org/apricotgauge/target/TargetLimitTest.java
+++ b/src/test/java/org/apricotgauge/target/TargetLimitTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.Counter;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apricotgauge.decision.admission.AdmissionConfig;
 import org.apricotgauge.decision.admission.AdmissionQueue;
 import org.apricotgauge.http.TargetNotice;
@@ -17,12 +19,15 @@
 
     private final AdmissionQueue mQueue = new AdmissionQueue(AdmissionConfig.forSlots(3));
     private final Counter mLimited = new Counter();
+    private final List<Optional<StartLimit>> mReported = new ArrayList<>();
     private final TargetLimit mLimit =
             new TargetLimit(
                     new Target("t", "s", "vm", "here", "127.0.0.1", 1, 3),
                     mQueue,
-                    new RunLog(new ManualTicker()),
-                    mLimited);
+                    new LimitReport(
+                            new RunLog(new ManualTicker()),
+                            mLimited,
+                            (target, limit) -> mReported.add(limit)));
 
     private static TargetNotice named(String... values) {
         return TargetNotice.of(null, List.of(values));
@@ -42,6 +47,11 @@
         assertThat(mLimit.inForce()).isEmpty();
         assertThat(mQueue.isPaced(300)).isFalse();
         assertThat(mLimited.getCount()).isZero();
+        assertThat(mReported)
+                .containsExactly(
+                        Optional.of(new StartLimit(2)),
+                        Optional.of(new StartLimit(0.5)),
+                        Optional.empty());
     }
 
     /** Guards against a limit lifted by an answer that was given before it was named. */
