Let a late answer disprove the absence that its lateness suggests

How long nothing was heard was counted up to the moment at which a page's changes are taken in, though the page itself proves that the platform answered when it was asked for. Change: a page in time counts as an answer of the platform, dated from its question, before its changes are taken in.

--- a/src/main/java/org/apricotgauge/directory/Confirmations.java
+++ b/src/main/java/org/apricotgauge/directory/Confirmations.java
@@ -61,7 +61,7 @@
         mState.updateAndGet(known -> withConfirmation(known, atMillis, nowMillis));
     }
 
-    /** Notes that at that time the platform answered another node. */
+    /** Notes that at that time the platform answered this node or another. */
     void answered(long atMillis, long nowMillis) {
         mState.updateAndGet(known -> withAnswer(known, atMillis, nowMillis));
     }
--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -407,12 +407,17 @@
     private void read(PublishedPage page, Address node, boolean inTime) {
         long nowMillis = mParts.ticker().millis();
         boolean isOvertaken = page.revision() < mSite.items().revision();
+        // A page that answers a read given up may be as old as its call: a watch's 10 s, or the
+        // pause of this process.
+        boolean tellsTime = page.tellsAge() && inTime;
+        if (tellsTime) {
+            // Before its changes are taken in: they are no sign of an absence that it disproves.
+            mAge.answered(mAge.elapsedMillis() - page.ageMillis());
+        }
         if (mSite.take(page, originOf(node), nowMillis)) {
             mListener.onSite(mSite.directory());
         }
-        // A page that another overtook, or that answers a read given up, may be as old as its
-        // call: a watch's 10 s, or the pause of this process.
-        if (page.tellsAge() && inTime && !isOvertaken) {
+        if (tellsTime && !isOvertaken) {
             mAge.read(page);
         }
         if (mSite.directory().configuration() != null && mAge.wasRead()) {
--- a/src/main/java/org/apricotgauge/directory/ViewAge.java
+++ b/src/main/java/org/apricotgauge/directory/ViewAge.java
@@ -86,7 +86,7 @@
         mConfirmations.heard(atMillis, mElapsed.millis());
     }
 
-    /** Notes that at that time the platform answered another node, which knows more than this. */
+    /** Notes that at that time the platform answered this node or another. */
     void answered(long atMillis) {
         mConfirmations.answered(atMillis, mElapsed.millis());
     }
--- a/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
+++ b/src/test/java/org/apricotgauge/directory/LeavingTargetTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.LongUnaryOperator;
+import java.util.random.RandomGenerator;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.ManualTicker;
@@ -48,18 +49,22 @@
     private final ManualTicker mTicker = new ManualTicker();
     private final FakePlatform mPlatform = new FakePlatform(mTicker);
     private SiteDirectory mSite;
-    private final DirectoryFeed mFeed =
-            new DirectoryFeed(
-                    new DirectoryFeed.Parts(
-                            mPlatform,
-                            peer -> new FakePlatform(mTicker),
-                            LeavingTargetTest::decode,
-                            Runnable::run,
-                            mTicker,
-                            mTicker::millis,
-                            new SplittableRandom(1),
-                            new PlatformTimes(SERVES_ON_MILLIS, HEARTBEAT_MILLIS)),
-                    site -> mSite = site);
+    private DirectoryFeed mFeed =
+            feed(new PlatformTimes(SERVES_ON_MILLIS, HEARTBEAT_MILLIS), new SplittableRandom(1));
+
+    private DirectoryFeed feed(PlatformTimes times, RandomGenerator random) {
+        return new DirectoryFeed(
+                new DirectoryFeed.Parts(
+                        mPlatform,
+                        peer -> new FakePlatform(mTicker),
+                        LeavingTargetTest::decode,
+                        Runnable::run,
+                        mTicker,
+                        mTicker::millis,
+                        random,
+                        times),
+                site -> mSite = site);
+    }
 
     @BeforeEach
     void start() {
@@ -166,6 +171,23 @@
         assertThat(takingWork()).containsExactly("b", "c");
     }
 
+    /** Guards against work for a target that left, by an answer that was long on its way. */
+    @Test
+    void aRegistrationThatEndsIsNotKeptSinceTheAnswerThatTellsItWasLate() {
+        PlatformTimes times = new PlatformTimes(2_500, 1_200);
+        long latestQuestion = 2 * (times.viewBoundMillis() - times.askNodeMillis());
+        mFeed = feed(times, () -> latestQuestion);
+        mFeed.start();
+        pass(1_000);
+
+        mPlatform.silence();
+        mPlatform.remove("a");
+        mPlatform.setWay(DirectoryFeed.ANSWER_MILLIS - TICK_MILLIS);
+        pass(times.servesOnMillis() + times.awayMillis() / 2);
+
+        assertThat(takingWork()).containsExactly("b", "c");
+    }
+
     /** Guards against a service without targets after an absence of which others told all along. */
     @Test
     void registrationsThatRanOutAreKeptThoughOthersTellHowOldTheirViewsAre() {
