--- a/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
+++ b/src/main/java/org/apricotgauge/directory/DirectoryFeed.java
@@ -411,7 +411,7 @@
         // pause of this process.
         boolean tellsTime = page.tellsAge() && inTime;
         if (tellsTime) {
-            // Before its changes are taken in: they are no sign of an absence that it disproves.
+            // First, so that the page's own delay does not pass for an absence of the platform.
             mAge.answered(mAge.elapsedMillis() - page.ageMillis());
         }
         if (mSite.take(page, originOf(node), nowMillis)) {
