--- a/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
+++ b/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
@@ -5,6 +5,7 @@
 import org.apricotgauge.http.FailureTrackingSource;
 import org.apricotgauge.http.OutcomeCodec;
 import org.apricotgauge.http.ResponseForwarder;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -43,8 +44,7 @@
     }
 
     /** Streams an answer to the caller. */
-    void forward(
-            TargetAttempt attempt, org.eclipse.jetty.client.Response answer, Content.Source body) {
+    void forward(TargetAttempt attempt, UpstreamResponse answer, Content.Source body) {
         ResponseForwarder.copyHead(answer, mResponse);
         FailureTrackingSource trackedBody = new FailureTrackingSource(body);
         ResponseForwarder.copyBody(
--- a/src/main/java/org/apricotgauge/caller/AttemptTracker.java
+++ b/src/main/java/org/apricotgauge/caller/AttemptTracker.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.routing.Candidate;
-import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamExchange;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
--- a/src/main/java/org/apricotgauge/caller/BufferedAnswer.java
+++ b/src/main/java/org/apricotgauge/caller/BufferedAnswer.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.ResponseForwarder;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Response;
@@ -19,23 +20,22 @@
     /** Failed answers are short; a longer one is not buffered. */
     private static final int MAX_BODY_BYTES = 16_384;
 
-    private final org.eclipse.jetty.client.Response mHead;
+    private final UpstreamResponse mHead;
     private final byte[] mBody;
 
-    private BufferedAnswer(org.eclipse.jetty.client.Response head, byte[] body) {
+    private BufferedAnswer(UpstreamResponse head, byte[] body) {
         mHead = head;
         mBody = body;
     }
 
     /** Reads the complete answer; fails if it is truncated or too long to be buffered. */
-    static CompletableFuture<BufferedAnswer> read(
-            org.eclipse.jetty.client.Response head, Content.Source body) {
+    static CompletableFuture<BufferedAnswer> read(UpstreamResponse head, Content.Source body) {
         return Bodies.readAll(body, MAX_BODY_BYTES)
                 .thenApply(bytes -> new BufferedAnswer(head, bytes));
     }
 
     int status() {
-        return mHead.getStatus();
+        return mHead.status();
     }
 
     /** Writes this answer as the final one. */
--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -18,6 +18,7 @@
 import org.apricotgauge.http.DisconnectDetectingEndPoint;
 import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.ReplayableBody;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -382,9 +383,8 @@
     }
 
     /** Handles the head of a target's answer: forwards the answer or tries another target. */
-    void onAnswer(
-            TargetAttempt attempt, org.eclipse.jetty.client.Response answer, Content.Source body) {
-        Outcome.Answered outcome = new Outcome.Answered(answer.getStatus());
+    void onAnswer(TargetAttempt attempt, UpstreamResponse answer, Content.Source body) {
+        Outcome.Answered outcome = new Outcome.Answered(answer.status());
         boolean retry;
         synchronized (this) {
             if (mEnded || attempt != mCurrentAttempt) {
@@ -412,7 +412,7 @@
         forwardAnswer(attempt, answer, body);
     }
 
-    private void bufferAnswer(org.eclipse.jetty.client.Response answer, Content.Source body) {
+    private void bufferAnswer(UpstreamResponse answer, Content.Source body) {
         BufferedAnswer.read(answer, body)
                 .whenComplete(
                         (buffered, failure) -> {
@@ -427,7 +427,7 @@
     }
 
     private void forwardAnswer(
-            TargetAttempt attempt, org.eclipse.jetty.client.Response answer, Content.Source body) {
+            TargetAttempt attempt, UpstreamResponse answer, Content.Source body) {
         cancelDeadline();
         DisconnectDetectingEndPoint.unwatch(mRequest);
         mDelivery.forward(attempt, answer, body);
--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -8,10 +8,12 @@
 import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.TargetNotice;
-import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamRequest;
+import org.apricotgauge.http.client.UpstreamResponse;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.target.BrokenRun;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
@@ -47,25 +49,27 @@
             return;
         }
         org.eclipse.jetty.server.Request callerRequest = mExchange.request();
-        Request upstreamRequest =
-                mContext.directClient()
-                        .newRequest(mCandidate.target().host(), mCandidate.target().port())
-                        .method(callerRequest.getMethod())
-                        .path(callerRequest.getHttpURI().getPathQuery());
         long remainingMillis = Math.max(1, mExchange.remainingMillis());
-        upstreamRequest.headers(
-                headers -> {
-                    ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
-                    mExchange.callerRequest().requester().removeCredentials(headers);
-                    mContext.dialect()
-                            .addTargetHeaders(
-                                    headers,
-                                    mCandidate.target().id(),
-                                    remainingMillis,
-                                    mExchange.callerRequest().requester().forwardedMemberId());
-                });
-        upstreamRequest.body(mExchange.quarantine().hashedBody());
-        mUpstream = UpstreamExchange.send(upstreamRequest, this);
+        HttpFields.Mutable headers = HttpFields.build();
+        ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
+        mExchange.callerRequest().requester().removeCredentials(headers);
+        mContext.dialect()
+                .addTargetHeaders(
+                        headers,
+                        mCandidate.target().id(),
+                        remainingMillis,
+                        mExchange.callerRequest().requester().forwardedMemberId());
+        Address address = new Address(mCandidate.target().host(), mCandidate.target().port());
+        mUpstream =
+                mContext.directClient()
+                        .send(
+                                new UpstreamRequest(
+                                        address,
+                                        callerRequest.getMethod(),
+                                        callerRequest.getHttpURI().getPathQuery(),
+                                        headers,
+                                        mExchange.quarantine().hashedBody()),
+                                this);
     }
 
     @Override
@@ -75,16 +79,16 @@
     }
 
     @Override
-    public void onAnswer(Response answer, Content.Source body) {
-        TargetNotice notice = mContext.dialect().noticeOf(answer.getHeaders());
+    public void onAnswer(UpstreamResponse answer, Content.Source body) {
+        TargetNotice notice = mContext.dialect().noticeOf(answer.headers());
         if (notice.leaving()) {
             mContext.observer().onTargetLeaving(mCandidate.target());
         }
         if (notice.unreadable().isEmpty()) {
             mCandidate.load().setStartLimit(notice.limit().orElse(null));
         }
-        mTracker.recordOutcome(AttemptTracker.outcomeOf(answer.getStatus()));
-        if (HttpStatus.isSuccess(answer.getStatus())) {
+        mTracker.recordOutcome(AttemptTracker.outcomeOf(answer.status()));
+        if (HttpStatus.isSuccess(answer.status())) {
             mContext.quarantine().recordSuccess(mExchange.quarantine().fingerprint());
         }
         mExchange.onAnswer(this, answer, body);
--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -5,10 +5,10 @@
 import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.http.SiteDialect;
+import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.target.ExitDetector;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -32,7 +32,7 @@
  */
 record EntryContext(
         GuardClient guards,
-        HttpClient directClient,
+        UpstreamClient directClient,
         AttemptIdGenerator attemptIds,
         RetryPolicy retryPolicy,
         Scheduler scheduler,
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -22,13 +22,13 @@
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.OutcomeCodec;
+import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.target.ExitDetector;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
@@ -84,7 +84,7 @@
             BooleanSupplier stopping,
             BooleanSupplier stateConfirmed,
             GuardClient guards,
-            HttpClient directClient,
+            UpstreamClient directClient,
             AttemptIdGenerator attemptIds,
             Scheduler scheduler,
             Ticker ticker,
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -18,10 +18,10 @@
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
-import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamRequest;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.model.StartLimit;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -108,40 +108,36 @@
                         mContext.ticker().millis(),
                         guardDeadlineMillis);
         startTimeout(acknowledgementTimeoutMillis());
-        mUpstream = UpstreamExchange.send(newHopRequest(remainingMillis), this);
+        mUpstream = mContext.guards().send(newHopRequest(remainingMillis), this);
     }
 
-    private Request newHopRequest(long remainingMillis) {
+    private UpstreamRequest newHopRequest(long remainingMillis) {
         org.eclipse.jetty.server.Request callerRequest = mExchange.request();
-        Request upstreamRequest =
-                mContext.guards()
-                        .newRequest(mCandidate.guard())
-                        .method(callerRequest.getMethod())
-                        .path(callerRequest.getHttpURI().getPathQuery());
-        upstreamRequest.headers(
-                headers -> {
-                    ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
-                    mExchange.callerRequest().requester().removeCredentials(headers);
-                    headers.put(Attempt.HEADER, mAttempt.toString());
-                    headers.put(HeaderNames.TARGET, mCandidate.target().id());
-                    headers.put(HeaderNames.MEMBER, mExchange.callerRequest().memberId());
-                    headers.put(HeaderNames.TIMEOUT_MILLIS, remainingMillis);
-                    headers.put(HeaderNames.PRIORITY, priority());
-                    headers.put(
-                            HeaderNames.TARGET_RESTRICTION,
-                            mExchange.targetRestriction().name().toLowerCase(Locale.ROOT));
-                    mCandidate
-                            .load()
-                            .startLimit()
-                            .ifPresent(
-                                    limit -> headers.put(HeaderNames.TARGET_LIMIT, limit.toText()));
-                    addQueueingHeaders(headers);
-                    addRetryHeaders(headers);
-                    mContext.dialect().addOriginHeaders(headers);
-                    mHopStartMillis = mContext.observer().addHopHeaders(headers);
-                });
-        upstreamRequest.body(mExchange.body().open());
-        return upstreamRequest;
+        HttpFields.Mutable headers = HttpFields.build();
+        ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
+        mExchange.callerRequest().requester().removeCredentials(headers);
+        headers.put(Attempt.HEADER, mAttempt.toString());
+        headers.put(HeaderNames.TARGET, mCandidate.target().id());
+        headers.put(HeaderNames.MEMBER, mExchange.callerRequest().memberId());
+        headers.put(HeaderNames.TIMEOUT_MILLIS, remainingMillis);
+        headers.put(HeaderNames.PRIORITY, priority());
+        headers.put(
+                HeaderNames.TARGET_RESTRICTION,
+                mExchange.targetRestriction().name().toLowerCase(Locale.ROOT));
+        mCandidate
+                .load()
+                .startLimit()
+                .ifPresent(limit -> headers.put(HeaderNames.TARGET_LIMIT, limit.toText()));
+        addQueueingHeaders(headers);
+        addRetryHeaders(headers);
+        mContext.dialect().addOriginHeaders(headers);
+        mHopStartMillis = mContext.observer().addHopHeaders(headers);
+        return new UpstreamRequest(
+                mCandidate.guard(),
+                callerRequest.getMethod(),
+                callerRequest.getHttpURI().getPathQuery(),
+                headers,
+                mExchange.body().open());
     }
 
     private void addRetryHeaders(HttpFields.Mutable headers) {
@@ -206,9 +202,9 @@
     }
 
     @Override
-    public void onAnswer(Response answer, Content.Source body) {
+    public void onAnswer(UpstreamResponse answer, Content.Source body) {
         cancelTimeout();
-        HttpFields headers = answer.getHeaders();
+        HttpFields headers = answer.headers();
         mContext.guards().recordStamp(mCandidate.guard(), headers);
         mContext.observer().onGuardAnswered(mCandidate.target(), headers);
         reportLoad(headers);
@@ -243,7 +239,7 @@
         mTracker.recordOutcome(
                 headers.contains(HeaderNames.NESTED_CALL_FAILED)
                         ? ObservedOutcome.CANCELLED
-                        : AttemptTracker.outcomeOf(answer.getStatus()));
+                        : AttemptTracker.outcomeOf(answer.status()));
         mExchange.onAnswer(this, answer, body);
     }
 
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -12,11 +12,11 @@
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
-import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamRequest;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.target.GuardHandler;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -64,23 +64,24 @@
         Attempt attempt = mExchange.newOwnerAttempt(clockEstimate, mExchange.deadlineMillis());
         long remainingMillis = Math.max(1, mExchange.remainingMillis());
         org.eclipse.jetty.server.Request callerRequest = mExchange.request();
-        Request upstreamRequest =
-                mContext.guards()
-                        .newRequest(mOwner)
-                        .method(callerRequest.getMethod())
-                        .path(callerRequest.getHttpURI().getPathQuery());
-        upstreamRequest.headers(
-                headers -> {
-                    ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
-                    mExchange.callerRequest().requester().removeCredentials(headers);
-                    headers.put(HeaderNames.CONTROL, GuardHandler.CONTROL_KEYED);
-                    headers.put(Attempt.HEADER, attempt.toString());
-                    headers.put(HeaderNames.MEMBER, mKey.member());
-                    headers.put(HeaderNames.TIMEOUT_MILLIS, remainingMillis);
-                });
-        upstreamRequest.body(mExchange.body().open());
+        HttpFields.Mutable headers = HttpFields.build();
+        ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
+        mExchange.callerRequest().requester().removeCredentials(headers);
+        headers.put(HeaderNames.CONTROL, GuardHandler.CONTROL_KEYED);
+        headers.put(Attempt.HEADER, attempt.toString());
+        headers.put(HeaderNames.MEMBER, mKey.member());
+        headers.put(HeaderNames.TIMEOUT_MILLIS, remainingMillis);
         startTimeout(acknowledgementTimeoutMillis());
-        mUpstream = UpstreamExchange.send(upstreamRequest, this);
+        mUpstream =
+                mContext.guards()
+                        .send(
+                                new UpstreamRequest(
+                                        mOwner,
+                                        callerRequest.getMethod(),
+                                        callerRequest.getHttpURI().getPathQuery(),
+                                        headers,
+                                        mExchange.body().open()),
+                                this);
     }
 
     private long acknowledgementTimeoutMillis() {
@@ -114,10 +115,10 @@
     }
 
     @Override
-    public void onAnswer(Response answer, Content.Source body) {
+    public void onAnswer(UpstreamResponse answer, Content.Source body) {
         cancelTimeout();
-        mContext.guards().recordStamp(mOwner, answer.getHeaders());
-        Optional<Outcome> outcome = OutcomeCodec.read(answer.getHeaders());
+        mContext.guards().recordStamp(mOwner, answer.headers());
+        Optional<Outcome> outcome = OutcomeCodec.read(answer.headers());
         if (outcome.isPresent()) {
             body.fail(new IllegalStateException("the body of an outcome is not read"));
             mExchange.onAttemptEnded(this, outcome.get());
--- a/src/main/java/org/apricotgauge/caller/PredecessorAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/PredecessorAttempt.java
@@ -1,10 +1,11 @@
 package org.apricotgauge.caller;
 
 import org.apricotgauge.http.ForwardedHeaders;
-import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamRequest;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.model.Address;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 
 /**
@@ -26,17 +27,20 @@
     @Override
     public void send() {
         org.eclipse.jetty.server.Request callerRequest = mExchange.request();
-        Request upstreamRequest =
+        HttpFields.Mutable headers = HttpFields.build();
+        ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
+        mUpstream =
                 mExchange
                         .context()
                         .directClient()
-                        .newRequest(mPredecessor.host(), mPredecessor.port())
-                        .method(callerRequest.getMethod())
-                        .path(callerRequest.getHttpURI().getPathQuery());
-        upstreamRequest.headers(
-                headers -> ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers));
-        upstreamRequest.body(mExchange.body().open());
-        mUpstream = UpstreamExchange.send(upstreamRequest, this);
+                        .send(
+                                new UpstreamRequest(
+                                        mPredecessor,
+                                        callerRequest.getMethod(),
+                                        callerRequest.getHttpURI().getPathQuery(),
+                                        headers,
+                                        mExchange.body().open()),
+                                this);
     }
 
     @Override
@@ -45,7 +49,7 @@
     }
 
     @Override
-    public void onAnswer(Response answer, Content.Source body) {
+    public void onAnswer(UpstreamResponse answer, Content.Source body) {
         mExchange.onAnswer(this, answer, body);
     }
 
--- a/src/main/java/org/apricotgauge/http/HttpClientFactory.java
+++ b/src/main/java/org/apricotgauge/http/HttpClientFactory.java
@@ -1,19 +1,12 @@
 package org.apricotgauge.http;
 
-import java.nio.channels.SelectableChannel;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
-import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
-import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.Origin;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.thread.Invocable.InvocationType;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -67,7 +60,7 @@
 
     /** Returns a new client, not yet started. */
     public HttpClient create(String name, Limits limits) {
-        ClientConnector connector = new ResetDetectingConnector();
+        ClientConnector connector = new ClientConnector();
         connector.setSelectors(SELECTORS);
         connector.setSslContextFactory(new NoOpSslContextFactory());
         connector.setExecutor(mExecutor);
@@ -77,10 +70,6 @@
         // UpstreamExchange), and on one slow core each hand-over to another thread costs more than
         // the work that it hands over.
         transport.setInvocationType(InvocationType.NON_BLOCKING);
-        transport.setConnectionPoolFactory(
-                destination ->
-                        new EvictableConnectionPool(
-                                destination, limits.connectionsPerDestination()));
         HttpClient client = new HttpClient(transport);
         client.setName(name);
         // Hosts are IP addresses, so that no thread is needed to resolve them.
@@ -98,28 +87,6 @@
         return client;
     }
 
-    /** A connector whose connections distinguish a reset from the end of the stream. */
-    private static final class ResetDetectingConnector extends ClientConnector {
-        @Override
-        protected EndPoint newEndPoint(
-                SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-            return new ResetDetectingEndPoint(
-                    (SocketChannel) channel, selector, key, getScheduler());
-        }
-    }
-
-    /** Closes the idle connections of a client to one address. */
-    public static void evictIdleConnections(HttpClient client, Address address) {
-        for (Destination destination : client.getDestinations()) {
-            Origin.Address at = destination.getOrigin().getAddress();
-            boolean matches = at.getHost().equals(address.host()) && at.getPort() == address.port();
-            if (matches
-                    && destination.getConnectionPool() instanceof EvictableConnectionPool pool) {
-                pool.evictIdle();
-            }
-        }
-    }
-
     /**
      * Starts a client and removes the handlers that would modify the messages that it transfers.
      */
@@ -127,6 +94,6 @@
         client.start();
         client.getContentDecoderFactories().clear();
         client.getProtocolHandlers().clear();
-        client.getProtocolHandlers().put(new InterimResponseHandler());
+        client.getProtocolHandlers().put(new ProcessingProtocolHandler());
     }
 }
--- a/src/main/java/org/apricotgauge/http/NoOpSslContextFactory.java
+++ b/src/main/java/org/apricotgauge/http/NoOpSslContextFactory.java
@@ -9,7 +9,7 @@
  * ciphers. By the times at which classes are loaded, this is a quarter of a node's start. The
  * fleet's hops, targets and platform use plain HTTP.
  */
-final class NoOpSslContextFactory extends SslContextFactory.Client {
+public final class NoOpSslContextFactory extends SslContextFactory.Client {
     @Override
     protected void doStart() {
         // Nothing to load; see above.
--- a/src/main/java/org/apricotgauge/http/ResponseForwarder.java
+++ b/src/main/java/org/apricotgauge/http/ResponseForwarder.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.net.StandardSocketOptions;
-import org.eclipse.jetty.http.HttpFields;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
@@ -28,9 +28,9 @@
     private ResponseForwarder() {}
 
     /** Copies the status and the end-to-end headers. */
-    public static void copyHead(org.eclipse.jetty.client.Response from, Response to) {
-        to.setStatus(from.getStatus());
-        ForwardedHeaders.copyResponse(from.getHeaders(), to.getHeaders());
+    public static void copyHead(UpstreamResponse from, Response to) {
+        to.setStatus(from.status());
+        ForwardedHeaders.copyResponse(from.headers(), to.getHeaders());
     }
 
     /**
@@ -40,13 +40,10 @@
      * connection without ending the message, so that a truncated response never looks complete.
      */
     public static void copyBody(
-            org.eclipse.jetty.client.Response from,
-            Content.Source body,
-            Response to,
-            Callback callback) {
+            UpstreamResponse from, Content.Source body, Response to, Callback callback) {
         chunkIfLengthUnknown(from, to);
-        if (from.getHeaders().contains(HttpHeader.TRAILER)) {
-            to.setTrailersSupplier(() -> trailersOf(from));
+        if (from.headers().contains(HttpHeader.TRAILER)) {
+            to.setTrailersSupplier(from::trailers);
         }
         Content.copy(body, to, callback);
     }
@@ -54,13 +51,13 @@
     // If the caller requests that its connection be closed, a server may end a body of unknown
     // length by closing it. A truncated response would then look complete, so such a body is always
     // chunked: only a complete response has the last chunk.
-    private static void chunkIfLengthUnknown(org.eclipse.jetty.client.Response from, Response to) {
+    private static void chunkIfLengthUnknown(UpstreamResponse from, Response to) {
         Request request = to.getRequest();
         boolean supportsChunks =
                 request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1;
         boolean hasBody =
-                !HttpMethod.HEAD.is(request.getMethod()) && !HttpStatus.hasNoBody(from.getStatus());
-        boolean lengthKnown = from.getHeaders().contains(HttpHeader.CONTENT_LENGTH);
+                !HttpMethod.HEAD.is(request.getMethod()) && !HttpStatus.hasNoBody(from.status());
+        boolean lengthKnown = from.headers().contains(HttpHeader.CONTENT_LENGTH);
         if (supportsChunks && hasBody && !lengthKnown) {
             to.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
         }
@@ -85,9 +82,4 @@
         }
         callback.failed(cause);
     }
-
-    private static HttpFields trailersOf(org.eclipse.jetty.client.Response from) {
-        HttpFields trailers = from.getTrailers();
-        return trailers == null ? HttpFields.EMPTY : trailers;
-    }
 }
--- a/src/main/java/org/apricotgauge/http/ResetDetectingEndPoint.java
+++ b/src/main/java/org/apricotgauge/http/client/ResetDetectingEndPoint.java
@@ -1,4 +1,4 @@
-package org.apricotgauge.http;
+package org.apricotgauge.http.client;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- /dev/null
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
@@ -0,0 +1,221 @@
+package org.apricotgauge.http.client;
+
+import java.io.EOFException;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * A connection to an upstream, which carries one exchange at a time.
+ *
+ * <p>It is used again only if the exchange ended cleanly: the request was written in full, the
+ * response allows it, and nothing followed the response. Bytes that arrive between two exchanges
+ * belong to no request, and close the connection.
+ */
+final class UpstreamConnection extends AbstractConnection {
+    private final ConnectionPool mPool;
+    private final ResponseReader mReader;
+    private final Callback mReadCallback = new ReadCallback();
+    private UpstreamExchange mExchange;
+    private RequestWriter mWriter;
+    private boolean mLastPartSent;
+    private boolean mRequestWritten;
+    private boolean mResponseRead;
+    private Throwable mCloseCause;
+
+    UpstreamConnection(EndPoint endPoint, Executor executor, ConnectionPool pool) {
+        super(endPoint, executor);
+        mPool = pool;
+        mReader = new ResponseReader(this, endPoint);
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        getEndPoint().setIdleTimeout(mPool.idleTimeoutMillis());
+        awaitReadable();
+    }
+
+    /**
+     * Sends the request of an exchange.
+     *
+     * @return false if the connection is closed already, so that another one is needed
+     */
+    boolean send(UpstreamExchange exchange) {
+        synchronized (this) {
+            if (mCloseCause != null) {
+                return false;
+            }
+            mExchange = exchange;
+            mLastPartSent = false;
+            mRequestWritten = false;
+            mResponseRead = false;
+            mReader.start(exchange);
+        }
+        if (!exchange.tryBegin(this)) {
+            endUnused();
+            return true;
+        }
+        RequestWriter writer = new RequestWriter(this, exchange.request());
+        synchronized (this) {
+            mWriter = writer;
+        }
+        writer.iterate();
+        return true;
+    }
+
+    private void endUnused() {
+        synchronized (this) {
+            mExchange = null;
+        }
+        mPool.release(this);
+    }
+
+    /** Calls {@link #onFillable} once there is something to read. */
+    void awaitReadable() {
+        getEndPoint().tryFillInterested(mReadCallback);
+    }
+
+    @Override
+    public void onFillable() {
+        UpstreamExchange exchange;
+        synchronized (this) {
+            exchange = mExchange;
+        }
+        if (exchange == null) {
+            closeUnlessSpurious();
+        } else {
+            mReader.onReadable();
+        }
+    }
+
+    private void closeUnlessSpurious() {
+        try {
+            if (getEndPoint().fill(BufferUtil.allocate(1)) == 0) {
+                awaitReadable();
+                return;
+            }
+            failCurrent(
+                    new EOFException("upstream closed the idle connection or sent bytes on it"));
+        } catch (Exception e) {
+            failCurrent(e);
+        }
+    }
+
+    private void failCurrent(Throwable cause) {
+        UpstreamExchange exchange;
+        synchronized (this) {
+            exchange = mExchange;
+        }
+        fail(exchange, cause);
+    }
+
+    @Override
+    public void onFillInterestedFailed(Throwable cause) {
+        failCurrent(cause);
+    }
+
+    /** Called when the last bytes of the request are about to be written. */
+    synchronized void onLastPartSent() {
+        mLastPartSent = true;
+    }
+
+    /** Called when the request has been written in full. */
+    void onRequestWritten() {
+        synchronized (this) {
+            mRequestWritten = true;
+        }
+        releaseIfDone();
+    }
+
+    /** Called when the request could not be written in full. */
+    void onWriteFailed(Throwable cause) {
+        failCurrent(cause);
+    }
+
+    /** Called when the response has been read to its end. */
+    void onResponseRead(boolean reusable) {
+        boolean waitsForRequest;
+        UpstreamExchange exchange;
+        synchronized (this) {
+            exchange = mExchange;
+            // An upstream that answered before it read the whole body still expects the rest.
+            waitsForRequest = reusable && mLastPartSent;
+            mResponseRead = true;
+        }
+        if (waitsForRequest) {
+            releaseIfDone();
+        } else {
+            fail(exchange, new EOFException("connection is not used again after this response"));
+        }
+    }
+
+    private void releaseIfDone() {
+        synchronized (this) {
+            if (!mRequestWritten || !mResponseRead || mExchange == null || mCloseCause != null) {
+                return;
+            }
+            mExchange = null;
+            mWriter = null;
+        }
+        awaitReadable();
+        mPool.release(this);
+    }
+
+    /** Closes the connection if it still carries the exchange, which may be null, and fails it. */
+    void fail(UpstreamExchange exchange, Throwable cause) {
+        RequestWriter writer;
+        synchronized (this) {
+            if (mCloseCause != null || mExchange != exchange) {
+                return;
+            }
+            mCloseCause = cause;
+            writer = mWriter;
+        }
+        getEndPoint().close(cause);
+        mPool.remove(this);
+        if (writer != null) {
+            writer.abort(cause);
+        }
+        if (exchange != null) {
+            exchange.fail(cause);
+        }
+        mReader.onClosed();
+    }
+
+    /** Returns why the connection was closed; null while it is open. */
+    synchronized Throwable closeCause() {
+        return mCloseCause;
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        failCurrent(cause == null ? new EOFException("connection closed") : cause);
+    }
+
+    /** Closes the connection if it carries no exchange. */
+    void closeIfIdle() {
+        fail(null, new EOFException("idle connection evicted"));
+    }
+
+    /** Responses are handled on the thread that reads them: listeners do not block. */
+    private final class ReadCallback implements Callback {
+        @Override
+        public void succeeded() {
+            onFillable();
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            onFillInterestedFailed(cause);
+        }
+
+        @Override
+        public InvocationType getInvocationType() {
+            return InvocationType.NON_BLOCKING;
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/http/UpstreamExchange.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamExchange.java
@@ -1,11 +1,7 @@
-package org.apricotgauge.http;
+package org.apricotgauge.http.client;
 
 import java.util.concurrent.CancellationException;
-import java.util.concurrent.atomic.AtomicReference;
 import org.apricotgauge.model.Checks;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 
@@ -13,20 +9,21 @@
  * One request to the next hop, which ends exactly once.
  *
  * <pre>{@code
- * UpstreamExchange exchange = UpstreamExchange.send(client.newRequest(host, port), listener);
+ * UpstreamExchange exchange = client.send(request, listener);
  * exchange.abort(new TimeoutException("no acknowledgement"));
  * }</pre>
  *
  * <p>Either {@link Listener#onAnswer} or {@link Listener#onFailure} is called, once. A failure
  * after the head of the response has arrived is reported as a failure of the body's source.
+ * Thread-safe.
  */
 public final class UpstreamExchange {
-    static final String ATTRIBUTE = UpstreamExchange.class.getName();
-
-    private final Request mRequest;
+    private final UpstreamRequest mRequest;
+    private final ConnectionPool mPool;
     private final Listener mListener;
-    private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
-    private volatile boolean mRequestBegun;
+    private Phase mPhase = Phase.WAITING;
+    private boolean mBegun;
+    private UpstreamConnection mConnection;
 
     private enum Phase {
         WAITING,
@@ -71,62 +68,91 @@
          * @param response status and headers
          * @param body the body, read with back pressure
          */
-        void onAnswer(Response response, Content.Source body);
+        void onAnswer(UpstreamResponse response, Content.Source body);
 
         /** Called when no head of a response will arrive. */
         void onFailure(Failure failure);
     }
 
-    private UpstreamExchange(Request request, Listener listener) {
+    UpstreamExchange(ConnectionPool pool, UpstreamRequest request, Listener listener) {
+        mPool = pool;
         mRequest = Checks.notNull("request", request);
         mListener = Checks.notNull("listener", listener);
     }
 
-    /** Sends the request and returns the exchange, which can be aborted. */
-    public static UpstreamExchange send(Request request, Listener listener) {
-        UpstreamExchange exchange = new UpstreamExchange(request, listener);
-        request.attribute(ATTRIBUTE, exchange);
-        request.onRequestBegin(exchange::onRequestBegin);
-        request.onResponseContentSource(exchange::onResponse);
-        request.send(exchange::onComplete);
-        return exchange;
+    UpstreamRequest request() {
+        return mRequest;
     }
 
-    /** Aborts the exchange; the listener is notified unless the response has begun. */
-    public void abort(Throwable cause) {
-        mRequest.abort(cause);
+    synchronized boolean isWaiting() {
+        return mPhase == Phase.WAITING;
+    }
+
+    /**
+     * Asks the listener whether to begin, just before the first byte is written.
+     *
+     * <p>The lock is held while the listener decides: an abort at the same moment then either finds
+     * the request begun, or prevents its first byte.
+     *
+     * @return false if nothing may be written
+     */
+    boolean tryBegin(UpstreamConnection connection) {
+        synchronized (this) {
+            if (mPhase != Phase.WAITING) {
+                return false;
+            }
+            if (mListener.onBegin()) {
+                mConnection = connection;
+                mBegun = true;
+                return true;
+            }
+        }
+        fail(new CancellationException("exchange cancelled before the first byte was sent"));
+        return false;
     }
 
-    private void onRequestBegin(Request request) {
-        if (mListener.onBegin()) {
-            mRequestBegun = true;
+    /** Aborts the exchange; the listener is notified unless the response has begun. */
+    public void abort(Throwable cause) {
+        UpstreamConnection connection;
+        synchronized (this) {
+            connection = mConnection;
+        }
+        fail(cause);
+        if (connection != null) {
+            connection.fail(this, cause);
         } else {
-            request.abort(
-                    new CancellationException("exchange cancelled before the first byte was sent"));
+            mPool.removeWaiting(this);
         }
     }
 
     void onAcknowledged(HttpFields fields) {
-        if (mPhase.get() == Phase.WAITING) {
+        if (isWaiting()) {
             mListener.onAcknowledged(fields);
         }
     }
 
-    private void onResponse(Response response, Content.Source body) {
-        if (mPhase.compareAndSet(Phase.WAITING, Phase.ANSWERED)) {
-            mListener.onAnswer(response, body);
-        } else {
-            body.fail(new IllegalStateException("response arrived after the exchange ended"));
+    void onAnswer(UpstreamResponse response, Content.Source body) {
+        synchronized (this) {
+            if (mPhase == Phase.WAITING) {
+                mPhase = Phase.ANSWERED;
+            }
+            if (mPhase == Phase.FAILED) {
+                return;
+            }
         }
+        mListener.onAnswer(response, body);
     }
 
-    private void onComplete(Result result) {
-        if (result.isSucceeded() || !mPhase.compareAndSet(Phase.WAITING, Phase.FAILED)) {
-            return;
+    /** Ends the exchange without a response, unless it has one or has failed already. */
+    void fail(Throwable cause) {
+        Progress progress;
+        synchronized (this) {
+            if (mPhase != Phase.WAITING) {
+                return;
+            }
+            mPhase = Phase.FAILED;
+            progress = mBegun ? Progress.MAYBE_SENT : Progress.NOT_SENT;
         }
-        mListener.onFailure(
-                new Failure(
-                        result.getFailure(),
-                        mRequestBegun ? Progress.MAYBE_SENT : Progress.NOT_SENT));
+        mListener.onFailure(new Failure(cause, progress));
     }
 }
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -21,13 +21,13 @@
 import org.apricotgauge.directory.SiteDirectory;
 import org.apricotgauge.event.TargetLeaving;
 import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -86,7 +86,7 @@
 
     /** Returns a factory for the control of a node that reads published keys. */
     static Factory factory(
-            Function<HttpClient, PublishedSource> platform,
+            Function<UpstreamClient, PublishedSource> platform,
             SiteDecoder decoder,
             SiteDefaults defaults,
             PlatformTimes times) {
--- a/src/main/java/org/apricotgauge/node/NodeControl.java
+++ b/src/main/java/org/apricotgauge/node/NodeControl.java
@@ -4,11 +4,11 @@
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Vm;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -125,7 +125,7 @@
             MetricRegistry metrics,
             ScheduledExecutorService worker,
             Ticker ticker,
-            HttpClient queryClient) {}
+            UpstreamClient queryClient) {}
 
     /** Starts the control of a node. */
     @FunctionalInterface
--- a/src/main/java/org/apricotgauge/node/NodeHttp.java
+++ b/src/main/java/org/apricotgauge/node/NodeHttp.java
@@ -1,9 +1,9 @@
 package org.apricotgauge.node;
 
 import java.util.concurrent.Executor;
-import org.apricotgauge.http.HttpClientFactory;
 import org.apricotgauge.http.HttpServerFactory;
-import org.eclipse.jetty.client.HttpClient;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamClientFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -30,30 +30,29 @@
     private final QueuedThreadPool mThreads = new QueuedThreadPool(MAX_THREADS);
     private final ScheduledExecutorScheduler mScheduler =
             new ScheduledExecutorScheduler("node-timer", true);
-    private final HttpClient mForwardingClient;
-    private final HttpClient mFencingClient;
-    private final HttpClient mTargetClient;
+    private final UpstreamClientFactory mClients;
+    private final UpstreamClient mForwardingClient;
+    private final UpstreamClient mFencingClient;
+    private final UpstreamClient mTargetClient;
 
     NodeHttp(String vm) {
         mThreads.setName("node-" + vm);
         mThreads.setStopTimeout(STOP_TIMEOUT_MILLIS);
-        HttpClientFactory clients = new HttpClientFactory(mThreads, mScheduler);
-        mForwardingClient = clients.create("forwarding", limits(CONNECTIONS_PER_GUARD));
-        mFencingClient = clients.create("fencing", limits(FENCING_CONNECTIONS_PER_GUARD));
-        mTargetClient = clients.create("targets", limits(CONNECTIONS_PER_TARGET));
+        mClients = new UpstreamClientFactory(mThreads, mScheduler, CONNECT_TIMEOUT_MILLIS);
+        mForwardingClient = mClients.create(limits(CONNECTIONS_PER_GUARD));
+        mFencingClient = mClients.create(limits(FENCING_CONNECTIONS_PER_GUARD));
+        mTargetClient = mClients.create(limits(CONNECTIONS_PER_TARGET));
     }
 
-    private static HttpClientFactory.Limits limits(int connections) {
-        return new HttpClientFactory.Limits(
-                CONNECT_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS, connections, MAX_QUEUED_REQUESTS);
+    private static UpstreamClientFactory.Limits limits(int connections) {
+        return new UpstreamClientFactory.Limits(
+                IDLE_TIMEOUT_MILLIS, connections, MAX_QUEUED_REQUESTS);
     }
 
     void start() throws Exception {
         mThreads.start();
         mScheduler.start();
-        HttpClientFactory.start(mForwardingClient);
-        HttpClientFactory.start(mFencingClient);
-        HttpClientFactory.start(mTargetClient);
+        mClients.start();
     }
 
     HttpServerFactory servers() {
@@ -70,24 +69,25 @@
     }
 
     /** Returns the client that sends attempts to guards. */
-    HttpClient forwardingClient() {
+    UpstreamClient forwardingClient() {
         return mForwardingClient;
     }
 
     /** Returns the client that sends fences, each over its own connection. */
-    HttpClient fencingClient() {
+    UpstreamClient fencingClient() {
         return mFencingClient;
     }
 
     /** Returns the client that sends requests to targets. */
-    HttpClient targetClient() {
+    UpstreamClient targetClient() {
         return mTargetClient;
     }
 
     void stop() {
-        stop(mForwardingClient::stop);
-        stop(mFencingClient::stop);
-        stop(mTargetClient::stop);
+        mForwardingClient.close();
+        mFencingClient.close();
+        mTargetClient.close();
+        stop(mClients::stop);
         stop(mScheduler::stop);
         stop(mThreads::stop);
     }
--- a/src/main/java/org/apricotgauge/node/PeerSource.java
+++ b/src/main/java/org/apricotgauge/node/PeerSource.java
@@ -4,16 +4,16 @@
 import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
 import org.apricotgauge.directory.PageCodec;
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.directory.PublishedSource;
 import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.http.client.FetchedResponse;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.target.GuardHandler;
-import org.eclipse.jetty.client.CompletableResponseListener;
-import org.eclipse.jetty.client.ContentResponse;
-import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 
@@ -25,11 +25,11 @@
     /** All items of a site with a few hundred targets are well below this size. */
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
-    private final HttpClient mClient;
+    private final UpstreamClient mClient;
     private final PageCodec mCodec;
     private final Address mGuard;
 
-    PeerSource(HttpClient client, PageCodec codec, Address guard) {
+    PeerSource(UpstreamClient client, PageCodec codec, Address guard) {
         mClient = client;
         mCodec = codec;
         mGuard = guard;
@@ -37,31 +37,27 @@
 
     @Override
     public CompletableFuture<PublishedPage> read(long afterRevision, long waitMillis) {
-        var request =
-                mClient.newRequest(mGuard.host(), mGuard.port())
-                        .path("/")
-                        .timeout(RESPONSE_TIMEOUT_MILLIS + waitMillis, TimeUnit.MILLISECONDS)
-                        .headers(
-                                headers -> {
-                                    headers.put(HttpHeader.CONNECTION, "close");
-                                    headers.put(
-                                            HeaderNames.CONTROL, GuardHandler.CONTROL_DIRECTORY);
-                                    headers.put(HeaderNames.DIRECTORY, afterRevision);
-                                    headers.put(HeaderNames.DIRECTORY_WAIT_MILLIS, waitMillis);
-                                    headers.put(HeaderNames.DIRECTORY_COMPRESSED, "1");
-                                });
-        return new CompletableResponseListener(request, MAX_RESPONSE_BYTES)
-                .send()
+        HttpFields headers =
+                HttpFields.build()
+                        .put(HttpHeader.CONNECTION, "close")
+                        .put(HeaderNames.CONTROL, GuardHandler.CONTROL_DIRECTORY)
+                        .put(HeaderNames.DIRECTORY, afterRevision)
+                        .put(HeaderNames.DIRECTORY_WAIT_MILLIS, waitMillis)
+                        .put(HeaderNames.DIRECTORY_COMPRESSED, "1");
+        return mClient.fetch(
+                        UpstreamRequest.get(mGuard, "/", headers),
+                        MAX_RESPONSE_BYTES,
+                        RESPONSE_TIMEOUT_MILLIS + waitMillis)
                 .thenApply(this::decodePage);
     }
 
-    private PublishedPage decodePage(ContentResponse response) {
-        if (response.getStatus() != HttpStatus.OK_200) {
+    private PublishedPage decodePage(FetchedResponse response) {
+        if (response.status() != HttpStatus.OK_200) {
             throw new CompletionException(
-                    new IOException("peer responded with status " + response.getStatus()));
+                    new IOException("peer responded with status " + response.status()));
         }
         try {
-            return mCodec.decode(response.getContent());
+            return mCodec.decode(response.body());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -1,28 +1,25 @@
 package org.apricotgauge.peer.hop;
 
 import java.io.IOException;
-import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.TimeUnit;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.GuardClockEstimate;
 import org.apricotgauge.decision.attempt.GuardStamp;
 import org.apricotgauge.http.HeaderNames;
-import org.apricotgauge.http.Hosts;
-import org.apricotgauge.http.HttpClientFactory;
+import org.apricotgauge.http.client.FetchedResponse;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.BufferingResponseListener;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -51,12 +48,11 @@
      */
     private static final long AVOIDANCE_AFTER_TIMEOUT_MILLIS = 1_500;
 
-    private final HttpClient mForwardingClient;
-    private final HttpClient mFencingClient;
+    private final UpstreamClient mForwardingClient;
+    private final UpstreamClient mFencingClient;
     private final Ticker mTicker;
     private final ConcurrentMap<Address, GuardClockEstimate> mClockEstimates =
             new ConcurrentHashMap<>();
-    private final ConcurrentMap<Address, URI> mUris = new ConcurrentHashMap<>();
     private final ConcurrentMap<Address, Long> mUnavailableUntilMillis = new ConcurrentHashMap<>();
 
     /**
@@ -66,15 +62,15 @@
      * @param fencing sends control requests over new connections
      * @param ticker the entry's clock
      */
-    public GuardClient(HttpClient forwarding, HttpClient fencing, Ticker ticker) {
+    public GuardClient(UpstreamClient forwarding, UpstreamClient fencing, Ticker ticker) {
         mForwardingClient = Checks.notNull("forwarding", forwarding);
         mFencingClient = Checks.notNull("fencing", fencing);
         mTicker = Checks.notNull("ticker", ticker);
     }
 
-    /** Returns a new request to a guard, to be completed and sent as an exchange. */
-    public Request newRequest(Address guard) {
-        return mForwardingClient.newRequest(mUris.computeIfAbsent(guard, Hosts::uriOf));
+    /** Sends a request to a guard and returns the exchange, which can be aborted. */
+    public UpstreamExchange send(UpstreamRequest request, UpstreamExchange.Listener listener) {
+        return mForwardingClient.send(request, listener);
     }
 
     /**
@@ -121,7 +117,7 @@
      * may be broken as well.
      */
     public void onUnresponsive(Address guard) {
-        HttpClientFactory.evictIdleConnections(mForwardingClient, guard);
+        mForwardingClient.evictIdle(guard);
         mUnavailableUntilMillis.put(guard, mTicker.millis() + AVOIDANCE_AFTER_TIMEOUT_MILLIS);
     }
 
@@ -143,24 +139,28 @@
 
     private CompletableFuture<String> sendControlRequest(
             Address guard, String command, Attempt attempt, long timeoutMillis) {
-        CompletableFuture<String> future = new CompletableFuture<>();
         // An idle connection may be as unresponsive as the one that carried the attempt. A fence
         // sent over it would get no answer, and a request that did not run would end as "unknown".
-        HttpClientFactory.evictIdleConnections(mFencingClient, guard);
-        mFencingClient
-                .newRequest(guard.host(), guard.port())
-                .path("/")
-                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
-                .headers(
-                        headers -> {
-                            headers.put(HttpHeader.CONNECTION, "close");
-                            headers.put(HeaderNames.CONTROL, command);
-                            if (attempt != null) {
-                                headers.put(Attempt.HEADER, attempt.toString());
-                            }
-                        })
-                .send(new ControlResponseListener(guard, future));
-        return future;
+        mFencingClient.evictIdle(guard);
+        HttpFields.Mutable headers =
+                HttpFields.build()
+                        .put(HttpHeader.CONNECTION, "close")
+                        .put(HeaderNames.CONTROL, command);
+        if (attempt != null) {
+            headers.put(Attempt.HEADER, attempt.toString());
+        }
+        return mFencingClient
+                .fetch(UpstreamRequest.get(guard, "/", headers), MAX_CONTROL_BYTES, timeoutMillis)
+                .thenApply(response -> readControlResponse(guard, response));
+    }
+
+    private String readControlResponse(Address guard, FetchedResponse response) {
+        recordStamp(guard, response.headers());
+        if (response.status() != HttpStatus.OK_200) {
+            throw new CompletionException(
+                    new IOException("guard " + guard + " answered " + response.status()));
+        }
+        return new String(response.body(), StandardCharsets.UTF_8);
     }
 
     private static FenceAnswer parseFenceAnswer(String text) {
@@ -177,34 +177,4 @@
         GuardClockEstimate estimate = new GuardClockEstimate(stamp, mTicker.millis());
         mClockEstimates.merge(guard, estimate, GuardClockEstimate::merge);
     }
-
-    /** Reads the short response to a control request. */
-    private final class ControlResponseListener extends BufferingResponseListener {
-        private final Address mGuard;
-        private final CompletableFuture<String> mFuture;
-
-        private ControlResponseListener(Address guard, CompletableFuture<String> future) {
-            super(MAX_CONTROL_BYTES);
-            mGuard = guard;
-            mFuture = future;
-        }
-
-        @Override
-        public void onHeaders(Response response) {
-            recordStamp(mGuard, response.getHeaders());
-            super.onHeaders(response);
-        }
-
-        @Override
-        public void onComplete(Result result) {
-            if (result.isFailed()) {
-                mFuture.completeExceptionally(result.getFailure());
-            } else if (result.getResponse().getStatus() != HttpStatus.OK_200) {
-                mFuture.completeExceptionally(
-                        new IOException("guard " + mGuard + " answered " + result.getResponse()));
-            } else {
-                mFuture.complete(getContentAsString());
-            }
-        }
-    }
 }
--- a/src/main/java/org/apricotgauge/platform/kv/KvSource.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvSource.java
@@ -8,16 +8,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.apricotgauge.directory.PublishedItem;
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.directory.PublishedSource;
+import org.apricotgauge.http.client.FetchedResponse;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.platform.PlatformException;
-import org.eclipse.jetty.client.CompletableResponseListener;
-import org.eclipse.jetty.client.ContentResponse;
-import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
@@ -49,11 +49,11 @@
     private static final ObjectMapper JSON =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
-    private final HttpClient mHttp;
+    private final UpstreamClient mHttp;
     private final Address mStore;
 
     /** Creates a source on a client that stays its owner's. */
-    public KvSource(HttpClient http, Address store) {
+    public KvSource(UpstreamClient http, Address store) {
         mHttp = Checks.notNull("http", http);
         mStore = Checks.notNull("store", store);
     }
@@ -89,7 +89,7 @@
         return get(path, wait)
                 .thenCompose(
                         answer -> {
-                            if (answer.getStatus() == HttpStatus.GONE_410) {
+                            if (answer.status() == HttpStatus.GONE_410) {
                                 return readWhole(
                                         Consistency.LATEST, new ArrayList<>(), "", Long.MAX_VALUE);
                             }
@@ -130,20 +130,19 @@
         return lines == null ? List.of() : lines.stream().map(ItemLine::item).toList();
     }
 
-    private CompletableFuture<ContentResponse> get(String path, long waitMillis) {
-        var request =
-                mHttp.newRequest(mStore.host(), mStore.port())
-                        .path(path)
-                        .timeout(waitMillis + ANSWER_MILLIS, TimeUnit.MILLISECONDS);
-        return new CompletableResponseListener(request, MAX_ANSWER_BYTES).send();
+    private CompletableFuture<FetchedResponse> get(String path, long waitMillis) {
+        return mHttp.fetch(
+                UpstreamRequest.get(mStore, path, HttpFields.EMPTY),
+                MAX_ANSWER_BYTES,
+                waitMillis + ANSWER_MILLIS);
     }
 
-    private static <T> T parse(String path, ContentResponse answer, Class<T> type) {
-        if (answer.getStatus() != HttpStatus.OK_200) {
-            throw new PlatformException("status " + answer.getStatus() + " to " + path);
+    private static <T> T parse(String path, FetchedResponse answer, Class<T> type) {
+        if (answer.status() != HttpStatus.OK_200) {
+            throw new PlatformException("status " + answer.status() + " to " + path);
         }
         try {
-            return JSON.readValue(answer.getContent(), type);
+            return JSON.readValue(answer.body(), type);
         } catch (IOException e) {
             throw new PlatformException("unreadable answer to " + path, e);
         }
--- a/src/main/java/org/apricotgauge/standin/PredecessorStandin.java
+++ b/src/main/java/org/apricotgauge/standin/PredecessorStandin.java
@@ -1,18 +1,20 @@
 package org.apricotgauge.standin;
 
+import java.nio.ByteBuffer;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apricotgauge.http.Bodies;
-import org.apricotgauge.http.HttpClientFactory;
 import org.apricotgauge.http.HttpServerFactory;
 import org.apricotgauge.http.ResponseForwarder;
-import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamClientFactory;
+import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamRequest;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
-import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -38,6 +40,7 @@
  */
 public final class PredecessorStandin implements AutoCloseable {
     private static final int MAX_THREADS = 32;
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final Set<HttpHeader> DROPPED =
             EnumSet.of(
@@ -51,7 +54,10 @@
     private final QueuedThreadPool mThreads = new QueuedThreadPool(MAX_THREADS);
     private final ScheduledExecutorScheduler mScheduler =
             new ScheduledExecutorScheduler("older-timer", true);
-    private final HttpClient mClient;
+    private final UpstreamClientFactory mClients =
+            new UpstreamClientFactory(mThreads, mScheduler, CONNECT_TIMEOUT_MILLIS);
+    private final UpstreamClient mClient =
+            mClients.create(new UpstreamClientFactory.Limits(30_000, 64, 4_096));
     private final Server mServer;
     private final AtomicInteger mServed = new AtomicInteger();
 
@@ -59,9 +65,6 @@
         mTargets = List.copyOf(targets);
         Checks.inRange("targets", mTargets.size(), 1, Integer.MAX_VALUE);
         mThreads.setName("older");
-        mClient =
-                new HttpClientFactory(mThreads, mScheduler)
-                        .create("older", new HttpClientFactory.Limits(1_000, 30_000, 64, 4_096));
         mServer =
                 new HttpServerFactory(mThreads, mScheduler)
                         .create(host, port, new Forwarder(), () -> {});
@@ -77,7 +80,7 @@
         try {
             standin.mThreads.start();
             standin.mScheduler.start();
-            HttpClientFactory.start(standin.mClient);
+            standin.mClients.start();
             standin.mServer.start();
         } catch (Exception e) {
             throw new IllegalStateException("cannot listen at " + host + ':' + port, e);
@@ -99,7 +102,8 @@
     public void close() {
         try {
             mServer.stop();
-            mClient.stop();
+            mClient.close();
+            mClients.stop();
             mScheduler.stop();
             mThreads.stop();
         } catch (Exception e) {
@@ -142,13 +146,16 @@
 
         private void send(int turn, boolean mayRetry) {
             Address target = mTargets.get(Math.floorMod(turn, mTargets.size()));
-            org.eclipse.jetty.client.Request to =
-                    mClient.newRequest(target.host(), target.port())
-                            .method(mRequest.getMethod())
-                            .path(mRequest.getHttpURI().getPathQuery())
-                            .headers(headers -> copy(mRequest.getHeaders(), headers))
-                            .body(new BytesRequestContent((String) null, mBody));
-            UpstreamExchange.send(to, new Listener(this, turn, mayRetry));
+            HttpFields.Mutable headers = HttpFields.build();
+            copy(mRequest.getHeaders(), headers);
+            UpstreamRequest to =
+                    new UpstreamRequest(
+                            target,
+                            mRequest.getMethod(),
+                            mRequest.getHttpURI().getPathQuery(),
+                            headers,
+                            Content.Source.from(ByteBuffer.wrap(mBody)));
+            mClient.send(to, new Listener(this, turn, mayRetry));
         }
     }
 
@@ -165,8 +172,8 @@
     private record Listener(Forwarded forwarded, int turn, boolean mayRetry)
             implements UpstreamExchange.Listener {
         @Override
-        public void onAnswer(org.eclipse.jetty.client.Response answer, Content.Source body) {
-            if (mayRetry && answer.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503) {
+        public void onAnswer(UpstreamResponse answer, Content.Source body) {
+            if (mayRetry && answer.status() == HttpStatus.SERVICE_UNAVAILABLE_503) {
                 body.fail(new IllegalStateException("another target is tried"));
                 forwarded.send(turn + 1, false);
                 return;
--- a/src/main/java/org/apricotgauge/target/ExitDetector.java
+++ b/src/main/java/org/apricotgauge/target/ExitDetector.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
+import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.model.Target;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -73,7 +73,7 @@
      * @param onExit called with a target that ended and the runs that broke with it
      */
     public static ExitDetector of(
-            HttpClient client,
+            UpstreamClient client,
             Scheduler scheduler,
             Predicate<Target> acceptsRequests,
             BiConsumer<Target, List<BrokenRun>> onExit) {
--- a/src/main/java/org/apricotgauge/target/GuardContext.java
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -4,9 +4,9 @@
 import org.apricotgauge.decision.attempt.AttemptLedger;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.http.SiteDialect;
+import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -25,7 +25,7 @@
  * @param metrics counters of the guard
  */
 record GuardContext(
-        HttpClient client,
+        UpstreamClient client,
         AttemptLedger ledger,
         Scheduler scheduler,
         Ticker ticker,
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -34,13 +34,13 @@
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
 import org.apricotgauge.http.SiteDialect;
+import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.StartLimit;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -124,7 +124,7 @@
     public GuardHandler(
             String vm,
             Supplier<RoutingTable> routingTable,
-            HttpClient client,
+            UpstreamClient client,
             AttemptLedger ledger,
             Scheduler scheduler,
             Ticker ticker,
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -22,7 +22,8 @@
 import org.apricotgauge.http.ResponseForwarder;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.TargetNotice;
-import org.apricotgauge.http.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.model.SiteView;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
@@ -201,10 +202,16 @@
                 remainingMillis,
                 this::abortForFailover);
         mExchange =
-                UpstreamExchange.send(
-                        TargetRequestFactory.create(
-                                mContext, mGate, mTicket, mRequest, mIdentity, remainingMillis),
-                        this);
+                mContext.client()
+                        .send(
+                                TargetRequestFactory.create(
+                                        mContext,
+                                        mGate,
+                                        mTicket,
+                                        mRequest,
+                                        mIdentity,
+                                        remainingMillis),
+                                this);
         if (mAbandoned) {
             // Abandoned after the admission, when there was no exchange to abort yet.
             onAbandoned();
@@ -302,17 +309,16 @@
     }
 
     @Override
-    public void onAnswer(org.eclipse.jetty.client.Response answer, Content.Source body) {
+    public void onAnswer(UpstreamResponse answer, Content.Source body) {
         if (!mPhase.compareAndSet(Phase.SENDING, Phase.ANSWERING)) {
             body.fail(new TimeoutException("attempt was abandoned"));
             return;
         }
         mAcknowledgements.stop();
         SiteDialect.AnswerKind kind =
-                mContext.dialect()
-                        .kindOf(mRequest.getHeaders(), answer.getStatus(), answer.getHeaders());
+                mContext.dialect().kindOf(mRequest.getHeaders(), answer.status(), answer.headers());
         if (kind == SiteDialect.AnswerKind.ANSWER || kind == SiteDialect.AnswerKind.SHED) {
-            handleNotice(kind, mContext.dialect().noticeOf(answer.getHeaders()));
+            handleNotice(kind, mContext.dialect().noticeOf(answer.headers()));
         }
         if (kind != SiteDialect.AnswerKind.ANSWER) {
             endWithoutAnswer(kind, answer, body);
@@ -321,9 +327,9 @@
         ResponseForwarder.copyHead(answer, mResponse);
         prepayRetry(
                 mTargetRestriction == HealthGate.TargetRestriction.MAY_TRY
-                        && HttpStatus.isServerError(answer.getStatus()));
+                        && HttpStatus.isServerError(answer.status()));
         mResponse.getHeaders().put(Attempt.HEADER, mAttempt.toString());
-        if (HttpStatus.isServerError(answer.getStatus()) && hasFailedCall()) {
+        if (HttpStatus.isServerError(answer.status()) && hasFailedCall()) {
             mResponse.getHeaders().put(HeaderNames.NESTED_CALL_FAILED, "1");
         }
         mGate.addHeaders(mResponse.getHeaders());
@@ -331,7 +337,7 @@
         FailureTrackingSource trackedBody = new FailureTrackingSource(body);
         Callback whenCopied =
                 Callback.from(
-                        () -> onAnswerCompleted(answer.getStatus()),
+                        () -> onAnswerCompleted(answer.status()),
                         cause -> onAnswerBroken(trackedBody.hasFailed(), cause));
         mAcknowledgements.runAfterPendingWrite(
                 () -> ResponseForwarder.copyBody(answer, trackedBody, mResponse, whenCopied));
@@ -345,9 +351,7 @@
     }
 
     private void endWithoutAnswer(
-            SiteDialect.AnswerKind kind,
-            org.eclipse.jetty.client.Response answer,
-            Content.Source body) {
+            SiteDialect.AnswerKind kind, UpstreamResponse answer, Content.Source body) {
         mPhase.set(Phase.ENDED);
         if (kind == SiteDialect.AnswerKind.MISMATCHED) {
             body.fail(new IllegalStateException("answer belongs to another request"));
@@ -359,7 +363,7 @@
                     () -> OutcomeCodec.write(mResponse, mCallback, outcome));
             return;
         }
-        mContext.ledger().completed(mAttempt, answer.getStatus(), mContext.ticker().millis());
+        mContext.ledger().completed(mAttempt, answer.status(), mContext.ticker().millis());
         Bodies.discard(body);
         boolean shed = kind == SiteDialect.AnswerKind.SHED;
         if (!shed) {
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -1,6 +1,5 @@
 package org.apricotgauge.target;
 
-import java.net.URI;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.apricotgauge.decision.admission.AdmissionConfig;
@@ -13,7 +12,6 @@
 import org.apricotgauge.decision.health.DegradationEstimate;
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.http.HeaderNames;
-import org.apricotgauge.http.Hosts;
 import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.StartLimit;
@@ -36,7 +34,7 @@
     private static final double PERMILLE = 1_000.0;
 
     private final Target mTarget;
-    private final URI mUri;
+    private final Address mAddress;
     private final AdmissionQueue mQueue;
     private final TargetLimitTracker mLimitTracker;
     private final Ticker mTicker;
@@ -63,7 +61,7 @@
             Runnable onQueued) {
         mOnQueued = onQueued;
         mTarget = target;
-        mUri = Hosts.uriOf(new Address(target.host(), target.port()));
+        mAddress = new Address(target.host(), target.port());
         mQueue = new AdmissionQueue(AdmissionConfig.forSlots(target.slots(), slotUse));
         mLimitTracker = new TargetLimitTracker(target, mQueue, limitReporter);
         mTicker = ticker;
@@ -73,9 +71,8 @@
         return mTarget;
     }
 
-    /** Returns the URI of the target's root. */
-    URI uri() {
-        return mUri;
+    Address address() {
+        return mAddress;
     }
 
     /** Records that another target now has the address; this target was removed for good. */
--- a/src/main/java/org/apricotgauge/target/TargetProbe.java
+++ b/src/main/java/org/apricotgauge/target/TargetProbe.java
@@ -3,9 +3,9 @@
 import java.net.ConnectException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Target;
-import org.eclipse.jetty.client.Connection;
-import org.eclipse.jetty.client.HttpClient;
 
 /** Checks whether a process listens at a target's address. */
 @FunctionalInterface
@@ -25,16 +25,14 @@
     CompletableFuture<Result> probe(Target target);
 
     /** Returns a probe that opens connections of an HTTP client without sending a request. */
-    static TargetProbe using(HttpClient client) {
+    static TargetProbe using(UpstreamClient client) {
         return target ->
-                client.resolveDestination(client.newRequest(target.host(), target.port()))
-                        .newConnection()
+                client.tryConnect(new Address(target.host(), target.port()))
                         .handle(TargetProbe::resultOf);
     }
 
-    private static Result resultOf(Connection connection, Throwable failure) {
+    private static Result resultOf(Void connected, Throwable failure) {
         if (failure == null) {
-            connection.close();
             return Result.ACCEPTED;
         }
         Throwable cause =
--- a/src/main/java/org/apricotgauge/target/TargetRequestFactory.java
+++ b/src/main/java/org/apricotgauge/target/TargetRequestFactory.java
@@ -3,8 +3,10 @@
 import java.util.Optional;
 import org.apricotgauge.decision.admission.Ticket;
 import org.apricotgauge.http.ForwardedHeaders;
+import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Member;
-import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.server.Request;
 
 /** Creates the request to a target from the one that its guard received. */
 final class TargetRequestFactory {
@@ -16,27 +18,23 @@
      *
      * @param remainingMillis time left until the request's deadline, in milliseconds
      */
-    static Request create(
+    static UpstreamRequest create(
             GuardContext context,
             TargetGate gate,
             Ticket ticket,
-            org.eclipse.jetty.server.Request source,
+            Request source,
             RunIdentity identity,
             long remainingMillis) {
-        Request request =
-                context.client()
-                        .newRequest(gate.uri())
-                        .method(source.getMethod())
-                        .path(source.getHttpURI().getPathQuery());
-        request.headers(
-                headers -> {
-                    ForwardedHeaders.copyRequest(source.getHeaders(), headers);
-                    context.dialect()
-                            .addTargetHeaders(
-                                    headers, gate.target().id(), remainingMillis, memberOf(ticket));
-                });
-        request.body(identity.body());
-        return request;
+        HttpFields.Mutable headers = HttpFields.build();
+        ForwardedHeaders.copyRequest(source.getHeaders(), headers);
+        context.dialect()
+                .addTargetHeaders(headers, gate.target().id(), remainingMillis, memberOf(ticket));
+        return new UpstreamRequest(
+                gate.address(),
+                source.getMethod(),
+                source.getHttpURI().getPathQuery(),
+                headers,
+                identity.body());
     }
 
     private static Optional<String> memberOf(Ticket ticket) {
--- a/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
@@ -16,13 +16,15 @@
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.decision.routing.TargetLoad;
 import org.apricotgauge.http.FleetDialect;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamClientFactory;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.DetectionOdds;
 import org.apricotgauge.model.Service;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.time.ManualTicker;
-import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.junit.jupiter.api.Test;
 
 /** Tests the target selection of one request where targets are reached through guards only. */
@@ -30,6 +32,9 @@
     private static final int TARGETS = 4;
 
     private final ManualTicker mTicker = new ManualTicker();
+    private final UpstreamClient mClient =
+            new UpstreamClientFactory(Runnable::run, new ScheduledExecutorScheduler(), 1_000)
+                    .create(new UpstreamClientFactory.Limits(1_000, 1, 1));
     private final List<Candidate> mCandidates = new ArrayList<>();
 
     @Test
@@ -141,7 +146,7 @@
         Service service = new Service("s", 0, new DetectionOdds(1, 1), 100, 100, null);
         EntryContext context =
                 new EntryContext(
-                        new GuardClient(new HttpClient(), new HttpClient(), mTicker),
+                        new GuardClient(mClient, mClient, mTicker),
                         null,
                         null,
                         RetryPolicy.DEFAULT,
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -29,8 +29,9 @@
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
 import org.apricotgauge.http.FleetDialect;
-import org.apricotgauge.http.HttpClientFactory;
 import org.apricotgauge.http.HttpServerFactory;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamClientFactory;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Configuration;
 import org.apricotgauge.model.DetectionOdds;
@@ -47,11 +48,6 @@
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.target.GuardObserver;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.client.AbstractConnectionPool;
-import org.eclipse.jetty.client.ConnectionPool;
-import org.eclipse.jetty.client.Destination;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpDestination;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -64,8 +60,6 @@
  */
 final class Hops implements AutoCloseable {
     private static final String SERVICE = "s";
-    private static final String TO_GUARDS = "guards";
-    private static final String TO_TARGETS = "targets";
     private static final int TARGET_CONNECTIONS = 64;
 
     /** These nodes have no predecessors whose keys they could not know. */
@@ -77,9 +71,11 @@
     private final QueuedThreadPool mThreads = new QueuedThreadPool(64);
     private final ScheduledExecutorScheduler mScheduler =
             new ScheduledExecutorScheduler("hops", true);
-    private final HttpClientFactory mClients = new HttpClientFactory(mThreads, mScheduler);
+    private final UpstreamClientFactory mClients =
+            new UpstreamClientFactory(mThreads, mScheduler, 5_000);
     private final Map<String, HopVm> mVms = new HashMap<>();
-    private final List<HttpClient> mStarted = new ArrayList<>();
+    private final List<UpstreamClient> mToTargets = new ArrayList<>();
+    private final List<UpstreamClient> mToGuards = new ArrayList<>();
     private final int mTargetConnections;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
@@ -145,6 +141,7 @@
         mTargetConnections = targetConnections;
         mThreads.start();
         mScheduler.start();
+        mClients.start();
         for (String vm : vms) {
             mVms.put(vm, new HopVm(vm));
         }
@@ -266,36 +263,22 @@
 
     /** Returns how many requests wait for a connection to a target. */
     int waitingForTargets() {
-        return mStarted.stream()
-                .filter(client -> client.getName().equals(TO_TARGETS))
-                .flatMap(client -> client.getDestinations().stream())
-                .mapToInt(destination -> ((HttpDestination) destination).getQueuedRequestCount())
-                .sum();
+        return mToTargets.stream().mapToInt(UpstreamClient::waitingRequests).sum();
     }
 
     /** Returns how many connections to guards are open and unused. */
     int idleToGuards() {
-        return mStarted.stream()
-                .filter(client -> client.getName().equals(TO_GUARDS))
-                .flatMap(client -> client.getDestinations().stream())
-                .map(Destination::getConnectionPool)
-                .mapToInt(Hops::idle)
-                .sum();
-    }
-
-    private static int idle(ConnectionPool pool) {
-        return ((AbstractConnectionPool) pool).getIdleConnectionCount();
+        return mToGuards.stream().mapToInt(UpstreamClient::idleConnections).sum();
     }
 
     private void start(String id, HopVm vm) throws Exception {
-        HttpClient targets = client(TO_TARGETS, mTargetConnections);
+        UpstreamClient targets = clientOfTargets();
         vm.mEntry =
                 new EntryHandler(
                         () -> table(id),
                         () -> false,
                         () -> true,
-                        new GuardClient(
-                                client(TO_GUARDS, 64), client("fences", 64), Ticker.system()),
+                        new GuardClient(clientOfGuards(), newClient(64), Ticker.system()),
                         targets,
                         new AttemptIdGenerator(id, id.hashCode()),
                         mScheduler,
@@ -314,7 +297,7 @@
         vm.mRelay = new Relay(() -> HttpServerFactory.portOf(vm.mGuardServer));
     }
 
-    private void startGuard(String id, HopVm vm, HttpClient targets) throws Exception {
+    private void startGuard(String id, HopVm vm, UpstreamClient targets) throws Exception {
         vm.mGuard =
                 new GuardHandler(
                         id,
@@ -342,15 +325,22 @@
     void restartGuard(String id) throws Exception {
         HopVm vm = mVms.get(id);
         vm.mGuardServer.stop();
-        startGuard(id, vm, client(TO_TARGETS, mTargetConnections));
+        startGuard(id, vm, clientOfTargets());
+    }
+
+    private UpstreamClient newClient(int connections) {
+        return mClients.create(new UpstreamClientFactory.Limits(60_000, connections, 256));
     }
 
-    private HttpClient client(String name, int connections) throws Exception {
-        HttpClient client =
-                mClients.create(
-                        name, new HttpClientFactory.Limits(5_000, 60_000, connections, 256));
-        HttpClientFactory.start(client);
-        mStarted.add(client);
+    private UpstreamClient clientOfTargets() {
+        UpstreamClient client = newClient(mTargetConnections);
+        mToTargets.add(client);
+        return client;
+    }
+
+    private UpstreamClient clientOfGuards() {
+        UpstreamClient client = newClient(64);
+        mToGuards.add(client);
         return client;
     }
 
@@ -369,9 +359,7 @@
             vm.mEntryServer.stop();
             vm.mGuardServer.stop();
         }
-        for (HttpClient client : mStarted) {
-            client.stop();
-        }
+        mClients.stop();
         mScheduler.stop();
         mThreads.stop();
     }
--- a/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
@@ -18,6 +18,8 @@
 import org.apricotgauge.directory.PageCodec;
 import org.apricotgauge.directory.PublishedPage;
 import org.apricotgauge.http.HttpClientFactory;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamClientFactory;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.operator.NodePhase;
 import org.apricotgauge.platform.kv.KvDecoder;
@@ -53,6 +55,8 @@
     private final HttpClient mCaller =
             new HttpClientFactory(mThreads, mTimers)
                     .create("caller", new HttpClientFactory.Limits(5_000, 60_000, 4, 16));
+    private final UpstreamClientFactory mPeers =
+            new UpstreamClientFactory(mThreads, mTimers, 5_000);
     private KvStandin mPlatform;
     private Node mNode;
     private Address mGuard;
@@ -62,6 +66,7 @@
         mThreads.start();
         mTimers.start();
         HttpClientFactory.start(mCaller);
+        mPeers.start();
         mPlatform = KvStandin.start(LOOPBACK, 0);
         mGuard = new Address(LOOPBACK, freePort());
         SidecarSettings settings = settings();
@@ -80,6 +85,7 @@
         mNode.close();
         mPlatform.close();
         mCaller.stop();
+        mPeers.stop();
         mTimers.stop();
         mThreads.stop();
     }
@@ -153,7 +159,8 @@
     @Test
     void peerReadsSiteFromThisNode() throws Exception {
         // A query returns the site and the age of the view, and a watch returns the next change.
-        PeerSource peer = new PeerSource(mCaller, new PageCodec(), mGuard);
+        UpstreamClient client = mPeers.create(new UpstreamClientFactory.Limits(60_000, 4, 16));
+        PeerSource peer = new PeerSource(client, new PageCodec(), mGuard);
         mPlatform.publish(LOOPBACK, "desk");
         LocalFleet.await(() -> mNode.version() == 1);
 
--- a/src/test/java/org/apricotgauge/platform/kv/KvSourceTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvSourceTest.java
@@ -14,8 +14,11 @@
 import java.util.List;
 import org.apricotgauge.directory.PublishedItem;
 import org.apricotgauge.directory.PublishedPage;
+import org.apricotgauge.http.client.UpstreamClient;
+import org.apricotgauge.http.client.UpstreamClientFactory;
 import org.apricotgauge.model.Address;
-import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,7 +28,10 @@
 
     private final List<String> mAsked = Collections.synchronizedList(new ArrayList<>());
     private final Deque<Answer> mAnswers = new ArrayDeque<>();
-    private final HttpClient mClient = new HttpClient();
+    private final QueuedThreadPool mThreads = new QueuedThreadPool();
+    private final ScheduledExecutorScheduler mScheduler = new ScheduledExecutorScheduler();
+    private final UpstreamClientFactory mClients =
+            new UpstreamClientFactory(mThreads, mScheduler, 1_000);
     private HttpServer mStore;
     private KvSource mSource;
 
@@ -34,13 +40,18 @@
         mStore = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
         mStore.createContext("/", this::answer);
         mStore.start();
-        mClient.start();
-        mSource = new KvSource(mClient, new Address("127.0.0.1", mStore.getAddress().getPort()));
+        mThreads.start();
+        mScheduler.start();
+        mClients.start();
+        UpstreamClient client = mClients.create(new UpstreamClientFactory.Limits(30_000, 4, 16));
+        mSource = new KvSource(client, new Address("127.0.0.1", mStore.getAddress().getPort()));
     }
 
     @AfterEach
     void stop() throws Exception {
-        mClient.stop();
+        mClients.stop();
+        mScheduler.stop();
+        mThreads.stop();
         mStore.stop(0);
     }
 
