Check an idle connection for its end before a request is written to it

What callers saw: on a busy machine, a request that is sent while a guard restarts ends as "unknown" (504) after some 50 ms, though no server has read it (LimitedTargetTest, the guard that restarts: first attempt "guard unreachable", then two refusals, so "unknown: earlier-attempt").

Cause: a kept connection that the other end has closed is noticed by the selector's thread alone. While that thread is busy or waits for the processor, the connection is still in the pool; a request is written to it, the write succeeds, the reset follows, and the entry can't prove that the request did not run.

Evidence: endedConnectionIsNotUsedThoughSelectorIsBusy holds the selector's thread, ends an idle connection, and sends. Without the check the request went to the ended connection and the test waited for a connection that never came (ended by hand after 100 s); with it, a fresh one is used.

Change: a connection is read once, without waiting, when it is taken from the pool; an end, a reset or bytes close it, and the next one is taken. The read is under the connection's lock and only while no exchange has it, so that it can't take bytes of a response.

Conclusion: this closes the window for an end that has arrived. One that is still under way can't be seen by anybody; it stays "unknown".

--- a/src/main/java/org/apricotgauge/http/client/ConnectionPool.java
+++ b/src/main/java/org/apricotgauge/http/client/ConnectionPool.java
@@ -50,7 +50,7 @@
     void send(UpstreamExchange exchange) {
         UpstreamConnection idle = pollIdle();
         while (idle != null) {
-            if (idle.send(exchange)) {
+            if (!idle.hasEnded() && idle.send(exchange)) {
                 return;
             }
             idle = pollIdle();
--- a/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.http.client;
 
 import java.io.EOFException;
+import java.io.IOException;
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
@@ -92,15 +93,38 @@
     }
 
     private void closeUnlessSpurious() {
-        try {
-            if (getEndPoint().fill(BufferUtil.allocate(1)) == 0) {
-                awaitReadable();
-                return;
+        if (!hasEnded()) {
+            awaitReadable();
+        }
+    }
+
+    /**
+     * Checks an idle connection for its end, and closes it if it has ended.
+     *
+     * <p>On a busy machine, a connection may have ended long before the selector reports it. A
+     * request that is written to it may have run as far as its sender knows.
+     */
+    boolean hasEnded() {
+        Throwable cause;
+        synchronized (this) {
+            if (mExchange != null) {
+                return false;
             }
-            failCurrent(
-                    new EOFException("upstream closed the idle connection or sent bytes on it"));
-        } catch (Exception e) {
-            failCurrent(e);
+            cause = probeEnd();
+        }
+        if (cause != null) {
+            fail(null, cause);
+        }
+        return cause != null;
+    }
+
+    private Throwable probeEnd() {
+        try {
+            return getEndPoint().fill(BufferUtil.allocate(1)) == 0
+                    ? null
+                    : new EOFException("upstream closed the idle connection or sent bytes on it");
+        } catch (IOException e) {
+            return e;
         }
     }
 
--- a/src/test/java/org/apricotgauge/http/client/UpstreamClientTest.java
+++ b/src/test/java/org/apricotgauge/http/client/UpstreamClientTest.java
@@ -10,7 +10,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.model.Address;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
@@ -220,6 +222,42 @@
         }
     }
 
+    // Guards against a request written to a connection that had ended before: on a busy machine the
+    // selector reports the end late, and the caller is told that its request may have run.
+    @Test
+    void endedConnectionIsNotUsedThoughSelectorIsBusy() throws Exception {
+        CompletableFuture<FetchedResponse> first = fetch("/first");
+        CountDownLatch selectorBusy = new CountDownLatch(1);
+        CountDownLatch resume = new CountDownLatch(1);
+        try (Socket ended = mServer.accept()) {
+            readTo(ended, "\r\n\r\n");
+            write(ended, OK);
+            get(first);
+            LocalFleet.await(() -> mClient.idleConnections() == 1);
+            UpstreamClient other = mClients.create(new UpstreamClientFactory.Limits(60_000, 1, 1));
+            other.send(
+                    UpstreamRequest.get(mAddress, "/other", HttpFields.EMPTY),
+                    new BlockingListener(selectorBusy, resume));
+            try (Socket blocking = mServer.accept()) {
+                readTo(blocking, "\r\n\r\n");
+                write(blocking, OK);
+                selectorBusy.await();
+                ended.shutdownOutput();
+
+                Recorder recorder = new Recorder();
+                mClient.send(UpstreamRequest.get(mAddress, "/next", HttpFields.EMPTY), recorder);
+                resume.countDown();
+                try (Socket fresh = mServer.accept()) {
+                    assertThat(readTo(fresh, "\r\n\r\n")).startsWith("GET /next ");
+                    write(fresh, OK);
+                    assertThat(get(recorder.mAnswer)).isNotNull();
+                }
+            }
+        } finally {
+            resume.countDown();
+        }
+    }
+
     // Guards against a stop that fails because a connection is still being opened.
     @Test
     void stopsWhileConnectionIsBeingOpened() {
@@ -231,4 +269,24 @@
         assertThat(mClient.waitingRequests()).isZero();
         assertThat(mClient.idleConnections()).isZero();
     }
+
+    /** Keeps the selector's thread until the test lets it go on. */
+    private record BlockingListener(CountDownLatch blocked, CountDownLatch resume)
+            implements UpstreamExchange.Listener {
+
+        @Override
+        public void onAnswer(UpstreamResponse response, Content.Source body) {
+            blocked.countDown();
+            try {
+                resume.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public void onFailure(UpstreamExchange.Failure failure) {
+            blocked.countDown();
+        }
+    }
 }
