Let a hung run continue while no other target can take its request

Cause: a guard that takes a run for hung cancels it so that another target can serve the request, without knowing whether one can. The entry then meets refusals alone, spends its attempts within milliseconds, and tells "unknown: earlier-attempt" or "started".

Change: the guard asks FailoverPolicy whether another target of the service is eligible, not known to be full, and not too likely degraded for a retry, by the health reports that every node hears. If none is, the run goes on, and the question is asked again every quarter of the timeout.

Conclusion: the class "a run is ended early while nobody can take over" is closed where the guard's reports are true. They may be up to two seconds old, and a race of several requests for one slot is left.

--- a/src/main/java/org/apricotgauge/decision/routing/TargetLoad.java
+++ b/src/main/java/org/apricotgauge/decision/routing/TargetLoad.java
@@ -119,6 +119,18 @@
                 - estimate.baseline();
     }
 
+    /**
+     * Returns whether all slots are known to be in use.
+     *
+     * @param slots number of slots of the target
+     * @param nowNanos current time, in nanoseconds
+     */
+    public boolean isFull(int slots, long nowNanos) {
+        Report report = mReport;
+        boolean isRecent = nowNanos - report.reportedAtNanos() < REPORT_LIFETIME_NANOS;
+        return mInFlight.get() >= slots || (isRecent && report.loadPermille() >= PERMILLE);
+    }
+
     /**
      * Returns the load per slot; 1.0 if all slots are busy.
      *
--- a/src/main/java/org/apricotgauge/target/GuardContext.java
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -18,6 +18,7 @@
  * @param ticker clock of the ledger and the queues
  * @param observer is notified of requests and of targets' state
  * @param acceptsRequests whether a target is registered and not leaving
+ * @param hasAlternative whether another target can take over a request from this one
  * @param dialect header convention of the site's targets
  * @param exitDetector detects targets that ended while they ran requests
  * @param quarantine requests that may not be sent to targets
@@ -31,6 +32,7 @@
         Ticker ticker,
         GuardObserver observer,
         Predicate<Target> acceptsRequests,
+        Predicate<Target> hasAlternative,
         SiteDialect dialect,
         ExitDetector exitDetector,
         QuarantineTable quarantine,
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -28,6 +28,7 @@
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.decision.routing.FailoverPolicy;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.http.Bodies;
@@ -149,6 +150,7 @@
                         ticker,
                         observer,
                         this::acceptsRequests,
+                        this::hasAlternative,
                         dialect,
                         ExitDetector.of(
                                 client, scheduler, this::acceptsRequests, observer::onTargetEnded),
@@ -359,6 +361,17 @@
         return mRoutingTable.get().acceptsRequests(target);
     }
 
+    private boolean hasAlternative(Target target) {
+        return mRoutingTable
+                .get()
+                .service(target.service())
+                .filter(
+                        service ->
+                                FailoverPolicy.hasAlternative(
+                                        service, target.id(), mContext.ticker().nanos()))
+                .isPresent();
+    }
+
     private Target targetOf(Request request) {
         String id = request.getHeaders().get(HeaderNames.TARGET);
         return id == null ? null : mRoutingTable.get().target(id);
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -23,6 +23,7 @@
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.model.SiteView;
 import org.eclipse.jetty.http.HttpStatus;
@@ -201,17 +202,10 @@
                 mGate.softDeadlineRemainingMillis(mTicket),
                 remainingMillis,
                 this::abortForFailover);
-        mExchange =
-                mContext.client()
-                        .send(
-                                TargetRequestFactory.create(
-                                        mContext,
-                                        mGate,
-                                        mTicket,
-                                        mRequest,
-                                        mIdentity,
-                                        remainingMillis),
-                                this);
+        UpstreamRequest request =
+                TargetRequestFactory.create(
+                        mContext, mGate, mTicket, mRequest, mIdentity, remainingMillis);
+        mExchange = mContext.client().send(request, this);
         if (mAbandoned) {
             // Abandoned after the admission, when there was no exchange to abort yet.
             onAbandoned();
@@ -443,6 +437,7 @@
                 || exchange == null
                 || mPhase.get() != Phase.SENDING
                 || mRetryPrepaid
+                || !mContext.hasAlternative().test(mGate.target())
                 || !mRetryCharge.tryPrepayEarlyRetry()) {
             return;
         }
--- a/src/main/java/org/apricotgauge/target/RunMonitor.java
+++ b/src/main/java/org/apricotgauge/target/RunMonitor.java
@@ -33,6 +33,8 @@
     private volatile HealthGate.Run mRun;
     private volatile long mStartMillis;
     private volatile long mMaxRunMillis;
+    private volatile boolean mHung;
+    private volatile boolean mEnded;
     private volatile Scheduler.Task mHealthCheck;
     private volatile Scheduler.Task mHungCheck;
     private volatile Scheduler.Task mUnresponsiveCheck;
@@ -77,7 +79,7 @@
     }
 
     private void scheduleHungCheck(long checkAtMillis, long timeoutMillis, Runnable onFailover) {
-        if (checkAtMillis >= mMaxRunMillis) {
+        if (mEnded || checkAtMillis >= mMaxRunMillis) {
             return;
         }
         long elapsedMillis = mContext.ticker().millis() - mStartMillis;
@@ -90,27 +92,39 @@
     }
 
     private void checkHung(long checkAtMillis, long timeoutMillis, Runnable onFailover) {
-        HealthGate.Run run = mRun;
-        if (mOutcomeReported.get()) {
+        if (mEnded || (mOutcomeReported.get() && !mHung)) {
             return;
         }
+        HealthGate.TimeoutDiagnosis diagnosis = diagnoseTimeout(checkAtMillis);
+        // Goes on after a hung run was reported: another target may be able to take over later.
+        scheduleHungCheck(
+                checkAtMillis + Math.max(1, timeoutMillis / CHECKS_PER_TIMEOUT),
+                timeoutMillis,
+                onFailover);
+        if (diagnosis != HealthGate.TimeoutDiagnosis.SLOW) {
+            onFailover.run();
+        }
+    }
+
+    private HealthGate.TimeoutDiagnosis diagnoseTimeout(long elapsedMillis) {
+        if (mHung) {
+            return HealthGate.TimeoutDiagnosis.HUNG;
+        }
         HealthGate.TimeoutDiagnosis diagnosis =
-                mGate.health().diagnoseTimeout(run, mContext.ticker().millis());
+                mGate.health().diagnoseTimeout(mRun, mContext.ticker().millis());
         if (diagnosis == HealthGate.TimeoutDiagnosis.HUNG) {
+            mHung = true;
             reportOutcome(
-                    ObservedOutcome.UNRESPONSIVE, TimeUnit.MILLISECONDS.toMicros(checkAtMillis));
+                    ObservedOutcome.UNRESPONSIVE, TimeUnit.MILLISECONDS.toMicros(elapsedMillis));
         } else {
             reportHealth();
-            scheduleHungCheck(
-                    checkAtMillis + timeoutMillis / CHECKS_PER_TIMEOUT, timeoutMillis, onFailover);
-        }
-        if (diagnosis != HealthGate.TimeoutDiagnosis.SLOW) {
-            onFailover.run();
         }
+        return diagnosis;
     }
 
     /** Stops the checks and reports the outcome, unless one was reported before. */
     void end(ObservedOutcome outcome, long serviceMicros) {
+        mEnded = true;
         cancel(mHealthCheck);
         cancel(mHungCheck);
         cancel(mUnresponsiveCheck);
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -256,6 +256,17 @@
         return vm == null ? null : new Address("127.0.0.1", vm.mRelay.port());
     }
 
+    /** Lets the node of a VM hear that all slots of a target are in use. */
+    Hops reportFull(String vm, String target) {
+        table(vm)
+                .service(SERVICE)
+                .flatMap(service -> service.candidate(target))
+                .orElseThrow()
+                .load()
+                .reportLoad(1_000, System.nanoTime());
+        return this;
+    }
+
     /** Waits until so many connections to guards are open and unused. */
     void awaitIdleToGuards(int count) {
         LocalFleet.await(() -> idleToGuards() >= count);
