Write out the record methods that each node calls, set up a codec later

Cause, by a trace of call sites that are linked at run time: the equals, hashCode and toString that a record inherits are linked when first called, by code that generates classes: 118 generated LambdaForm classes a process, some 60 of them for twelve records. The MessagePack mapper of crash messages was set up at each start, 5% of the main thread's time there, though few nodes ever send or receive such a message.

Change: explicit methods with the same meaning in the records that serve as keys or are compared; the codec is set up with the first message.

--- a/src/main/java/org/apricotgauge/decision/attempt/Attempt.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/Attempt.java
@@ -67,4 +67,20 @@
                 + SEPARATOR
                 + latestStartMillis;
     }
+
+    // Written out: the methods that a record inherits are linked when they are first called, which
+    // takes milliseconds of a node's start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Attempt that
+                && guardIncarnation == that.guardIncarnation
+                && latestStartMillis == that.latestStartMillis
+                && id.equals(that.id);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * id.hashCode() + Long.hashCode(guardIncarnation))
+                + Long.hashCode(latestStartMillis);
+    }
 }
--- a/src/main/java/org/apricotgauge/decision/attempt/AttemptId.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/AttemptId.java
@@ -49,4 +49,20 @@
     public String toString() {
         return entryNode + SEPARATOR + Long.toHexString(entryIncarnation) + SEPARATOR + counter;
     }
+
+    // Written out: the methods that a record inherits are linked when they are first called, which
+    // takes milliseconds of a node's start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof AttemptId that
+                && counter == that.counter
+                && entryIncarnation == that.entryIncarnation
+                && entryNode.equals(that.entryNode);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * entryNode.hashCode() + Long.hashCode(entryIncarnation))
+                + Long.hashCode(counter);
+    }
 }
--- a/src/main/java/org/apricotgauge/decision/attempt/Outcome.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/Outcome.java
@@ -23,6 +23,11 @@
         public Answered {
             Checks.inRange("status", status, 100, 999);
         }
+
+        @Override
+        public String toString() {
+            return "Answered[status=" + status + ']';
+        }
     }
 
     /**
@@ -36,6 +41,11 @@
             Checks.notNull("reason", reason);
             Checks.inRange("retryAfterMillis", retryAfterMillis, 0, Long.MAX_VALUE);
         }
+
+        @Override
+        public String toString() {
+            return "NotRun[reason=" + reason + ", retryAfterMillis=" + retryAfterMillis + ']';
+        }
     }
 
     /**
@@ -47,5 +57,10 @@
         public Unknown {
             Checks.notNull("reason", reason);
         }
+
+        @Override
+        public String toString() {
+            return "Unknown[reason=" + reason + ']';
+        }
     }
 }
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryAllowancePolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryAllowancePolicy.java
@@ -49,6 +49,22 @@
                     ? new RetryBudget(share, burst, perSecond)
                     : RetryBudget.startingEmpty(startedAtMillis, share, burst, perSecond);
         }
+
+        // Written out: the methods that a record inherits are linked when they are first called,
+        // which
+        // takes milliseconds of a node's start.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Allowance that
+                    && Double.compare(burst, that.burst) == 0
+                    && Double.compare(perSecond, that.perSecond) == 0
+                    && initialFill == that.initialFill;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * Double.hashCode(burst) + Double.hashCode(perSecond);
+        }
     }
 
     /** Tokens in the bucket of a new process. */
--- a/src/main/java/org/apricotgauge/decision/quarantine/Fingerprint.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/Fingerprint.java
@@ -68,4 +68,16 @@
     public String toString() {
         return HEX.toHexDigits(head) + SEPARATOR + HEX.toHexDigits(body);
     }
+
+    // Written out: the methods that a record inherits are linked when they are first called, which
+    // takes milliseconds of a node's start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Fingerprint that && head == that.head && body == that.body;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(head) + Long.hashCode(body);
+    }
 }
--- a/src/main/java/org/apricotgauge/directory/ReaderTree.java
+++ b/src/main/java/org/apricotgauge/directory/ReaderTree.java
@@ -53,6 +53,21 @@
             Checks.notNull("node.guard", guard);
             Checks.notNull("node.failureDomain", failureDomain);
         }
+
+        // Written out: the methods that a record inherits are linked when they are first called,
+        // which
+        // takes milliseconds of a node's start.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Node that
+                    && guard.equals(that.guard)
+                    && failureDomain.equals(that.failureDomain);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * guard.hashCode() + failureDomain.hashCode();
+        }
     }
 
     /**
--- a/src/main/java/org/apricotgauge/model/Address.java
+++ b/src/main/java/org/apricotgauge/model/Address.java
@@ -22,4 +22,16 @@
     public String toString() {
         return host + ':' + port;
     }
+
+    // Written out: the methods that a record inherits are linked when they are first called, which
+    // takes milliseconds of a node's start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Address that && port == that.port && host.equals(that.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
 }
--- a/src/main/java/org/apricotgauge/model/Route.java
+++ b/src/main/java/org/apricotgauge/model/Route.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 
 /**
  * Which requests go to which service, and how they are treated.
@@ -131,4 +132,27 @@
                 targetLatencyMillis,
                 openAccess);
     }
+
+    // Written out: the methods that a record inherits are linked when they are first called, which
+    // takes milliseconds of a node's start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Route that
+                && deadlineMillis == that.deadlineMillis
+                && priority == that.priority
+                && repeatability == that.repeatability
+                && id.equals(that.id)
+                && host.equals(that.host)
+                && pathPrefix.equals(that.pathPrefix)
+                && service.equals(that.service)
+                && Objects.equals(split, that.split)
+                && Objects.equals(maxRuns, that.maxRuns)
+                && Objects.equals(targetLatencyMillis, that.targetLatencyMillis)
+                && Objects.equals(openAccess, that.openAccess);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * id.hashCode() + host.hashCode()) + pathPrefix.hashCode();
+    }
 }
--- a/src/main/java/org/apricotgauge/model/Target.java
+++ b/src/main/java/org/apricotgauge/model/Target.java
@@ -36,4 +36,23 @@
     public Target withSlots(int number) {
         return new Target(id, service, vm, failureDomain, host, port, number);
     }
+
+    // Written out: the methods that a record inherits are linked when they are first called, which
+    // takes milliseconds of a node's start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Target that
+                && port == that.port
+                && slots == that.slots
+                && id.equals(that.id)
+                && service.equals(that.service)
+                && vm.equals(that.vm)
+                && failureDomain.equals(that.failureDomain)
+                && host.equals(that.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * id.hashCode() + host.hashCode()) + port;
+    }
 }
--- a/src/main/java/org/apricotgauge/node/CrashMessageTransport.java
+++ b/src/main/java/org/apricotgauge/node/CrashMessageTransport.java
@@ -17,10 +17,6 @@
  * org.apricotgauge.decision.quarantine.CrashGossip} compensates for lost ones.
  */
 final class CrashMessageTransport implements AutoCloseable {
-    private static final ObjectMapper MAPPER = mapper();
-    private static final ObjectWriter WRITER = MAPPER.writerFor(CrashMessage.class);
-    private static final ObjectReader READER = MAPPER.readerFor(CrashMessage.class);
-
     private final DatagramPort mPort;
 
     /** Creates a transport on a port that others may share. */
@@ -28,28 +24,16 @@
         mPort = port;
     }
 
-    // Written as arrays, since field names would be half of a message.
-    private static ObjectMapper mapper() {
-        ObjectMapper mapper =
-                new ObjectMapper(new MessagePackFactory())
-                        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
-        for (Class<?> type : new Class<?>[] {CrashMessage.class, CrashMessage.Line.class}) {
-            mapper.configOverride(type)
-                    .setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
-        }
-        return mapper;
-    }
-
     static byte[] encode(CrashMessage message) {
         try {
-            return WRITER.writeValueAsBytes(message);
+            return Codec.WRITER.writeValueAsBytes(message);
         } catch (IOException e) {
             throw new IllegalStateException("failed to encode a crash message", e);
         }
     }
 
     static CrashMessage decode(byte[] bytes, int length) throws IOException {
-        return READER.readValue(bytes, 0, length);
+        return Codec.READER.readValue(bytes, 0, length);
     }
 
     /**
@@ -76,4 +60,23 @@
     public void close() {
         mPort.close();
     }
+
+    /** Set up with the first message: few nodes ever send or receive one. */
+    private static final class Codec {
+        private static final ObjectMapper MAPPER = mapper();
+        private static final ObjectWriter WRITER = MAPPER.writerFor(CrashMessage.class);
+        private static final ObjectReader READER = MAPPER.readerFor(CrashMessage.class);
+
+        // Written as arrays, since field names would be half of a message.
+        private static ObjectMapper mapper() {
+            ObjectMapper mapper =
+                    new ObjectMapper(new MessagePackFactory())
+                            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+            for (Class<?> type : new Class<?>[] {CrashMessage.class, CrashMessage.Line.class}) {
+                mapper.configOverride(type)
+                        .setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
+            }
+            return mapper;
+        }
+    }
 }
--- a/src/main/java/org/apricotgauge/node/SiteMembers.java
+++ b/src/main/java/org/apricotgauge/node/SiteMembers.java
@@ -27,7 +27,23 @@
      * @param address address at which it receives datagrams
      * @param failureDomain failure domain of its VM
      */
-    record Peer(Address address, String failureDomain) {}
+    record Peer(Address address, String failureDomain) {
+
+        // Written out: the methods that a record inherits are linked when they are first called,
+        // which
+        // takes milliseconds of a node's start.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Peer that
+                    && address.equals(that.address)
+                    && failureDomain.equals(that.failureDomain);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * address.hashCode() + failureDomain.hashCode();
+        }
+    }
 
     /** Returns the members as of the platform's list of VMs and the nodes' gossip. */
     static SiteMembers of(VmView view, String ownVm) {
