Hand a connection to waiting requests in a loop, and never miss a free one

Found by reading the pool again, before it landed: a released connection was offered to the waiting exchanges by recursion, so that some thousands that are cancelled at once, as when their target begins to leave, overflow the stack; an exchange could begin to wait just after the last connection had become free, and wait for the next one; a connection that could not be opened was retried by recursion.

Change: a loop; the look for a free connection and the start of the wait are one step under the lock; a failed connect fails one waiting exchange, or all if no connection is left that could serve them.

Test: manyWaitingRequestsMayBeCancelledAtOnce failed before with a stack overflow, passes with it. The two others rest on the code.

--- a/src/main/java/org/apricotgauge/http/client/ConnectionPool.java
+++ b/src/main/java/org/apricotgauge/http/client/ConnectionPool.java
@@ -48,34 +48,47 @@
 
     /** Sends the exchange over an idle connection or a new one, or lets it wait for one. */
     void send(UpstreamExchange exchange) {
-        UpstreamConnection idle = pollIdle();
+        UpstreamConnection idle = pollIdleOrWait(exchange);
         while (idle != null) {
-            if (!idle.hasEnded() && idle.send(exchange)) {
-                return;
+            if (!idle.hasEnded()) {
+                switch (idle.send(exchange)) {
+                    case SENT -> {
+                        return;
+                    }
+                    case CANCELLED -> {
+                        release(idle);
+                        return;
+                    }
+                    case CLOSED -> {
+                        // The next one is tried.
+                    }
+                }
             }
-            idle = pollIdle();
+            idle = pollIdleOrWait(exchange);
         }
-        boolean connect;
+    }
+
+    /** Returns an idle connection; if there is none, lets the exchange wait and returns null. */
+    private UpstreamConnection pollIdleOrWait(UpstreamExchange exchange) {
+        boolean rejected;
+        boolean connect = false;
         synchronized (this) {
-            if (mClosed || mWaiting.size() >= mLimits.queuedPerAddress()) {
-                connect = false;
-            } else {
+            UpstreamConnection idle = mIdle.pollFirst();
+            if (idle != null) {
+                return idle;
+            }
+            rejected = mClosed || mWaiting.size() >= mLimits.queuedPerAddress();
+            if (!rejected) {
                 mWaiting.add(exchange);
                 connect = reserveConnect();
             }
-            if (!connect && mWaiting.contains(exchange)) {
-                return;
-            }
         }
-        if (connect) {
-            connect();
-        } else {
+        if (rejected) {
             exchange.fail(new RejectedExecutionException("too many requests wait"));
+        } else if (connect) {
+            connect();
         }
-    }
-
-    private synchronized UpstreamConnection pollIdle() {
-        return mIdle.pollFirst();
+        return null;
     }
 
     // Each waiting exchange has a connection on its way, unless all that are allowed are open.
@@ -124,17 +137,18 @@
     }
 
     private void onConnectFailed(Throwable cause) {
-        UpstreamExchange waiting;
+        List<UpstreamExchange> failed = new ArrayList<>();
         synchronized (this) {
             mConnecting--;
-            waiting = pollWaiting();
-        }
-        if (waiting != null) {
-            waiting.fail(cause);
-        }
-        if (reserveConnect()) {
-            connect();
+            boolean othersServe = mConnecting + mOpen.size() > 0;
+            do {
+                UpstreamExchange waiting = pollWaiting();
+                if (waiting != null) {
+                    failed.add(waiting);
+                }
+            } while (!othersServe && !mWaiting.isEmpty());
         }
+        failed.forEach(exchange -> exchange.fail(cause));
     }
 
     private synchronized UpstreamExchange pollWaiting() {
@@ -149,19 +163,26 @@
 
     /** Takes back a connection whose exchange has ended, and gives it to the next one. */
     void release(UpstreamConnection connection) {
-        UpstreamExchange next;
-        synchronized (this) {
-            next = pollWaiting();
-            if (next == null) {
-                if (mOpen.contains(connection)) {
-                    mIdle.addFirst(connection);
+        // A loop: each of thousands of waiting exchanges may turn out to be cancelled.
+        while (true) {
+            UpstreamExchange next;
+            synchronized (this) {
+                next = pollWaiting();
+                if (next == null) {
+                    if (mOpen.contains(connection)) {
+                        mIdle.addFirst(connection);
+                    }
+                    return;
                 }
+            }
+            UpstreamConnection.SendResult result = connection.send(next);
+            if (result == UpstreamConnection.SendResult.CLOSED) {
+                send(next);
+            }
+            if (result != UpstreamConnection.SendResult.CANCELLED) {
                 return;
             }
         }
-        if (!connection.send(next)) {
-            send(next);
-        }
     }
 
     /** Forgets a connection that was closed. */
--- a/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
@@ -39,15 +39,21 @@
         awaitReadable();
     }
 
-    /**
-     * Sends the request of an exchange.
-     *
-     * @return false if the connection is closed already, so that another one is needed
-     */
-    boolean send(UpstreamExchange exchange) {
+    /** What became of a request that was to be sent. */
+    enum SendResult {
+        /** The connection carries the exchange. */
+        SENT,
+        /** The exchange ended before its first byte; the connection is unused. */
+        CANCELLED,
+        /** The connection is closed; the exchange needs another one. */
+        CLOSED
+    }
+
+    /** Sends the request of an exchange. */
+    SendResult send(UpstreamExchange exchange) {
         synchronized (this) {
             if (mCloseCause != null) {
-                return false;
+                return SendResult.CLOSED;
             }
             mExchange = exchange;
             mLastPartSent = false;
@@ -56,22 +62,17 @@
             mReader.start(exchange);
         }
         if (!exchange.tryBegin(this)) {
-            endUnused();
-            return true;
+            synchronized (this) {
+                mExchange = null;
+            }
+            return SendResult.CANCELLED;
         }
         RequestWriter writer = new RequestWriter(this, exchange.request());
         synchronized (this) {
             mWriter = writer;
         }
         writer.iterate();
-        return true;
-    }
-
-    private void endUnused() {
-        synchronized (this) {
-            mExchange = null;
-        }
-        mPool.release(this);
+        return SendResult.SENT;
     }
 
     /** Calls {@link #onFillable} once there is something to read. */
--- a/src/test/java/org/apricotgauge/http/client/UpstreamClientTest.java
+++ b/src/test/java/org/apricotgauge/http/client/UpstreamClientTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.bench.LocalFleet;
+import org.apricotgauge.http.Bodies;
 import org.apricotgauge.model.Address;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
@@ -25,6 +26,7 @@
 /** Tests the client against a server whose every byte the test writes. */
 class UpstreamClientTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    private static final int WAITING_REQUESTS = 20_000;
     private static final int MAX_BYTES = 1_000;
     private static final long TIMEOUT_MILLIS = 10_000;
 
@@ -258,6 +260,31 @@
         }
     }
 
+    // Guards against a stack that overflows when all requests that wait for a connection to a
+    // target
+    // are cancelled at once, as when the target begins to leave.
+    @Test
+    void manyWaitingRequestsMayBeCancelledAtOnce() throws Exception {
+        UpstreamClient client =
+                mClients.create(new UpstreamClientFactory.Limits(60_000, 1, WAITING_REQUESTS));
+        Recorder first = new Recorder();
+        client.send(UpstreamRequest.get(mAddress, "/", HttpFields.EMPTY), first);
+        try (Socket connection = mServer.accept()) {
+            readTo(connection, "\r\n\r\n");
+            CountDownLatch cancelled = new CountDownLatch(WAITING_REQUESTS);
+            for (int i = 0; i < WAITING_REQUESTS; i++) {
+                client.send(
+                        UpstreamRequest.get(mAddress, "/", HttpFields.EMPTY),
+                        new CancellingListener(cancelled));
+            }
+            write(connection, OK);
+            Bodies.readAll(get(first.mAnswer), MAX_BYTES).get();
+
+            assertThat(cancelled.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+            LocalFleet.await(() -> client.idleConnections() == 1);
+        }
+    }
+
     // Guards against a stop that fails because a connection is still being opened.
     @Test
     void stopsWhileConnectionIsBeingOpened() {
@@ -270,6 +297,25 @@
         assertThat(mClient.idleConnections()).isZero();
     }
 
+    /** Begins no request. */
+    private record CancellingListener(CountDownLatch cancelled)
+            implements UpstreamExchange.Listener {
+        @Override
+        public boolean onBegin() {
+            return false;
+        }
+
+        @Override
+        public void onAnswer(UpstreamResponse response, Content.Source body) {
+            throw new IllegalStateException("answer to a request that was not sent");
+        }
+
+        @Override
+        public void onFailure(UpstreamExchange.Failure failure) {
+            cancelled.countDown();
+        }
+    }
+
     /** Keeps the selector's thread until the test lets it go on. */
     private record BlockingListener(CountDownLatch blocked, CountDownLatch resume)
             implements UpstreamExchange.Listener {
