Fail a connection that speaks before its request was written

Cause, by reading: between the moment at which a connection is given to an exchange and the first byte of its request, late bytes of the upstream were parsed as the response to that exchange, though nothing was sent; only the check of the attempt's id behind it caught them.

Change: such bytes, or an end, close the connection, and the exchange ends as not sent.

No test provokes this moment; UpstreamClientTest, HungTargetTest and WholeAnswerTest pass (23 tests).

--- a/src/main/java/org/apricotgauge/http/client/ConnectionPool.java
+++ b/src/main/java/org/apricotgauge/http/client/ConnectionPool.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
+import org.apricotgauge.http.client.UpstreamConnection.SendResult;
 import org.apricotgauge.model.Address;
 import org.eclipse.jetty.io.ClientConnectionFactory;
 import org.eclipse.jetty.io.ClientConnector;
@@ -50,19 +51,12 @@
     void send(UpstreamExchange exchange) {
         UpstreamConnection idle = pollIdleOrWait(exchange);
         while (idle != null) {
-            if (!idle.hasEnded()) {
-                switch (idle.send(exchange)) {
-                    case SENT -> {
-                        return;
-                    }
-                    case CANCELLED -> {
-                        release(idle);
-                        return;
-                    }
-                    case CLOSED -> {
-                        // The next one is tried.
-                    }
-                }
+            SendResult result = idle.hasEnded() ? SendResult.CLOSED : idle.send(exchange);
+            if (result == SendResult.CANCELLED) {
+                release(idle);
+            }
+            if (result != SendResult.CLOSED) {
+                return;
             }
             idle = pollIdleOrWait(exchange);
         }
@@ -175,11 +169,11 @@
                     return;
                 }
             }
-            UpstreamConnection.SendResult result = connection.send(next);
-            if (result == UpstreamConnection.SendResult.CLOSED) {
+            SendResult result = connection.send(next);
+            if (result == SendResult.CLOSED) {
                 send(next);
             }
-            if (result != UpstreamConnection.SendResult.CANCELLED) {
+            if (result != SendResult.CANCELLED) {
                 return;
             }
         }
--- a/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
@@ -88,8 +88,10 @@
         }
         if (exchange == null) {
             closeUnlessSpurious();
-        } else {
+        } else if (exchange.hasBegun()) {
             mReader.onReadable();
+        } else {
+            fail(exchange, new EOFException("bytes or an end before the request was written"));
         }
     }
 
--- a/src/main/java/org/apricotgauge/http/client/UpstreamExchange.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamExchange.java
@@ -88,6 +88,10 @@
         return mPhase == Phase.WAITING;
     }
 
+    synchronized boolean hasBegun() {
+        return mBegun;
+    }
+
     /**
      * Asks the listener whether to begin, just before the first byte is written.
      *
