Try a request again after a pause when its run was lost and all refuse it

A guard hears the load of its service's other targets only where it uses them itself; of the others it knows nothing, and takes them for free. The entry that then meets refusals alone spent its ten attempts within 5 ms and gave the request up. So neither end alone can know; the one with the time is the entry.

Change: RetryPausePolicy. A request that has not run is refused at once as before: it is proven, and its caller is told when to come back. Attempts after a pause may wait for a slot.

No process test provokes it: the real nodes of the tests queue where the users' platform refuses.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.caller;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apricotgauge.decision.admission.QueueingPolicy;
@@ -10,6 +11,7 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.decision.attempt.RetryDecision;
+import org.apricotgauge.decision.attempt.RetryPausePolicy;
 import org.apricotgauge.decision.attempt.SubmissionProgress;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.health.HealthGate;
@@ -35,8 +37,6 @@
     /** Bodies up to this size can be resent; larger ones are streamed and sent once. */
     static final int MAX_REPLAYABLE_BYTES = 65_536;
 
-    private static final long NO_TARGET_RETRY_AFTER_MILLIS = 1_000;
-
     private final EntryContext mContext;
     private final ServiceTable mTable;
     private final RetryBudget mBudget;
@@ -56,8 +56,8 @@
     private TargetAttempt mCurrentAttempt;
     private boolean mCurrentAttemptBegun;
     private boolean mReachedTarget;
-    private boolean mRetryPrepaid;
-    private boolean mNextRetryPrepaid;
+    private final RetryPrepayment mPrepayment = new RetryPrepayment();
+    private int mPauses;
     private BufferedAnswer mBufferedAnswer;
     private Attempt mOwnerAttempt;
     private boolean mEnded;
@@ -174,22 +174,16 @@
     /** Records that the guard of the current attempt has prepaid a retry from its budget. */
     void onRetryPrepaid(TargetAttempt attempt) {
         synchronized (this) {
-            mNextRetryPrepaid |= attempt == mCurrentAttempt;
+            if (attempt == mCurrentAttempt) {
+                mPrepayment.onNextPrepaid();
+            }
         }
     }
 
     /** Returns whether the guard of the previous run has prepaid this retry. */
     boolean isRetryPrepaid() {
         synchronized (this) {
-            return mRetryPrepaid;
-        }
-    }
-
-    // A prepayment covers all attempts up to the first that reaches a target.
-    private void updateRetryPrepaid(boolean reached) {
-        if (reached) {
-            mRetryPrepaid = mNextRetryPrepaid;
-            mNextRetryPrepaid = false;
+            return mPrepayment.isPrepaid();
         }
     }
 
@@ -247,7 +241,7 @@
         }
         Optional<Candidate> choice = mSelector.next(mProgress.lastOutcome());
         if (choice.isEmpty()) {
-            finishWithoutTarget();
+            pauseOrFinish(FinalOutcomes.withoutTarget(progress()));
             return;
         }
         Candidate candidate = choice.get();
@@ -284,31 +278,13 @@
     }
 
     private void finishQuarantined() {
-        SubmissionProgress progress;
-        synchronized (this) {
-            progress = mProgress;
-        }
         mContext.metrics().quarantined().inc();
-        finish(
-                progress.mayHaveRun()
-                        ? new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT)
-                        : new Outcome.NotRun(
-                                NotRunReason.QUARANTINED, mQuarantine.remainingQuarantineMillis()));
+        finish(FinalOutcomes.quarantined(progress(), mQuarantine.remainingQuarantineMillis()));
     }
 
-    private void finishWithoutTarget() {
-        SubmissionProgress progress;
+    private SubmissionProgress progress() {
         synchronized (this) {
-            progress = mProgress;
-        }
-        if (progress.mayHaveRun()) {
-            finish(new Outcome.Unknown(UnknownReason.FORGOTTEN));
-        } else if (progress.lastOutcome() instanceof Outcome.NotRun notRun) {
-            finish(notRun);
-        } else {
-            finish(
-                    new Outcome.NotRun(
-                            NotRunReason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_MILLIS));
+            return mProgress;
         }
     }
 
@@ -334,11 +310,7 @@
         }
         // The predecessor may have run a booking for an earlier submission; run by the fleet, it
         // would be booked twice. "Not run" is proven for this submission only.
-        finish(
-                notSent
-                        ? new Outcome.NotRun(
-                                NotRunReason.PREDECESSOR_UNREACHABLE, NO_TARGET_RETRY_AFTER_MILLIS)
-                        : new Outcome.Unknown(UnknownReason.NO_GUARD));
+        finish(FinalOutcomes.withoutPredecessor(notSent));
     }
 
     /** Handles an attempt that ended without an answer of the target. */
@@ -351,18 +323,42 @@
             mCurrentAttempt = null;
             mProgress = mProgress.after(outcome);
             mReachedTarget |= reachedTarget(outcome);
-            updateRetryPrepaid(reachedTarget(outcome));
+            mPrepayment.onAttemptEnded(reachedTarget(outcome));
             mReporter.recordStep(outcome.toString());
             decision = decide();
         }
         if (decision instanceof RetryDecision.Finish finish) {
-            finish(finish.outcome());
+            pauseOrFinish(finish.outcome());
             return;
         }
         mContext.metrics().retries().inc();
         startNextAttempt();
     }
 
+    private void pauseOrFinish(Outcome outcome) {
+        OptionalLong pauseMillis = OptionalLong.empty();
+        synchronized (this) {
+            if (mOwner == null && mBufferedAnswer == null && mBody.canReplay()) {
+                pauseMillis =
+                        RetryPausePolicy.DEFAULT.pauseMillis(
+                                mProgress, mPauses, remainingMillis(), maxRuns());
+            }
+            if (pauseMillis.isPresent()) {
+                mPauses++;
+                mProgress = mProgress.afterPause();
+                mSelector.startOver();
+            }
+        }
+        if (pauseMillis.isEmpty()) {
+            finish(outcome);
+            return;
+        }
+        mReporter.recordStep("pause of " + pauseMillis.getAsLong() + " ms");
+        // If the exchange ends in the meantime, the attempt sends nothing.
+        mContext.scheduler()
+                .schedule(this::startNextAttempt, pauseMillis.getAsLong(), TimeUnit.MILLISECONDS);
+    }
+
     private static boolean reachedTarget(Outcome outcome) {
         return !(outcome instanceof Outcome.NotRun notRun)
                 || notRun.reason() == NotRunReason.TARGET_SHED
@@ -396,7 +392,7 @@
             // Only the predecessor retries what it serves; with both, retries would multiply.
             retry = !mUsesPredecessor && !(decide() instanceof RetryDecision.Finish);
             mReachedTarget = true;
-            updateRetryPrepaid(true);
+            mPrepayment.onAttemptEnded(true);
             if (retry) {
                 mCurrentAttempt = null;
             } else {
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/FinalOutcomes.java
@@ -0,0 +1,38 @@
+package org.apricotgauge.caller;
+
+import org.apricotgauge.decision.attempt.NotRunReason;
+import org.apricotgauge.decision.attempt.Outcome;
+import org.apricotgauge.decision.attempt.SubmissionProgress;
+import org.apricotgauge.decision.attempt.UnknownReason;
+
+/** Outcomes of requests that the entry itself ends. */
+final class FinalOutcomes {
+    private static final long NO_TARGET_RETRY_AFTER_MILLIS = 1_000;
+
+    private FinalOutcomes() {}
+
+    /** Returns the outcome of a request that is quarantined for so many milliseconds more. */
+    static Outcome quarantined(SubmissionProgress progress, long quarantineMillis) {
+        return progress.mayHaveRun()
+                ? new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT)
+                : new Outcome.NotRun(NotRunReason.QUARANTINED, quarantineMillis);
+    }
+
+    /** Returns the outcome of a request for which no target is left. */
+    static Outcome withoutTarget(SubmissionProgress progress) {
+        if (progress.mayHaveRun()) {
+            return new Outcome.Unknown(UnknownReason.FORGOTTEN);
+        }
+        return progress.lastOutcome() instanceof Outcome.NotRun notRun
+                ? notRun
+                : new Outcome.NotRun(NotRunReason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_MILLIS);
+    }
+
+    /** Returns the outcome of a request that the predecessor did not answer. */
+    static Outcome withoutPredecessor(boolean notSent) {
+        return notSent
+                ? new Outcome.NotRun(
+                        NotRunReason.PREDECESSOR_UNREACHABLE, NO_TARGET_RETRY_AFTER_MILLIS)
+                : new Outcome.Unknown(UnknownReason.NO_GUARD);
+    }
+}
--- a/src/main/java/org/apricotgauge/caller/TargetSelector.java
+++ b/src/main/java/org/apricotgauge/caller/TargetSelector.java
@@ -92,6 +92,16 @@
         return candidate;
     }
 
+    /** Makes all targets candidates again, after a pause; attempts may wait for a slot then. */
+    void startOver() {
+        mTried.clear();
+        mBusy.clear();
+        mSuspects.clear();
+        mLastCandidate = null;
+        mLastResort = false;
+        mBusyRefusals = NO_WAIT_ATTEMPTS;
+    }
+
     private void recordOutcome(Outcome lastOutcome) {
         if (mLastCandidate == null) {
             return;
--- a/src/main/java/org/apricotgauge/decision/attempt/SubmissionProgress.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/SubmissionProgress.java
@@ -33,6 +33,11 @@
         return new SubmissionProgress(idempotent, hasKey, 0, 0, null);
     }
 
+    /** Returns the progress after a pause: attempts that reached no target are not counted on. */
+    public SubmissionProgress afterPause() {
+        return new SubmissionProgress(idempotent, hasKey, possibleRuns, possibleRuns, lastOutcome);
+    }
+
     /** Returns the progress after one more attempt has ended. */
     public SubmissionProgress after(Outcome outcome) {
         int possibleRun = outcome instanceof Outcome.NotRun ? 0 : 1;
