Pause after every refusal that passes, a queue that is too long among them

Change: the reasons that end a request at once are listed (quarantine, limits of a member, keys, predecessor, cancelled); all others pass.

--- a/src/main/java/org/apricotgauge/decision/attempt/RetryPausePolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryPausePolicy.java
@@ -55,15 +55,16 @@
 
     private static boolean isTemporary(NotRunReason reason) {
         return switch (reason) {
-            case BUSY,
-                    QUEUE_FULL,
-                    TARGET_SUSPECT,
-                    TARGET_SHED,
-                    RETRIES_SPENT,
-                    LEAVING,
-                    NEVER_SENT ->
-                    true;
-            default -> false;
+            case QUARANTINED,
+                    OVER_LIMIT,
+                    LIMIT_UNKNOWN,
+                    KEY_HISTORY_UNKNOWN,
+                    KEY_HOME_UNREACHABLE,
+                    PREDECESSOR_UNREACHABLE,
+                    CANCELLED ->
+                    false;
+            // Also a deadline: the time that a target's queue allows is less than the caller's.
+            default -> true;
         };
     }
 }
--- a/src/test/java/org/apricotgauge/decision/attempt/RetryPausePolicyTest.java
+++ b/src/test/java/org/apricotgauge/decision/attempt/RetryPausePolicyTest.java
@@ -33,6 +33,21 @@
         assertThat(pause(refused, 6)).isEmpty();
     }
 
+    // Guards against an error in the caller's time because a target's queue was too long.
+    @Test
+    void pausesAfterQueueThatWasTooLong() {
+        Outcome queueTooLong = new Outcome.NotRun(NotRunReason.DEADLINE_TOO_SHORT, 300);
+
+        assertThat(pause(progress(true, CANCELLED_RUN, queueTooLong), 0)).hasValue(100);
+    }
+
+    @Test
+    void endsAtOnceWhatNoTargetMayRun() {
+        Outcome quarantined = new Outcome.NotRun(NotRunReason.QUARANTINED, 300);
+
+        assertThat(pause(progress(true, CANCELLED_RUN, quarantined), 0)).isEmpty();
+    }
+
     // Guards against a request that is known not to have run and is held back all the same.
     @Test
     void refusesAtOnceWhatHasNotRun() {
