--- a/src/main/java/org/apricotgauge/node/SidecarMain.java
+++ b/src/main/java/org/apricotgauge/node/SidecarMain.java
@@ -19,6 +19,11 @@
 
     private static ExitCode run(SidecarSettings settings) throws IOException, InterruptedException {
         Logs.configureWithoutBlocking(settings.log(), System.out);
+        return NodeMain.serve(start(settings));
+    }
+
+    /** Starts a node on the users' platform. */
+    static Node start(SidecarSettings settings) throws IOException {
         NodeProfile profile =
                 settings.profile(new KvDialect(settings.service()), KvDialect.READY_PATH);
         NodeControl.Factory control =
@@ -27,6 +32,6 @@
                         new KvDecoder(),
                         settings.defaults(),
                         settings.times());
-        return NodeMain.serve(Node.start(profile, control));
+        return Node.start(profile, control);
     }
 }
--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -13,6 +13,7 @@
 import org.apricotgauge.model.Checks;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -41,6 +42,12 @@
     /** Path prefix of the one route. */
     public static final String PATH = "/work/";
 
+    /** Requests below this prefix are answered with 500. */
+    public static final String FAILING_PATH = PATH + "failing/";
+
+    /** The connection of a request below this prefix is closed without an answer. */
+    public static final String BROKEN_PATH = PATH + "broken/";
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_THREADS = 8;
     private static final long LOOK_EVERY_MILLIS = 20;
@@ -201,6 +208,14 @@
 
         private void work(Request request, Response response, Callback callback) {
             long run = mRuns.incrementAndGet();
+            String path = Request.getPathInContext(request);
+            if (path.startsWith(BROKEN_PATH)) {
+                callback.failed(new IOException("broken as requested"));
+                return;
+            }
+            if (path.startsWith(FAILING_PATH)) {
+                response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
+            }
             String id = request.getHeaders().get(KvDialect.REQUEST_ID);
             if (id != null) {
                 response.getHeaders().put(KvDialect.REQUEST_ID, id);
