Add the setting and the interfaces that load sharing is built on

Cause: the parts for customers with hard load are built side by side, and need one switch and one view of the slots beside an entry.

--- a/src/main/java/org/apricotgauge/caller/EntryOptions.java
+++ b/src/main/java/org/apricotgauge/caller/EntryOptions.java
@@ -4,6 +4,7 @@
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
 import org.apricotgauge.decision.attempt.RetryPolicy;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.model.Checks;
@@ -21,6 +22,7 @@
  * @param keyLimits bounds of the ledger of Idempotency-Keys
  * @param entryRetryAllowance retries that the entry may send
  * @param guardRetryAllowance retries that the guard forwards to a target
+ * @param loadSharing decisions by the load of a whole service that the node takes part in
  */
 public record EntryOptions(
         SiteDialect dialect,
@@ -28,7 +30,8 @@
         RetryPolicy retryPolicy,
         KeyLimits keyLimits,
         RetryAllowancePolicy entryRetryAllowance,
-        RetryAllowancePolicy guardRetryAllowance) {
+        RetryAllowancePolicy guardRetryAllowance,
+        LoadSharing loadSharing) {
 
     /** How an entry can reach a target. */
     public enum TargetAccess {
@@ -53,6 +56,7 @@
         Checks.notNull("keyLimits", keyLimits);
         Checks.notNull("entryRetryAllowance", entryRetryAllowance);
         Checks.notNull("guardRetryAllowance", guardRetryAllowance);
+        Checks.notNull("loadSharing", loadSharing);
     }
 
     /** Returns the options of a site with the fleet's own header conventions. */
@@ -63,6 +67,7 @@
                 RetryPolicy.DEFAULT,
                 keyLimits,
                 RetryAllowancePolicy.PER_NODE,
-                RetryAllowancePolicy.UNBOUNDED);
+                RetryAllowancePolicy.UNBOUNDED,
+                LoadSharing.NONE);
     }
 }
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -13,6 +13,7 @@
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
 import org.apricotgauge.decision.attempt.RetryPolicy;
 import org.apricotgauge.decision.ratelimit.FallbackQuota;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.directory.PlatformTimes;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.log.LogSettings;
@@ -44,6 +45,7 @@
  * @param heartbeatMillis how often a target writes its registration
  * @param stopSeconds maximum time that a stop takes
  * @param limitTolerance tolerance beyond members' limits
+ * @param cpuShare processor time that the VM grants to the node, in cores
  * @param log log settings
  */
 public record SidecarSettings(
@@ -63,6 +65,7 @@
         double heartbeatMillis,
         double stopSeconds,
         FallbackQuota.Tolerance limitTolerance,
+        double cpuShare,
         LogSettings log) {
     private static final double ALL_PERCENT = 100.0;
     private static final double MILLIS_PER_SECOND = 1_000.0;
@@ -202,6 +205,13 @@
                     0.0,
                     "Requests in a window that are tolerated beyond a member's limit.");
 
+    private static final Setting<Double> CPU_SHARE =
+            Setting.withDefault(
+                    "cpu-share",
+                    orDefault(SettingKinds.decimal("cores", 0.01, 1_024), 1.0),
+                    1.0,
+                    "Processor time that the VM grants to the node, in cores.");
+
     /** Checks the parts. */
     public SidecarSettings {
         Checks.id("failureDomain", failureDomain);
@@ -240,6 +250,7 @@
         settings.addAll(List.of(FLOOR, RETRY_RATIO, RETRY_BURST, RETRY_WINDOW));
         settings.addAll(List.of(SERVES_ON, HEARTBEAT, STOP));
         settings.addAll(List.of(LIMIT_WINDOW, LIMIT_OVER_SHARE, LIMIT_SLACK));
+        settings.add(CPU_SHARE);
         settings.addAll(LogSettings.declared());
         return List.copyOf(settings);
     }
@@ -265,6 +276,7 @@
                         values.get(LIMIT_WINDOW),
                         values.get(LIMIT_OVER_SHARE),
                         values.get(LIMIT_SLACK)),
+                values.get(CPU_SHARE),
                 LogSettings.of(values));
     }
 
@@ -297,7 +309,8 @@
                         RETRY_POLICY,
                         KeyLimits.DEFAULT,
                         RetryAllowancePolicy.UNBOUNDED,
-                        guardRetryAllowance()));
+                        guardRetryAllowance(),
+                        LoadSharing.ofCpuShare(cpuShare)));
     }
 
     /** Returns the node's share of the retries that the whole fleet may make. */
--- a/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
+++ b/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
@@ -24,7 +24,8 @@
                 options.retryPolicy(),
                 options.keyLimits(),
                 options.entryRetryAllowance(),
-                options.guardRetryAllowance());
+                options.guardRetryAllowance(),
+                options.loadSharing());
     }
 
     @Override
--- a/src/test/java/org/apricotgauge/node/SidecarSettingsTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarSettingsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.apricotgauge.cli.CommandOutcome;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.platform.kv.KvDialect;
 import org.junit.jupiter.api.Test;
 
@@ -64,6 +65,22 @@
         assertThat(profile.announceMillis()).isEqualTo(2_700);
     }
 
+    @Test
+    void nodeWithLessThanHalfACoreSharesLoad() {
+        assertThat(loadSharingOf("--cpu-share=0.2")).isEqualTo(new LoadSharing(true, true, true));
+        assertThat(loadSharingOf("--cpu-share=0.5")).isEqualTo(LoadSharing.NONE);
+        assertThat(loadSharingOf("--cpu-share=")).isEqualTo(LoadSharing.NONE);
+    }
+
+    private static LoadSharing loadSharingOf(String flag) {
+        List<String> flags = new ArrayList<>(FLAGS);
+        flags.add(flag);
+        return ready(flags)
+                .profile(new KvDialect("booking"), KvDialect.READY_PATH)
+                .entry()
+                .loadSharing();
+    }
+
     private static SidecarSettings ready(List<String> flags) {
         return ((CommandOutcome.Ready<SidecarSettings>)
                         SidecarSettings.command().parse(flags, Map.of()))
