Check again that processes of the soak end in time, at any load of the machine

Conclusion: waits of several threads add up, so the check never blames load; on a machine with free processors it binds to some milliseconds.

--- a/src/main/java/org/apricotgauge/bench/soak/NodeProcess.java
+++ b/src/main/java/org/apricotgauge/bench/soak/NodeProcess.java
@@ -54,6 +54,11 @@
         return mProcess.isAlive();
     }
 
+    /** Returns where the kernel tells of the process. */
+    Path kernelDirectory() {
+        return Path.of("/proc", Long.toString(mProcess.pid()));
+    }
+
     CompletableFuture<Process> onExit() {
         return mProcess.onExit();
     }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/bench/soak/ProcessorWait.java
@@ -0,0 +1,79 @@
+package org.apricotgauge.bench.soak;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.model.Checks;
+import org.jboss.logging.Logger;
+
+/**
+ * Time that the threads of a process were ready to run and got no processor.
+ *
+ * <pre>{@code
+ * ProcessorWait wait = ProcessorWait.startAt(Path.of("/proc/4711"));
+ * wait.sample();   // every 100 ms, since a thread that ends takes its figures along
+ * long millis = wait.millis();
+ * }</pre>
+ *
+ * <p>The kernel counts it for each thread, in nanoseconds: the second figure of {@code schedstat}
+ * (Linux, Documentation/scheduler/sched-stats). Waits of several threads at a time add up, so that
+ * this is an upper bound of the time by which the process was late. Thread-safe.
+ */
+final class ProcessorWait {
+    private static final Logger LOGGER = Logger.getLogger(ProcessorWait.class);
+
+    private final Path mProcess;
+    private final Map<String, Long> mFirstNanos = new HashMap<>();
+    private final Map<String, Long> mLastNanos = new HashMap<>();
+
+    private ProcessorWait(Path process) {
+        mProcess = Checks.notNull("process", process);
+    }
+
+    /**
+     * Begins to count, with what the threads have waited so far left out.
+     *
+     * @param process directory of the process in the kernel's file system
+     */
+    static ProcessorWait startAt(Path process) {
+        ProcessorWait wait = new ProcessorWait(process);
+        wait.sample();
+        synchronized (wait) {
+            wait.mFirstNanos.putAll(wait.mLastNanos);
+        }
+        return wait;
+    }
+
+    /** Reads the figures of all threads; nothing once the process has ended. */
+    synchronized void sample() {
+        try (DirectoryStream<Path> threads = Files.newDirectoryStream(mProcess.resolve("task"))) {
+            for (Path thread : threads) {
+                sampleThread(thread);
+            }
+        } catch (IOException e) {
+            LOGGER.debugf("no threads of %s: %s", mProcess, e);
+        }
+    }
+
+    private void sampleThread(Path thread) {
+        try {
+            String[] figures = Files.readString(thread.resolve("schedstat")).strip().split(" ");
+            mLastNanos.put(thread.getFileName().toString(), Long.parseLong(figures[1]));
+        } catch (IOException e) {
+            LOGGER.debugf("thread %s has ended: %s", thread, e);
+        }
+    }
+
+    /** Returns the time waited since the start, in milliseconds. */
+    synchronized long millis() {
+        long nanos = 0;
+        for (Map.Entry<String, Long> last : mLastNanos.entrySet()) {
+            nanos += last.getValue() - mFirstNanos.getOrDefault(last.getKey(), 0L);
+        }
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
+    }
+}
--- a/src/main/java/org/apricotgauge/bench/soak/Signal.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Signal.java
@@ -23,6 +23,8 @@
         PAUSE,
         /** SIGCONT. */
         RESUME,
+        /** The process ended later than its stop allows, waits for a processor taken off. */
+        ENDED_LATE,
         /** The process has ended. */
         ENDED,
         /** A new process was started. */
--- a/src/main/java/org/apricotgauge/bench/soak/Signals.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Signals.java
@@ -64,8 +64,17 @@
 
     /** Returns how many processes the platform killed though they were not paused at SIGTERM. */
     long killedLate() {
+        return countUnlessPaused(Kind.KILL_LATE);
+    }
+
+    /** Returns how many processes ended too late though they were not paused at SIGTERM. */
+    long endedLate() {
+        return countUnlessPaused(Kind.ENDED_LATE);
+    }
+
+    private long countUnlessPaused(Kind kind) {
         return mSignals.stream()
-                .filter(signal -> signal.kind() == Kind.KILL_LATE)
+                .filter(signal -> signal.kind() == kind)
                 .filter(
                         signal ->
                                 stopBefore(signal.node(), signal.millis())
--- a/src/main/java/org/apricotgauge/bench/soak/SoakNode.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakNode.java
@@ -13,6 +13,7 @@
 /** The platform's part at one VM: starts the node's process, and stops it as the platform does. */
 final class SoakNode {
     private static final Logger LOGGER = Logger.getLogger(SoakNode.class);
+    private static final long SAMPLE_EVERY_MILLIS = 100;
 
     private final int mNumber;
     private final Program mProgram;
@@ -89,11 +90,42 @@
         mIsStopping = true;
         record(Signal.Kind.STOP);
         NodeProcess process = mProcess;
+        ProcessorWait wait = ProcessorWait.startAt(process.kernelDirectory());
+        long signalMillis = mMillis.getAsLong();
         process.terminate();
+        sample(process, wait);
+        process.onExit().thenRun(() -> checkEnd(signalMillis, wait));
         restartAfterExit(process, planned);
         later(() -> killLate(process), mKillMillis);
     }
 
+    private void sample(NodeProcess process, ProcessorWait wait) {
+        if (process.isAlive()) {
+            wait.sample();
+            later(() -> sample(process, wait), SAMPLE_EVERY_MILLIS);
+        }
+    }
+
+    private void checkEnd(long signalMillis, ProcessorWait wait) {
+        long lastedMillis = mMillis.getAsLong() - signalMillis;
+        if (isLate(lastedMillis, wait.millis())) {
+            LOGGER.warnf(
+                    "node %d ended %d ms after SIGTERM, %d ms of waits for a processor included",
+                    mNumber, lastedMillis, wait.millis());
+            record(Signal.Kind.ENDED_LATE);
+        }
+    }
+
+    /**
+     * Returns whether a process ended too late by itself.
+     *
+     * @param lastedMillis time from SIGTERM to its end
+     * @param waitedMillis part of it in which it was ready to run and got no processor
+     */
+    static boolean isLate(long lastedMillis, long waitedMillis) {
+        return lastedMillis - waitedMillis > SoakFleet.STOP_MILLIS;
+    }
+
     private void stopAgain() {
         if (mIsStopping) {
             record(Signal.Kind.STOP_AGAIN);
--- a/src/main/java/org/apricotgauge/bench/soak/SoakResult.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakResult.java
@@ -22,6 +22,7 @@
         return notReady == 0
                 && count(Verdict.SERVED) > 0
                 && signals.killedLate() == 0
+                && signals.endedLate() == 0
                 && faults().isEmpty();
     }
 
--- /dev/null
+++ b/src/test/java/org/apricotgauge/bench/soak/ProcessorWaitTest.java
@@ -0,0 +1,60 @@
+package org.apricotgauge.bench.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tests the time that a process waited for a processor, and the check of its end by it. */
+class ProcessorWaitTest {
+    @TempDir Path mProcess;
+
+    @Test
+    void countsWaitsOfAllThreadsSinceTheStart() throws IOException {
+        write("100", "500 2000000 9");
+        ProcessorWait wait = ProcessorWait.startAt(mProcess);
+
+        write("100", "900 5000000 12");
+        write("101", "100 4000000 3");
+        wait.sample();
+
+        assertThat(wait.millis()).isEqualTo(7);
+    }
+
+    // Guards against a thread that ends and takes its waits along.
+    @Test
+    void threadThatHasEndedStillCounts() throws IOException {
+        write("100", "500 2000000 9");
+        write("101", "500 0 1");
+        ProcessorWait wait = ProcessorWait.startAt(mProcess);
+        write("101", "600 8000000 2");
+        wait.sample();
+
+        Files.delete(mProcess.resolve("task/101/schedstat"));
+        wait.sample();
+
+        assertThat(wait.millis()).isEqualTo(8);
+    }
+
+    @Test
+    void processThatHasEndedHasWaitedNothing() {
+        assertThat(ProcessorWait.startAt(mProcess.resolve("gone")).millis()).isZero();
+    }
+
+    // Guards against a process that goes on after the platform's time for a stop.
+    @Test
+    void endIsLateOnceTheStopTimeIsUsedUpWithoutWaits() {
+        assertThat(SoakNode.isLate(SoakFleet.STOP_MILLIS, 0)).isFalse();
+        assertThat(SoakNode.isLate(SoakFleet.STOP_MILLIS + 1, 0)).isTrue();
+        assertThat(SoakNode.isLate(SoakFleet.STOP_MILLIS + 700, 700)).isFalse();
+        assertThat(SoakNode.isLate(SoakFleet.STOP_MILLIS + 1_000, 300)).isTrue();
+    }
+
+    private void write(String thread, String figures) throws IOException {
+        Path directory = Files.createDirectories(mProcess.resolve("task").resolve(thread));
+        Files.writeString(directory.resolve("schedstat"), figures + "\n");
+    }
+}
--- a/src/test/java/org/apricotgauge/functional/ProcessSoakTest.java
+++ b/src/test/java/org/apricotgauge/functional/ProcessSoakTest.java
@@ -21,7 +21,7 @@
     private static final int DOMAINS = 3;
     private static final int CALLERS = 5;
 
-    /** Only a process that hangs is killed: the verdict must not depend on the machine's speed. */
+    /** Late enough that only the check of the end decides. */
     private static final long KILL_MILLIS = 30_000;
 
     @TempDir Path mLogs;
