--- a/src/main/java/org/apricotgauge/bench/soak/ProcessorWait.java
+++ b/src/main/java/org/apricotgauge/bench/soak/ProcessorWait.java
@@ -6,41 +6,45 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.model.Checks;
 import org.jboss.logging.Logger;
 
 /**
- * Time that the threads of a process were ready to run and got no processor.
+ * Time that the threads which carry a process's stop were ready to run and got no processor.
  *
  * <pre>{@code
- * ProcessorWait wait = ProcessorWait.startAt(Path.of("/proc/4711"));
+ * ProcessorWait wait = ProcessorWait.startAt(Path.of("/proc/4711"), Set.of("node-drain"));
  * wait.sample();   // every 100 ms, since a thread that ends takes its figures along
  * long millis = wait.millis();
  * }</pre>
  *
  * <p>The kernel counts it for each thread, in nanoseconds: the second figure of {@code schedstat}
- * (Linux, Documentation/scheduler/sched-stats). Waits of several threads at a time add up, so that
- * this is an upper bound of the time by which the process was late. Thread-safe.
+ * (Linux, Documentation/scheduler/sched-stats). Threads that run one after the other are counted,
+ * since waits of threads that run side by side don't add up to a later end. Thread-safe.
  */
 final class ProcessorWait {
     private static final Logger LOGGER = Logger.getLogger(ProcessorWait.class);
 
     private final Path mProcess;
+    private final Set<String> mThreadNames;
     private final Map<String, Long> mFirstNanos = new HashMap<>();
     private final Map<String, Long> mLastNanos = new HashMap<>();
 
-    private ProcessorWait(Path process) {
+    private ProcessorWait(Path process, Set<String> threadNames) {
         mProcess = Checks.notNull("process", process);
+        mThreadNames = Set.copyOf(threadNames);
     }
 
     /**
      * Begins to count, with what the threads have waited so far left out.
      *
      * @param process directory of the process in the kernel's file system
+     * @param threadNames names of the threads to count, as the kernel cuts them: 15 characters
      */
-    static ProcessorWait startAt(Path process) {
-        ProcessorWait wait = new ProcessorWait(process);
+    static ProcessorWait startAt(Path process, Set<String> threadNames) {
+        ProcessorWait wait = new ProcessorWait(process, threadNames);
         wait.sample();
         synchronized (wait) {
             wait.mFirstNanos.putAll(wait.mLastNanos);
@@ -48,7 +52,7 @@
         return wait;
     }
 
-    /** Reads the figures of all threads; nothing once the process has ended. */
+    /** Reads the threads' figures; nothing once the process has ended. */
     synchronized void sample() {
         try (DirectoryStream<Path> threads = Files.newDirectoryStream(mProcess.resolve("task"))) {
             for (Path thread : threads) {
@@ -61,6 +65,9 @@
 
     private void sampleThread(Path thread) {
         try {
+            if (!mThreadNames.contains(Files.readString(thread.resolve("comm")).strip())) {
+                return;
+            }
             String[] figures = Files.readString(thread.resolve("schedstat")).strip().split(" ");
             mLastNanos.put(thread.getFileName().toString(), Long.parseLong(figures[1]));
         } catch (IOException e) {
--- a/src/main/java/org/apricotgauge/bench/soak/SoakNode.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakNode.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -13,7 +14,11 @@
 /** The platform's part at one VM: starts the node's process, and stops it as the platform does. */
 final class SoakNode {
     private static final Logger LOGGER = Logger.getLogger(SoakNode.class);
-    private static final long SAMPLE_EVERY_MILLIS = 100;
+    private static final long SAMPLE_EVERY_MILLIS = 20;
+
+    /** The threads of a node that carry its stop, one after the other. */
+    private static final Set<String> STOP_THREADS =
+            Set.of("Signal Dispatch", "SIGTERM handler", "node-drain", "VM Thread");
 
     private final int mNumber;
     private final Program mProgram;
@@ -90,7 +95,7 @@
         mIsStopping = true;
         record(Signal.Kind.STOP);
         NodeProcess process = mProcess;
-        ProcessorWait wait = ProcessorWait.startAt(process.kernelDirectory());
+        ProcessorWait wait = ProcessorWait.startAt(process.kernelDirectory(), STOP_THREADS);
         long signalMillis = mMillis.getAsLong();
         process.terminate();
         sample(process, wait);
@@ -120,7 +125,7 @@
      * Returns whether a process ended too late by itself.
      *
      * @param lastedMillis time from SIGTERM to its end
-     * @param waitedMillis part of it in which it was ready to run and got no processor
+     * @param waitedMillis part of it in which its stop was ready to run and got no processor
      */
     static boolean isLate(long lastedMillis, long waitedMillis) {
         return lastedMillis - waitedMillis > SoakFleet.STOP_MILLIS;
--- a/src/test/java/org/apricotgauge/bench/soak/ProcessorWaitTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/ProcessorWaitTest.java
@@ -5,17 +5,20 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Tests the time that a process waited for a processor, and the check of its end by it. */
 class ProcessorWaitTest {
+    private static final String DRAIN = "node-drain";
+
     @TempDir Path mProcess;
 
     @Test
-    void countsWaitsOfAllThreadsSinceTheStart() throws IOException {
+    void countsWaitsOfItsThreadsSinceTheStart() throws IOException {
         write("100", "500 2000000 9");
-        ProcessorWait wait = ProcessorWait.startAt(mProcess);
+        ProcessorWait wait = ProcessorWait.startAt(mProcess, Set.of(DRAIN));
 
         write("100", "900 5000000 12");
         write("101", "100 4000000 3");
@@ -24,12 +27,23 @@
         assertThat(wait.millis()).isEqualTo(7);
     }
 
+    // Guards against a stop that is late by itself on a machine where other threads wait.
+    @Test
+    void otherThreadsDoNotCount() throws IOException {
+        ProcessorWait wait = ProcessorWait.startAt(mProcess, Set.of(DRAIN));
+        write("100", "500 9000000 9");
+        Files.writeString(mProcess.resolve("task/100/comm"), "caller-17\n");
+        wait.sample();
+
+        assertThat(wait.millis()).isZero();
+    }
+
     // Guards against a thread that ends and takes its waits along.
     @Test
     void threadThatHasEndedStillCounts() throws IOException {
         write("100", "500 2000000 9");
         write("101", "500 0 1");
-        ProcessorWait wait = ProcessorWait.startAt(mProcess);
+        ProcessorWait wait = ProcessorWait.startAt(mProcess, Set.of(DRAIN));
         write("101", "600 8000000 2");
         wait.sample();
 
@@ -41,7 +55,8 @@
 
     @Test
     void processThatHasEndedHasWaitedNothing() {
-        assertThat(ProcessorWait.startAt(mProcess.resolve("gone")).millis()).isZero();
+        assertThat(ProcessorWait.startAt(mProcess.resolve("gone"), Set.of(DRAIN)).millis())
+                .isZero();
     }
 
     // Guards against a process that goes on after the platform's time for a stop.
@@ -55,6 +70,7 @@
 
     private void write(String thread, String figures) throws IOException {
         Path directory = Files.createDirectories(mProcess.resolve("task").resolve(thread));
+        Files.writeString(directory.resolve("comm"), DRAIN + "\n");
         Files.writeString(directory.resolve("schedstat"), figures + "\n");
     }
 }
