Separate the guard from the HTTP server that its attempts arrive at

The guard's promises were kept by code that read Jetty's requests and wrote its responses, so that an attempt could reach it over a connection only.

Guard now admits, fences and submits attempts; it reads a HopRequest and writes to a HopReply. GuardHandler and HttpHopReply translate what arrives at the guard's port. Nothing changes on the wire.

--- a/src/main/java/org/apricotgauge/http/Fingerprints.java
+++ b/src/main/java/org/apricotgauge/http/Fingerprints.java
@@ -19,13 +19,24 @@
      * @param member id of the member that the request belongs to
      */
     public static long headHash(Request request, String member) {
-        return Fingerprint.hashHead(
+        return headHash(
                 request.getMethod(),
-                hostOf(request),
-                String.valueOf(request.getHttpURI().getPathQuery()),
+                Request.getServerName(request),
+                request.getHttpURI().getPathQuery(),
                 member);
     }
 
+    /**
+     * Returns the hash of a request's head.
+     *
+     * @param host host that the caller addressed; null if it named none
+     * @param pathQuery path and query
+     * @param member id of the member that the request belongs to
+     */
+    public static long headHash(String method, String host, String pathQuery, String member) {
+        return Fingerprint.hashHead(method, lowerCase(host), String.valueOf(pathQuery), member);
+    }
+
     /** Returns whether a request may have a body. */
     public static boolean hasBody(Request request) {
         return request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING)
@@ -37,16 +48,24 @@
      * bounded length.
      */
     public static String nameOf(Request request) {
-        String name =
-                request.getMethod()
-                        + ' '
-                        + hostOf(request)
-                        + String.valueOf(request.getHttpURI().getPath());
+        return nameOf(
+                request.getMethod(),
+                Request.getServerName(request),
+                request.getHttpURI().getPath());
+    }
+
+    /**
+     * Returns a name of a request for operators, of bounded length.
+     *
+     * @param host host that the caller addressed; null if it named none
+     * @param path path without the query
+     */
+    public static String nameOf(String method, String host, String path) {
+        String name = method + ' ' + lowerCase(host) + path;
         return name.length() <= MAX_NAME_CHARS ? name : name.substring(0, MAX_NAME_CHARS);
     }
 
-    private static String hostOf(Request request) {
-        String host = Request.getServerName(request);
+    private static String lowerCase(String host) {
         return host == null ? "" : host.toLowerCase(Locale.ROOT);
     }
 }
--- a/src/main/java/org/apricotgauge/http/OutcomeCodec.java
+++ b/src/main/java/org/apricotgauge/http/OutcomeCodec.java
@@ -28,9 +28,19 @@
 
     private OutcomeCodec() {}
 
-    /** Writes the outcome as the final response, in the fleet's own header convention. */
-    public static void write(Response response, Callback callback, Outcome.NotRun outcome) {
-        write(response, callback, outcome, FleetDialect.INSTANCE);
+    /**
+     * Writes the outcome as the final response, in the fleet's own header convention.
+     *
+     * @param outcome one without a target's answer
+     */
+    public static void write(Response response, Callback callback, Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun notRun) {
+            write(response, callback, notRun, FleetDialect.INSTANCE);
+        } else if (outcome instanceof Outcome.Unknown unknown) {
+            write(response, callback, unknown);
+        } else {
+            throw new IllegalArgumentException("an answer is forwarded, not written: " + outcome);
+        }
     }
 
     /** Writes the outcome as the final response. */
--- a/src/main/java/org/apricotgauge/target/AcknowledgementSender.java
+++ b/src/main/java/org/apricotgauge/target/AcknowledgementSender.java
@@ -6,12 +6,10 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Acknowledges a request to its entry with interim responses (102), at once and every second.
+ * Acknowledges a request to its entry, at once and every second, if the path to it may break.
  *
  * <pre>{@code
  * acknowledgements.send();
@@ -26,7 +24,7 @@
     private static final String SERVER_NAME = "guard";
 
     private final Scheduler mScheduler;
-    private final Response mResponse;
+    private final HopReply mReply;
     private final BooleanSupplier mHasAnswerBegun;
     private final Consumer<HttpFields.Mutable> mHeaderWriter;
     private CompletableFuture<Void> mPendingWrite = CompletableFuture.completedFuture(null);
@@ -36,31 +34,31 @@
      * Creates a sender that has sent nothing yet.
      *
      * @param hasAnswerBegun whether the answer has begun, so that no acknowledgement may be sent
-     * @param headerWriter adds the guard's headers to each interim response
+     * @param headerWriter adds the guard's headers to each acknowledgement
      */
     AcknowledgementSender(
             Scheduler scheduler,
-            Response response,
+            HopReply reply,
             BooleanSupplier hasAnswerBegun,
             Consumer<HttpFields.Mutable> headerWriter) {
         mScheduler = scheduler;
-        mResponse = response;
+        mReply = reply;
         mHasAnswerBegun = hasAnswerBegun;
         mHeaderWriter = headerWriter;
     }
 
     /** Sends an acknowledgement now and schedules the next one. */
     synchronized void send() {
-        if (mHasAnswerBegun.getAsBoolean()) {
+        if (!mReply.isRemote() || mHasAnswerBegun.getAsBoolean()) {
             return;
         }
         HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.SERVER, SERVER_NAME);
         mHeaderWriter.accept(fields);
-        mPendingWrite = mResponse.writeInterim(HttpStatus.PROCESSING_102, fields.asImmutable());
+        mPendingWrite = mReply.acknowledge(fields.asImmutable());
         mNextSend = mScheduler.schedule(this::send, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Runs an action that writes to the response; two concurrent writes are not allowed. */
+    /** Runs an action that writes to the reply; two concurrent writes are not allowed. */
     void runAfterPendingWrite(Runnable action) {
         CompletableFuture<Void> pendingWrite;
         synchronized (this) {
--- a/src/main/java/org/apricotgauge/target/GuardContext.java
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -57,9 +57,13 @@
         addStopHeader(headers);
     }
 
-    /** Adds the headers of the answer to an attempt at a target. */
-    void addAnswerHeaders(Target target, HttpFields.Mutable headers) {
-        observer.addAnswerHeaders(target, headers);
-        addStopHeader(headers);
+    /**
+     * Adds the node's headers to the answer to an attempt; an entry beside the guard needs none.
+     */
+    void addAnswerHeaders(Target target, HopReply reply) {
+        if (reply.isRemote()) {
+            observer.addAnswerHeaders(target, reply.headers());
+            addStopHeader(reply.headers());
+        }
     }
 }
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -14,20 +14,17 @@
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.http.Bodies;
-import org.apricotgauge.http.DisconnectDetectingEndPoint;
 import org.apricotgauge.http.FailureTrackingSource;
+import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
-import org.apricotgauge.http.OutcomeCodec;
-import org.apricotgauge.http.ResponseForwarder;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.http.client.UpstreamExchange;
 import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.http.client.UpstreamResponse;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
-import org.eclipse.jetty.server.Request;
-import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -45,9 +42,8 @@
     private final TargetGate mGate;
     private final Attempt mAttempt;
     private final Ticket mTicket;
-    private final Request mRequest;
-    private final Response mResponse;
-    private final Callback mCallback;
+    private final HopRequest mRequest;
+    private final HopReply mReply;
     private final HealthGate.TargetRestriction mTargetRestriction;
     private final RetryCharge mRetryCharge;
     private final RetryPrepayment mPrepayment;
@@ -84,23 +80,21 @@
             TargetGate gate,
             Attempt attempt,
             Ticket ticket,
-            Request request,
-            Response response,
-            Callback callback,
-            HealthGate.TargetRestriction targetRestriction,
+            HopRequest request,
+            HopReply reply,
             RetryCharge retryCharge) {
-        mTargetRestriction = targetRestriction;
+        mTargetRestriction = HopHeaders.targetRestrictionOf(request.headers());
         mTimes = new RunTimes(context);
         mRunDeadline =
                 RunDeadline.of(
-                        request.getHeaders().getLongField(HeaderNames.TIMEOUT_MILLIS),
+                        request.headers().getLongField(HeaderNames.TIMEOUT_MILLIS),
                         ticket.deadlineMillis(),
                         mTimes.arrivedMillis());
         mRetryCharge = retryCharge;
         mPrepayment =
                 new RetryPrepayment(
                         retryCharge,
-                        targetRestriction == HealthGate.TargetRestriction.MAY_TRY,
+                        mTargetRestriction == HealthGate.TargetRestriction.MAY_TRY,
                         () -> context.hasAlternative().test(gate.target()));
         mContext = context;
         mGate = gate;
@@ -112,19 +106,18 @@
                         gate,
                         ticket,
                         mRunDeadline,
-                        targetRestriction != HealthGate.TargetRestriction.STEADY);
+                        mTargetRestriction != HealthGate.TargetRestriction.STEADY);
         mSendCheck = new SendCheck(context, gate, mIdentity, mStopCheck);
         mAttempt = attempt;
         mTicket = ticket;
         mRequest = request;
-        mResponse = response;
+        mReply = reply;
         mAcknowledgements =
                 new AcknowledgementSender(
                         context.scheduler(),
-                        response,
+                        reply,
                         this::hasAnswerBegun,
                         context::addAcknowledgementHeaders);
-        mCallback = callback;
     }
 
     private boolean hasAnswerBegun() {
@@ -138,7 +131,7 @@
             withdraw();
             return;
         }
-        DisconnectDetectingEndPoint.watch(mRequest, this::onEntryDisconnected);
+        mReply.watch(this::onEntryDisconnected);
         mAcknowledgements.send();
         mAcknowledgements.runAfterPendingWrite(
                 () -> mIdentity.whenIdentified(mContext.quarantine(), this::submit));
@@ -302,14 +295,13 @@
     private void writeUnknown() {
         boolean isQuarantined = quarantineMillis() > 0;
         mPrepayment.pay(
-                mResponse,
+                mReply.headers(),
                 mTargetRestriction == HealthGate.TargetRestriction.MAY_TRY && !isQuarantined);
-        mContext.addAnswerHeaders(mGate.target(), mResponse.getHeaders());
+        mContext.addAnswerHeaders(mGate.target(), mReply);
         Outcome.Unknown outcome =
                 new Outcome.Unknown(
                         isQuarantined ? UnknownReason.QUARANTINED : UnknownReason.STARTED);
-        mAcknowledgements.runAfterPendingWrite(
-                () -> OutcomeCodec.write(mResponse, mCallback, outcome));
+        mAcknowledgements.runAfterPendingWrite(() -> mReply.end(outcome));
     }
 
     @Override
@@ -320,7 +312,7 @@
         }
         mAcknowledgements.stop();
         SiteDialect.AnswerKind kind =
-                mContext.dialect().kindOf(mRequest.getHeaders(), answer.status(), answer.headers());
+                mContext.dialect().kindOf(mRequest.headers(), answer.status(), answer.headers());
         if (kind == SiteDialect.AnswerKind.ANSWER || kind == SiteDialect.AnswerKind.SHED) {
             handleNotice(kind, mContext.dialect().noticeOf(answer.headers()));
         }
@@ -328,24 +320,25 @@
             endWithoutAnswer(kind, answer, body);
             return;
         }
-        ResponseForwarder.copyHead(answer, mResponse);
+        HttpFields.Mutable headers = mReply.headers();
+        ForwardedHeaders.copyResponse(answer.headers(), headers);
         mPrepayment.pay(
-                mResponse,
+                headers,
                 mTargetRestriction == HealthGate.TargetRestriction.MAY_TRY
                         && HttpStatus.isServerError(answer.status()));
-        mResponse.getHeaders().put(Attempt.HEADER, mAttempt.toString());
+        headers.put(Attempt.HEADER, mAttempt.toString());
         if (HttpStatus.isServerError(answer.status()) && hasFailedCall()) {
-            mResponse.getHeaders().put(HeaderNames.NESTED_CALL_FAILED, "1");
+            headers.put(HeaderNames.NESTED_CALL_FAILED, "1");
         }
-        mGate.addHeaders(mResponse.getHeaders());
-        mContext.addAnswerHeaders(mGate.target(), mResponse.getHeaders());
+        mGate.addHeaders(headers);
+        mContext.addAnswerHeaders(mGate.target(), mReply);
         FailureTrackingSource trackedBody = new FailureTrackingSource(body);
         Callback whenCopied =
                 Callback.from(
                         () -> onAnswerCompleted(answer.status()),
                         cause -> onAnswerBroken(trackedBody.hasFailed(), cause));
         mAcknowledgements.runAfterPendingWrite(
-                () -> ResponseForwarder.copyBody(answer, trackedBody, mResponse, whenCopied));
+                () -> mReply.answer(answer, trackedBody, whenCopied));
     }
 
     private void handleNotice(SiteDialect.AnswerKind kind, TargetNotice notice) {
@@ -362,10 +355,9 @@
             body.fail(new IllegalStateException("answer belongs to another request"));
             endBroken(true);
             mContext.metrics().foreignAnswers().inc();
-            mContext.addAnswerHeaders(mGate.target(), mResponse.getHeaders());
+            mContext.addAnswerHeaders(mGate.target(), mReply);
             Outcome.Unknown outcome = new Outcome.Unknown(UnknownReason.ANSWER_LOST);
-            mAcknowledgements.runAfterPendingWrite(
-                    () -> OutcomeCodec.write(mResponse, mCallback, outcome));
+            mAcknowledgements.runAfterPendingWrite(() -> mReply.end(outcome));
             return;
         }
         mContext.ledger().completed(mAttempt, answer.status(), mContext.ticker().millis());
@@ -374,7 +366,7 @@
         if (!shed) {
             mGate.markReplaced();
         }
-        mPrepayment.pay(mResponse, mTargetRestriction != HealthGate.TargetRestriction.NONE);
+        mPrepayment.pay(mReply.headers(), mTargetRestriction != HealthGate.TargetRestriction.NONE);
         releaseSlot(
                 shed ? RunResult.SHED : RunResult.CANCELLED,
                 shed ? ObservedOutcome.SHED : ObservedOutcome.CANCELLED);
@@ -393,7 +385,7 @@
         }
         mContext.metrics().answered().inc();
         stopTimers();
-        mCallback.succeeded();
+        mReply.complete();
     }
 
     // A target whose nested call failed has to fail its own request. If that counted against the
@@ -413,7 +405,7 @@
     private void onAnswerBroken(boolean byTarget, Throwable cause) {
         mPhase.set(Phase.ENDED);
         endBroken(byTarget);
-        mCallback.failed(cause);
+        mReply.fail(cause);
     }
 
     private CompletableFuture<Void> endBroken(boolean byTarget) {
@@ -475,15 +467,14 @@
         } else if (reason == NotRunReason.LEAVING) {
             mContext.metrics().stopDeclined().inc();
         }
-        mGate.addHeaders(mResponse.getHeaders());
-        mContext.addAnswerHeaders(mGate.target(), mResponse.getHeaders());
+        mGate.addHeaders(mReply.headers());
+        mContext.addAnswerHeaders(mGate.target(), mReply);
         Outcome.NotRun outcome = new Outcome.NotRun(reason, retryAfterMillis);
-        mAcknowledgements.runAfterPendingWrite(
-                () -> OutcomeCodec.write(mResponse, mCallback, outcome));
+        mAcknowledgements.runAfterPendingWrite(() -> mReply.end(outcome));
     }
 
     private void stopTimers() {
-        DisconnectDetectingEndPoint.unwatch(mRequest);
+        mReply.unwatch();
         cancel(mTimeoutTask);
         mAcknowledgements.stop();
     }
--- a/src/main/java/org/apricotgauge/target/HopHeaders.java
+++ b/src/main/java/org/apricotgauge/target/HopHeaders.java
@@ -5,15 +5,15 @@
 import org.apricotgauge.decision.health.HealthGate;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.model.Priority;
-import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.http.HttpFields;
 
 /** Reads what an entry says about its request in the headers of the hop. */
 final class HopHeaders {
     private HopHeaders() {}
 
     // Entries of older releases don't send the header; their requests have no target restriction.
-    static HealthGate.TargetRestriction targetRestrictionOf(Request request) {
-        String value = request.getHeaders().get(HeaderNames.TARGET_RESTRICTION);
+    static HealthGate.TargetRestriction targetRestrictionOf(HttpFields headers) {
+        String value = headers.get(HeaderNames.TARGET_RESTRICTION);
         for (HealthGate.TargetRestriction targetRestriction :
                 HealthGate.TargetRestriction.values()) {
             if (targetRestriction.name().toLowerCase(Locale.ROOT).equals(value)) {
@@ -24,8 +24,8 @@
     }
 
     // Entries of older releases don't send the header; their requests may be queued.
-    static QueueingPolicy queueingPolicyOf(Request request) {
-        String value = request.getHeaders().get(HeaderNames.QUEUEING_POLICY);
+    static QueueingPolicy queueingPolicyOf(HttpFields headers) {
+        String value = headers.get(HeaderNames.QUEUEING_POLICY);
         for (QueueingPolicy queueingPolicy : QueueingPolicy.values()) {
             if (queueingPolicy.name().toLowerCase(Locale.ROOT).equals(value)) {
                 return queueingPolicy;
@@ -34,8 +34,8 @@
         return QueueingPolicy.MAY_WAIT;
     }
 
-    static Priority priorityOf(Request request) {
-        String value = request.getHeaders().get(HeaderNames.PRIORITY);
+    static Priority priorityOf(HttpFields headers) {
+        String value = headers.get(HeaderNames.PRIORITY);
         for (Priority priority : Priority.values()) {
             if (priority.name().toLowerCase(Locale.ROOT).equals(value)) {
                 return priority;
--- a/src/main/java/org/apricotgauge/target/RetryPrepayment.java
+++ b/src/main/java/org/apricotgauge/target/RetryPrepayment.java
@@ -2,7 +2,7 @@
 
 import java.util.function.BooleanSupplier;
 import org.apricotgauge.http.HeaderNames;
-import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.http.HttpFields;
 
 /** Pays, at most once, for the next run of a request whose run this guard ends or saw fail. */
 final class RetryPrepayment {
@@ -38,9 +38,9 @@
     }
 
     /** Tells the entry that the next run is paid for; pays now if that was not done. */
-    void pay(Response response, boolean mayRetry) {
+    void pay(HttpFields.Mutable headers, boolean mayRetry) {
         if (mayRetry && (mPaid || mCharge.tryPrepayRetry())) {
-            response.getHeaders().put(HeaderNames.NEXT_RETRY_PREPAID, "1");
+            headers.put(HeaderNames.NEXT_RETRY_PREPAID, "1");
         }
     }
 
--- a/src/main/java/org/apricotgauge/target/RunIdentity.java
+++ b/src/main/java/org/apricotgauge/target/RunIdentity.java
@@ -9,24 +9,28 @@
 import org.apricotgauge.http.ReplayableBody;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.model.Member;
-import org.eclipse.jetty.server.Request;
 
 /** Identifies the request of a run by its id and its fingerprint. Thread-safe. */
 final class RunIdentity {
     private final String mId;
-    private final Request mRequest;
+    private final HopRequest mRequest;
     private final long mHeadHash;
     private final BodyHash mBodyHash = new BodyHash();
     private final ReplayableBody mReplayableBody;
 
     /** Creates the identity from the head of an attempt, as the entry sent it. */
-    RunIdentity(Request request, SiteDialect dialect) {
-        String member = request.getHeaders().get(HeaderNames.MEMBER);
-        mId = dialect.requestId(request.getHeaders());
+    RunIdentity(HopRequest request, SiteDialect dialect) {
+        String member = request.headers().get(HeaderNames.MEMBER);
+        mId = dialect.requestId(request.headers());
         mRequest = request;
-        mReplayableBody = new ReplayableBody(request, 0);
-        mHeadHash = Fingerprints.headHash(request, member == null ? Member.ANONYMOUS_ID : member);
-        if (!Fingerprints.hasBody(request)) {
+        mReplayableBody = new ReplayableBody(request.body(), 0);
+        mHeadHash =
+                Fingerprints.headHash(
+                        request.method(),
+                        request.host(),
+                        request.pathQuery(),
+                        member == null ? Member.ANONYMOUS_ID : member);
+        if (!request.hasBody()) {
             mBodyHash.end();
         }
     }
@@ -65,6 +69,9 @@
     }
 
     BrokenRun toBrokenRun() {
-        return new BrokenRun(mId, fingerprint(), Fingerprints.nameOf(mRequest));
+        return new BrokenRun(
+                mId,
+                fingerprint(),
+                Fingerprints.nameOf(mRequest.method(), mRequest.host(), mRequest.path()));
     }
 }
--- a/src/main/java/org/apricotgauge/target/TargetRequestFactory.java
+++ b/src/main/java/org/apricotgauge/target/TargetRequestFactory.java
@@ -6,7 +6,6 @@
 import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Member;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.server.Request;
 
 /** Creates the request to a target from the one that its guard received. */
 final class TargetRequestFactory {
@@ -22,19 +21,15 @@
             GuardContext context,
             TargetGate gate,
             Ticket ticket,
-            Request source,
+            HopRequest source,
             RunIdentity identity,
             long remainingMillis) {
         HttpFields.Mutable headers = HttpFields.build();
-        ForwardedHeaders.copyRequest(source.getHeaders(), headers);
+        ForwardedHeaders.copyRequest(source.headers(), headers);
         context.dialect()
                 .addTargetHeaders(headers, gate.target().id(), remainingMillis, memberOf(ticket));
         return new UpstreamRequest(
-                gate.address(),
-                source.getMethod(),
-                source.getHttpURI().getPathQuery(),
-                headers,
-                identity.body());
+                gate.address(), source.method(), source.pathQuery(), headers, identity.body());
     }
 
     private static Optional<String> memberOf(Ticket ticket) {
