Hand attempts to the guard of the same process without a connection

Each request passed HTTP four times: server and client of the entry, server and client of the guard, also when its target was beside the entry. Processor time of the nodes is what binds on large sites.

GuardTransport is now the interface between entry and guard, with two implementations: HttpGuardTransport, the hop as before, and LocalGuard. The latter submits to the same Guard, so that the ledger, the queue, the stop schedule, the retry charge and the log are the same code. It needs no acknowledgements and no timers for them. Answers are read ahead of slow callers, 1 MiB each and 8 MiB together, so that these hold no slot longer than with the buffers of a connection. A refusal reaches the entry on another thread: the next attempt never deepens the guard's stack.

A node uses it if its load sharing prefers targets beside the entry; otherwise nothing changes, and nothing changes on the wire.

--- a/src/main/java/org/apricotgauge/caller/AttemptTracker.java
+++ b/src/main/java/org/apricotgauge/caller/AttemptTracker.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apricotgauge.decision.detection.ObservedOutcome;
 import org.apricotgauge.decision.routing.Candidate;
-import org.apricotgauge.http.client.UpstreamExchange;
+import org.apricotgauge.http.client.Abortable;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
@@ -61,7 +61,7 @@
     }
 
     /** Aborts an exchange; null if it has not begun. */
-    static void abort(UpstreamExchange upstream) {
+    static void abort(Abortable upstream) {
         if (upstream != null) {
             upstream.abort(new TimeoutException("attempt abandoned"));
         }
--- a/src/main/java/org/apricotgauge/caller/EntryMetrics.java
+++ b/src/main/java/org/apricotgauge/caller/EntryMetrics.java
@@ -12,6 +12,8 @@
         Counter unknown,
         Counter quarantined,
         Counter retries,
+        Counter localAttempts,
+        Counter hopAttempts,
         Counter fences,
         Counter pathFaults,
         Counter mismatchedAnswers,
@@ -32,6 +34,8 @@
                 registry.counter("entry.unknown"),
                 registry.counter("entry.quarantined"),
                 registry.counter("entry.retries"),
+                registry.counter("entry.attempts.local"),
+                registry.counter("entry.attempts.hop"),
                 registry.counter("entry.fences"),
                 registry.counter("entry.path_faults"),
                 registry.counter("entry.mismatched_answers"),
@@ -44,4 +48,9 @@
                 registry.counter("entry.predecessor_fallbacks"),
                 registry.timer("entry.total_time"));
     }
+
+    /** Counts an attempt that is submitted to a guard. */
+    void countAttempt(boolean overHop) {
+        (overHop ? hopAttempts : localAttempts).inc();
+    }
 }
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -15,13 +15,17 @@
 import org.apricotgauge.decision.health.DegradationEstimate;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.http.Bodies;
+import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
+import org.apricotgauge.http.client.Abortable;
 import org.apricotgauge.http.client.UpstreamExchange;
 import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.model.StartLimit;
+import org.apricotgauge.peer.hop.GuardTransport;
+import org.apricotgauge.peer.hop.HopAttempt;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -29,9 +33,9 @@
 /**
  * An attempt sent through the guard of the target.
  *
- * <p>The guard acknowledges the attempt at once and then every second. Without an acknowledgement
- * in time, the path counts as dead in at least one direction: the attempt is fenced over a new
- * connection, and it counts as not run only if the guard answers "not run".
+ * <p>A guard in another process acknowledges the attempt at once and then every second. Without an
+ * acknowledgement in time, the path counts as dead in at least one direction: the attempt is fenced
+ * over a new connection, and it counts as not run only if the guard answers "not run".
  */
 final class GuardedAttempt implements TargetAttempt, UpstreamExchange.Listener {
     /** Longest wait for the answer to a fence, including a new connection. */
@@ -50,10 +54,11 @@
     private final EntryContext mContext;
     private final Candidate mCandidate;
     private final AttemptTracker mTracker;
+    private final GuardTransport mTransport;
     private final AtomicBoolean mFencing = new AtomicBoolean();
     private volatile Attempt mAttempt;
     private volatile long mHopStartMillis;
-    private volatile UpstreamExchange mUpstream;
+    private volatile Abortable mUpstream;
     private volatile Scheduler.Task mTimeoutTask;
     private volatile boolean mAcknowledged;
     private volatile boolean mNotBegun;
@@ -63,6 +68,8 @@
         mContext = exchange.context();
         mCandidate = candidate;
         mTracker = new AttemptTracker(mContext, candidate);
+        mTransport = mContext.guards().transportTo(candidate.guard());
+        mAcknowledged = !mTransport.isRemote();
     }
 
     @Override
@@ -112,7 +119,14 @@
                         mContext.ticker().millis(),
                         guardDeadlineMillis);
         startTimeout(acknowledgementTimeoutMillis());
-        mUpstream = mContext.guards().send(newHopRequest(remainingMillis), this);
+        mContext.metrics().countAttempt(mTransport.isRemote());
+        mUpstream =
+                mTransport.send(
+                        new HopAttempt(
+                                mAttempt,
+                                newHopRequest(remainingMillis),
+                                Fingerprints.hasBody(mExchange.request())),
+                        this);
     }
 
     private UpstreamRequest newHopRequest(long remainingMillis) {
@@ -135,7 +149,9 @@
         addQueueingHeaders(headers);
         addRetryHeaders(headers);
         mContext.dialect().addOriginHeaders(headers);
-        mHopStartMillis = mContext.observer().addHopHeaders(headers);
+        if (mTransport.isRemote()) {
+            mHopStartMillis = mContext.observer().addHopHeaders(headers);
+        }
         return new UpstreamRequest(
                 mCandidate.guard(),
                 callerRequest.getMethod(),
@@ -182,6 +198,9 @@
     }
 
     private void startTimeout(long millis) {
+        if (!mTransport.isRemote()) {
+            return;
+        }
         cancelTimeout();
         mTimeoutTask =
                 mContext.scheduler().schedule(this::onTimeout, millis, TimeUnit.MILLISECONDS);
@@ -291,7 +310,7 @@
             return;
         }
         mContext.metrics().fences().inc();
-        mContext.guards()
+        mTransport
                 .fence(
                         mCandidate.guard(),
                         mAttempt,
@@ -309,7 +328,7 @@
         if (connectionOpen) {
             AttemptTracker.abort(mUpstream);
         }
-        mContext.guards().abandon(mCandidate.guard(), mAttempt, FENCE_TIMEOUT_MILLIS);
+        mTransport.abandon(mCandidate.guard(), mAttempt, FENCE_TIMEOUT_MILLIS);
         mExchange.onAttemptEnded(this, new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
     }
 
@@ -350,7 +369,7 @@
                 mAcknowledged ? ObservedOutcome.TIMEOUT : ObservedOutcome.PATH_FAULT);
         Attempt attempt = mAttempt;
         if (attempt != null) {
-            mContext.guards().abandon(mCandidate.guard(), attempt, FENCE_TIMEOUT_MILLIS);
+            mTransport.abandon(mCandidate.guard(), attempt, FENCE_TIMEOUT_MILLIS);
         }
         AttemptTracker.abort(mUpstream);
     }
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
+import org.apricotgauge.http.client.Abortable;
 import org.apricotgauge.http.client.UpstreamExchange;
 import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.http.client.UpstreamResponse;
@@ -33,7 +34,7 @@
     private final EntryContext mContext;
     private final Address mOwner;
     private final IdempotencyKey mKey;
-    private volatile UpstreamExchange mUpstream;
+    private volatile Abortable mUpstream;
     private volatile Scheduler.Task mTimeoutTask;
 
     KeyedAttempt(CallerExchange exchange, Candidate owner, IdempotencyKey key) {
--- a/src/main/java/org/apricotgauge/http/OutcomeCodec.java
+++ b/src/main/java/org/apricotgauge/http/OutcomeCodec.java
@@ -28,51 +28,59 @@
 
     private OutcomeCodec() {}
 
+    /** Writes the outcome as the final response, in the fleet's own header convention. */
+    public static void write(Response response, Callback callback, Outcome outcome) {
+        write(response, callback, outcome, FleetDialect.INSTANCE);
+    }
+
+    /** Writes the outcome as the final response. */
+    public static void write(
+            Response response, Callback callback, Outcome outcome, SiteDialect dialect) {
+        HttpFields.Mutable headers = response.getHeaders();
+        int status = addHeaders(outcome, headers, dialect);
+        String text =
+                headers.get(HeaderNames.OUTCOME) + ": " + headers.get(HeaderNames.REASON) + '\n';
+        Bodies.writeText(response, callback, status, text);
+    }
+
     /**
-     * Writes the outcome as the final response, in the fleet's own header convention.
+     * Adds the headers of an outcome, in the fleet's own header convention.
      *
-     * @param outcome one without a target's answer
+     * @return the status
      */
-    public static void write(Response response, Callback callback, Outcome outcome) {
+    public static int addHeaders(Outcome outcome, HttpFields.Mutable headers) {
+        return addHeaders(outcome, headers, FleetDialect.INSTANCE);
+    }
+
+    private static int addHeaders(
+            Outcome outcome, HttpFields.Mutable headers, SiteDialect dialect) {
         if (outcome instanceof Outcome.NotRun notRun) {
-            write(response, callback, notRun, FleetDialect.INSTANCE);
-        } else if (outcome instanceof Outcome.Unknown unknown) {
-            write(response, callback, unknown);
-        } else {
-            throw new IllegalArgumentException("an answer is forwarded, not written: " + outcome);
+            addNotRun(notRun, headers, dialect);
+            return notRun.reason() == NotRunReason.OVER_LIMIT
+                    ? HttpStatus.TOO_MANY_REQUESTS_429
+                    : HttpStatus.SERVICE_UNAVAILABLE_503;
+        }
+        if (outcome instanceof Outcome.Unknown unknown) {
+            headers.put(HeaderNames.OUTCOME, HeaderNames.OUTCOME_UNKNOWN);
+            headers.put(HeaderNames.REASON, wireName(unknown.reason()));
+            return HttpStatus.GATEWAY_TIMEOUT_504;
         }
+        throw new IllegalArgumentException("an answer is forwarded: " + outcome);
     }
 
-    /** Writes the outcome as the final response. */
-    public static void write(
-            Response response, Callback callback, Outcome.NotRun outcome, SiteDialect dialect) {
+    private static void addNotRun(
+            Outcome.NotRun outcome, HttpFields.Mutable headers, SiteDialect dialect) {
         // Without a delay the caller would retry at once, into the same overload.
         long retryAfterMillis =
                 outcome.retryAfterMillis() > 0
                         ? outcome.retryAfterMillis()
                         : DEFAULT_RETRY_AFTER_MILLIS;
         if (outcome.retryAfterMillis() > 0) {
-            response.getHeaders().put(HeaderNames.RETRY_AFTER_MILLIS, outcome.retryAfterMillis());
+            headers.put(HeaderNames.RETRY_AFTER_MILLIS, outcome.retryAfterMillis());
         }
-        response.getHeaders().put(HttpHeader.RETRY_AFTER, dialect.retryAfter(retryAfterMillis));
-        write(
-                response,
-                callback,
-                outcome.reason() == NotRunReason.OVER_LIMIT
-                        ? HttpStatus.TOO_MANY_REQUESTS_429
-                        : HttpStatus.SERVICE_UNAVAILABLE_503,
-                HeaderNames.OUTCOME_NOT_RUN,
-                wireName(outcome.reason()));
-    }
-
-    /** Writes the outcome as the final response. */
-    public static void write(Response response, Callback callback, Outcome.Unknown outcome) {
-        write(
-                response,
-                callback,
-                HttpStatus.GATEWAY_TIMEOUT_504,
-                HeaderNames.OUTCOME_UNKNOWN,
-                wireName(outcome.reason()));
+        headers.put(HttpHeader.RETRY_AFTER, dialect.retryAfter(retryAfterMillis));
+        headers.put(HeaderNames.OUTCOME, HeaderNames.OUTCOME_NOT_RUN);
+        headers.put(HeaderNames.REASON, wireName(outcome.reason()));
     }
 
     /** Writes that the request may have run, for one that failed at an unknown point. */
@@ -80,13 +88,6 @@
         write(response, callback, new Outcome.Unknown(UnknownReason.STARTED));
     }
 
-    private static void write(
-            Response response, Callback callback, int status, String outcome, String reason) {
-        response.getHeaders().put(HeaderNames.OUTCOME, outcome);
-        response.getHeaders().put(HeaderNames.REASON, reason);
-        Bodies.writeText(response, callback, status, outcome + ": " + reason + '\n');
-    }
-
     /** Reads the outcome that a guard wrote; empty if the response is the target's. */
     public static Optional<Outcome> read(HttpFields headers) {
         String outcome = headers.get(HeaderNames.OUTCOME);
--- a/src/main/java/org/apricotgauge/http/client/UpstreamExchange.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamExchange.java
@@ -17,7 +17,7 @@
  * after the head of the response has arrived is reported as a failure of the body's source.
  * Thread-safe.
  */
-public final class UpstreamExchange {
+public final class UpstreamExchange implements Abortable {
     private final UpstreamRequest mRequest;
     private final ConnectionPool mPool;
     private final Listener mListener;
@@ -116,6 +116,7 @@
     }
 
     /** Aborts the exchange; the listener is notified unless the response has begun. */
+    @Override
     public void abort(Throwable cause) {
         UpstreamConnection connection;
         synchronized (this) {
--- a/src/main/java/org/apricotgauge/http/client/UpstreamResponse.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamResponse.java
@@ -7,11 +7,23 @@
 public final class UpstreamResponse {
     private final int mStatus;
     private final HttpFields mHeaders;
+    private final UpstreamResponse mOriginal;
     private volatile HttpFields.Mutable mTrailers;
 
-    UpstreamResponse(int status, HttpFields headers) {
+    /** Creates a response without trailers so far. */
+    public UpstreamResponse(int status, HttpFields headers) {
+        this(status, headers, null);
+    }
+
+    private UpstreamResponse(int status, HttpFields headers, UpstreamResponse original) {
         mStatus = status;
         mHeaders = headers;
+        mOriginal = original;
+    }
+
+    /** Returns this response with other headers, and the same trailers. */
+    public UpstreamResponse withHeaders(HttpFields headers) {
+        return new UpstreamResponse(mStatus, headers, this);
     }
 
     /** Returns the status code. */
@@ -26,7 +38,7 @@
 
     /** Returns the trailers; empty until the body has been read to its end. */
     public HttpFields trailers() {
-        HttpFields trailers = mTrailers;
+        HttpFields trailers = mOriginal == null ? mTrailers : mOriginal.trailers();
         return trailers == null ? HttpFields.EMPTY : trailers;
     }
 
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -33,6 +32,7 @@
 import org.apricotgauge.operator.NodePhase;
 import org.apricotgauge.operator.OutcomeWindows;
 import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.peer.hop.LocalGuard;
 import org.apricotgauge.stop.StopSchedule;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
@@ -66,8 +66,7 @@
     private final NodeEvents mEvents;
     private final OutcomeWindows mOutcomeWindows = new OutcomeWindows(mTicker, WINDOW_COUNT);
     private final NodeHttp mHttp;
-    private final ScheduledExecutorService mWorker =
-            Executors.newSingleThreadScheduledExecutor(Node::newWorkerThread);
+    private final ScheduledExecutorService mWorker = NodeHttp.newWorker();
     private final RoutingState mState;
     private final DetectionService mDetection;
     private final ProbeTokens mProbes;
@@ -76,6 +75,7 @@
     private final EvidencePublisher mPublisher;
     private final StopNotices mStopNotices;
     private final NodeDatagrams mDatagrams;
+    private final GuardClient mGuardClient;
     private final EntryHandler mEntry;
     private final GuardHandler mGuard;
     private final Server mCallerServer;
@@ -123,6 +123,7 @@
         KeyLimits.DEFAULT.requireCovers(AttemptLimits.DEFAULT);
         mStopNotices = newStopNotices(incarnation);
         mDatagrams = new NodeDatagrams(mQuarantine, mRateLimits, mStopNotices);
+        mGuardClient = mHttp.newGuardClient(mStopNotices.peerStops(), mTicker);
         mEntry = newEntry(observer, incarnation);
         mGuard = newGuard(observer, incarnation);
         HttpServerFactory servers = mHttp.servers();
@@ -162,11 +163,7 @@
                 mState::table,
                 mStop,
                 this::mayAct,
-                new GuardClient(
-                        mHttp.forwardingClient(),
-                        mHttp.fencingClient(),
-                        mStopNotices.peerStops(),
-                        mTicker),
+                mGuardClient,
                 mHttp.targetClient(),
                 new AttemptIdGenerator(mProfile.vm().id(), incarnation),
                 mHttp.scheduler(),
@@ -198,12 +195,6 @@
                 mRegistry);
     }
 
-    private static Thread newWorkerThread(Runnable work) {
-        Thread thread = new Thread(work, "node-worker");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /**
      * Starts a node; it accepts callers once it has the configuration in force.
      *
@@ -245,6 +236,10 @@
             return;
         }
         mGuardServer.start();
+        if (mProfile.entry().loadSharing().localFirst()) {
+            Address address = new Address(mProfile.vm().host(), guardPort());
+            mGuardClient.useLocalGuard(new LocalGuard(address, mGuard.guard(), mHttp.executor()));
+        }
         if (mProfile.healthReportAddress() != null) {
             mHealthReports =
                     Optional.of(
--- a/src/main/java/org/apricotgauge/node/NodeHttp.java
+++ b/src/main/java/org/apricotgauge/node/NodeHttp.java
@@ -4,9 +4,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import org.apricotgauge.http.HttpServerFactory;
 import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.http.client.UpstreamClientFactory;
+import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.stop.PeerStops;
+import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -52,6 +57,16 @@
                 IDLE_TIMEOUT_MILLIS, connections, MAX_QUEUED_REQUESTS);
     }
 
+    /** Returns the thread for a node's own work, which keeps no process running. */
+    static ScheduledExecutorService newWorker() {
+        return Executors.newSingleThreadScheduledExecutor(
+                work -> {
+                    Thread thread = new Thread(work, "node-worker");
+                    thread.setDaemon(true);
+                    return thread;
+                });
+    }
+
     void start() throws Exception {
         mThreads.start();
         mScheduler.start();
@@ -71,9 +86,9 @@
         return mThreads;
     }
 
-    /** Returns the client that sends attempts to guards. */
-    UpstreamClient forwardingClient() {
-        return mForwardingClient;
+    /** Returns the client for guards: attempts, and fences, each over its own connection. */
+    GuardClient newGuardClient(PeerStops stops, Ticker ticker) {
+        return new GuardClient(mForwardingClient, mFencingClient, stops, ticker);
     }
 
     /** Returns the client that sends fences, each over its own connection. */
--- a/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -1,47 +1,37 @@
 package org.apricotgauge.peer.hop;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import org.apricotgauge.decision.attempt.Attempt;
-import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.GuardClockEstimate;
 import org.apricotgauge.decision.attempt.GuardStamp;
 import org.apricotgauge.http.HeaderNames;
-import org.apricotgauge.http.client.FetchedResponse;
+import org.apricotgauge.http.client.Abortable;
 import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.http.client.UpstreamExchange;
 import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.stop.PeerStops;
-import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpStatus;
 import org.jboss.logging.Logger;
 
 /**
- * Sends requests to the guards of other VMs on behalf of an entry.
+ * What an entry knows of the guards, and the transport to each of them.
  *
  * <pre>{@code
  * guards.clockEstimate(address, 500).thenAccept(estimate -> ...);
- * guards.fence(address, attempt, 500).thenAccept(answer -> ...);
+ * guards.transportTo(address).send(attempt, listener);
  * }</pre>
  *
- * <p>Stores the last stamp of each guard, and the stop that it announced. Each fence is sent over a
- * separate connection that is used once, because the connection that carried the attempt may be
- * broken. Safe to share between threads.
+ * <p>Stores the last stamp of each guard, and the stop that it announced. Safe to share between
+ * threads.
  */
 public final class GuardClient {
     private static final Logger LOGGER = Logger.getLogger(GuardClient.class);
 
-    private static final int MAX_CONTROL_BYTES = 256;
     private static final int DECIMAL = 10;
 
     /** Precedes what a later release adds to the time until a guard's end. */
@@ -57,12 +47,13 @@
     private static final long AVOIDANCE_AFTER_TIMEOUT_MILLIS = 1_500;
 
     private final UpstreamClient mForwardingClient;
-    private final UpstreamClient mFencingClient;
+    private final GuardTransport mHttp;
     private final PeerStops mStops;
     private final Ticker mTicker;
     private final ConcurrentMap<Address, GuardClockEstimate> mClockEstimates =
             new ConcurrentHashMap<>();
     private final ConcurrentMap<Address, Long> mUnavailableUntilMillis = new ConcurrentHashMap<>();
+    private volatile LocalGuard mLocalGuard;
 
     /**
      * Creates a client.
@@ -75,13 +66,25 @@
     public GuardClient(
             UpstreamClient forwarding, UpstreamClient fencing, PeerStops stops, Ticker ticker) {
         mForwardingClient = Checks.notNull("forwarding", forwarding);
-        mFencingClient = Checks.notNull("fencing", fencing);
+        Checks.notNull("fencing", fencing);
+        mHttp = new HttpGuardTransport(forwarding, fencing, this::recordStamp);
         mStops = Checks.notNull("stops", stops);
         mTicker = Checks.notNull("ticker", ticker);
     }
 
-    /** Sends a request to a guard and returns the exchange, which can be aborted. */
-    public UpstreamExchange send(UpstreamRequest request, UpstreamExchange.Listener listener) {
+    /** Uses the guard in the same process for the attempts at its address from now on. */
+    public void useLocalGuard(LocalGuard guard) {
+        mLocalGuard = Checks.notNull("guard", guard);
+    }
+
+    /** Returns the transport for the attempts at a guard. */
+    public GuardTransport transportTo(Address guard) {
+        LocalGuard local = mLocalGuard;
+        return local != null && local.address().equals(guard) ? local : mHttp;
+    }
+
+    /** Sends a request that is no attempt over a connection to the node of a guard. */
+    public Abortable send(UpstreamRequest request, UpstreamExchange.Listener listener) {
         return mForwardingClient.send(request, listener);
     }
 
@@ -140,6 +143,10 @@
 
     /** Returns the milliseconds until a guard ends, see {@link PeerStops#remainingMillis}. */
     public long stopMillis(Address guard) {
+        LocalGuard local = mLocalGuard;
+        if (local != null && local.address().equals(guard)) {
+            return local.stopMillis();
+        }
         return mStops.remainingMillis(guard);
     }
 
@@ -149,8 +156,13 @@
         if (estimate != null) {
             return CompletableFuture.completedFuture(estimate);
         }
-        return sendControlRequest(guard, GuardHandler.CONTROL_STAMP, null, timeoutMillis)
-                .thenApply(answer -> mClockEstimates.get(guard));
+        return transportTo(guard)
+                .stamp(guard, timeoutMillis)
+                .thenApply(
+                        stamp -> {
+                            mergeStamp(guard, stamp);
+                            return mClockEstimates.get(guard);
+                        });
     }
 
     /**
@@ -162,54 +174,6 @@
         mUnavailableUntilMillis.put(guard, mTicker.millis() + AVOIDANCE_AFTER_TIMEOUT_MILLIS);
     }
 
-    /** Requests, over a new connection, that the guard refuse the attempt if it arrives late. */
-    public CompletableFuture<FenceAnswer> fence(
-            Address guard, Attempt attempt, long timeoutMillis) {
-        return sendControlRequest(guard, GuardHandler.CONTROL_FENCE, attempt, timeoutMillis)
-                .thenApply(GuardClient::parseFenceAnswer);
-    }
-
-    /**
-     * Fences the attempt as {@link #fence} does, and cancels it at its target if it has started.
-     */
-    public CompletableFuture<FenceAnswer> abandon(
-            Address guard, Attempt attempt, long timeoutMillis) {
-        return sendControlRequest(guard, GuardHandler.CONTROL_ABANDON, attempt, timeoutMillis)
-                .thenApply(GuardClient::parseFenceAnswer);
-    }
-
-    private CompletableFuture<String> sendControlRequest(
-            Address guard, String command, Attempt attempt, long timeoutMillis) {
-        // An idle connection may be as unresponsive as the one that carried the attempt. A fence
-        // sent over it would get no answer, and a request that did not run would end as "unknown".
-        mFencingClient.evictIdle(guard);
-        HttpFields.Mutable headers =
-                HttpFields.build()
-                        .put(HttpHeader.CONNECTION, "close")
-                        .put(HeaderNames.CONTROL, command);
-        if (attempt != null) {
-            headers.put(Attempt.HEADER, attempt.toString());
-        }
-        return mFencingClient
-                .fetch(UpstreamRequest.get(guard, "/", headers), MAX_CONTROL_BYTES, timeoutMillis)
-                .thenApply(response -> readControlResponse(guard, response));
-    }
-
-    private String readControlResponse(Address guard, FetchedResponse response) {
-        recordStamp(guard, response.headers());
-        if (response.status() != HttpStatus.OK_200) {
-            throw new CompletionException(
-                    new IOException("guard " + guard + " answered " + response.status()));
-        }
-        return new String(response.body(), StandardCharsets.UTF_8);
-    }
-
-    private static FenceAnswer parseFenceAnswer(String text) {
-        String[] fields = text.strip().split(" ", 2);
-        return new FenceAnswer(
-                FenceAnswer.State.valueOf(fields[0]), Integer.parseInt(fields[1].strip()));
-    }
-
     private static Optional<GuardStamp> stampOf(HttpFields headers) {
         return Optional.ofNullable(headers.get(GuardStamp.HEADER)).flatMap(GuardStamp::parse);
     }
--- a/src/test/java/org/apricotgauge/functional/HangUpTest.java
+++ b/src/test/java/org/apricotgauge/functional/HangUpTest.java
@@ -1,5 +1,7 @@
 package org.apricotgauge.functional;
 
+import static org.apricotgauge.functional.Hops.IN_PROCESS;
+import static org.apricotgauge.functional.Hops.OVER_HOP;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -8,13 +10,16 @@
 import java.util.concurrent.CountDownLatch;
 import org.apricotgauge.bench.LocalFleet;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Callers that hang up, and callers that send their next request before the answer. */
 class HangUpTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-    @Test
-    void aCallerThatHangsUpFreesTheSlotOfItsTarget() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void aCallerThatHangsUpFreesTheSlotOfItsTarget(String entry) throws Exception {
         // The caller closes its connection while the target still works on its request.
         // Unnoticed, the request would hold the target's only slot until its deadline, and the
         // next caller would be refused though nobody waits for the first answer any more.
@@ -27,15 +32,15 @@
                     return write(out, OK);
                 };
         try (RawTarget target = RawTarget.start(script);
-                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1)) {
-            try (RawCaller leaving = new RawCaller(hops.vm("a").callerPort())) {
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", target.port(), 1)) {
+            try (RawCaller leaving = new RawCaller(hops.vm(entry).callerPort())) {
                 leaving.send("GET /slow HTTP/1.1\r\nHost: site\r\n\r\n");
                 LocalFleet.await(() -> target.runs() == 1);
             }
             LocalFleet.await(() -> hops.vm("b").guard().inFlight() == 0);
             // The deadline would have freed the slot, too, and have told the caller "unknown".
-            assertThat(hops.vm("a").count("entry.unknown")).isZero();
-            try (RawCaller next = new RawCaller(hops.vm("a").callerPort())) {
+            assertThat(hops.vm(entry).count("entry.unknown")).isZero();
+            try (RawCaller next = new RawCaller(hops.vm(entry).callerPort())) {
                 String answer = next.request("GET", "/fast").readAll();
                 assertThat(answer).startsWith("HTTP/1.1 200 OK");
             }
--- a/src/test/java/org/apricotgauge/functional/HeldAnswerTest.java
+++ b/src/test/java/org/apricotgauge/functional/HeldAnswerTest.java
@@ -1,5 +1,7 @@
 package org.apricotgauge.functional;
 
+import static org.apricotgauge.functional.Hops.IN_PROCESS;
+import static org.apricotgauge.functional.Hops.OVER_HOP;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -7,7 +9,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import org.apricotgauge.bench.LocalFleet;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Answers that break off within their body. */
 class HeldAnswerTest {
@@ -16,13 +19,14 @@
     private static final String LONG = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nhe";
 
     /** Guards against a status with half of the answer while another target can serve. */
-    @Test
-    void aSmallAnswerThatBreaksOffIsFetchedElsewhere() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void aSmallAnswerThatBreaksOffIsFetchedElsewhere(String entry) throws Exception {
         try (RawTarget breaking = RawTarget.start(breaksAfter(HALF));
                 RawTarget answering = RawTarget.start(RawTarget.always(OK));
-                Hops hops = new Hops("a", "b").target("t", "b", breaking.port(), 3);
-                RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
-            hops.target("u", "b", answering.port(), 3).reportFull("a", "u");
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", breaking.port(), 3);
+                RawCaller caller = new RawCaller(hops.vm(entry).callerPort())) {
+            hops.target("u", "b", answering.port(), 3).reportFull(entry, "u");
 
             String answer = caller.request("GET", "/").readAll();
 
@@ -32,11 +36,12 @@
     }
 
     /** Guards against a booking that is run twice because its answer broke off. */
-    @Test
-    void theAnswerToABookingIsNotFetchedTwice() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void theAnswerToABookingIsNotFetchedTwice(String entry) throws Exception {
         try (RawTarget breaking = RawTarget.start(breaksAfter(HALF));
-                Hops hops = new Hops("a", "b").target("t", "b", breaking.port(), 3);
-                RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", breaking.port(), 3);
+                RawCaller caller = new RawCaller(hops.vm(entry).callerPort())) {
             String answer = caller.request("POST", "/once", "Content-Length: 0").readAll();
 
             assertThat(answer).doesNotContain("hello");
@@ -45,8 +50,9 @@
     }
 
     /** Guards against long answers that are kept in memory, and told late. */
-    @Test
-    void theHeadOfALongAnswerIsNotHeld() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void theHeadOfALongAnswerIsNotHeld(String entry) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (RawTarget target =
                         RawTarget.start(
@@ -56,8 +62,8 @@
                                     go.await();
                                     return false;
                                 });
-                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 3);
-                RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", target.port(), 3);
+                RawCaller caller = new RawCaller(hops.vm(entry).callerPort())) {
             caller.request("GET", "/");
 
             assertThat(caller.readHead()).startsWith("HTTP/1.1 200");
@@ -66,8 +72,9 @@
     }
 
     /** Guards against a target that works on for a caller that left while its answer was held. */
-    @Test
-    void aCallerThatLeavesDuringAHeldAnswerIsNoticed() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void aCallerThatLeavesDuringAHeldAnswerIsNoticed(String entry) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (RawTarget target =
                         RawTarget.start(
@@ -77,13 +84,13 @@
                                     go.await();
                                     return false;
                                 });
-                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 3)) {
-            try (RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", target.port(), 3)) {
+            try (RawCaller caller = new RawCaller(hops.vm(entry).callerPort())) {
                 caller.request("GET", "/");
                 LocalFleet.await(() -> target.runs() == 1);
             }
 
-            LocalFleet.await(() -> hops.vm("a").entry().inFlight() == 0);
+            LocalFleet.await(() -> hops.vm(entry).entry().inFlight() == 0);
             go.countDown();
             assertThat(target.runs()).isEqualTo(1);
         }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -37,6 +37,7 @@
 import org.apricotgauge.model.Service;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
+import org.apricotgauge.peer.hop.LocalGuard;
 import org.apricotgauge.stop.PeerStops;
 import org.apricotgauge.stop.StopSchedule;
 import org.apricotgauge.target.BrokenRun;
@@ -52,6 +53,12 @@
  * never.
  */
 final class Hops implements AutoCloseable {
+    /** VM whose entry reaches the targets of VM b over a hop. */
+    static final String OVER_HOP = "a";
+
+    /** VM whose entry hands attempts at its targets over in the process; see handOver. */
+    static final String IN_PROCESS = "b";
+
     private static final String SERVICE = "s";
     private static final int TARGET_CONNECTIONS = 64;
 
@@ -92,6 +99,7 @@
         private final Set<String> mToldLeaving = ConcurrentHashMap.newKeySet();
         private final RoutingTableFactory mTables;
         private volatile MemberRateLimiter mLimits = MemberRateLimiter.UNBOUNDED;
+        private GuardClient mGuards;
         private GuardHandler mGuard;
         private EntryHandler mEntry;
         private Server mGuardServer;
@@ -328,13 +336,14 @@
 
     private void start(String id, HopVm vm) throws Exception {
         UpstreamClient targets = clientOfTargets();
+        vm.mGuards =
+                new GuardClient(clientOfGuards(), newClient(64), vm.mPeerStops, Ticker.system());
         vm.mEntry =
                 new EntryHandler(
                         () -> table(id),
                         vm.mStop,
                         () -> true,
-                        new GuardClient(
-                                clientOfGuards(), newClient(64), vm.mPeerStops, Ticker.system()),
+                        vm.mGuards,
                         targets,
                         new AttemptIdGenerator(id, id.hashCode()),
                         mScheduler,
@@ -377,6 +386,15 @@
         vm.mGuardServer.start();
     }
 
+    /** Lets each entry hand its attempts at targets of its own VM over in the process. */
+    Hops handOver() {
+        for (HopVm vm : mVms.values()) {
+            Address address = new Address("127.0.0.1", vm.mRelay.port());
+            vm.mGuards.useLocalGuard(new LocalGuard(address, vm.mGuard.guard(), mThreads));
+        }
+        return this;
+    }
+
     /** Ends the guard of a VM, its connections with it, and starts one that knows nothing. */
     void restartGuard(String id) throws Exception {
         HopVm vm = mVms.get(id);
--- a/src/test/java/org/apricotgauge/functional/HungTargetTest.java
+++ b/src/test/java/org/apricotgauge/functional/HungTargetTest.java
@@ -1,5 +1,7 @@
 package org.apricotgauge.functional;
 
+import static org.apricotgauge.functional.Hops.IN_PROCESS;
+import static org.apricotgauge.functional.Hops.OVER_HOP;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -9,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.bench.LocalFleet;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A target that takes requests and says nothing, beside one that answers. */
 class HungTargetTest {
@@ -20,17 +24,19 @@
     private final CountDownLatch mEnd = new CountDownLatch(1);
 
     // Guards against requests that wait for a hung target to their deadline though they may repeat.
-    @Test
-    void whatMayRepeatIsSentElsewhere() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void whatMayRepeatIsSentElsewhere(String entry) throws Exception {
         try (RawTarget hung = RawTarget.start(this::sayNothing);
                 RawTarget well = RawTarget.start(RawTarget.always(OK));
                 Hops hops =
                         new Hops("a", "b", "c")
+                                .handOver()
                                 .usefulRoute("/quick/", USEFUL_MILLIS)
                                 .target("hung", "b", hung.port(), 4)
                                 .target("well", "c", well.port(), 4)) {
             for (int i = 0; i < REQUESTS; i++) {
-                try (RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
+                try (RawCaller caller = new RawCaller(hops.vm(entry).callerPort())) {
                     assertThat(caller.request("GET", "/quick/" + i).readAll())
                             .startsWith("HTTP/1.1 200");
                 }
--- a/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
+++ b/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
@@ -1,5 +1,7 @@
 package org.apricotgauge.functional;
 
+import static org.apricotgauge.functional.Hops.IN_PROCESS;
+import static org.apricotgauge.functional.Hops.OVER_HOP;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -10,6 +12,8 @@
 import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.http.HeaderNames;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A guard that stops, or whose target leaves, while one request is at its target and another waits
@@ -27,17 +31,18 @@
     /** Ends before a booking's deadline, and long after a lookup's. */
     private static final long DECLINING_STOP_MILLIS = 15_000;
 
-    @Test
-    void whatWaitsAtAStoppingGuardIsToldNotRunAndWhatRunsEnds() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void whatWaitsAtAStoppingGuardIsToldNotRunAndWhatRunsEnds(String entry) throws Exception {
         // Two bookings come to a target with one slot, then its node is stopped. The first is at
         // work and must end in order. The second, if it waited on, would start late in the stop and
         // be cut: its caller could not know whether it was booked.
         CountDownLatch go = new CountDownLatch(1);
         try (RawTarget target = RawTarget.start(answersAfter(go));
-                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1)) {
-            CompletableFuture<String> running = book(hops);
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", target.port(), 1)) {
+            CompletableFuture<String> running = book(hops, entry);
             LocalFleet.await(() -> target.runs() == 1);
-            CompletableFuture<String> waiting = book(hops);
+            CompletableFuture<String> waiting = book(hops, entry);
             LocalFleet.await(() -> hops.vm("b").guard().inFlight() == 2);
 
             hops.vm("b").guard().drain();
@@ -49,17 +54,18 @@
         }
     }
 
-    @Test
-    void whatWaitsForATargetThatBeginsToLeaveNeverReachesIt() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void whatWaitsForATargetThatBeginsToLeaveNeverReachesIt(String entry) throws Exception {
         // Two bookings come to a target with one slot, then the target says that it leaves. The
         // second gets the slot seconds later, when the target may be gone: its caller would wait
         // for nothing. It is told "not run" instead; with another target it would be sent there.
         CountDownLatch go = new CountDownLatch(1);
         try (RawTarget target = RawTarget.start(answersAfter(go));
-                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1)) {
-            CompletableFuture<String> running = book(hops);
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", target.port(), 1)) {
+            CompletableFuture<String> running = book(hops, entry);
             LocalFleet.await(() -> target.runs() == 1);
-            CompletableFuture<String> waiting = book(hops);
+            CompletableFuture<String> waiting = book(hops, entry);
             LocalFleet.await(() -> hops.vm("b").guard().inFlight() == 2);
 
             hops.leave("t");
@@ -71,17 +77,19 @@
         }
     }
 
-    @Test
-    void whatWaitsForAConnectionToATargetThatBeginsToLeaveNeverReachesIt() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void whatWaitsForAConnectionToATargetThatBeginsToLeaveNeverReachesIt(String entry)
+            throws Exception {
         // Two bookings come to a target with two slots, and its guard has one connection to it. The
         // second booking has its slot, and waits for the connection, when the target says that it
         // leaves. It is told "not run"; it would reach the target after the target's last moment.
         CountDownLatch go = new CountDownLatch(1);
         try (RawTarget target = RawTarget.start(answersAfter(go));
-                Hops hops = new Hops(1, "a", "b").target("t", "b", target.port(), 2)) {
-            CompletableFuture<String> running = book(hops);
+                Hops hops = new Hops(1, "a", "b").handOver().target("t", "b", target.port(), 2)) {
+            CompletableFuture<String> running = book(hops, entry);
             LocalFleet.await(() -> target.runs() == 1);
-            CompletableFuture<String> waiting = book(hops);
+            CompletableFuture<String> waiting = book(hops, entry);
             LocalFleet.await(() -> hops.waitingForTargets() == 1);
 
             hops.leave("t");
@@ -94,17 +102,18 @@
     }
 
     /** Guards against work for a target that may have left since the guard last heard of it. */
-    @Test
-    void aGuardThatHasNotHeardOfTheSiteForTooLongSendsNothing() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void aGuardThatHasNotHeardOfTheSiteForTooLongSendsNothing(String entry) throws Exception {
         CountDownLatch go = new CountDownLatch(0);
         try (RawTarget target = RawTarget.start(answersAfter(go));
-                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1)) {
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", target.port(), 1)) {
             hops.setSiteCurrent(false);
-            assertThat(book(hops).get()).startsWith("HTTP/1.1 503").contains("not-run");
+            assertThat(book(hops, entry).get()).startsWith("HTTP/1.1 503").contains("not-run");
             assertThat(target.runs()).isZero();
 
             hops.setSiteCurrent(true);
-            assertThat(book(hops).get()).startsWith("HTTP/1.1 200");
+            assertThat(book(hops, entry).get()).startsWith("HTTP/1.1 200");
         }
     }
 
@@ -122,13 +131,14 @@
     }
 
     // Guards against a stopping guard that sends all away, and with it the work that it could do.
-    @Test
-    void aStoppingGuardStartsWhatEndsInTime() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void aStoppingGuardStartsWhatEndsInTime(String entry) throws Exception {
         try (RawTarget target = RawTarget.start(answersAfter(new CountDownLatch(0)));
-                Hops hops = new Hops("a", "b", "c").target("t", "b", target.port(), 1)) {
+                Hops hops = new Hops("a", "b", "c").handOver().target("t", "b", target.port(), 1)) {
             hops.vm("b").stop().begin(LONG_STOP_MILLIS);
 
-            assertThat(book(hops).get()).startsWith("HTTP/1.1 200");
+            assertThat(book(hops, entry).get()).startsWith("HTTP/1.1 200");
             assertThat(hops.vm("b").count("guard.stop.declined")).isZero();
         }
     }
@@ -140,9 +150,11 @@
                 Hops hops = Hops.guardsOnly("a", "b").target("t", "b", target.port(), 1)) {
             hops.vm("b").stop().begin(DECLINING_STOP_MILLIS);
 
-            assertThat(ask(hops, "GET", "/lookup", "2000").get()).startsWith("HTTP/1.1 200");
+            assertThat(ask(hops, OVER_HOP, "GET", "/lookup", "2000").get())
+                    .startsWith("HTTP/1.1 200");
             assertThat(book(hops).get()).startsWith("HTTP/1.1 503").contains("leaving");
-            assertThat(ask(hops, "GET", "/lookup", "2000").get()).startsWith("HTTP/1.1 200");
+            assertThat(ask(hops, OVER_HOP, "GET", "/lookup", "2000").get())
+                    .startsWith("HTTP/1.1 200");
         }
     }
 
@@ -189,13 +201,15 @@
     }
 
     // Guards against a lookup that is cut by the end of its guard though another target is well.
-    @Test
-    void whatMayRepeatGoesElsewhereBeforeTheGuardEnds() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void whatMayRepeatGoesElsewhereBeforeTheGuardEnds(String entry) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (RawTarget slow = RawTarget.start(answersAfter(go));
                 RawTarget well = RawTarget.start(answersAfter(new CountDownLatch(0)));
-                Hops hops = new Hops("a", "b", "c").target("slow", "b", slow.port(), 1)) {
-            CompletableFuture<String> lookup = ask(hops, "GET", "/lookup");
+                Hops hops =
+                        new Hops("a", "b", "c").handOver().target("slow", "b", slow.port(), 1)) {
+            CompletableFuture<String> lookup = ask(hops, entry, "GET", "/lookup");
             LocalFleet.await(() -> slow.runs() == 1);
             hops.target("well", "c", well.port(), 1);
 
@@ -209,13 +223,15 @@
     }
 
     // Guards against a booking whose caller is told nothing, or a server's 500, as its guard ends.
-    @Test
-    void whatMayNotRepeatIsToldUnknownAtTheLastMoment() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void whatMayNotRepeatIsToldUnknownAtTheLastMoment(String entry) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (RawTarget slow = RawTarget.start(answersAfter(go));
                 RawTarget well = RawTarget.start(answersAfter(new CountDownLatch(0)));
-                Hops hops = new Hops("a", "b", "c").target("slow", "b", slow.port(), 1)) {
-            CompletableFuture<String> booking = book(hops);
+                Hops hops =
+                        new Hops("a", "b", "c").handOver().target("slow", "b", slow.port(), 1)) {
+            CompletableFuture<String> booking = book(hops, entry);
             LocalFleet.await(() -> slow.runs() == 1);
             hops.target("well", "c", well.port(), 1);
 
@@ -229,8 +245,9 @@
     }
 
     // Guards against an answer that is cut in its middle before the process ends.
-    @Test
-    void anAnswerThatHasBegunGoesOnPastTheLastMoment() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void anAnswerThatHasBegunGoesOnPastTheLastMoment(String entry) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         RawTarget.Script halves =
                 (head, body, out) -> {
@@ -241,8 +258,8 @@
                     return true;
                 };
         try (RawTarget target = RawTarget.start(halves);
-                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1);
-                RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
+                Hops hops = new Hops("a", "b").handOver().target("t", "b", target.port(), 1);
+                RawCaller caller = new RawCaller(hops.vm(entry).callerPort())) {
             caller.request("POST", "/once", "Content-Length: 0");
             assertThat(caller.readHead()).startsWith("HTTP/1.1 200");
             hops.vm("b").stop().begin(0);
@@ -283,16 +300,21 @@
     }
 
     private static CompletableFuture<String> book(Hops hops) {
-        return ask(hops, "POST", "/once");
+        return book(hops, OVER_HOP);
     }
 
-    private static CompletableFuture<String> ask(Hops hops, String method, String path) {
-        return ask(hops, method, path, "20000");
+    private static CompletableFuture<String> book(Hops hops, String entry) {
+        return ask(hops, entry, "POST", "/once");
+    }
+
+    private static CompletableFuture<String> ask(
+            Hops hops, String entry, String method, String path) {
+        return ask(hops, entry, method, path, "20000");
     }
 
     private static CompletableFuture<String> ask(
-            Hops hops, String method, String path, String timeoutMillis) {
-        int port = hops.vm("a").callerPort();
+            Hops hops, String entry, String method, String path, String timeoutMillis) {
+        int port = hops.vm(entry).callerPort();
         return CompletableFuture.supplyAsync(
                 () -> {
                     try (RawCaller caller = new RawCaller(port)) {
