Keep a request at the target beside its entry while a slot there is free

Cause: an entry chose the target on its own VM like any other, once in n, though its slots are the only ones that it knows without delay, and passed every request through two more hops of HTTP. Change: LocalFirstPolicy decides on the first attempt: free slot, health by both sides, weight, speed against other targets, own stop. One in eight is balanced all the same, so that targets stay known. The guard applies its health estimate to the entry of its own process at once. A full target beside the entry is not asked until the request may wait. Only with LoadSharing.localFirst; counters for each reason and for hops. Not played on a fleet.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -251,7 +251,7 @@
             return;
         }
         Candidate candidate = choice.get();
-        mReporter.recordSend(candidate, targetRestriction().name());
+        mReporter.recordSend(candidate, targetRestriction().name(), queueingPolicy());
         boolean sendDirect =
                 mContext.targetAccess() == EntryOptions.TargetAccess.GUARD_OR_DIRECT
                         && !mContext.hasReachableGuard(candidate);
@@ -330,7 +330,7 @@
             mProgress = mProgress.after(outcome);
             mReachedTarget |= FinalOutcomes.reachedTarget(outcome);
             mPrepayment.onAttemptEnded(FinalOutcomes.reachedTarget(outcome));
-            mReporter.recordStep(outcome.toString());
+            mReporter.recordEndedAttempt(outcome);
             decision = decide();
         }
         if (decision instanceof RetryDecision.Finish finish) {
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -16,6 +16,7 @@
 import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.ratelimit.RateLimitDecision;
 import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.decision.routing.LocalSlots;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.decision.routing.SplitPolicy;
@@ -77,6 +78,7 @@
      * @param probes source of ejected targets to probe
      * @param quarantine table of quarantined requests
      * @param rateLimiter enforces the rate limits of members
+     * @param localSlots slots of the targets beside the entry
      * @param options options of the site
      * @param registry registry of the counters
      */
@@ -93,6 +95,7 @@
             ProbeSource probes,
             QuarantineTable quarantine,
             MemberRateLimiter rateLimiter,
+            LocalSlots localSlots,
             EntryOptions options,
             MetricRegistry registry) {
         mRoutingTable = routingTable;
@@ -123,6 +126,7 @@
                         new HeldAnswers(),
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
+                        new LocalFirst(options.loadSharing().localFirst(), localSlots, registry),
                         EntryMetrics.of(registry));
         mRequesterResolver = new RequesterResolver(mContext.dialect(), mContext.requestLog());
         mKeyedRequestHandler = new KeyedRequestHandler(mContext, options.keyLimits());
--- a/src/main/java/org/apricotgauge/caller/ExchangeReporter.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangeReporter.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.admission.QueueingPolicy;
+import org.apricotgauge.decision.attempt.NotRunReason;
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.model.SiteView;
@@ -22,6 +24,7 @@
     private final long mStartNanos;
     private final List<String> mSteps = new ArrayList<>(2);
     private volatile OptionalLong mSentMillis = OptionalLong.empty();
+    private volatile Optional<Candidate> mWithoutWait = Optional.empty();
 
     ExchangeReporter(
             EntryContext context,
@@ -40,7 +43,12 @@
     }
 
     /** Records that the request is sent to a target, and the view of the site it is based on. */
-    void recordSend(Candidate candidate, String targetRestriction) {
+    void recordSend(Candidate candidate, String targetRestriction, QueueingPolicy queueingPolicy) {
+        mContext.metrics().hops().inc();
+        mWithoutWait =
+                queueingPolicy == QueueingPolicy.NO_WAIT
+                        ? Optional.of(candidate)
+                        : Optional.empty();
         mSentMillis = OptionalLong.of(mContext.ticker().millis());
         SiteView view = mContext.observer().siteView();
         recordStep(
@@ -61,10 +69,21 @@
         recordStep(outcome.toString());
         if (mSentMillis.isPresent() && isSuccess(outcome)) {
             long tookMillis = mContext.ticker().millis() - mSentMillis.getAsLong();
-            mContext.runTimes().recordAnswer(mCallerRequest.route().id(), tookMillis);
+            String routeId = mCallerRequest.route().id();
+            mContext.runTimes().recordAnswer(routeId, tookMillis);
+            mWithoutWait.ifPresent(
+                    one -> mContext.localFirst().recordRun(one, routeId, tookMillis));
         }
     }
 
+    /** Records the outcome of an attempt that ended without an answer. */
+    void recordEndedAttempt(Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun notRun && notRun.reason() == NotRunReason.BUSY) {
+            mContext.metrics().hopsRefusedBusy().inc();
+        }
+        recordStep(outcome.toString());
+    }
+
     /** Records an outcome or another step. */
     synchronized void recordStep(String step) {
         mSteps.add(step);
--- a/src/main/java/org/apricotgauge/caller/TargetSelector.java
+++ b/src/main/java/org/apricotgauge/caller/TargetSelector.java
@@ -14,19 +14,21 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.routing.BalancingPolicy;
 import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.decision.routing.LocalFirstPolicy;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.stop.StopSchedule;
 
 /**
  * Selects the targets for the successive attempts of one request.
  *
- * <p>The first attempts look for a free slot and don't wait. The next ones wait at a target as long
- * as the answer can meet the soft deadline, the last ones up to the deadline, including at targets
- * that were busy before. Once all other targets have been tried, the request goes to the suspect
- * target with the lowest degradation probability; if it is idempotent, this includes targets that
- * ran it without an answer. A guard that announced a stop which the request doesn't fit is used
- * only if no other one is left. Used by one exchange with sequential attempts; otherwise not
- * thread-safe.
+ * <p>The first attempt goes to the target beside the entry if that is preferred and has a free
+ * slot. The first attempts look for a free slot and don't wait. The next ones wait at a target as
+ * long as the answer can meet the soft deadline, the last ones up to the deadline, including at
+ * targets that were busy before. Once all other targets have been tried, the request goes to the
+ * suspect target with the lowest degradation probability; if it is idempotent, this includes
+ * targets that ran it without an answer. A guard that announced a stop which the request doesn't
+ * fit is used only if no other one is left. Used by one exchange with sequential attempts;
+ * otherwise not thread-safe.
  */
 final class TargetSelector {
     /**
@@ -48,6 +50,7 @@
     private final Map<String, Candidate> mSuspects = new HashMap<>();
     private Candidate mLastCandidate;
     private int mBusyRefusals;
+    private boolean mSkippedBeside;
     private boolean mLastResort;
     private boolean mTakesEndingSoon;
 
@@ -111,6 +114,7 @@
         mSuspects.clear();
         mLastCandidate = null;
         mLastResort = false;
+        mSkippedBeside = false;
         mEndingSoon.clear();
         mTakesEndingSoon = false;
         mBusyRefusals = NO_WAIT_ATTEMPTS;
@@ -188,10 +192,19 @@
                 return probe;
             }
         }
+        if (mTried.isEmpty() && isFirstChoice(lastOutcome)) {
+            Optional<Candidate> beside = localFirst();
+            if (beside.isPresent()) {
+                return beside;
+            }
+        }
         Optional<Candidate> untried = balance(mTried);
         if (untried.isPresent()) {
             return untried;
         }
+        if (mSkippedBeside) {
+            return waitAtBusy();
+        }
         if (!mEndingSoon.isEmpty()) {
             return busyOrEndingSoon();
         }
@@ -203,12 +216,39 @@
         return leastDegraded();
     }
 
+    private boolean isFirstChoice(Outcome lastOutcome) {
+        return lastOutcome == null && mBusyRefusals == 0;
+    }
+
+    private Optional<Candidate> localFirst() {
+        StopSchedule ownStop = mContext.stop();
+        if (ownStop.hasBegun() && !mFitsStop.test(ownStop.remainingMillis())) {
+            return Optional.empty();
+        }
+        Optional<LocalFirstPolicy.Decision> decision =
+                mContext.localFirst().decide(mTable.get(), mContext.ticker().nanos());
+        if (decision.filter(one -> one.reason() == LocalFirstPolicy.Reason.FULL).isPresent()) {
+            // The guard would refuse to admit the request without waiting.
+            String id = decision.get().beside().orElseThrow().target().id();
+            mTried.add(id);
+            mBusy.add(id);
+            mSkippedBeside = true;
+        }
+        return decision.filter(LocalFirstPolicy.Decision::stays)
+                .flatMap(LocalFirstPolicy.Decision::beside);
+    }
+
+    private Optional<Candidate> waitAtBusy() {
+        mSkippedBeside = false;
+        mBusyRefusals = Math.max(mBusyRefusals, NO_WAIT_ATTEMPTS);
+        readmitBusy();
+        return balance(mTried);
+    }
+
     // A slot that becomes free at a busy target is worth more than one at a guard that ends.
     private Optional<Candidate> busyOrEndingSoon() {
         if (!mBusy.isEmpty()) {
-            mBusyRefusals = Math.max(mBusyRefusals, NO_WAIT_ATTEMPTS);
-            readmitBusy();
-            Optional<Candidate> busy = balance(mTried);
+            Optional<Candidate> busy = waitAtBusy();
             if (busy.isPresent()) {
                 return busy;
             }
--- a/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/apricotgauge/decision/admission/AdmissionQueue.java
@@ -187,6 +187,18 @@
         return mQueue.size();
     }
 
+    /**
+     * Returns the number of slots that are free now; 0 while a ticket is queued, which would be
+     * admitted first, or while the limit on the rate of starts prevents a start.
+     */
+    public synchronized int freeSlots(long nowMillis) {
+        mConcurrencyLimit.onTick(nowMillis);
+        if (mQueue.size() > 0 || !mStartRateLimiter.mayStart(nowMillis)) {
+            return 0;
+        }
+        return Math.max(0, mConcurrencyLimit.get() - mRunning.size());
+    }
+
     /** Returns the number of tickets that have a slot. */
     public synchronized int inFlight() {
         return mRunning.size();
--- a/src/main/java/org/apricotgauge/decision/routing/ServiceTable.java
+++ b/src/main/java/org/apricotgauge/decision/routing/ServiceTable.java
@@ -28,13 +28,19 @@
     private final List<Candidate> mAll;
     private final List<Candidate> mLocal;
     private final List<Candidate> mRemote;
+    private final List<Candidate> mBeside;
 
     private ServiceTable(
-            Service service, List<Candidate> all, List<Candidate> local, List<Candidate> remote) {
+            Service service,
+            List<Candidate> all,
+            List<Candidate> local,
+            List<Candidate> remote,
+            List<Candidate> beside) {
         mService = service;
         mAll = all;
         mLocal = local;
         mRemote = remote;
+        mBeside = beside;
     }
 
     /**
@@ -55,7 +61,11 @@
             (own ? local : remote).add(candidate);
         }
         return new ServiceTable(
-                service, List.copyOf(candidates), subset(local, entryVm), subset(remote, entryVm));
+                service,
+                List.copyOf(candidates),
+                subset(local, entryVm),
+                subset(remote, entryVm),
+                candidates.stream().filter(one -> one.target().vm().equals(entryVm)).toList());
     }
 
     private static List<Candidate> subset(List<Candidate> candidates, String entryVm) {
@@ -99,4 +109,9 @@
     public List<Candidate> remote() {
         return mRemote;
     }
+
+    /** Returns the targets on the entry's own VM, in the subset or not. */
+    public List<Candidate> beside() {
+        return mBeside;
+    }
 }
--- a/src/main/java/org/apricotgauge/node/HealthReportService.java
+++ b/src/main/java/org/apricotgauge/node/HealthReportService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.apricotgauge.decision.health.DegradationEstimate;
 import org.apricotgauge.decision.health.HealthReportPolicy;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Target;
 import org.apricotgauge.time.Ticker;
@@ -35,6 +36,7 @@
     private final RoutingState mState;
     private final Ticker mTicker;
     private final String mFailureDomain;
+    private final LoadSharing mLoadSharing;
     private final Map<String, HealthReportPolicy> mPolicies = new ConcurrentHashMap<>();
 
     /**
@@ -51,7 +53,9 @@
             int portNumber,
             RoutingState state,
             Ticker ticker,
-            String failureDomain) {
+            String failureDomain,
+            LoadSharing loadSharing) {
+        mLoadSharing = loadSharing;
         mPort = port;
         mPortNumber = portNumber;
         mState = state;
@@ -62,15 +66,21 @@
     /**
      * Opens the port and starts to listen.
      *
-     * @param address own address; other nodes have the same port
+     * @param profile settings of the node; other nodes have the same port for health reports
      * @throws IOException if the port can't be opened
      */
-    static HealthReportService start(
-            Address address, RoutingState state, Ticker ticker, String failureDomain)
+    static HealthReportService start(NodeProfile profile, RoutingState state, Ticker ticker)
             throws IOException {
+        Address address = profile.healthReportAddress();
         DatagramPort port = DatagramPort.open(address, "health reports", ticker);
         HealthReportService service =
-                new HealthReportService(port, address.port(), state, ticker, failureDomain);
+                new HealthReportService(
+                        port,
+                        address.port(),
+                        state,
+                        ticker,
+                        profile.vm().failureDomain(),
+                        profile.entry().loadSharing());
         port.listen((from, bytes, length) -> service.handleReport(decode(bytes, length)));
         return service;
     }
@@ -100,6 +110,11 @@
 
     /** Sends the current health and load of a target of this VM to the entries that need it. */
     void sendReport(Target target, DegradationEstimate.Report health, int loadPermille) {
+        HealthReport report = new HealthReport(target.id(), health.toText(), loadPermille);
+        if (mLoadSharing.localFirst()) {
+            // The entry of this node must learn of a failure before its next request stays here.
+            handleReport(report);
+        }
         HealthReportPolicy policy = policyOf(target);
         List<String> hosts;
         synchronized (policy) {
@@ -111,7 +126,7 @@
         if (hosts.isEmpty()) {
             return;
         }
-        byte[] bytes = encode(new HealthReport(target.id(), health.toText(), loadPermille));
+        byte[] bytes = encode(report);
         hosts.forEach(host -> mPort.send(bytes, new Address(host, mPortNumber)));
     }
 
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -175,6 +175,7 @@
                 mProbes::tryAcquire,
                 mQuarantine.table(),
                 mRateLimits,
+                targetId -> mGuard.localSlots().find(targetId),
                 mProfile.entry(),
                 mRegistry);
     }
@@ -246,13 +247,7 @@
         }
         mGuardServer.start();
         if (mProfile.healthReportAddress() != null) {
-            mHealthReports =
-                    Optional.of(
-                            HealthReportService.start(
-                                    mProfile.healthReportAddress(),
-                                    mState,
-                                    mTicker,
-                                    mProfile.vm().failureDomain()));
+            mHealthReports = Optional.of(HealthReportService.start(mProfile, mState, mTicker));
         }
         mControl =
                 mControlFactory.start(
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -26,6 +26,7 @@
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.FailoverPolicy;
+import org.apricotgauge.decision.routing.LocalSlots;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.http.Bodies;
@@ -223,6 +224,16 @@
         mRequests.values().forEach(GuardedRequest::onDraining);
     }
 
+    /** Returns the slots of this VM's targets; of none once the guard accepts no new work. */
+    public LocalSlots localSlots() {
+        return targetId ->
+                Optional.ofNullable(mRoutingTable.get().target(targetId))
+                        .filter(target -> !mDraining && target.vm().equals(mVm))
+                        .map(mGates::gateOf)
+                        .filter(gate -> !gate.isReplaced())
+                        .map(TargetGate::slotUse);
+    }
+
     /** Returns the number of attempts that are queued or running. */
     public int inFlight() {
         return mInFlight.get();
--- a/src/main/java/org/apricotgauge/target/TargetGate.java
+++ b/src/main/java/org/apricotgauge/target/TargetGate.java
@@ -11,6 +11,7 @@
 import org.apricotgauge.decision.admission.Ticket;
 import org.apricotgauge.decision.health.DegradationEstimate;
 import org.apricotgauge.decision.health.HealthGate;
+import org.apricotgauge.decision.routing.LocalSlots;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.TargetNotice;
 import org.apricotgauge.model.Address;
@@ -177,6 +178,11 @@
                 .ifPresent(limit -> headers.put(HeaderNames.TARGET_LIMIT, limit.toText()));
     }
 
+    /** Returns the slots that a request would get at once, and the requests that wait. */
+    LocalSlots.Use slotUse() {
+        return new LocalSlots.Use(mQueue.freeSlots(mTicker.millis()), mQueue.queued());
+    }
+
     int queued() {
         return mQueue.queued();
     }
--- a/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
+++ b/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
@@ -44,6 +44,7 @@
                         new HeldAnswers(),
                         new ExchangesInFlight(),
                         mRunTimes,
+                        LocalFirst.OFF,
                         null);
         return new ExchangeDeadline(
                 context,
--- a/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.apricotgauge.decision.attempt.RetryPolicy;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.decision.routing.LocalSlots;
 import org.apricotgauge.decision.routing.ServiceTable;
 import org.apricotgauge.decision.routing.TargetLoad;
 import org.apricotgauge.http.FleetDialect;
@@ -46,6 +48,9 @@
     private final PeerStops mStops = new PeerStops(mTicker);
     private final GuardClient mGuards = new GuardClient(mClient, mClient, mStops, mTicker);
     private final List<Candidate> mCandidates = new ArrayList<>();
+    private final StopSchedule mStop = new StopSchedule(mTicker);
+    private LocalFirst mLocalFirst = LocalFirst.OFF;
+    private final String mEntryVm = "10.0.0.1";
 
     @Test
     void waitsAtTheLeastLoadedTargetAfterTwoBusyRefusals() {
@@ -203,6 +208,61 @@
         assertThat(mStops.malformedCount()).isEqualTo(2 * TARGETS);
     }
 
+    // Guards against a look at a guard whose slots are known to be in use.
+    @Test
+    void fullTargetBesideTheEntryIsSkippedUntilTheRequestMayWait() {
+        mLocalFirst = localFirst("t1", 0);
+        TargetSelector selector = selector();
+        Set<Candidate> looks = new HashSet<>();
+
+        looks.add(selector.next(null).orElseThrow());
+        looks.add(selector.next(refused(NotRunReason.BUSY)).orElseThrow());
+        assertThat(looks).doesNotContain(mCandidates.get(1));
+        looks.add(selector.next(refused(NotRunReason.BUSY)).orElseThrow());
+        looks.add(selector.next(refused(NotRunReason.QUEUE_FULL)).orElseThrow());
+        looks.add(selector.next(refused(NotRunReason.QUEUE_FULL)).orElseThrow());
+        looks.add(selector.next(refused(NotRunReason.QUEUE_FULL)).orElseThrow());
+        assertThat(looks).contains(mCandidates.get(1));
+    }
+
+    // Guards against a refusal for want of a target where the only one is busy.
+    @Test
+    void requestWaitsAtTheOnlyTarget() {
+        mCandidates.add(candidate("t0", mEntryVm));
+        mLocalFirst = localFirst("t0", 0);
+        TargetSelector selector = selector();
+
+        assertThat(selector.next(null)).containsSame(mCandidates.get(0));
+        assertThat(selector.queueingPolicy()).isEqualTo(QueueingPolicy.WHILE_USEFUL);
+    }
+
+    // Guards against new work beside an entry whose node ends before the work does.
+    @Test
+    void requestStaysWhileASlotIsFreeAndTheNodeDoesNotEndTooSoon() {
+        mLocalFirst = localFirst("t1", 1);
+        int stayed = 0;
+        for (int i = 0; i < 100; i++) {
+            stayed += selector().next(null).orElseThrow() == mCandidates.get(1) ? 1 : 0;
+        }
+        assertThat(stayed).isGreaterThan(75);
+
+        mStop.begin(NEEDED_MILLIS - 1);
+        for (int i = 0; i < 100; i++) {
+            stayed -= selector().next(null).orElseThrow() == mCandidates.get(1) ? 1 : 0;
+        }
+        assertThat(stayed).isGreaterThan(25);
+    }
+
+    private static LocalFirst localFirst(String targetId, int free) {
+        return new LocalFirst(
+                true,
+                id ->
+                        id.equals(targetId)
+                                ? Optional.of(new LocalSlots.Use(free, 0))
+                                : Optional.empty(),
+                new MetricRegistry());
+    }
+
     private void announceStop(Candidate candidate, String millis) {
         HttpFields.Mutable answer =
                 HttpFields.build()
@@ -246,14 +306,15 @@
                         null,
                         null,
                         null,
-                        new StopSchedule(mTicker),
+                        mStop,
                         new HeldAnswers(),
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
+                        mLocalFirst,
                         null);
         return new TargetSelector(
                 context,
-                () -> ServiceTable.of(service, mCandidates, "entry", "here"),
+                () -> ServiceTable.of(service, mCandidates, mEntryVm, "here"),
                 idempotent,
                 stopMillis -> stopMillis >= NEEDED_MILLIS);
     }
--- a/src/test/java/org/apricotgauge/decision/admission/AdmissionQueueTest.java
+++ b/src/test/java/org/apricotgauge/decision/admission/AdmissionQueueTest.java
@@ -60,6 +60,19 @@
                 .isInstanceOf(AdmissionDecision.Rejected.class);
     }
 
+    /** Guards against a request that is kept beside its entry where it would not start at once. */
+    @Test
+    void noSlotIsFreeWhileAllAreInUseATicketWaitsOrNoStartIsPermitted() {
+        assertThat(mQueue.freeSlots(0)).isEqualTo(2);
+        mQueue.setStartLimit(1, 0);
+        assertThat(mQueue.freeSlots(0)).isZero();
+        mQueue.offer(ticket("m", Priority.NORMAL, 10_000), 0);
+        mQueue.removeStartLimit(0);
+        assertThat(mQueue.freeSlots(0)).isEqualTo(1);
+        mQueue.offer(ticket("m", Priority.NORMAL, 10_000), 0);
+        assertThat(mQueue.freeSlots(0)).isZero();
+    }
+
     @Test
     void ticketsQueuedForRateLimitedTargetStartInOrder() {
         mQueue.setStartLimit(1, 0);
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -343,6 +343,7 @@
                         service -> Optional.empty(),
                         vm.mQuarantine,
                         (member, request) -> vm.mLimits.acquire(member, request),
+                        targetId -> vm.mGuard.localSlots().find(targetId),
                         NestedCallDialect.options(KEYS, mTargetAccess),
                         vm.mRegistry);
         startGuard(id, vm, targets);
