--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -172,6 +172,7 @@
                 mProbes::tryAcquire,
                 mQuarantine.table(),
                 mRateLimits,
+                targetId -> mGuard.localSlots().find(targetId),
                 mProfile.entry(),
                 mRegistry);
     }
@@ -241,13 +242,7 @@
             mGuardClient.useLocalGuard(new LocalGuard(address, mGuard.guard(), mHttp.executor()));
         }
         if (mProfile.healthReportAddress() != null) {
-            mHealthReports =
-                    Optional.of(
-                            HealthReportService.start(
-                                    mProfile.healthReportAddress(),
-                                    mState,
-                                    mTicker,
-                                    mProfile.vm().failureDomain()));
+            mHealthReports = Optional.of(HealthReportService.start(mProfile, mState, mTicker));
         }
         mControl =
                 mControlFactory.start(
--- a/src/main/java/org/apricotgauge/target/GuardHandler.java
+++ b/src/main/java/org/apricotgauge/target/GuardHandler.java
@@ -13,6 +13,7 @@
 import org.apricotgauge.decision.attempt.GuardStamp;
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.decision.routing.LocalSlots;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.HeaderNames;
@@ -134,6 +135,11 @@
         mGuard.drain();
     }
 
+    /** Returns the slots of this VM's targets; of none once the guard accepts no new work. */
+    public LocalSlots localSlots() {
+        return mGuard.localSlots();
+    }
+
     /** Returns the number of attempts that are queued or running. */
     public int inFlight() {
         return mGuard.inFlight();
