Test the guard's promises over both transports, and describe the hand-over

The promises of the guard were tested over HTTP only. GuardTransportTest submits attempts by either transport and checks fences, copies, other incarnations, abandonment, deadlines, quarantine, slow and absent readers, broken and long bodies, the depth of the stack under refusals, and a guard that throws.

The last one changed: in the process, a guard that throws now ends the attempt as over HTTP, where its entry takes the server's failure for a lost answer. Before, the fence proved "not run" and the entry tried the same guard twice more.

Conclusion: adds the gauge guard.local_answers.held_bytes, so that what is held for slow callers can be seen.

--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -238,7 +238,8 @@
         mGuardServer.start();
         if (mProfile.entry().loadSharing().localFirst()) {
             Address address = new Address(mProfile.vm().host(), guardPort());
-            mGuardClient.useLocalGuard(new LocalGuard(address, mGuard.guard(), mHttp.executor()));
+            mGuardClient.useLocalGuard(
+                    new LocalGuard(address, mGuard.guard(), mHttp.executor(), mRegistry));
         }
         if (mProfile.healthReportAddress() != null) {
             mHealthReports =
--- a/src/main/java/org/apricotgauge/peer/hop/LocalExchange.java
+++ b/src/main/java/org/apricotgauge/peer/hop/LocalExchange.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.http.client.UpstreamResponse;
 import org.apricotgauge.target.HopReply;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.jboss.logging.Logger;
@@ -53,15 +54,18 @@
         return false;
     }
 
-    /** Ends the attempt, which may have started, because the guard failed to handle it. */
+    /**
+     * Ends the attempt, which may have started, because the guard failed to handle it: with the
+     * status that a server's failure has, which is no outcome, so that the entry takes it for a
+     * lost answer.
+     */
     void failSubmission(Throwable cause) {
         if (tryReply()) {
-            execute(
-                    () ->
-                            mListener.onFailure(
-                                    new UpstreamExchange.Failure(
-                                            cause, UpstreamExchange.Progress.MAYBE_SENT)));
+            UpstreamResponse failed =
+                    new UpstreamResponse(HttpStatus.INTERNAL_SERVER_ERROR_500, HttpFields.EMPTY);
+            execute(() -> mListener.onAnswer(failed, new EmptyBody()));
         }
+        execute(() -> abort(cause));
     }
 
     private synchronized boolean tryReply() {
--- a/src/main/java/org/apricotgauge/peer/hop/LocalGuard.java
+++ b/src/main/java/org/apricotgauge/peer/hop/LocalGuard.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.peer.hop;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.apricotgauge.decision.attempt.Attempt;
@@ -42,11 +43,13 @@
      *
      * @param address where other entries reach the guard
      * @param executor runs what must not run on the guard's stack
+     * @param registry registers the metrics
      */
-    public LocalGuard(Address address, Guard guard, Executor executor) {
+    public LocalGuard(Address address, Guard guard, Executor executor, MetricRegistry registry) {
         mAddress = Checks.notNull("address", address);
         mGuard = Checks.notNull("guard", guard);
         mExecutor = Checks.notNull("executor", executor);
+        registry.gauge("guard.local_answers.held_bytes", () -> mHeldBytes::count);
     }
 
     Address address() {
@@ -58,11 +61,6 @@
         return mGuard.stopMillis();
     }
 
-    /** Returns the bytes of answers that are held for entries which have not read them yet. */
-    public long heldBytes() {
-        return mHeldBytes.count();
-    }
-
     @Override
     public boolean isRemote() {
         return false;
@@ -81,7 +79,7 @@
         }
         try {
             mGuard.submit(attempt.attempt(), toHopRequest(attempt), exchange);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOGGER.errorf(e, "guard failed to handle attempt %s", attempt.attempt());
             exchange.failSubmission(e);
         }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -43,6 +43,7 @@
 import org.apricotgauge.target.BrokenRun;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -80,6 +81,7 @@
     private final EntryOptions.TargetAccess mTargetAccess;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
+    private volatile boolean mFailsArrivals;
     private volatile String mRunning = "";
     private volatile boolean mIsSiteCurrent = true;
     private Configuration mConfiguration =
@@ -91,8 +93,8 @@
     /** One VM: its servers, its relay, and what it counts. */
     static final class HopVm {
         private final MetricRegistry mRegistry = new MetricRegistry();
-        private final StopSchedule mStop = new StopSchedule(new HookedTicker());
-        private volatile Runnable mOnStopRead = () -> {};
+        private final HookedTicker mStopTicker = new HookedTicker();
+        private final StopSchedule mStop = new StopSchedule(mStopTicker);
         private final PeerStops mPeerStops = new PeerStops(Ticker.system());
         private final QuarantineTable mQuarantine =
                 new QuarantineTable(Ticker.system(), new NoopQuarantineListener());
@@ -133,6 +135,16 @@
             return mGuard;
         }
 
+        /** Returns what this VM's entry sends attempts with. */
+        GuardClient guards() {
+            return mGuards;
+        }
+
+        /** Returns where entries of other VMs reach this VM's guard. */
+        Address guardAddress() {
+            return new Address("127.0.0.1", mRelay.port());
+        }
+
         /** Returns the stops that other guards announced to this VM's node. */
         PeerStops peerStops() {
             return mPeerStops;
@@ -144,17 +156,7 @@
 
         /** Runs an action each time that the time left to this VM's node is read. */
         void onStopRead(Runnable action) {
-            mOnStopRead = action;
-        }
-
-        private final class HookedTicker implements Ticker {
-            private final Ticker mTicker = Ticker.system();
-
-            @Override
-            public long nanos() {
-                mOnStopRead.run();
-                return mTicker.nanos();
-            }
+            mStopTicker.onRead(action);
         }
 
         /** Returns when this VM's node ends; its entry and guard read it. */
@@ -217,6 +219,12 @@
         return this;
     }
 
+    /** Lets each guard throw when an attempt arrives. */
+    Hops failArrivals() {
+        mFailsArrivals = true;
+        return this;
+    }
+
     /** Lets every VM say that a request, by its id, is running at a target of its own. */
     Hops running(String requestId) {
         mRunning = requestId;
@@ -305,7 +313,7 @@
 
     private Address guardOf(Target target) {
         HopVm vm = mVms.get(target.vm());
-        return vm == null ? null : new Address("127.0.0.1", vm.mRelay.port());
+        return vm == null ? null : vm.guardAddress();
     }
 
     /** Lets the node of a VM hear that all slots of a target are in use. */
@@ -389,8 +397,8 @@
     /** Lets each entry hand its attempts at targets of its own VM over in the process. */
     Hops handOver() {
         for (HopVm vm : mVms.values()) {
-            Address address = new Address("127.0.0.1", vm.mRelay.port());
-            vm.mGuards.useLocalGuard(new LocalGuard(address, vm.mGuard.guard(), mThreads));
+            vm.mGuards.useLocalGuard(
+                    new LocalGuard(vm.guardAddress(), vm.mGuard.guard(), mThreads, vm.mRegistry));
         }
         return this;
     }
@@ -446,6 +454,13 @@
             mVm = vm;
         }
 
+        @Override
+        public void onAttemptArrived(Target target, String entryHost, HttpFields headers) {
+            if (mFailsArrivals) {
+                throw new IllegalStateException("guard fails on purpose");
+            }
+        }
+
         @Override
         public void onTargetLeaving(Target target) {
             mVm.mToldLeaving.add(target.id());
