Write the headers of a hop in a class of their own

GuardedAttempt held the state of an attempt and the spelling of its headers, and grew with the second transport. HopRequestHeaders writes what target.HopHeaders reads.

Ran GuardTransportTest, SilentPathTest, StoppingGuardTest, KeysTest, LimitedTargetTest and HungTargetTest: all pass.

--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -1,10 +1,8 @@
 package org.apricotgauge.caller;
 
-import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.apricotgauge.decision.admission.QueueingPolicy;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.decision.attempt.FenceAnswer;
 import org.apricotgauge.decision.attempt.GuardClockEstimate;
@@ -16,7 +14,6 @@
 import org.apricotgauge.decision.routing.Candidate;
 import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.Fingerprints;
-import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
 import org.apricotgauge.http.client.Abortable;
@@ -130,68 +127,19 @@
     }
 
     private UpstreamRequest newHopRequest(long remainingMillis) {
-        org.eclipse.jetty.server.Request callerRequest = mExchange.request();
-        HttpFields.Mutable headers = HttpFields.build();
-        ForwardedHeaders.copyRequest(callerRequest.getHeaders(), headers);
-        mExchange.callerRequest().requester().removeCredentials(headers);
-        headers.put(Attempt.HEADER, mAttempt.toString());
-        headers.put(HeaderNames.TARGET, mCandidate.target().id());
-        headers.put(HeaderNames.MEMBER, mExchange.callerRequest().memberId());
-        headers.put(HeaderNames.TIMEOUT_MILLIS, remainingMillis);
-        headers.put(HeaderNames.PRIORITY, priority());
-        headers.put(
-                HeaderNames.TARGET_RESTRICTION,
-                mExchange.targetRestriction().name().toLowerCase(Locale.ROOT));
-        mCandidate
-                .load()
-                .startLimit()
-                .ifPresent(limit -> headers.put(HeaderNames.TARGET_LIMIT, limit.toText()));
-        addQueueingHeaders(headers);
-        addRetryHeaders(headers);
-        mContext.dialect().addOriginHeaders(headers);
+        HttpFields.Mutable headers =
+                HopRequestHeaders.create(mExchange, mCandidate, mAttempt, remainingMillis);
         if (mTransport.isRemote()) {
             mHopStartMillis = mContext.observer().addHopHeaders(headers);
         }
         return new UpstreamRequest(
                 mCandidate.guard(),
-                callerRequest.getMethod(),
-                callerRequest.getHttpURI().getPathQuery(),
+                mExchange.request().getMethod(),
+                mExchange.request().getHttpURI().getPathQuery(),
                 headers,
                 mExchange.body().open());
     }
 
-    private void addRetryHeaders(HttpFields.Mutable headers) {
-        boolean parentIsRetry =
-                mExchange.parentId().filter(mContext.observer()::isRetry).isPresent();
-        if (mExchange.parentId().isPresent()) {
-            headers.put(HeaderNames.NESTED_CALL, "1");
-        }
-        if (mExchange.isRetry()) {
-            headers.put(
-                    HeaderNames.RETRY,
-                    mExchange.isRetryPrepaid()
-                            ? HeaderNames.RETRY_PREPAID
-                            : HeaderNames.RETRY_OF_REQUEST);
-        } else if (parentIsRetry) {
-            headers.put(HeaderNames.RETRY, HeaderNames.RETRY_OF_PARENT);
-        }
-    }
-
-    private void addQueueingHeaders(HttpFields.Mutable headers) {
-        QueueingPolicy queueingPolicy = mExchange.queueingPolicy();
-        if (queueingPolicy != QueueingPolicy.MAY_WAIT) {
-            headers.put(
-                    HeaderNames.QUEUEING_POLICY, queueingPolicy.name().toLowerCase(Locale.ROOT));
-        }
-        headers.put(
-                HeaderNames.SOFT_DEADLINE_MILLIS,
-                Math.max(0, mExchange.deadline().softRemainingMillis()));
-    }
-
-    private String priority() {
-        return mExchange.callerRequest().priority().name().toLowerCase(Locale.ROOT);
-    }
-
     private long acknowledgementTimeoutMillis() {
         return GuardTimeoutPolicy.DEFAULT.acknowledgementTimeoutMillis(
                 mContext.lagMeter().lagMillis());
