--- a/src/main/java/org/apricotgauge/node/SidecarTraining.java
+++ b/src/main/java/org/apricotgauge/node/SidecarTraining.java
@@ -28,13 +28,16 @@
  * <p>After a power failure all nodes start at once, and callers wait for them. A class or a call
  * site that is missing in the archive costs each node some milliseconds when it is first needed,
  * which is often during a failure. So the run has a second node, requests that fail or break, and
- * the second node's planned stop.
+ * the second node's planned stop. The two nodes differ in their share of a processor, by which they
+ * hand attempts over in the process or not.
  */
 public final class SidecarTraining {
     private static final String HOST = "127.0.0.1";
     private static final String SECOND_HOST = "127.0.0.2";
     private static final String ANY_HOST = "0.0.0.0";
     private static final String SERVICE = "desk";
+    private static final String SHARED_CPU = "0.25";
+    private static final String WHOLE_CPU = "1";
     private static final int CALLS = 50;
     private static final int FAILING_CALLS = 10;
     private static final int MAX_BYTES = 1_024;
@@ -55,7 +58,7 @@
         Thread trainer = new Thread(() -> System.exit(train(ports, port).code()), "trainer");
         trainer.setDaemon(true);
         trainer.start();
-        SidecarMain.main(flags(HOST, ports, port).toArray(String[]::new));
+        SidecarMain.main(flags(HOST, ports, port, SHARED_CPU).toArray(String[]::new));
     }
 
     /** The ports of a node; they are the same on all VMs. */
@@ -80,7 +83,7 @@
         }
     }
 
-    private static List<String> flags(String host, Ports ports, int platformPort) {
+    private static List<String> flags(String host, Ports ports, int platformPort, String cpuShare) {
         return List.of(
                 "--failure-domain=hall",
                 "--service=" + SERVICE,
@@ -89,7 +92,8 @@
                 "--admin-address=" + host + ':' + ports.admin(),
                 "--store-address=" + HOST + ':' + platformPort,
                 "--news-address=" + host + ':' + ports.news(),
-                "--crash-news-address=" + host + ':' + ports.crashNews());
+                "--crash-news-address=" + host + ':' + ports.crashNews(),
+                "--cpu-share=" + cpuShare);
     }
 
     private static ExitCode train(Ports ports, int platformPort) {
@@ -101,7 +105,7 @@
             threads.start();
             timers.start();
             clients.start();
-            Node second = startSecond(flags(SECOND_HOST, ports, platformPort));
+            Node second = startSecond(flags(SECOND_HOST, ports, platformPort, WHOLE_CPU));
             boolean served =
                     callUntilServed(client, new Address(HOST, ports.caller()))
                             && callUntilServed(client, new Address(SECOND_HOST, ports.caller()));
