--- a/src/main/java/org/apricotgauge/caller/ExchangeReporter.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangeReporter.java
@@ -44,7 +44,6 @@
 
     /** Records that the request is sent to a target, and the view of the site it is based on. */
     void recordSend(Candidate candidate, String targetRestriction, QueueingPolicy queueingPolicy) {
-        mContext.metrics().hops().inc();
         mWithoutWait =
                 queueingPolicy == QueueingPolicy.NO_WAIT
                         ? Optional.of(candidate)
