Send a large body once a guard has a slot for it, and keep it for another attempt

Cause: a body of more than 64 KB was sent with its head. Change: over a hop the body follows when the guard asks for it; a node keeps bodies of up to 512 KB within 12 MB for a next attempt. Guards of earlier releases get the body at their first acknowledgement. Acknowledgements are written one after the other.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -82,9 +82,9 @@
         mBudget = budget;
         mCallerRequest = callerRequest;
         mRequest = request;
+        mBody = context.largeBodies().bodyOf(request);
         mCallback = Callback.from(callback, () -> context.exchanges().remove(this));
         mDelivery = new AnswerDelivery(context, mReporter, request, response, mCallback);
-        mBody = new ReplayableBody(request, MAX_REPLAYABLE_BYTES);
         mQuarantine =
                 new QuarantineCheck(
                         context.quarantine(),
--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -31,6 +31,7 @@
  * @param requestLog log of ended requests
  * @param stop when this node ends
  * @param heldAnswers reads small answers whole
+ * @param largeBodies keeps and withholds large bodies
  * @param exchanges exchanges in flight
  * @param runTimes time that requests of each route take
  * @param localFirst prefers the target beside the entry
@@ -53,6 +54,7 @@
         RequestLog requestLog,
         StopSchedule stop,
         HeldAnswers heldAnswers,
+        LargeBodies largeBodies,
         ExchangesInFlight exchanges,
         RouteRunTimes runTimes,
         LocalFirst localFirst,
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -124,6 +124,7 @@
                         new RequestLog(ticker),
                         stop,
                         new HeldAnswers(),
+                        new LargeBodies(options.loadSharing().bodiesOnDemand(), registry),
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
                         new LocalFirst(options.loadSharing().localFirst(), localSlots, registry),
--- a/src/main/java/org/apricotgauge/caller/ExchangesInFlight.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangesInFlight.java
@@ -15,8 +15,10 @@
         }
     }
 
+    /** Removes an exchange that has ended, and drops what is kept of its body. */
     void remove(CallerExchange exchange) {
         mExchanges.remove(exchange);
+        exchange.body().release();
     }
 
     /** Returns whether all exchanges have been ended. */
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -19,6 +19,7 @@
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
+import org.apricotgauge.http.WithheldBody;
 import org.apricotgauge.http.client.Abortable;
 import org.apricotgauge.http.client.UpstreamExchange;
 import org.apricotgauge.http.client.UpstreamRequest;
@@ -62,6 +63,7 @@
     private volatile Scheduler.Task mTimeoutTask;
     private volatile boolean mAcknowledged;
     private volatile boolean mNotBegun;
+    private volatile WithheldBody mWithheldBody;
 
     GuardedAttempt(CallerExchange exchange, Candidate candidate) {
         mExchange = exchange;
@@ -157,7 +159,15 @@
                 callerRequest.getMethod(),
                 callerRequest.getHttpURI().getPathQuery(),
                 headers,
-                mExchange.body().open());
+                bodyToSend(headers));
+    }
+
+    private org.eclipse.jetty.client.Request.Content bodyToSend(HttpFields.Mutable headers) {
+        org.eclipse.jetty.client.Request.Content body = mExchange.body().open();
+        if (mTransport.isRemote() && Fingerprints.hasBody(mExchange.request())) {
+            mWithheldBody = mContext.largeBodies().withhold(body, headers);
+        }
+        return mWithheldBody == null ? body : mWithheldBody;
     }
 
     private void addRetryHeaders(HttpFields.Mutable headers) {
@@ -215,6 +225,7 @@
     @Override
     public void onAcknowledged(HttpFields fields) {
         mAcknowledged = true;
+        LargeBodies.onAcknowledged(mWithheldBody, fields);
         mContext.guards().recordStamp(mCandidate.guard(), fields);
         mContext.observer().onGuardAcknowledged(fields, mHopStartMillis);
         if (!mTracker.isEnded()) {
--- a/src/main/java/org/apricotgauge/decision/routing/LoadSharing.java
+++ b/src/main/java/org/apricotgauge/decision/routing/LoadSharing.java
@@ -18,10 +18,13 @@
  * @param roomReports whether guards report the room of their targets, and entries decide by it
  * @param rankedRetries whether retries go to the requests that gain most by them while a service
  *     sheds
+ * @param bodiesOnDemand whether a large body is sent once a guard has a slot for its request, and
+ *     kept for another attempt
  */
-public record LoadSharing(boolean localFirst, boolean roomReports, boolean rankedRetries) {
+public record LoadSharing(
+        boolean localFirst, boolean roomReports, boolean rankedRetries, boolean bodiesOnDemand) {
     /** Targets are chosen by the load that each entry observes by itself. */
-    public static final LoadSharing NONE = new LoadSharing(false, false, false);
+    public static final LoadSharing NONE = new LoadSharing(false, false, false, false);
 
     /** Nodes with less processor time than this share load, in cores. */
     static final double MAX_CPU_SHARE = 0.5;
@@ -34,6 +37,6 @@
     public static LoadSharing ofCpuShare(double cpuShare) {
         Checks.inRange("cpuShare", cpuShare, 0.0, Double.MAX_VALUE);
         boolean shared = cpuShare < MAX_CPU_SHARE;
-        return new LoadSharing(shared, shared, shared);
+        return new LoadSharing(shared, shared, shared, shared);
     }
 }
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -43,6 +43,15 @@
      */
     public static final String TARGET_LIMIT = "Apricotgauge-Target-Limit";
 
+    /**
+     * Hops: on a request, its body follows once the guard asks for it; on an acknowledgement, the
+     * guard doesn't ask for it yet.
+     */
+    public static final String BODY_ON_DEMAND = "Apricotgauge-Body-On-Demand";
+
+    /** Value of {@link #BODY_ON_DEMAND}: no byte of the body has been sent. */
+    public static final String BODY_WITHHELD = "withheld";
+
     /** Hops: load of the target as measured by its guard, in permille of its slots. */
     public static final String LOAD_PERMILLE = "Apricotgauge-Load-Permille";
 
--- a/src/main/java/org/apricotgauge/http/ReplayableBody.java
+++ b/src/main/java/org/apricotgauge/http/ReplayableBody.java
@@ -30,9 +30,13 @@
 public final class ReplayableBody {
     private final Content.Source mSource;
     private final int mMaxBufferedBytes;
+    private final int mMaxLargeBytes;
+    private final ByteBudget mLargeBodies;
     private final Object mLock = new Object();
     private final List<byte[]> mBuffered = new ArrayList<>();
     private int mBufferedBytes;
+    private long mReservedBytes;
+    private boolean mReleased;
     private boolean mOverflowed;
     private boolean mSourceEnded;
     private boolean mDemandPending;
@@ -45,15 +49,68 @@
      * @param maxBufferedBytes maximum number of bytes to buffer, not negative
      */
     public ReplayableBody(Content.Source source, int maxBufferedBytes) {
+        this(source, maxBufferedBytes, maxBufferedBytes, new ByteBudget(0));
+    }
+
+    /**
+     * Creates a body that may be buffered beyond its own bound while the node has room.
+     *
+     * @param source source of the bytes
+     * @param maxBufferedBytes maximum number of bytes to buffer in any case, not negative
+     * @param maxLargeBytes maximum number of bytes to buffer, from {@code maxBufferedBytes}
+     * @param largeBodies bounds the bytes that all bodies of the node buffer beyond {@code
+     *     maxBufferedBytes}; they are given back by {@link #release}
+     */
+    public ReplayableBody(
+            Content.Source source,
+            int maxBufferedBytes,
+            int maxLargeBytes,
+            ByteBudget largeBodies) {
         mSource = Checks.notNull("source", source);
         mMaxBufferedBytes =
                 (int) Checks.inRange("maxBufferedBytes", maxBufferedBytes, 0, Integer.MAX_VALUE);
+        mMaxLargeBytes =
+                (int)
+                        Checks.inRange(
+                                "maxLargeBytes",
+                                maxLargeBytes,
+                                maxBufferedBytes,
+                                Integer.MAX_VALUE);
+        mLargeBodies = Checks.notNull("largeBodies", largeBodies);
+    }
+
+    /**
+     * Drops what is buffered, once the request has ended; it can't be sent again. A reader that is
+     * still in the buffered part reads it to its end first.
+     */
+    public void release() {
+        synchronized (mLock) {
+            mReleased = true;
+            dropIfRead();
+        }
+    }
+
+    private void dropIfRead() {
+        AttemptContent reader = mCurrentAttempt;
+        if (reader == null || reader.mNextBuffered >= mBuffered.size()) {
+            drop();
+        }
+    }
+
+    private void drop() {
+        mOverflowed = true;
+        mBuffered.clear();
+        if (mCurrentAttempt != null) {
+            mCurrentAttempt.mNextBuffered = 0;
+        }
+        mLargeBodies.release(mReservedBytes);
+        mReservedBytes = 0;
     }
 
     /** Returns whether the body can still be sent from its start. */
     public boolean canReplay() {
         synchronized (mLock) {
-            return !mOverflowed;
+            return !mOverflowed && !mReleased;
         }
     }
 
@@ -126,6 +183,9 @@
                 byte[] bytes = mBuffered.get(content.mNextBuffered++);
                 boolean last = mSourceEnded && content.mNextBuffered == mBuffered.size();
                 content.mEnded = last;
+                if (mReleased) {
+                    dropIfRead();
+                }
                 return Content.Chunk.from(ByteBuffer.wrap(bytes), last);
             }
             if (mSourceEnded) {
@@ -156,10 +216,8 @@
         if (mOverflowed || !chunk.hasRemaining()) {
             return;
         }
-        if (mBufferedBytes + chunk.remaining() > mMaxBufferedBytes) {
-            mOverflowed = true;
-            mBuffered.clear();
-            content.mNextBuffered = 0;
+        if (!tryReserve(chunk.remaining())) {
+            drop();
             return;
         }
         byte[] copy = new byte[chunk.remaining()];
@@ -169,6 +227,19 @@
         content.mNextBuffered = mBuffered.size();
     }
 
+    private boolean tryReserve(int bytes) {
+        long total = (long) mBufferedBytes + bytes;
+        if (total <= mMaxBufferedBytes) {
+            return true;
+        }
+        long needed = total - mMaxBufferedBytes - mReservedBytes;
+        if (mReleased || total > mMaxLargeBytes || !mLargeBodies.tryReserve(needed)) {
+            return false;
+        }
+        mReservedBytes += needed;
+        return true;
+    }
+
     private void demandFor(AttemptContent content, Runnable onAvailable) {
         boolean runNow;
         synchronized (mLock) {
--- a/src/main/java/org/apricotgauge/target/AcknowledgementSender.java
+++ b/src/main/java/org/apricotgauge/target/AcknowledgementSender.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.apricotgauge.http.HeaderNames;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -30,21 +31,27 @@
     private CompletableFuture<Void> mPendingWrite = CompletableFuture.completedFuture(null);
     private volatile Scheduler.Task mNextSend;
 
+    /** Whether the entry sends the body only once it is asked for it. */
+    private boolean mBodyWithheld;
+
     /**
      * Creates a sender that has sent nothing yet.
      *
      * @param hasAnswerBegun whether the answer has begun, so that no acknowledgement may be sent
      * @param headerWriter adds the guard's headers to each acknowledgement
+     * @param bodyWithheld whether the entry sends the body only once it is asked for it
      */
     AcknowledgementSender(
             Scheduler scheduler,
             HopReply reply,
             BooleanSupplier hasAnswerBegun,
-            Consumer<HttpFields.Mutable> headerWriter) {
+            Consumer<HttpFields.Mutable> headerWriter,
+            boolean bodyWithheld) {
         mScheduler = scheduler;
         mReply = reply;
         mHasAnswerBegun = hasAnswerBegun;
         mHeaderWriter = headerWriter;
+        mBodyWithheld = bodyWithheld;
     }
 
     /** Sends an acknowledgement now and schedules the next one. */
@@ -52,12 +59,27 @@
         if (!mReply.isRemote() || mHasAnswerBegun.getAsBoolean()) {
             return;
         }
+        stop();
         HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.SERVER, SERVER_NAME);
         mHeaderWriter.accept(fields);
-        mPendingWrite = mReply.acknowledge(fields.asImmutable());
+        if (mBodyWithheld) {
+            fields.put(HeaderNames.BODY_ON_DEMAND, HeaderNames.BODY_WITHHELD);
+        }
+        mPendingWrite =
+                mPendingWrite
+                        .handle((written, failure) -> fields.asImmutable())
+                        .thenCompose(mReply::acknowledge);
         mNextSend = mScheduler.schedule(this::send, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Asks the entry for the body, if it has not been sent. */
+    synchronized void askForBody() {
+        if (mBodyWithheld) {
+            mBodyWithheld = false;
+            send();
+        }
+    }
+
     /** Runs an action that writes to the reply; two concurrent writes are not allowed. */
     void runAfterPendingWrite(Runnable action) {
         CompletableFuture<Void> pendingWrite;
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -117,7 +117,8 @@
                         context.scheduler(),
                         reply,
                         this::hasAnswerBegun,
-                        context::addAcknowledgementHeaders);
+                        context::addAcknowledgementHeaders,
+                        request.headers().contains(HeaderNames.BODY_ON_DEMAND));
     }
 
     private boolean hasAnswerBegun() {
@@ -134,7 +135,11 @@
         mReply.watch(this::onEntryDisconnected);
         mAcknowledgements.send();
         mAcknowledgements.runAfterPendingWrite(
-                () -> mIdentity.whenIdentified(mContext.quarantine(), this::submit));
+                () ->
+                        mIdentity.whenIdentified(
+                                mContext.quarantine(),
+                                mAcknowledgements::askForBody,
+                                this::submit));
     }
 
     /** Removes the request from the queue after a fence; a started one continues. */
@@ -223,6 +228,7 @@
             mGate.release(mTicket, RunResult.UNSENT, 0);
             return;
         }
+        mAcknowledgements.askForBody();
         mContext.observer().onRunStarted(requestId());
         long remainingMillis = mRunDeadline.remainingMillis(mContext.ticker().millis());
         mTimeoutTask =
--- a/src/main/java/org/apricotgauge/target/RunIdentity.java
+++ b/src/main/java/org/apricotgauge/target/RunIdentity.java
@@ -53,12 +53,15 @@
     /**
      * Runs an action at once or, if a request with the same head was running during a crash, after
      * reading ahead in the body to complete the fingerprint.
+     *
+     * @param askForBody called before the body is read
      */
-    void whenIdentified(QuarantineTable quarantine, Runnable action) {
+    void whenIdentified(QuarantineTable quarantine, Runnable askForBody, Runnable action) {
         if (mBodyHash.isComplete() || !quarantine.isSuspectHead(mHeadHash)) {
             action.run();
             return;
         }
+        askForBody.run();
         // If the body is truncated, the attempt fails when it reads the body to send it.
         mReplayableBody.readAhead(mBodyHash).whenComplete((read, failure) -> action.run());
     }
--- a/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
+++ b/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.Optional;
 import org.apricotgauge.decision.attempt.RetryPolicy;
 import org.apricotgauge.http.FleetDialect;
@@ -42,6 +43,7 @@
                         null,
                         mStop,
                         new HeldAnswers(),
+                        new LargeBodies(false, new MetricRegistry()),
                         new ExchangesInFlight(),
                         mRunTimes,
                         LocalFirst.OFF,
--- a/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
@@ -308,6 +308,7 @@
                         null,
                         mStop,
                         new HeldAnswers(),
+                        new LargeBodies(false, new MetricRegistry()),
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
                         mLocalFirst,
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -21,6 +21,7 @@
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
 import org.apricotgauge.decision.quarantine.NoopQuarantineListener;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
 import org.apricotgauge.http.FleetDialect;
@@ -78,6 +79,7 @@
     private final List<UpstreamClient> mToGuards = new ArrayList<>();
     private final int mTargetConnections;
     private final EntryOptions.TargetAccess mTargetAccess;
+    private final LoadSharing mLoadSharing;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
     private volatile String mRunning = "";
@@ -173,13 +175,18 @@
 
     /** Creates VMs whose guards open no more than so many connections to a target. */
     Hops(int targetConnections, String... vms) throws Exception {
-        this(targetConnections, EntryOptions.TargetAccess.GUARD_OR_DIRECT, vms);
+        this(targetConnections, EntryOptions.TargetAccess.GUARD_OR_DIRECT, LoadSharing.NONE, vms);
     }
 
-    private Hops(int targetConnections, EntryOptions.TargetAccess access, String... vms)
+    private Hops(
+            int targetConnections,
+            EntryOptions.TargetAccess access,
+            LoadSharing loadSharing,
+            String... vms)
             throws Exception {
         mTargetConnections = targetConnections;
         mTargetAccess = access;
+        mLoadSharing = loadSharing;
         mThreads.start();
         mScheduler.start();
         mClients.start();
@@ -193,7 +200,14 @@
 
     /** Creates VMs whose entries reach targets through their guards only. */
     static Hops guardsOnly(String... vms) throws Exception {
-        return new Hops(TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, vms);
+        return new Hops(
+                TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, LoadSharing.NONE, vms);
+    }
+
+    /** Creates VMs that share load; targets are reached through their guards only. */
+    static Hops sharing(LoadSharing loadSharing, String... vms) throws Exception {
+        return new Hops(
+                TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, loadSharing, vms);
     }
 
     private static Route route(String id, String prefix, Repeatability repeatability) {
@@ -353,7 +367,7 @@
                         vm.mQuarantine,
                         (member, request) -> vm.mLimits.acquire(member, request),
                         targetId -> vm.mGuard.localSlots().find(targetId),
-                        NestedCallDialect.options(KEYS, mTargetAccess),
+                        NestedCallDialect.options(KEYS, mTargetAccess, mLoadSharing),
                         vm.mRegistry);
         startGuard(id, vm, targets);
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
--- a/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
+++ b/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.apricotgauge.caller.EntryOptions;
 import org.apricotgauge.decision.attempt.KeyLimits;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.TargetNotice;
@@ -16,7 +17,8 @@
     private final SiteDialect mFleet = FleetDialect.INSTANCE;
 
     /** Returns the default options with these conventions. */
-    static EntryOptions options(KeyLimits keyLimits, EntryOptions.TargetAccess access) {
+    static EntryOptions options(
+            KeyLimits keyLimits, EntryOptions.TargetAccess access, LoadSharing loadSharing) {
         EntryOptions options = EntryOptions.of(keyLimits);
         return new EntryOptions(
                 new NestedCallDialect(),
@@ -25,7 +27,7 @@
                 options.keyLimits(),
                 options.entryRetryAllowance(),
                 options.guardRetryAllowance(),
-                options.loadSharing());
+                loadSharing);
     }
 
     @Override
--- a/src/test/java/org/apricotgauge/http/ReplayableBodyTest.java
+++ b/src/test/java/org/apricotgauge/http/ReplayableBodyTest.java
@@ -48,6 +48,53 @@
         assertThatIllegalStateException().isThrownBy(body::open);
     }
 
+    @Test
+    void largeBodyIsReplayedWhileTheNodeHasRoom() {
+        ByteBudget budget = new ByteBudget(4);
+        ReplayableBody body = large(budget, "ab", "cd", "ef");
+        assertThat(read(body.open(), 10)).isEqualTo("abcdef.");
+        assertThat(read(body.open(), 10)).isEqualTo("abcdef.");
+        assertThat(large(budget, "ab", "cd").open().read().remaining()).isEqualTo(2);
+
+        body.release();
+
+        assertThat(budget.reservedBytes()).isZero();
+        assertThat(body.canReplay()).isFalse();
+    }
+
+    // Guards against bytes that are left out when a request ends while its body is still sent.
+    @Test
+    void readerInTheBufferedPartReadsItToItsEndAfterTheRelease() {
+        ByteBudget budget = new ByteBudget(4);
+        ReplayableBody body = large(budget, "ab", "cd", "ef");
+        read(body.open(), 10);
+        Request.Content second = body.open();
+        assertThat(read(second, 1)).isEqualTo("ab");
+
+        body.release();
+
+        assertThat(read(second, 10)).isEqualTo("cdef.");
+        assertThat(budget.reservedBytes()).isZero();
+    }
+
+    // Guards against large bodies that together exceed the memory of the node.
+    @Test
+    void largeBodyIsStreamedOnceBeyondTheRoomOfTheNode() {
+        ByteBudget budget = new ByteBudget(1);
+        ReplayableBody body = large(budget, "ab", "cd");
+        assertThat(read(body.open(), 10)).isEqualTo("abcd.");
+        assertThat(body.canReplay()).isFalse();
+        assertThat(budget.reservedBytes()).isZero();
+    }
+
+    private static ReplayableBody large(ByteBudget budget, String... parts) {
+        ByteBuffer[] buffers = new ByteBuffer[parts.length];
+        for (int i = 0; i < parts.length; i++) {
+            buffers[i] = ByteBuffer.wrap(parts[i].getBytes(StandardCharsets.US_ASCII));
+        }
+        return new ReplayableBody(Content.Source.from(buffers), 2, 100, budget);
+    }
+
     @Test
     void abandonedAttemptCannotReadFurther() {
         // The caller's bytes must reach only the current attempt. The first attempt is abandoned
