Do nothing for each item or node while a view is only confirmed

A node confirms its view about twice a second and ticks ten times a second. Each confirmation went through all items twice, for the newest revision and for what had changed, and each tick through all nodes of the failure domain to select the parent, and through the empty tables of retained targets, waiting readers and crashed requests.

The newest revision is carried on from page to page, since an item is only replaced by a newer revision; a page that replaces nothing has no changes. The parent is selected anew when the tree, the mode or a suspicion changes: nothing else goes into the selection. Empty tables end their step at once. Periods and bounds are as they were, so no view gets older and nothing is detected later.

--- a/src/main/java/org/apricotgauge/decision/quarantine/QuarantineTable.java
+++ b/src/main/java/org/apricotgauge/decision/quarantine/QuarantineTable.java
@@ -155,6 +155,9 @@
         long nowMillis = mTicker.millis();
         Set<Fingerprint> before = mView.quarantined().keySet();
         synchronized (this) {
+            if (mRecords.isEmpty()) {
+                return;
+            }
             boolean hasEnded =
                     mView.quarantined().keySet().stream()
                             .anyMatch(one -> remainingQuarantineMillis(one) == 0);
--- a/src/main/java/org/apricotgauge/directory/ItemTable.java
+++ b/src/main/java/org/apricotgauge/directory/ItemTable.java
@@ -26,7 +26,8 @@
 public final class ItemTable {
     /** A table without items. */
     public static final ItemTable EMPTY =
-            new ItemTable(StorePosition.NONE, new UnseenRevisions(0, 0, 0), HashTreePMap.empty());
+            new ItemTable(
+                    StorePosition.NONE, 0, new UnseenRevisions(0, 0, 0), HashTreePMap.empty());
 
     private final StorePosition mPosition;
     private final long mNewestRevision;
@@ -55,12 +56,18 @@
     }
 
     private ItemTable(
-            StorePosition position, UnseenRevisions unseen, PMap<String, PublishedItem> items) {
+            StorePosition position,
+            long newestRevision,
+            UnseenRevisions unseen,
+            PMap<String, PublishedItem> items) {
         mPosition = position;
+        mNewestRevision = newestRevision;
         mUnseenRevisions = unseen;
         mItems = items;
-        mNewestRevision =
-                items.values().stream().mapToLong(PublishedItem::revision).max().orElse(0);
+    }
+
+    private static long newestRevision(PMap<String, PublishedItem> items) {
+        return items.values().stream().mapToLong(PublishedItem::revision).max().orElse(0);
     }
 
     /** Returns the position up to which all changes are in the table. */
@@ -96,22 +103,23 @@
         if (!page.position().isSameEra(mPosition)) {
             return page.full() ? replacedBy(page) : this;
         }
-        long revision = page.position().revision();
         PMap<String, PublishedItem> items = mItems;
+        long newestRevision = mNewestRevision;
         for (PublishedItem item : page.items()) {
             PublishedItem known = items.get(item.key());
             if (known == null || item.revision() > known.revision()) {
                 items = items.plus(item.key(), item);
+                newestRevision = Math.max(newestRevision, item.revision());
             }
         }
-        if (page.full()) {
-            items = withMissingRemoved(items, page);
+        if (!page.full()) {
+            return new ItemTable(page.position(), newestRevision, mUnseenRevisions, items);
         }
+        items = withMissingRemoved(items, page);
         return new ItemTable(
                 page.position(),
-                page.full()
-                        ? mUnseenRevisions.withFullRead(mPosition.revision(), revision)
-                        : mUnseenRevisions,
+                newestRevision(items),
+                mUnseenRevisions.withFullRead(mPosition.revision(), page.position().revision()),
                 items);
     }
 
@@ -127,7 +135,10 @@
             }
         }
         return new ItemTable(
-                page.position(), new UnseenRevisions(revision, revision, revision), items);
+                page.position(),
+                newestRevision(items),
+                new UnseenRevisions(revision, revision, revision),
+                items);
     }
 
     private static PMap<String, PublishedItem> withMissingRemoved(
@@ -153,6 +164,9 @@
      * only afterwards.
      */
     public List<PublishedItem> changedSince(ItemTable earlier) {
+        if (mItems == earlier.mItems && mPosition.isSameEra(earlier.mPosition)) {
+            return List.of();
+        }
         boolean isSameEra = mPosition.isSameEra(earlier.mPosition);
         return mItems.values().stream()
                 .filter(item -> isChanged(item, earlier.item(item.key()), isSameEra))
--- a/src/main/java/org/apricotgauge/directory/ParentLink.java
+++ b/src/main/java/org/apricotgauge/directory/ParentLink.java
@@ -24,6 +24,9 @@
     private Address mConfirmer;
     private long mNextQueryMillis;
 
+    /** The tree that the nodes were selected from while no node was suspect; else null. */
+    private ReaderTree mSettledTree;
+
     /**
      * Creates a link without a node, so that the platform is read.
      *
@@ -81,6 +84,9 @@
      * @param position position that this node has, for the log
      */
     boolean selectNodes(Mode mode, StorePosition position, long nowMillis) {
+        if (mode == Mode.BY_TREE && mTree == mSettledTree && mSuspects.isEmpty()) {
+            return false;
+        }
         boolean skipsNodes =
                 mode == Mode.PLATFORM_ONLY || (mode == Mode.STARTING && !mSuspects.isEmpty());
         Predicate<Address> isSuspect = node -> skipsNodes || mSuspects.contains(node, nowMillis);
@@ -88,6 +94,7 @@
         Address nodeBefore = mParent;
         mParent = skipsNodes ? null : mTree.parent(isSuspect).orElse(null);
         mConfirmer = mTree.confirmer(isSuspect).orElse(null);
+        mSettledTree = mode == Mode.BY_TREE && mSuspects.isEmpty() ? mTree : null;
         if (!Objects.equals(queriedNode(), queriedBefore)) {
             mQuery.cancel();
         }
--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -239,6 +239,9 @@
      * registrations were not ended again; returns whether there were any.
      */
     public boolean expire(long nowMillis) {
+        if (mRetainedUntilMillis.isEmpty() && mDelayedWrites.isEmpty()) {
+            return false;
+        }
         Set<String> due = new HashSet<>();
         mRetainedUntilMillis.forEach(
                 (name, untilMillis) -> {
--- a/src/main/java/org/apricotgauge/directory/SiteState.java
+++ b/src/main/java/org/apricotgauge/directory/SiteState.java
@@ -184,6 +184,16 @@
     /** Removes what is retained for too long; returns whether there was anything. */
     boolean expire(long nowMillis) {
         boolean changed = mDirectory.expire(nowMillis);
+        if (!mMissingNames.isEmpty()) {
+            expireMissing();
+        }
+        for (String key : mLostWrites.expire(mItems.get(), nowMillis)) {
+            changed |= readmit(mItems.get().item(key), nowMillis);
+        }
+        return changed;
+    }
+
+    private void expireMissing() {
         mMissingNames.removeIf(
                 name -> {
                     if (mDirectory.isRetained(name)) {
@@ -192,10 +202,6 @@
                     mDirectory.forgetEnd(name);
                     return true;
                 });
-        for (String key : mLostWrites.expire(mItems.get(), nowMillis)) {
-            changed |= readmit(mItems.get().item(key), nowMillis);
-        }
-        return changed;
     }
 
     private boolean readmit(PublishedItem stored, long nowMillis) {
--- a/src/main/java/org/apricotgauge/directory/WaitingReaders.java
+++ b/src/main/java/org/apricotgauge/directory/WaitingReaders.java
@@ -102,6 +102,9 @@
 
     /** Answers all requests that are satisfied or timed out. */
     void answerDue(long nowMillis) {
+        if (mWaiting.isEmpty()) {
+            return;
+        }
         removeIf(this::isSatisfied).forEach(this::answer);
         List<Reader> expired = removeIf(reader -> nowMillis >= reader.deadlineMillis());
         expired.forEach(this::answer);
--- a/src/test/java/org/apricotgauge/directory/ItemTableTest.java
+++ b/src/test/java/org/apricotgauge/directory/ItemTableTest.java
@@ -51,6 +51,20 @@
         return new PublishedItem(key, new byte[] {1}, revision, false);
     }
 
+    /** Guards against a reader that gets changes twice, or never, after quiet confirmations. */
+    @Test
+    void changesPageThatConfirmsTableKeepsItsNewestRevision() {
+        ItemTable table = ItemTable.EMPTY.with(fullPage(10, item("a", 9)));
+
+        ItemTable confirmed = table.with(changes(12)).with(changes(14, item("a", 8)));
+
+        assertThat(confirmed.newestPosition().revision()).isEqualTo(9);
+        assertThat(confirmed.changedSince(table)).isEmpty();
+        assertThat(confirmed.with(changes(15, item("b", 15))).changedSince(table))
+                .extracting(PublishedItem::key)
+                .containsExactly("b");
+    }
+
     @Test
     void sendsFullPageIfRemovalBeforeFirstReadWasNotSeen() {
         // A node starts and reads the site after a target has left and its key was removed. A node
