Keep routing tables when a target writes only how cold it is

A target that has just started writes its registration each second, since the remaining time of its cold start falls. Each such write counted as a change of the site: every node worked out all targets, peers, guards and the reader tree again, several times a second after a loss of power, when all targets are cold.

A registration counts as a change if its target or its leaving does, which is all that requests depend on; its sequence is kept as before, so that an older write is still known as such.

--- a/src/main/java/org/apricotgauge/bench/MeasureProcessor.java
+++ b/src/main/java/org/apricotgauge/bench/MeasureProcessor.java
@@ -42,6 +42,12 @@
                     SettingKinds.integer("targets", 0, 200),
                     0,
                     "Targets of another service, which register as well.");
+    private static final Setting<Integer> COLD_TARGETS =
+            Setting.withDefault(
+                    "cold-targets",
+                    SettingKinds.integer("targets", 0, 200),
+                    0,
+                    "Those of the other targets that write once a second, as after a start.");
     private static final Setting<Integer> REST_SECONDS =
             Setting.withDefault(
                     "rest-seconds", SettingKinds.integer("seconds", 1, 300), 20, "Time at rest.");
@@ -90,6 +96,7 @@
     private final AtomicInteger mPending = new AtomicInteger();
     private final AtomicInteger mNextId = new AtomicInteger();
     private final KvStandin mPlatform;
+    private long mWrites;
 
     private MeasureProcessor(SettingValues values, KvStandin platform) {
         mValues = values;
@@ -101,7 +108,7 @@
         new Command<>(
                         "measure-processor",
                         "Measures the processor time of a node's process.",
-                        List.of(NODES, TARGETS, REST_SECONDS, REQUESTS, RATE, BUILD),
+                        List.of(NODES, TARGETS, COLD_TARGETS, REST_SECONDS, REQUESTS, RATE, BUILD),
                         values -> values)
                 .runAndExit(args, MeasureProcessor::run);
     }
@@ -122,6 +129,7 @@
     private void measure() throws IOException, InterruptedException {
         mPlatform.publishConfiguration(1, SERVICE, List.of(KvStandin.PATH));
         registerTargets();
+        mTimer.scheduleAtFixedRate(this::writeColdTargets, 1, 1, TimeUnit.SECONDS);
         for (int node = 0; node < mValues.get(NODES); node++) {
             mNodes.add(startNode(node));
         }
@@ -193,16 +201,29 @@
 
     private void registerTargets() {
         for (int node = 0; node < mValues.get(NODES); node++) {
-            register("i-" + node, SERVICE, host(node), node);
+            register("i-" + node, SERVICE, node, 1);
         }
         for (int other = 0; other < mValues.get(TARGETS); other++) {
-            register("j-" + other, OTHER_SERVICE, host(mValues.get(NODES) + other), other);
+            register("j-" + other, OTHER_SERVICE, mValues.get(NODES) + other, 1);
+        }
+    }
+
+    private void writeColdTargets() {
+        mWrites++;
+        int cold = Math.min(mValues.get(COLD_TARGETS), mValues.get(TARGETS));
+        for (int other = 0; other < cold; other++) {
+            register("j-" + other, OTHER_SERVICE, mValues.get(NODES) + other, 1 + mWrites);
         }
     }
 
-    private void register(String name, String service, String host, int number) {
+    private void register(String name, String service, int number, long sequence) {
         mPlatform.registerReady(
-                name, service, host + ':' + mPlatform.port(), "hall-" + number % 3, SLOTS, 1);
+                name,
+                service,
+                host(number) + ':' + mPlatform.port(),
+                "hall-" + number % 3,
+                SLOTS,
+                sequence);
     }
 
     private void awaitReady() throws IOException, InterruptedException {
--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -146,7 +146,9 @@
         Entry entry = new Entry(registration, order);
         mRegistrations.put(registration.name(), entry);
         reportChange(entry, before, presenceOf(registration.name()));
-        return true;
+        return wasRetained
+                || !isSameProcess
+                || known.registration().leaving() != registration.leaving();
     }
 
     // A delayed older write must not undo that the target is leaving or has left.
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -63,7 +63,7 @@
     private List<Route> mRoutes = List.of();
     private List<Member> mMembers = List.of();
     private Set<String> mLeaving = Set.of();
-    private volatile Mark mMark = new Mark("", "", 0);
+    private volatile String mVersion = "";
 
     private DirectoryControl(
             Dependencies dependencies,
@@ -114,13 +114,12 @@
         updateRoutes(published);
         updateMembers(published.members());
         Set<String> leaving = updateTargets(directory.registrations());
-        String version = "r" + published.version();
-        mMark = new Mark(version, version, mFeed.reports().newestPosition().revision());
+        mVersion = "r" + published.version();
         // Members first: a new target whose guard is not known yet would be skipped, and a node
         // that has just started would refuse requests that it can serve.
         List<Address> guards = guards();
         mDependencies.listener().onMembers(new RegisteredMembers(leaving, peers()));
-        mDependencies.listener().onConfiguration(published.version(), mConfiguration, mMark);
+        mDependencies.listener().onConfiguration(published.version(), mConfiguration, mark());
         mFeed.setNodes(readerTree(), guards);
         // Queued after the tasks that change the table, so that the event is recorded only once
         // requests follow the change.
@@ -269,7 +268,7 @@
 
     @Override
     public Mark mark() {
-        return mMark;
+        return new Mark(mVersion, mVersion, mFeed.reports().newestPosition().revision());
     }
 
     @Override
--- a/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
+++ b/src/test/java/org/apricotgauge/directory/SiteDirectoryTest.java
@@ -108,6 +108,24 @@
     }
 
     /** Guards against work for a leaving target whose older registration was written late. */
+    /** Guards against rebuilding all tables of all nodes at each write of a target that warms. */
+    @Test
+    void writeOfColdTargetChangesNothingThatRequestsDependOn() {
+        assertThat(apply(cold(1, 2_000, false), 0)).isTrue();
+        assertThat(apply(cold(2, 1_000, false), 1_000)).isFalse();
+
+        assertThat(mDirectory.registrations())
+                .extracting(Registration::sequence)
+                .containsExactly(2L);
+        assertThat(apply(cold(3, 0, true), 2_000)).isTrue();
+    }
+
+    private static SiteChange cold(long sequence, long coldRemainingMillis, boolean leaving) {
+        Target target = new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3);
+        return new SiteChange.Registered(
+                new Registration("a", target, leaving, sequence, coldRemainingMillis));
+    }
+
     @Test
     void olderWriteDoesNotUndoLeaving() {
         Target target = new Target("a", "s", "vm", "here", "127.0.0.1", 1, 3);
