Keep members' tokens while nodes leave the lists, return or fall silent

Cause: the fleet model knew no lists of nodes that change. With a share of the nodes missing in the others' lists for 4 s, it shows what is refused within limits: - an owner's saved tokens are lost with it, so that its members' next requests, which come in bunches, are refused; at once for all members that no bucket was made for, since any change of the lists, of their order too, counted as a change of every owner; - while owner and backup owner are both out of reach, nobody counts a member; - the remainder of a member at several times its usual, which its limit has room for, is lost with both. It also shows that the bound did not hold: a node that the others do not list took itself for the owner, a backup owner that was cut off granted to its own callers for a second, and a backup owner's bucket accrued tokens while the owner granted the same. Change: a bucket that replaces another starts with a quarter of the tolerated requests, once a window; a change counts only for members that move. Candidates beyond the backup owner take over in turn, each asking those before it. A node that is not listed owns nothing; a backup owner grants to its callers only with a fresh sign of life, and only what has accrued while the owner was silent. What buckets leave of the tolerance is dealt out to all isolated nodes, not one each.

--- a/src/main/java/org/apricotgauge/bench/allotment/DemandShares.java
+++ b/src/main/java/org/apricotgauge/bench/allotment/DemandShares.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.apricotgauge.decision.ratelimit.RateLimitDecision;
 
 /**
  * Nodes tell each other what members asked of them, and each grants its part of the demand
@@ -45,13 +46,13 @@
     }
 
     @Override
-    public void arrives(int node, int member, Consumer<Boolean> verdict) {
+    public void arrives(int node, int member, Consumer<RateLimitDecision> verdict) {
         mAsked[node][member]++;
         boolean isGranted = mTokens[node][member] >= 1;
         if (isGranted) {
             mTokens[node][member]--;
         }
-        verdict.accept(isGranted);
+        verdict.accept(isGranted ? RateLimitDecision.GRANTED : new RateLimitDecision.Refused(1));
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/bench/allotment/EvenShares.java
+++ b/src/main/java/org/apricotgauge/bench/allotment/EvenShares.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.apricotgauge.decision.ratelimit.RateLimitDecision;
 
 /** Each node grants the limit divided by the number of nodes, and asks nobody. */
 final class EvenShares implements AllotmentWay {
@@ -23,7 +24,7 @@
     }
 
     @Override
-    public void arrives(int node, int member, Consumer<Boolean> verdict) {
+    public void arrives(int node, int member, Consumer<RateLimitDecision> verdict) {
         SimulatedMember who = mMembers.get(member);
         double seconds = (mNowMillis.getAsLong() - mAtMillis[node][member]) / MILLIS_PER_SECOND;
         double refilled =
@@ -34,7 +35,7 @@
         if (isGranted) {
             mTokens[node][member]--;
         }
-        verdict.accept(isGranted);
+        verdict.accept(isGranted ? RateLimitDecision.GRANTED : new RateLimitDecision.Refused(1));
     }
 
     @Override
--- a/src/main/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiter.java
+++ b/src/main/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiter.java
@@ -4,10 +4,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apricotgauge.model.Address;
@@ -25,8 +23,8 @@
  * }</pre>
  *
  * <p>A request goes to the owner of the member. If the owner does not respond, the request goes to
- * the backup owner, which forwards it to the owner, since only the path between requester and owner
- * may be broken. The backup owner grants tokens itself if the owner does not respond to it either.
+ * the candidates that replace it, in turn. Each of these forwards it to those before it, since only
+ * the path between requester and owner may be broken, and grants tokens itself if none responds.
  * Each member has at most one pending request; callers that arrive meanwhile share the next one.
  * The time and received messages are passed in; messages are sent through a {@link Sender}. Not
  * thread-safe; the caller must synchronize.
@@ -35,14 +33,8 @@
     /** Timeout of a request, in milliseconds. */
     static final long RESPONSE_TIMEOUT_MILLIS = 150;
 
-    /** Timeout of a forwarded request; shorter, so that the backup owner's response is in time. */
-    static final long FORWARD_TIMEOUT_MILLIS = 100;
-
-    /** How long a node that did not respond is skipped, in milliseconds. */
-    static final long UNRESPONSIVE_MILLIS = 1_000;
-
     /** A node that has received no message for this long may be isolated, in milliseconds. */
-    static final long CONTACT_TIMEOUT_MILLIS = 1_000;
+    static final long CONTACT_TIMEOUT_MILLIS = 300;
 
     /** Nodes that a possibly isolated node probes before it grants tokens to itself. */
     private static final int CONTACT_PROBES = 3;
@@ -50,20 +42,18 @@
     /** How long a refusal is reused for the callers that follow, in milliseconds. */
     static final long REFUSAL_CACHE_MILLIS = 50;
 
-    /** Maximum number of concurrently forwarded requests; this node answers any others itself. */
-    private static final int MAX_FORWARDED = 10_000;
-
     private final Sender mSender;
     private final Function<String, RateLimit> mLimits;
     private final MemberTokenBuckets mTokenBuckets;
     private final FallbackQuota mFallbackQuota;
     private final Map<String, MemberState> mMembers = new HashMap<>();
     private final Map<Long, String> mMemberByRequestId = new HashMap<>();
-    private final Map<Long, ForwardedRequest> mForwarded = new HashMap<>();
-    private final Map<Address, Long> mUnresponsiveUntilMillis = new HashMap<>();
+    private final UnresponsiveNodes mUnresponsive = new UnresponsiveNodes();
+    private final RequestForwarder mForwarder;
     private MemberOwners mOwners;
     private long mNextId;
     private long mLastContactMillis;
+    private boolean mIsIsolated;
 
     /** Sends messages, which may be lost. */
     @FunctionalInterface
@@ -86,21 +76,21 @@
      *
      * @param id identifies the request
      * @param stage state of the request
+     * @param candidate place of the grantor among the candidates
      * @param grantor the node that is to grant the tokens; null if this node is
      * @param waiting callbacks of the callers that wait for the response
+     * @param sentMillis when the request was sent
      * @param deadlineMillis when the request times out
      */
     private record PendingRequest(
             long id,
             Stage stage,
+            int candidate,
             Address grantor,
             List<Consumer<RateLimitDecision>> waiting,
+            long sentMillis,
             long deadlineMillis) {}
 
-    /** A request that was forwarded to the owner. */
-    private record ForwardedRequest(
-            Address requester, TokenMessage.Request request, Address owner, long deadlineMillis) {}
-
     /** State of one member at this node. */
     private static final class MemberState {
         private final Deque<Consumer<RateLimitDecision>> mQueue = new ArrayDeque<>();
@@ -139,22 +129,23 @@
         mOwners = Checks.notNull("owners", owners);
         mSender = Checks.notNull("sender", sender);
         mLimits = Checks.notNull("limits", limits);
-        mTokenBuckets = new MemberTokenBuckets(tolerance, nowMillis);
+        mTokenBuckets = new MemberTokenBuckets(owners, tolerance, nowMillis);
         mFallbackQuota = new FallbackQuota(tolerance);
+        mForwarder = new RequestForwarder(mSender, mUnresponsive, () -> mNextId++, this::respond);
         mLastContactMillis = nowMillis - CONTACT_TIMEOUT_MILLIS;
     }
 
     /** Called when nodes joined or left. */
     public void fleetChanged(MemberOwners owners, long nowMillis) {
         mOwners = owners;
-        mTokenBuckets.fleetChanged(owners::isOwner, nowMillis);
-        mUnresponsiveUntilMillis.values().removeIf(untilMillis -> untilMillis <= nowMillis);
+        mTokenBuckets.fleetChanged(owners, nowMillis);
+        mUnresponsive.removeExpired(nowMillis);
         mMembers.values().removeIf(state -> state.isIdle(nowMillis));
     }
 
     /** Returns whether a request is pending, so that {@link #expire} must be called. */
     public boolean hasPendingRequests() {
-        return !mMemberByRequestId.isEmpty() || !mForwarded.isEmpty();
+        return !mMemberByRequestId.isEmpty() || !mForwarder.isEmpty();
     }
 
     /**
@@ -167,7 +158,8 @@
             String member, RateLimit limit, long nowMillis, Consumer<RateLimitDecision> callback) {
         if (mOwners.isOwner(member) && isInContact(nowMillis)) {
             TokenGrant grant =
-                    mTokenBuckets.grant(member, limit, 1, MemberTokenBuckets.Role.OWNER, nowMillis);
+                    mTokenBuckets.grant(
+                            member, limit, 1, MemberTokenBuckets.Authority.OWNER, nowMillis);
             callback.accept(
                     grant.granted() > 0
                             ? RateLimitDecision.GRANTED
@@ -196,39 +188,50 @@
         while (!state.mQueue.isEmpty() && waiting.size() < TokenMessage.Request.MAX_COUNT) {
             waiting.add(state.mQueue.poll());
         }
-        Address owner = mOwners.owner(member);
-        if (mOwners.isOwner(member)) {
-            checkConnectivity(member, state, waiting, nowMillis);
-            return List.of();
-        }
-        if (isUnresponsive(owner, nowMillis)) {
-            return requestFromBackupOwner(member, state, waiting, nowMillis);
-        }
-        sendRequest(member, state, waiting, Stage.OWNER, owner, nowMillis);
-        return List.of();
+        return requestFrom(0, member, state, waiting, nowMillis);
     }
 
-    private List<PendingDecision> requestFromBackupOwner(
+    /** Requests tokens from the first responsive candidate, from the given one on. */
+    private List<PendingDecision> requestFrom(
+            int first,
             String member,
             MemberState state,
             List<Consumer<RateLimitDecision>> waiting,
             long nowMillis) {
-        probe(mOwners.owner(member), member);
-        Optional<Address> backupOwner = mOwners.backupOwner(member);
-        if (backupOwner.isPresent() && mOwners.rank(member) == 1) {
-            if (!isInContact(nowMillis)) {
-                checkConnectivity(member, state, waiting, nowMillis);
+        List<Address> candidates = mOwners.candidates(member);
+        int end = mIsIsolated ? Math.min(2, candidates.size()) : candidates.size();
+        for (int i = first; i < end; i++) {
+            Address candidate = candidates.get(i);
+            if (candidate.equals(mOwners.self())) {
+                candidates.subList(0, i).forEach(earlier -> probe(earlier, member, nowMillis));
+                return grantOrCheckConnectivity(member, state, waiting, nowMillis);
+            }
+            if (!mUnresponsive.contains(candidate, nowMillis)) {
+                candidates.subList(0, i).forEach(earlier -> probe(earlier, member, nowMillis));
+                Stage stage = i == 0 ? Stage.OWNER : Stage.BACKUP_OWNER;
+                if (i > 0 && !mIsIsolated && !isInContact(nowMillis)) {
+                    probeOtherNodes(mNextId++, member);
+                }
+                sendRequest(member, state, waiting, stage, i, candidate, nowMillis);
                 return List.of();
             }
-            state.mPending = null;
-            return grantLocally(member, state, waiting, nowMillis);
         }
-        if (backupOwner.isEmpty() || isUnresponsive(backupOwner.get(), nowMillis)) {
-            state.mPending = null;
-            return applyFallbackQuota(member, state, waiting, nowMillis);
+        probe(candidates.get(0), member, nowMillis);
+        state.mPending = null;
+        return applyFallbackQuota(member, state, waiting, nowMillis);
+    }
+
+    private List<PendingDecision> grantOrCheckConnectivity(
+            String member,
+            MemberState state,
+            List<Consumer<RateLimitDecision>> waiting,
+            long nowMillis) {
+        if (!isInContact(nowMillis)) {
+            checkConnectivity(member, state, waiting, nowMillis);
+            return List.of();
         }
-        sendRequest(member, state, waiting, Stage.BACKUP_OWNER, backupOwner.get(), nowMillis);
-        return List.of();
+        state.mPending = null;
+        return grantLocally(member, state, waiting, nowMillis);
     }
 
     // An isolated owner would grant to its own callers the tokens that the backup owner grants to
@@ -246,8 +249,13 @@
         long id = mNextId++;
         long deadlineMillis = nowMillis + RESPONSE_TIMEOUT_MILLIS;
         state.mPending =
-                new PendingRequest(id, Stage.CONNECTIVITY_CHECK, null, waiting, deadlineMillis);
+                new PendingRequest(
+                        id, Stage.CONNECTIVITY_CHECK, 0, null, waiting, nowMillis, deadlineMillis);
         mMemberByRequestId.put(id, member);
+        probeOtherNodes(id, member);
+    }
+
+    private void probeOtherNodes(long id, String member) {
         for (Address other : mOwners.otherNodes(id, CONTACT_PROBES)) {
             mSender.send(other, new TokenMessage.Request(id, member, 0, true));
         }
@@ -258,12 +266,13 @@
             MemberState state,
             List<Consumer<RateLimitDecision>> waiting,
             long nowMillis) {
-        MemberTokenBuckets.Role role =
-                mOwners.isOwner(member)
-                        ? MemberTokenBuckets.Role.OWNER
-                        : MemberTokenBuckets.Role.BACKUP_OWNER;
         TokenGrant grant =
-                mTokenBuckets.grant(member, state.mLimit, waiting.size(), role, nowMillis);
+                mTokenBuckets.grant(
+                        member,
+                        state.mLimit,
+                        waiting.size(),
+                        authorityFor(member, nowMillis),
+                        nowMillis);
         return applyGrant(state, waiting, grant, nowMillis);
     }
 
@@ -272,30 +281,34 @@
             MemberState state,
             List<Consumer<RateLimitDecision>> waiting,
             Stage stage,
+            int candidate,
             Address to,
             long nowMillis) {
         long id = mNextId++;
+        // A later candidate forwards the request to those before it, one after the other.
+        long timeoutMillis =
+                RESPONSE_TIMEOUT_MILLIS
+                        + Math.max(0, candidate - 1) * RequestForwarder.TIMEOUT_MILLIS;
         state.mPending =
-                new PendingRequest(id, stage, to, waiting, nowMillis + RESPONSE_TIMEOUT_MILLIS);
+                new PendingRequest(
+                        id, stage, candidate, to, waiting, nowMillis, nowMillis + timeoutMillis);
         mMemberByRequestId.put(id, member);
         mSender.send(to, new TokenMessage.Request(id, member, waiting.size(), false));
     }
 
-    // Lost datagrams can make an owner that still grants tokens to others appear unresponsive; its
+    // Lost datagrams can make a node that still grants tokens to others appear unresponsive; its
     // response to a probe corrects this at once.
-    private void probe(Address owner, String member) {
-        mSender.send(owner, new TokenMessage.Request(mNextId++, member, 0, true));
-    }
-
-    private boolean isUnresponsive(Address node, long nowMillis) {
-        Long untilMillis = mUnresponsiveUntilMillis.get(node);
-        return untilMillis != null && nowMillis < untilMillis;
+    private void probe(Address node, String member, long nowMillis) {
+        if (mUnresponsive.tryProbe(node, nowMillis)) {
+            mSender.send(node, new TokenMessage.Request(mNextId++, member, 0, true));
+        }
     }
 
     /** Handles a message from another node. */
     public void received(Address from, TokenMessage message, long nowMillis) {
-        mUnresponsiveUntilMillis.remove(from);
+        mUnresponsive.heard(from);
         mLastContactMillis = nowMillis;
+        mIsIsolated = false;
         if (message instanceof TokenMessage.Request request) {
             handleRequest(from, request, nowMillis);
         } else if (message instanceof TokenMessage.Response response) {
@@ -304,22 +317,11 @@
     }
 
     private void handleRequest(Address requester, TokenMessage.Request request, long nowMillis) {
-        Address owner = mOwners.owner(request.member());
-        if (request.isFinal() || mOwners.isOwner(request.member()) || owner.equals(requester)) {
-            respond(requester, request, nowMillis);
-            return;
-        }
-        if (isUnresponsive(owner, nowMillis) || mForwarded.size() >= MAX_FORWARDED) {
-            probe(owner, request.member());
+        if (request.isFinal()) {
             respond(requester, request, nowMillis);
             return;
         }
-        long id = mNextId++;
-        mForwarded.put(
-                id,
-                new ForwardedRequest(
-                        requester, request, owner, nowMillis + FORWARD_TIMEOUT_MILLIS));
-        mSender.send(owner, new TokenMessage.Request(id, request.member(), request.count(), true));
+        mForwarder.forwardOrRespond(mOwners, requester, request, nowMillis);
     }
 
     private void respond(Address requester, TokenMessage.Request request, long nowMillis) {
@@ -332,22 +334,30 @@
                                 request.member(),
                                 limit,
                                 request.count(),
-                                roleFor(request),
+                                authorityFor(request.member(), nowMillis),
                                 nowMillis);
         mSender.send(requester, new TokenMessage.Response(request.id(), grant));
     }
 
-    private MemberTokenBuckets.Role roleFor(TokenMessage.Request request) {
-        boolean isOwner = request.isFinal() || mOwners.isOwner(request.member());
-        return isOwner ? MemberTokenBuckets.Role.OWNER : MemberTokenBuckets.Role.BACKUP_OWNER;
+    private MemberTokenBuckets.Authority authorityFor(String member, long nowMillis) {
+        List<Address> candidates = mOwners.candidates(member);
+        int own = candidates.indexOf(mOwners.self());
+        if (own == 0) {
+            return MemberTokenBuckets.Authority.OWNER;
+        }
+        long sinceMillis = Long.MIN_VALUE;
+        for (Address earlier : candidates.subList(0, Math.max(0, own))) {
+            sinceMillis = Math.max(sinceMillis, mUnresponsive.sinceMillis(earlier, nowMillis));
+        }
+        return new MemberTokenBuckets.Authority(
+                own == 1
+                        ? MemberTokenBuckets.Role.BACKUP_OWNER
+                        : MemberTokenBuckets.Role.LATER_BACKUP_OWNER,
+                sinceMillis);
     }
 
     private void handleResponse(TokenMessage.Response response, long nowMillis) {
-        ForwardedRequest forwarded = mForwarded.remove(response.id());
-        if (forwarded != null) {
-            mSender.send(
-                    forwarded.requester(),
-                    new TokenMessage.Response(forwarded.request().id(), response.grant()));
+        if (mForwarder.handleResponse(response)) {
             return;
         }
         String member = mMemberByRequestId.remove(response.id());
@@ -416,7 +426,9 @@
         List<PendingDecision> decisions = new ArrayList<>(waiting.size());
         int rank = mOwners.rank(member);
         for (Consumer<RateLimitDecision> callback : waiting) {
-            boolean isGranted = mFallbackQuota.tryAcquire(member, state.mLimit, rank, nowMillis);
+            boolean isGranted =
+                    mFallbackQuota.tryAcquire(
+                            member, state.mLimit, rank, mOwners.nodeCount(), nowMillis);
             decisions.add(
                     new PendingDecision(
                             callback,
@@ -427,7 +439,7 @@
 
     /** Handles requests that have timed out. */
     public void expire(long nowMillis) {
-        expireForwardedRequests(nowMillis);
+        mForwarder.expire(mOwners, nowMillis);
         List<String> expired = new ArrayList<>();
         for (String member : mMemberByRequestId.values()) {
             if (nowMillis >= mMembers.get(member).mPending.deadlineMillis()) {
@@ -450,48 +462,36 @@
                     state,
                     expired.waiting(),
                     Stage.OWNER_RETRY,
+                    0,
                     expired.grantor(),
                     nowMillis);
             return List.of();
         }
         if (expired.grantor() != null) {
-            mUnresponsiveUntilMillis.put(expired.grantor(), nowMillis + UNRESPONSIVE_MILLIS);
+            mUnresponsive.markUnresponsive(expired.grantor(), nowMillis);
         }
-        if (expired.stage() == Stage.OWNER_RETRY) {
-            List<PendingDecision> decisions =
-                    requestFromBackupOwner(member, state, expired.waiting(), nowMillis);
-            return state.mPending == null
-                    ? appendQueueDecisions(decisions, member, state, nowMillis)
-                    : decisions;
+        // More candidates would only let the callers of an isolated node wait.
+        if (expired.stage() != Stage.OWNER_RETRY && !isInContact(expired.sentMillis())) {
+            mIsIsolated = true;
         }
         state.mPending = null;
         List<PendingDecision> decisions =
-                applyFallbackQuota(member, state, expired.waiting(), nowMillis);
-        return appendQueueDecisions(decisions, member, state, nowMillis);
-    }
-
-    private List<PendingDecision> appendQueueDecisions(
-            List<PendingDecision> decisions, String member, MemberState state, long nowMillis) {
+                expired.stage() == Stage.CONNECTIVITY_CHECK || mIsIsolated
+                        ? applyFallbackQuota(member, state, expired.waiting(), nowMillis)
+                        : requestFrom(
+                                expired.candidate() + 1,
+                                member,
+                                state,
+                                expired.waiting(),
+                                nowMillis);
+        if (state.mPending != null) {
+            return decisions;
+        }
         List<PendingDecision> all = new ArrayList<>(decisions);
         all.addAll(processQueue(member, state, nowMillis));
         return all;
     }
 
-    private void expireForwardedRequests(long nowMillis) {
-        List<ForwardedRequest> expired = new ArrayList<>();
-        for (Iterator<ForwardedRequest> it = mForwarded.values().iterator(); it.hasNext(); ) {
-            ForwardedRequest forwarded = it.next();
-            if (nowMillis >= forwarded.deadlineMillis()) {
-                it.remove();
-                expired.add(forwarded);
-            }
-        }
-        for (ForwardedRequest forwarded : expired) {
-            mUnresponsiveUntilMillis.put(forwarded.owner(), nowMillis + UNRESPONSIVE_MILLIS);
-            respond(forwarded.requester(), forwarded.request(), nowMillis);
-        }
-    }
-
     /** Returns the node that owns the member and counts its tokens. */
     public Address owner(String member) {
         return mOwners.owner(member);
--- a/src/main/java/org/apricotgauge/decision/ratelimit/FallbackQuota.java
+++ b/src/main/java/org/apricotgauge/decision/ratelimit/FallbackQuota.java
@@ -1,5 +1,7 @@
 package org.apricotgauge.decision.ratelimit;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import org.apricotgauge.model.Checks;
@@ -8,16 +10,17 @@
 /**
  * Grants requests locally while neither the owner nor the backup owner can grant tokens.
  *
- * <p>The operator tolerates some requests beyond a limit. Half of those tolerated in a window are
- * assigned to the first nodes in the member's order, one each, so that their sum is bounded however
- * many nodes are isolated. Not thread-safe.
+ * <p>The operator tolerates some requests beyond a limit. Those that {@link MemberTokenBuckets} do
+ * not use are dealt out to all nodes, beginning with the first in the member's order, so that their
+ * sum is bounded however many nodes are isolated. Not thread-safe.
  */
 public final class FallbackQuota {
-    private static final double TOLERANCE_FRACTION = 0.5;
+    private static final double EXTRA_BURST_FRACTION = 0.25;
+    private static final double INITIAL_FILL_FRACTION = 0.25;
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final Tolerance mTolerance;
-    private final Map<String, Long> mLastGrantMillis = new HashMap<>();
+    private final Map<String, Deque<Long>> mGrantsMillis = new HashMap<>();
 
     /**
      * The requests beyond a limit that the operator tolerates.
@@ -41,6 +44,24 @@
             double allowed = limit.requestsPerSecond() * windowSeconds + limit.burst();
             return share * allowed + slack;
         }
+
+        /** Returns the tokens that a bucket may save beyond the burst. */
+        double extraBurst() {
+            return EXTRA_BURST_FRACTION * slack;
+        }
+
+        /** Returns the tokens of a bucket that replaces one whose tokens may have been spent. */
+        double initialFill(RateLimit limit) {
+            return INITIAL_FILL_FRACTION * toleratedRequests(limit);
+        }
+
+        private int assignedToNode(RateLimit limit, int rank, int nodes) {
+            if (rank >= nodes) {
+                return 0;
+            }
+            int total = (int) (toleratedRequests(limit) - extraBurst() - initialFill(limit));
+            return total / nodes + (rank < total % nodes ? 1 : 0);
+        }
     }
 
     /** Creates the quota of one node. */
@@ -49,21 +70,23 @@
     }
 
     /**
-     * Grants a request if one is assigned to this node and the node has granted none to the member
-     * within the last window.
+     * Grants a request if this node has granted the member fewer within the last window than are
+     * assigned to it.
      *
      * @param rank how many nodes precede this one in the member's order
+     * @param nodes number of nodes
      */
-    public boolean tryAcquire(String member, RateLimit limit, int rank, long nowMillis) {
-        if (rank >= Math.floor(TOLERANCE_FRACTION * mTolerance.toleratedRequests(limit))) {
-            return false;
-        }
+    public boolean tryAcquire(String member, RateLimit limit, int rank, int nodes, long nowMillis) {
+        int assigned = mTolerance.assignedToNode(limit, rank, nodes);
         long windowMillis = (long) (mTolerance.windowSeconds() * MILLIS_PER_SECOND);
-        Long lastGrantMillis = mLastGrantMillis.get(member);
-        if (lastGrantMillis != null && nowMillis - lastGrantMillis <= windowMillis) {
+        Deque<Long> grants = mGrantsMillis.computeIfAbsent(member, id -> new ArrayDeque<>());
+        while (!grants.isEmpty() && nowMillis - grants.peek() > windowMillis) {
+            grants.poll();
+        }
+        if (grants.size() >= assigned) {
             return false;
         }
-        mLastGrantMillis.put(member, nowMillis);
+        grants.add(nowMillis);
         return true;
     }
 }
--- a/src/main/java/org/apricotgauge/decision/ratelimit/MemberOwners.java
+++ b/src/main/java/org/apricotgauge/decision/ratelimit/MemberOwners.java
@@ -2,8 +2,8 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 
@@ -22,12 +22,17 @@
     private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
     private static final long MIX_2 = 0x94d049bb133111ebL;
 
+    /** Nodes that may count a member's tokens: its owner, and those that replace it in turn. */
+    static final int MAX_CANDIDATES = 4;
+
     private final Address mSelf;
+    private final int mFirst;
     private final Address[] mNodes;
     private final long[] mHashes;
 
-    private MemberOwners(Address self, Address[] nodes, long[] hashes) {
+    private MemberOwners(Address self, boolean isListed, Address[] nodes, long[] hashes) {
         mSelf = self;
+        mFirst = isListed || nodes.length == 1 ? 0 : 1;
         mNodes = nodes;
         mHashes = hashes;
     }
@@ -39,6 +44,18 @@
      * @param others addresses of all other nodes
      */
     public static MemberOwners of(Address self, List<Address> others) {
+        return of(self, others, true);
+    }
+
+    /**
+     * Returns the owners in a fleet.
+     *
+     * @param self address of this node, as other nodes use it
+     * @param others addresses of all other nodes
+     * @param isListed whether the other nodes list this one; if not, they have other owners for the
+     *     members that it would own
+     */
+    public static MemberOwners of(Address self, List<Address> others, boolean isListed) {
         Checks.notNull("self", self);
         Address[] nodes = new Address[others.size() + 1];
         long[] hashes = new long[nodes.length];
@@ -46,19 +63,20 @@
             nodes[i] = i == 0 ? self : others.get(i - 1);
             hashes[i] = hashOf(nodes[i].toString());
         }
-        return new MemberOwners(self, nodes, hashes);
+        return new MemberOwners(self, isListed, nodes, hashes);
     }
 
     /** Returns the node that owns the member and counts its tokens. */
     public Address owner(String member) {
-        return mNodes[nodeWithLowestScore(hashOf(member), -1)];
+        return candidates(member, 1).get(0);
     }
 
-    /** Returns the node that replaces an unresponsive owner; empty if there is no other node. */
-    public Optional<Address> backupOwner(String member) {
-        long hash = hashOf(member);
-        int second = nodeWithLowestScore(hash, nodeWithLowestScore(hash, -1));
-        return second < 0 ? Optional.empty() : Optional.of(mNodes[second]);
+    /**
+     * Returns the nodes that may count the member's tokens: the owner, and those that replace it
+     * while all before them are unresponsive.
+     */
+    public List<Address> candidates(String member) {
+        return candidates(member, MAX_CANDIDATES);
     }
 
     /** Returns whether this node owns the member. */
@@ -76,8 +94,20 @@
         return selected;
     }
 
+    Address self() {
+        return mSelf;
+    }
+
+    /** Returns the number of nodes, this one included. */
+    int nodeCount() {
+        return mNodes.length;
+    }
+
     /** Returns how many nodes precede this one in the member's order; 0 for its owner. */
     public int rank(String member) {
+        if (mFirst > 0) {
+            return mNodes.length;
+        }
         long hash = hashOf(member);
         long ownScore = scoreOf(hash, 0);
         int rank = 0;
@@ -89,18 +119,27 @@
         return rank;
     }
 
-    private int nodeWithLowestScore(long memberHash, int except) {
-        int lowest = -1;
-        for (int i = 0; i < mNodes.length; i++) {
-            if (i != except
-                    && (lowest < 0
-                            || Long.compareUnsigned(
-                                            scoreOf(memberHash, i), scoreOf(memberHash, lowest))
-                                    < 0)) {
-                lowest = i;
+    private List<Address> candidates(String member, int maxCount) {
+        long memberHash = hashOf(member);
+        int[] lowest = new int[Math.min(maxCount, mNodes.length - mFirst)];
+        long[] scores = new long[lowest.length];
+        int count = 0;
+        for (int node = mFirst; node < mNodes.length; node++) {
+            long score = scoreOf(memberHash, node);
+            int position = count;
+            while (position > 0 && Long.compareUnsigned(score, scores[position - 1]) < 0) {
+                position--;
+            }
+            if (position == lowest.length) {
+                continue;
             }
+            count = Math.min(count + 1, lowest.length);
+            System.arraycopy(lowest, position, lowest, position + 1, count - position - 1);
+            System.arraycopy(scores, position, scores, position + 1, count - position - 1);
+            lowest[position] = node;
+            scores[position] = score;
         }
-        return lowest;
+        return Arrays.stream(lowest).mapToObj(node -> mNodes[node]).toList();
     }
 
     private long scoreOf(long memberHash, int node) {
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -119,7 +119,7 @@
         // Members first: a new target whose guard is not known yet would be skipped, and a node
         // that has just started would refuse requests that it can serve.
         List<Address> guards = guards();
-        mDependencies.listener().onMembers(new RegisteredMembers(leaving, peers()));
+        mDependencies.listener().onMembers(new RegisteredMembers(leaving, peers(), isListed()));
         mDependencies.listener().onConfiguration(published.version(), mConfiguration, mMark);
         mFeed.setNodes(readerTree(), guards);
         // Queued after the tasks that change the table, so that the event is recorded only once
@@ -223,6 +223,11 @@
                 .toList();
     }
 
+    private boolean isListed() {
+        return mConfiguration.targets().stream()
+                .anyMatch(target -> target.host().equals(mDependencies.vm().host()));
+    }
+
     private ReaderTree readerTree() {
         Set<ReaderTree.Node> nodes = new HashSet<>();
         for (Target target : mConfiguration.targets()) {
@@ -374,10 +379,12 @@
     private final class RegisteredMembers implements SiteMembers {
         private final Set<String> mLeavingIds;
         private final List<Peer> mPeers;
+        private final boolean mIsListed;
 
-        private RegisteredMembers(Set<String> leavingIds, List<Peer> peers) {
+        private RegisteredMembers(Set<String> leavingIds, List<Peer> peers, boolean isListed) {
             mLeavingIds = leavingIds;
             mPeers = peers;
+            mIsListed = isListed;
         }
 
         @Override
@@ -399,5 +406,10 @@
         public List<Peer> peers() {
             return mPeers;
         }
+
+        @Override
+        public boolean isListed() {
+            return mIsListed;
+        }
     }
 }
--- a/src/main/java/org/apricotgauge/node/RateLimitService.java
+++ b/src/main/java/org/apricotgauge/node/RateLimitService.java
@@ -7,10 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.apricotgauge.caller.MemberRateLimiter;
 import org.apricotgauge.decision.ratelimit.DistributedRateLimiter;
 import org.apricotgauge.decision.ratelimit.FallbackQuota;
@@ -47,7 +49,8 @@
     private final Cache<String, Counts> mCounts =
             Caffeine.newBuilder().maximumSize(MAX_COUNTED_MEMBERS).executor(Runnable::run).build();
     private List<Runnable> mDueCallbacks = new ArrayList<>();
-    private List<Address> mOtherNodes = List.of();
+    private Set<Address> mOtherNodes = Set.of();
+    private boolean mIsListed = true;
     private Address mOwnAddress;
     private DistributedRateLimiter mLimiter;
     private boolean mIsExpiryScheduled;
@@ -83,24 +86,26 @@
         mPort = port;
         mLimiter =
                 new DistributedRateLimiter(
-                        MemberOwners.of(own, mOtherNodes),
-                        this::send,
-                        this::limitOf,
-                        mTolerance,
-                        mTicker.millis());
+                        owners(), this::send, this::limitOf, mTolerance, mTicker.millis());
     }
 
     synchronized void membersChanged(SiteMembers members) {
-        List<Address> others = members.peers().stream().map(SiteMembers.Peer::address).toList();
-        if (others.equals(mOtherNodes)) {
+        Set<Address> others =
+                members.peers().stream().map(SiteMembers.Peer::address).collect(Collectors.toSet());
+        if (others.equals(mOtherNodes) && members.isListed() == mIsListed) {
             return;
         }
         mOtherNodes = others;
+        mIsListed = members.isListed();
         if (mLimiter != null) {
-            mLimiter.fleetChanged(MemberOwners.of(mOwnAddress, others), mTicker.millis());
+            mLimiter.fleetChanged(owners(), mTicker.millis());
         }
     }
 
+    private MemberOwners owners() {
+        return MemberOwners.of(mOwnAddress, List.copyOf(mOtherNodes), mIsListed);
+    }
+
     private RateLimit limitOf(String memberId) {
         Member member = mState.table().configuration().member(memberId);
         return member == null ? null : member.limit();
--- a/src/main/java/org/apricotgauge/node/SiteMembers.java
+++ b/src/main/java/org/apricotgauge/node/SiteMembers.java
@@ -21,6 +21,11 @@
     /** Returns the other nodes, with their addresses for datagrams. */
     List<Peer> peers();
 
+    /** Returns whether the other nodes, as far as this one can know, have it among their peers. */
+    default boolean isListed() {
+        return true;
+    }
+
     /**
      * Another node.
      *
@@ -64,6 +69,11 @@
                 return view.nodes().size();
             }
 
+            @Override
+            public boolean isListed() {
+                return view.nodes().stream().anyMatch(vm -> vm.id().equals(ownVm));
+            }
+
             @Override
             public List<Peer> peers() {
                 return view.nodes().stream()
