--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -1,14 +1,11 @@
 package org.apricotgauge.functional;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.caller.EntryHandler;
 import org.apricotgauge.caller.EntryOptions;
@@ -19,8 +16,6 @@
 import org.apricotgauge.decision.attempt.AttemptLimits;
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
-import org.apricotgauge.decision.quarantine.NoopQuarantineListener;
-import org.apricotgauge.decision.quarantine.QuarantineTable;
 import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
@@ -39,13 +34,10 @@
 import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.peer.hop.LocalGuard;
-import org.apricotgauge.stop.PeerStops;
-import org.apricotgauge.stop.StopSchedule;
 import org.apricotgauge.target.BrokenRun;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
@@ -92,85 +84,6 @@
                     .withRoute(route("any", "/", Repeatability.BY_METHOD))
                     .withRoute(route("once", "/once", Repeatability.NEVER));
 
-    /** One VM: its servers, its relay, and what it counts. */
-    static final class HopVm {
-        private final MetricRegistry mRegistry = new MetricRegistry();
-        private final HookedTicker mStopTicker = new HookedTicker();
-        private final StopSchedule mStop = new StopSchedule(mStopTicker);
-        private final PeerStops mPeerStops = new PeerStops(Ticker.system());
-        private final QuarantineTable mQuarantine =
-                new QuarantineTable(Ticker.system(), new NoopQuarantineListener());
-        private final Set<String> mToldLeaving = ConcurrentHashMap.newKeySet();
-        private final RoutingTableFactory mTables;
-        private volatile MemberRateLimiter mLimits = MemberRateLimiter.UNBOUNDED;
-        private GuardClient mGuards;
-        private GuardHandler mGuard;
-        private EntryHandler mEntry;
-        private Server mGuardServer;
-        private Server mEntryServer;
-        private Relay mRelay;
-
-        private HopVm(String id) {
-            mTables = new RoutingTableFactory(id, "here");
-        }
-
-        int callerPort() {
-            return HttpServerFactory.portOf(mEntryServer);
-        }
-
-        Relay relay() {
-            return mRelay;
-        }
-
-        /**
-         * Returns the ids of targets that this VM's node was told of, by themselves, as leaving.
-         */
-        Set<String> toldLeaving() {
-            return mToldLeaving;
-        }
-
-        QuarantineTable quarantine() {
-            return mQuarantine;
-        }
-
-        GuardHandler guard() {
-            return mGuard;
-        }
-
-        /** Returns what this VM's entry sends attempts with. */
-        GuardClient guards() {
-            return mGuards;
-        }
-
-        /** Returns where entries of other VMs reach this VM's guard. */
-        Address guardAddress() {
-            return new Address("127.0.0.1", mRelay.port());
-        }
-
-        /** Returns the stops that other guards announced to this VM's node. */
-        PeerStops peerStops() {
-            return mPeerStops;
-        }
-
-        EntryHandler entry() {
-            return mEntry;
-        }
-
-        /** Runs an action each time that the time left to this VM's node is read. */
-        void onStopRead(Runnable action) {
-            mStopTicker.onRead(action);
-        }
-
-        /** Returns when this VM's node ends; its entry and guard read it. */
-        StopSchedule stop() {
-            return mStop;
-        }
-
-        long count(String counter) {
-            return mRegistry.counter(counter).getCount();
-        }
-    }
-
     Hops(String... vms) throws Exception {
         this(TARGET_CONNECTIONS, vms);
     }
--- a/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
+++ b/src/test/java/org/apricotgauge/functional/StoppingGuardTest.java
@@ -163,7 +163,7 @@
     void aRequestThatIsDeclinedAsTheGuardDrainsEndsOnce() throws Exception {
         try (RawTarget target = RawTarget.start(answersAfter(new CountDownLatch(0)));
                 Hops hops = new Hops("a", "b").target("t", "b", target.port(), 1)) {
-            Hops.HopVm stopping = hops.vm("b");
+            HopVm stopping = hops.vm("b");
             AtomicBoolean drained = new AtomicBoolean();
             stopping.stop().begin(STOP_MILLIS);
             stopping.onStopRead(
