--- a/src/main/java/org/apricotgauge/directory/SiteDirectory.java
+++ b/src/main/java/org/apricotgauge/directory/SiteDirectory.java
@@ -146,7 +146,9 @@
         Entry entry = new Entry(registration, order);
         mRegistrations.put(registration.name(), entry);
         reportChange(entry, before, presenceOf(registration.name()));
-        return true;
+        return wasRetained
+                || !isSameProcess
+                || known.registration().leaving() != registration.leaving();
     }
 
     // A delayed older write must not undo that the target is leaving or has left.
@@ -239,6 +241,9 @@
      * registrations were not ended again; returns whether there were any.
      */
     public boolean expire(long nowMillis) {
+        if (mRetainedUntilMillis.isEmpty() && mDelayedWrites.isEmpty()) {
+            return false;
+        }
         Set<String> due = new HashSet<>();
         mRetainedUntilMillis.forEach(
                 (name, untilMillis) -> {
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -1,14 +1,11 @@
 package org.apricotgauge.functional;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.caller.EntryHandler;
 import org.apricotgauge.caller.EntryOptions;
@@ -19,8 +16,7 @@
 import org.apricotgauge.decision.attempt.AttemptLimits;
 import org.apricotgauge.decision.attempt.KeyLimits;
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
-import org.apricotgauge.decision.quarantine.NoopQuarantineListener;
-import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
 import org.apricotgauge.http.FleetDialect;
@@ -38,12 +34,10 @@
 import org.apricotgauge.model.Target;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.peer.hop.LocalGuard;
-import org.apricotgauge.stop.PeerStops;
-import org.apricotgauge.stop.StopSchedule;
 import org.apricotgauge.target.BrokenRun;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
-import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
@@ -78,8 +72,10 @@
     private final List<UpstreamClient> mToGuards = new ArrayList<>();
     private final int mTargetConnections;
     private final EntryOptions.TargetAccess mTargetAccess;
+    private final LoadSharing mLoadSharing;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
+    private volatile boolean mFailsArrivals;
     private volatile String mRunning = "";
     private volatile boolean mIsSiteCurrent = true;
     private Configuration mConfiguration =
@@ -88,98 +84,24 @@
                     .withRoute(route("any", "/", Repeatability.BY_METHOD))
                     .withRoute(route("once", "/once", Repeatability.NEVER));
 
-    /** One VM: its servers, its relay, and what it counts. */
-    static final class HopVm {
-        private final MetricRegistry mRegistry = new MetricRegistry();
-        private final StopSchedule mStop = new StopSchedule(new HookedTicker());
-        private volatile Runnable mOnStopRead = () -> {};
-        private final PeerStops mPeerStops = new PeerStops(Ticker.system());
-        private final QuarantineTable mQuarantine =
-                new QuarantineTable(Ticker.system(), new NoopQuarantineListener());
-        private final Set<String> mToldLeaving = ConcurrentHashMap.newKeySet();
-        private final RoutingTableFactory mTables;
-        private volatile MemberRateLimiter mLimits = MemberRateLimiter.UNBOUNDED;
-        private GuardClient mGuards;
-        private GuardHandler mGuard;
-        private EntryHandler mEntry;
-        private Server mGuardServer;
-        private Server mEntryServer;
-        private Relay mRelay;
-
-        private HopVm(String id) {
-            mTables = new RoutingTableFactory(id, "here");
-        }
-
-        int callerPort() {
-            return HttpServerFactory.portOf(mEntryServer);
-        }
-
-        Relay relay() {
-            return mRelay;
-        }
-
-        /**
-         * Returns the ids of targets that this VM's node was told of, by themselves, as leaving.
-         */
-        Set<String> toldLeaving() {
-            return mToldLeaving;
-        }
-
-        QuarantineTable quarantine() {
-            return mQuarantine;
-        }
-
-        GuardHandler guard() {
-            return mGuard;
-        }
-
-        /** Returns the stops that other guards announced to this VM's node. */
-        PeerStops peerStops() {
-            return mPeerStops;
-        }
-
-        EntryHandler entry() {
-            return mEntry;
-        }
-
-        /** Runs an action each time that the time left to this VM's node is read. */
-        void onStopRead(Runnable action) {
-            mOnStopRead = action;
-        }
-
-        private final class HookedTicker implements Ticker {
-            private final Ticker mTicker = Ticker.system();
-
-            @Override
-            public long nanos() {
-                mOnStopRead.run();
-                return mTicker.nanos();
-            }
-        }
-
-        /** Returns when this VM's node ends; its entry and guard read it. */
-        StopSchedule stop() {
-            return mStop;
-        }
-
-        long count(String counter) {
-            return mRegistry.counter(counter).getCount();
-        }
-    }
-
     Hops(String... vms) throws Exception {
         this(TARGET_CONNECTIONS, vms);
     }
 
     /** Creates VMs whose guards open no more than so many connections to a target. */
     Hops(int targetConnections, String... vms) throws Exception {
-        this(targetConnections, EntryOptions.TargetAccess.GUARD_OR_DIRECT, vms);
+        this(targetConnections, EntryOptions.TargetAccess.GUARD_OR_DIRECT, LoadSharing.NONE, vms);
     }
 
-    private Hops(int targetConnections, EntryOptions.TargetAccess access, String... vms)
+    private Hops(
+            int targetConnections,
+            EntryOptions.TargetAccess access,
+            LoadSharing loadSharing,
+            String... vms)
             throws Exception {
         mTargetConnections = targetConnections;
         mTargetAccess = access;
+        mLoadSharing = loadSharing;
         mThreads.start();
         mScheduler.start();
         mClients.start();
@@ -193,7 +115,14 @@
 
     /** Creates VMs whose entries reach targets through their guards only. */
     static Hops guardsOnly(String... vms) throws Exception {
-        return new Hops(TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, vms);
+        return new Hops(
+                TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, LoadSharing.NONE, vms);
+    }
+
+    /** Creates VMs that share load; targets are reached through their guards only. */
+    static Hops sharing(LoadSharing loadSharing, String... vms) throws Exception {
+        return new Hops(
+                TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, loadSharing, vms);
     }
 
     private static Route route(String id, String prefix, Repeatability repeatability) {
@@ -217,6 +146,12 @@
         return this;
     }
 
+    /** Lets each guard throw when an attempt arrives. */
+    Hops failArrivals() {
+        mFailsArrivals = true;
+        return this;
+    }
+
     /** Lets every VM say that a request, by its id, is running at a target of its own. */
     Hops running(String requestId) {
         mRunning = requestId;
@@ -305,7 +240,7 @@
 
     private Address guardOf(Target target) {
         HopVm vm = mVms.get(target.vm());
-        return vm == null ? null : new Address("127.0.0.1", vm.mRelay.port());
+        return vm == null ? null : vm.guardAddress();
     }
 
     /** Lets the node of a VM hear that all slots of a target are in use. */
@@ -353,7 +288,7 @@
                         vm.mQuarantine,
                         (member, request) -> vm.mLimits.acquire(member, request),
                         targetId -> vm.mGuard.localSlots().find(targetId),
-                        NestedCallDialect.options(KEYS, mTargetAccess),
+                        NestedCallDialect.options(KEYS, mTargetAccess, mLoadSharing),
                         vm.mRegistry);
         startGuard(id, vm, targets);
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
@@ -390,8 +325,8 @@
     /** Lets each entry hand its attempts at targets of its own VM over in the process. */
     Hops handOver() {
         for (HopVm vm : mVms.values()) {
-            Address address = new Address("127.0.0.1", vm.mRelay.port());
-            vm.mGuards.useLocalGuard(new LocalGuard(address, vm.mGuard.guard(), mThreads));
+            vm.mGuards.useLocalGuard(
+                    new LocalGuard(vm.guardAddress(), vm.mGuard.guard(), mThreads, vm.mRegistry));
         }
         return this;
     }
@@ -447,6 +382,13 @@
             mVm = vm;
         }
 
+        @Override
+        public void onAttemptArrived(Target target, String entryHost, HttpFields headers) {
+            if (mFailsArrivals) {
+                throw new IllegalStateException("guard fails on purpose");
+            }
+        }
+
         @Override
         public void onTargetLeaving(Target target) {
             mVm.mToldLeaving.add(target.id());
