Test stops and broken-off answers over both transports

An answer that its reader gives up, and an attempt that the end of its node would cut, were tested over the hop or through an entry only.

--- a/src/test/java/org/apricotgauge/functional/GuardTransportTest.java
+++ b/src/test/java/org/apricotgauge/functional/GuardTransportTest.java
@@ -158,6 +158,40 @@
         assertThat(mTarget.runs()).isEqualTo(1);
     }
 
+    // Guards against a run that goes on for an entry whose caller left within the answer.
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void whatIsGivenUpWithinItsAnswerFreesItsPlace(String entry) throws Exception {
+        start(
+                entry,
+                (head, body, out) -> {
+                    write(out, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhe");
+                    mGo.await();
+                    return true;
+                });
+        Submission begun = submit(newAttempt(WAIT_MILLIS), "/");
+        begun.response();
+        assertThat(mHops.vm("b").guard().inFlight()).isEqualTo(1);
+
+        begun.mBody.fail(new TimeoutException("test"));
+
+        LocalFleet.await(() -> mHops.vm("b").guard().inFlight() == 0);
+        assertThat(mHops.vm("b").count("guard.unknown")).isEqualTo(1);
+    }
+
+    // Guards against a run that the end of its node cuts.
+    @ParameterizedTest
+    @ValueSource(strings = {OVER_HOP, IN_PROCESS})
+    void aStoppingGuardStartsNothingThatItsEndWouldCut(String entry) throws Exception {
+        start(entry, RawTarget.always(OK));
+        mHops.vm("b").stop().begin(WAIT_MILLIS / 2);
+
+        assertThat(submit(newAttempt(WAIT_MILLIS), "/").reason()).isEqualTo("leaving");
+
+        assertThat(mTarget.runs()).isZero();
+        assertThat(mHops.vm("b").count("guard.stop.declined")).isEqualTo(1);
+    }
+
     // Guards against an attempt that waits on after its deadline, and starts for nobody.
     @ParameterizedTest
     @ValueSource(strings = {OVER_HOP, IN_PROCESS})
