Train the archive with a member, a body, readiness and a changing site

The first of a jar also opens it.

The training run has a member with a limit now, sends a body and a request without a key, asks for readiness, publishes a new configuration and lets a target leave.

--- a/src/main/java/org/apricotgauge/bench/MeasureProcessor.java
+++ b/src/main/java/org/apricotgauge/bench/MeasureProcessor.java
@@ -89,7 +89,10 @@
 
     private final SettingValues mValues;
     private final HttpClient mClient =
-            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(Duration.ofSeconds(1))
+                    .build();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
     private final List<Process> mNodes = new ArrayList<>();
     private final Map<Integer, Integer> mAnswers = new ConcurrentHashMap<>();
--- a/src/main/java/org/apricotgauge/node/SidecarTraining.java
+++ b/src/main/java/org/apricotgauge/node/SidecarTraining.java
@@ -1,7 +1,10 @@
 package org.apricotgauge.node;
 
+import static org.eclipse.jetty.http.HttpHeader.AUTHORIZATION;
+
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,9 +18,11 @@
 import org.apricotgauge.http.client.UpstreamClientFactory;
 import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Address;
+import org.apricotgauge.platform.kv.KvDialect;
 import org.apricotgauge.platform.kv.KvStandin;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
@@ -27,7 +32,9 @@
  *
  * <p>After a power failure all nodes start at once, and callers wait for them. A class or a call
  * site that is missing in the archive costs each node some milliseconds when it is first needed,
- * which is often during a failure. So the run has a second node, requests that fail or break, and
+ * which is often during a failure, and the first such class opens its jar. So the run has what
+ * nodes meet when they are not at rest: a second node, a member with a limit, requests that are
+ * denied, fail or break, a question for readiness, a new configuration, a target that leaves, and
  * the second node's planned stop.
  */
 public final class SidecarTraining {
@@ -35,12 +42,17 @@
     private static final String SECOND_HOST = "127.0.0.2";
     private static final String ANY_HOST = "0.0.0.0";
     private static final String SERVICE = "desk";
+    private static final String KEY = "training-member-key";
     private static final int CALLS = 50;
     private static final int FAILING_CALLS = 10;
     private static final int MAX_BYTES = 1_024;
     private static final long CALL_MILLIS = 6_000;
     private static final long TIMEOUT_SECONDS = 60;
     private static final long RETRY_DELAY_MILLIS = 50;
+
+    /** A change reaches all nodes within this time. */
+    private static final long SITE_CHANGE_MILLIS = 1_500;
+
     private static final UpstreamClientFactory.Limits LIMITS =
             new UpstreamClientFactory.Limits(10_000, 2, 16);
 
@@ -50,9 +62,9 @@
     public static void main(String[] args) throws IOException {
         KvStandin platform = KvStandin.start(ANY_HOST, 0);
         int port = platform.port();
-        platform.publish(SERVICE, List.of(HOST + ':' + port, SECOND_HOST + ':' + port));
+        platform.publishWithKey(SERVICE, List.of(HOST + ':' + port, SECOND_HOST + ':' + port), KEY);
         Ports ports = Ports.free();
-        Thread trainer = new Thread(() -> System.exit(train(ports, port).code()), "trainer");
+        Thread trainer = new Thread(() -> System.exit(train(ports, platform).code()), "trainer");
         trainer.setDaemon(true);
         trainer.start();
         SidecarMain.main(flags(HOST, ports, port).toArray(String[]::new));
@@ -92,7 +104,7 @@
                 "--crash-news-address=" + host + ':' + ports.crashNews());
     }
 
-    private static ExitCode train(Ports ports, int platformPort) {
+    private static ExitCode train(Ports ports, KvStandin platform) {
         QueuedThreadPool threads = new QueuedThreadPool();
         ScheduledExecutorScheduler timers = new ScheduledExecutorScheduler("training", true);
         UpstreamClientFactory clients = new UpstreamClientFactory(threads, timers, CALL_MILLIS);
@@ -101,7 +113,7 @@
             threads.start();
             timers.start();
             clients.start();
-            Node second = startSecond(flags(SECOND_HOST, ports, platformPort));
+            Node second = startSecond(flags(SECOND_HOST, ports, platform.port()));
             boolean served =
                     callUntilServed(client, new Address(HOST, ports.caller()))
                             && callUntilServed(client, new Address(SECOND_HOST, ports.caller()));
@@ -109,6 +121,9 @@
                 call(client, new Address(HOST, ports.caller()), KvStandin.FAILING_PATH);
                 call(client, new Address(HOST, ports.caller()), KvStandin.BROKEN_PATH);
             }
+            callOtherwise(client, ports);
+            changeSite(platform);
+            served &= callUntilServed(client, new Address(HOST, ports.caller()));
             second.drain();
             return served ? ExitCode.OK : ExitCode.NEGATIVE;
         } catch (Exception e) {
@@ -117,6 +132,27 @@
         }
     }
 
+    /** Asks for readiness, sends a body, and sends a request without a key. */
+    private static void callOtherwise(UpstreamClient client, Ports ports) {
+        Address entry = new Address(HOST, ports.caller());
+        call(
+                client,
+                UpstreamRequest.get(
+                        new Address(HOST, ports.admin()), KvDialect.READY_PATH, HttpFields.EMPTY));
+        call(client, UpstreamRequest.get(entry, KvStandin.PATH, headers().remove(AUTHORIZATION)));
+        Content.Source body = Content.Source.from(ByteBuffer.wrap(new byte[MAX_BYTES]));
+        call(client, new UpstreamRequest(entry, "POST", KvStandin.PATH, headers(), body));
+    }
+
+    private static void changeSite(KvStandin platform) {
+        String leaving = SECOND_HOST + ':' + platform.port();
+        platform.register("i-2", SERVICE, leaving, KvStandin.LEAVING, 2);
+        platform.publishConfiguration(2, SERVICE, List.of(KvStandin.PATH, "/other/"));
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SITE_CHANGE_MILLIS));
+        platform.unregister("i-2");
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SITE_CHANGE_MILLIS));
+    }
+
     private static Node startSecond(List<String> flags) throws IOException {
         CommandOutcome<SidecarSettings> outcome = SidecarSettings.command().parse(flags, Map.of());
         if (outcome instanceof CommandOutcome.Ready<SidecarSettings> ready) {
@@ -139,11 +175,19 @@
         return served == CALLS;
     }
 
-    private static boolean call(UpstreamClient client, Address address, String path) {
-        HttpFields.Mutable headers = HttpFields.build();
+    private static HttpFields.Mutable headers() {
+        HttpFields.Mutable headers = HttpFields.build().put(AUTHORIZATION, "Bearer " + KEY);
         KvStandin.address(headers, "training");
+        return headers;
+    }
+
+    private static boolean call(UpstreamClient client, Address address, String path) {
+        return call(client, UpstreamRequest.get(address, path, headers()));
+    }
+
+    private static boolean call(UpstreamClient client, UpstreamRequest request) {
         try {
-            return client.fetch(UpstreamRequest.get(address, path, headers), MAX_BYTES, CALL_MILLIS)
+            return client.fetch(request, MAX_BYTES, CALL_MILLIS)
                             .get(CALL_MILLIS, TimeUnit.MILLISECONDS)
                             .status()
                     == HttpStatus.OK_200;
--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -140,12 +140,17 @@
      * Publishes as {@link #publish(String, String)}, with one member that has the key and a limit.
      */
     public void publishWithKey(String host, String service, String key) {
+        publishWithKey(service, List.of(host + ':' + port()), key);
+    }
+
+    /** Publishes as above, with targets at these addresses in the place of its own. */
+    public void publishWithKey(String service, List<String> addresses, String key) {
         String tenants =
                 """
                 "tenants":[{"name":"stable","apiKeys":["%s"],"priority":1,
                  "requestsPerS":50,"burst":50}],"""
                         .formatted(key);
-        publish(service, List.of(host + ':' + port()), tenants);
+        publish(service, addresses, tenants);
     }
 
     /** Publishes the configuration and targets at these addresses, in the place of its own. */
