Count a fleet's retries over a sliding window, by rank

A guard's part of the fleet's retries lay in a token bucket: half as capacity, half as refill. With fifty guards the bucket holds about one token, so that what a guard's requests add is dropped as soon as it is full, and half of a part can't be used within one spell. A change of the number of guards replaced the bucket by a full one, and a restarted guard could use a part that its predecessor had used.

WindowRetryBudget counts retries and requests over the window itself. A part shrinks at once and grows after a full window, and a new process gets none for the first one, so that the sum holds for guards that restart and for views that disagree. Ranks (what the answer is still worth, then the priority) leave as many tokens to higher ones as those asked for in the last second, but one of eight. Nodes use it where ranked retries are on; all others keep the bucket.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -112,7 +112,7 @@
         if (mUsesPredecessor) {
             mContext.metrics().predecessorRequests().inc();
         } else {
-            mBudget.onRequest();
+            mBudget.onRequest(mContext.ticker().millis());
         }
         mDeadline.start(() -> end(new Outcome.NotRun(NotRunReason.DEADLINE_PASSED, 0)));
         mRequest.addFailureListener(this::onCallerDisconnected);
@@ -310,7 +310,7 @@
         }
         if (fleetServes) {
             mContext.metrics().predecessorFallbacks().inc();
-            mBudget.onRequest();
+            mBudget.onRequest(mContext.ticker().millis());
             startNextAttempt();
             return;
         }
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryAllowancePolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryAllowancePolicy.java
@@ -36,8 +36,14 @@
      * @param burst capacity of the token bucket in retries, at least 1
      * @param perSecond retries allowed per second independent of the traffic
      * @param initialFill tokens in the bucket at the start of the process
+     * @param windowMillis window in which the burst is allowed, if retries are counted over a
+     *     sliding window; 0 for a token bucket
      */
-    record Allowance(double burst, double perSecond, InitialFill initialFill) {
+    record Allowance(double burst, double perSecond, InitialFill initialFill, long windowMillis) {
+        Allowance(double burst, double perSecond, InitialFill initialFill) {
+            this(burst, perSecond, initialFill, 0);
+        }
+
         /**
          * Creates a budget.
          *
@@ -45,9 +51,15 @@
          * @param startedAtMillis when the process started
          */
         RetryBudget newBudget(double share, long startedAtMillis) {
+            if (windowMillis > 0) {
+                WindowRetryBudget budget = new WindowRetryBudget(windowMillis, startedAtMillis);
+                budget.setBounds(share, burst);
+                return budget;
+            }
             return initialFill == InitialFill.FULL
-                    ? new RetryBudget(share, burst, perSecond)
-                    : RetryBudget.startingEmpty(startedAtMillis, share, burst, perSecond);
+                    ? new TokenBucketRetryBudget(share, burst, perSecond)
+                    : TokenBucketRetryBudget.startingEmpty(
+                            startedAtMillis, share, burst, perSecond);
         }
 
         // Written out: the methods that a record inherits are linked when they are first called,
@@ -58,7 +70,8 @@
             return other instanceof Allowance that
                     && Double.compare(burst, that.burst) == 0
                     && Double.compare(perSecond, that.perSecond) == 0
-                    && initialFill == that.initialFill;
+                    && initialFill == that.initialFill
+                    && windowMillis == that.windowMillis;
         }
 
         @Override
@@ -94,4 +107,20 @@
                     Math.max(1, part / 2), part / 2 / windowSeconds, InitialFill.EMPTY);
         };
     }
+
+    /**
+     * Returns a policy that divides the fleet's retries per window equally among its nodes, each of
+     * which counts them over a sliding window and by rank.
+     *
+     * @param perWindow retries allowed to all nodes together in a window
+     * @param windowSeconds length of the window
+     */
+    static RetryAllowancePolicy ofFleetByRank(double perWindow, double windowSeconds) {
+        Checks.inRange("perWindow", perWindow, 0.0, 1_000_000.0);
+        Checks.inRange("windowSeconds", windowSeconds, 1.0, 3_600.0);
+        long windowMillis = (long) Math.ceil(windowSeconds * 1_000);
+        return nodeCount ->
+                new Allowance(
+                        perWindow / Math.max(1, nodeCount), 0, InitialFill.EMPTY, windowMillis);
+    }
 }
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryBudget.java
@@ -1,106 +1,32 @@
 package org.apricotgauge.decision.attempt;
 
-import java.util.concurrent.atomic.AtomicLong;
-import org.apricotgauge.model.Checks;
+import org.apricotgauge.decision.retry.RetryRank;
 
-/**
- * Limits the retries of one service to a share of its traffic (token bucket).
- *
- * <pre>{@code
- * RetryBudget budget = new RetryBudget(0.1, 10, 1);
- * budget.onRequest(); // for each first attempt
- * if (budget.tryRetry(now)) { ... } // for each further attempt
- * }</pre>
- *
- * <p>A fixed number of retries per request multiplies the load on a service that fails as a whole
- * and prevents its recovery. With a share of 0.1 the load is at most 1.1 times the traffic, plus a
- * constant refill that allows retries to a service with little traffic. Thread-safe and lock-free.
- */
-public final class RetryBudget {
-    private static final long UNITS_PER_TOKEN = 1_000_000;
-    private static final long MILLIS_PER_SECOND = 1_000;
-
-    private final long mUnitsPerRequest;
-    private final long mCapacity;
-    private final long mRefillPerMilli;
-    private final AtomicLong mUnits;
-    private final AtomicLong mRefilledAtMillis = new AtomicLong(Long.MIN_VALUE);
-
-    /**
-     * Creates a full budget.
-     *
-     * @param share retries per request, from 0 to 1
-     * @param burst capacity: most retries in a burst after an idle time
-     * @param minPerSecond retries allowed per second independent of the traffic
-     */
-    public RetryBudget(double share, double burst, double minPerSecond) {
-        mUnitsPerRequest = Math.round(Checks.inRange("share", share, 0, 1) * UNITS_PER_TOKEN);
-        mCapacity = Math.round(Checks.inRange("burst", burst, 1.0, 100_000.0) * UNITS_PER_TOKEN);
-        mRefillPerMilli =
-                Math.round(
-                        Checks.inRange("minPerSecond", minPerSecond, 0.0, 1_000.0)
-                                * UNITS_PER_TOKEN
-                                / MILLIS_PER_SECOND);
-        mUnits = new AtomicLong(mCapacity);
+/** Limits the retries of one service at one node. Implementations are thread-safe. */
+public interface RetryBudget {
+    /** Returns an empty budget, for a service that is not configured. */
+    static RetryBudget none() {
+        return TokenBucketRetryBudget.startingEmpty(0, 0, 1, 0);
     }
 
-    /** Returns an empty budget, for a service that is not configured. */
-    public static RetryBudget none() {
-        return startingEmpty(0, 0, 1, 0);
+    /** Counts a first attempt. */
+    void onRequest(long nowMillis);
+
+    /** Takes a token for one retry of the first rank if one is available. */
+    default boolean tryRetry(long nowMillis) {
+        return tryRetry(nowMillis, RetryRank.FIRST);
     }
 
     /**
-     * Returns a budget that was empty at a given time and has been refilled since.
+     * Takes a token for one retry if one is available to its rank.
      *
-     * @param sinceMillis when the budget was empty: the start of the process
+     * @param rank what the retry gains; a budget without ranks treats all alike
      */
-    public static RetryBudget startingEmpty(
-            long sinceMillis, double share, double burst, double minPerSecond) {
-        RetryBudget budget = new RetryBudget(share, burst, minPerSecond);
-        budget.mUnits.set(0);
-        budget.mRefilledAtMillis.set(sinceMillis);
-        return budget;
-    }
-
-    /** Counts a first attempt. */
-    public void onRequest() {
-        deposit(mUnitsPerRequest);
-    }
-
-    /** Takes a token for one retry if one is available. */
-    public boolean tryRetry(long nowMillis) {
-        refill(nowMillis);
-        long before =
-                mUnits.getAndUpdate(
-                        tokens -> tokens >= UNITS_PER_TOKEN ? tokens - UNITS_PER_TOKEN : tokens);
-        return before >= UNITS_PER_TOKEN;
-    }
+    boolean tryRetry(long nowMillis, RetryRank rank);
 
     /** Takes a token for one retry if the budget is at least half full. */
-    public boolean tryRetryIfHalfFull(long nowMillis) {
-        refill(nowMillis);
-        long minTokens = Math.max(UNITS_PER_TOKEN, mCapacity / 2);
-        long before =
-                mUnits.getAndUpdate(
-                        tokens -> tokens >= minTokens ? tokens - UNITS_PER_TOKEN : tokens);
-        return before >= minTokens;
-    }
+    boolean tryRetryIfHalfFull(long nowMillis);
 
     /** Takes a token for a retry that happens in any case; a negative budget delays later ones. */
-    public void charge() {
-        mUnits.updateAndGet(tokens -> Math.max(-mCapacity, tokens - UNITS_PER_TOKEN));
-    }
-
-    private void refill(long nowMillis) {
-        long beforeMillis = mRefilledAtMillis.getAndAccumulate(nowMillis, Math::max);
-        if (beforeMillis == Long.MIN_VALUE || nowMillis <= beforeMillis) {
-            return;
-        }
-        long elapsedMillis = Math.min(nowMillis - beforeMillis, mCapacity);
-        deposit(Math.min(mCapacity, elapsedMillis * mRefillPerMilli));
-    }
-
-    private void deposit(long amount) {
-        mUnits.updateAndGet(tokens -> Math.min(mCapacity, tokens + amount));
-    }
+    void charge(long nowMillis);
 }
--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -68,6 +68,21 @@
      */
     public static final String NEXT_RETRY_PREPAID = "Apricotgauge-Retry-Paid";
 
+    /** Hops: rank of the request among those that need a retry; see {@code RetryRank}. */
+    public static final String RETRY_RANK = "Apricotgauge-Retry-Rank";
+
+    /**
+     * Hops: rank of the first request of the same service that waits for a retry at the entry;
+     * absent if none does.
+     */
+    public static final String RETRY_WANTED = "Apricotgauge-Retry-Wanted";
+
+    /**
+     * Hops: the guard has charged a retry of the request that {@link #RETRY_WANTED} announced to
+     * its retry budget.
+     */
+    public static final String WAITING_RETRY_PREPAID = "Apricotgauge-Waiting-Retry-Paid";
+
     /** Value of {@link #RETRY}: the request that this nested call is made for is retried. */
     public static final String RETRY_OF_PARENT = "parent";
 
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -315,7 +315,10 @@
 
     /** Returns the node's share of the retries that the whole fleet may make. */
     private RetryAllowancePolicy guardRetryAllowance() {
-        return RetryAllowancePolicy.ofFleet(retryBurst * USED_BURST_SHARE, retryWindowSeconds);
+        double perWindow = retryBurst * USED_BURST_SHARE;
+        return LoadSharing.ofCpuShare(cpuShare).rankedRetries()
+                ? RetryAllowancePolicy.ofFleetByRank(perWindow, retryWindowSeconds)
+                : RetryAllowancePolicy.ofFleet(perWindow, retryWindowSeconds);
     }
 
     /** Returns the times that the platform grants to leaving targets. */
--- a/src/main/java/org/apricotgauge/target/RetryCharge.java
+++ b/src/main/java/org/apricotgauge/target/RetryCharge.java
@@ -1,7 +1,10 @@
 package org.apricotgauge.target;
 
+import java.util.Optional;
 import org.apricotgauge.decision.attempt.RetryBudget;
+import org.apricotgauge.decision.retry.RetryRank;
 import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.model.Priority;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -22,6 +25,8 @@
  */
 final class RetryCharge {
     private final Kind mKind;
+    private final RetryRank mRank;
+    private final Optional<RetryRank> mWantedRank;
     private final RetryBudget mBudget;
     private final Ticker mTicker;
     private final Runnable mOnRetry;
@@ -50,11 +55,23 @@
      */
     RetryCharge(HttpFields headers, RetryBudget budget, Ticker ticker, Runnable onRetry) {
         mKind = kindOf(headers);
+        mRank = rankOf(headers);
+        mWantedRank =
+                Optional.ofNullable(headers.get(HeaderNames.RETRY_WANTED))
+                        .map(RetryRank::parseOrLast);
         mBudget = budget;
         mTicker = ticker;
         mOnRetry = onRetry;
     }
 
+    /** An entry of an earlier release sends no rank. */
+    private static RetryRank rankOf(HttpFields headers) {
+        String rank = headers.get(HeaderNames.RETRY_RANK);
+        return rank == null
+                ? new RetryRank(RetryRank.Use.FULL, Priority.NORMAL)
+                : RetryRank.parseOrLast(rank);
+    }
+
     private static Kind kindOf(HttpFields headers) {
         String retryHeader = headers.get(HeaderNames.RETRY);
         if (HeaderNames.RETRY_PREPAID.equals(retryHeader)) {
@@ -72,11 +89,11 @@
     /** Charges the request just before it is sent; false if the budget is spent. */
     boolean tryCharge() {
         switch (mKind) {
-            case FIRST_RUN -> mBudget.onRequest();
+            case FIRST_RUN -> mBudget.onRequest(mTicker.millis());
             // A rejection would fail a retry that is paid for, so the budget may become negative.
-            case NESTED_CALL_OF_RETRY -> mBudget.charge();
+            case NESTED_CALL_OF_RETRY -> mBudget.charge(mTicker.millis());
             case RETRY -> {
-                if (!mBudget.tryRetry(mTicker.millis())) {
+                if (!mBudget.tryRetry(mTicker.millis(), mRank)) {
                     return false;
                 }
             }
@@ -100,6 +117,11 @@
 
     /** Pays for the next retry of the request; false if the budget is spent. */
     boolean tryPrepayRetry() {
-        return mBudget.tryRetry(mTicker.millis());
+        return mBudget.tryRetry(mTicker.millis(), mRank);
+    }
+
+    /** Pays for a retry of another request that waits at the entry; false if none does. */
+    boolean tryPayForWaiting() {
+        return mWantedRank.filter(rank -> mBudget.tryRetry(mTicker.millis(), rank)).isPresent();
     }
 }
--- a/src/test/java/org/apricotgauge/decision/attempt/RetryAllowancePolicyTest.java
+++ b/src/test/java/org/apricotgauge/decision/attempt/RetryAllowancePolicyTest.java
@@ -31,7 +31,7 @@
         Deque<Long> retries = new ArrayDeque<>();
         int most = 0;
         for (long now = 60_000; now < 120_000; now += 20) {
-            budgets.get(0).onRequest();
+            budgets.get(0).onRequest(now);
             for (RetryBudget budget : budgets) {
                 while (budget.tryRetry(now)) {
                     retries.add(now);
--- a/src/test/java/org/apricotgauge/decision/attempt/RetryBudgetTest.java
+++ b/src/test/java/org/apricotgauge/decision/attempt/RetryBudgetTest.java
@@ -12,16 +12,16 @@
         // Guards against retries beyond the budget when another service retries: a report that is
         // retried makes two lookups at this service, which count as retries here. They are allowed,
         // and the next retries of this service are refused instead.
-        RetryBudget budget = new RetryBudget(0.5, 1, 0);
-        budget.charge();
-        budget.charge();
+        RetryBudget budget = new TokenBucketRetryBudget(0.5, 1, 0);
+        budget.charge(0);
+        budget.charge(0);
 
         assertThat(budget.tryRetry(0)).isFalse();
-        budget.onRequest();
-        budget.onRequest();
+        budget.onRequest(0);
+        budget.onRequest(0);
         assertThat(budget.tryRetry(0)).isFalse();
-        budget.onRequest();
-        budget.onRequest();
+        budget.onRequest(0);
+        budget.onRequest(0);
         assertThat(budget.tryRetry(0)).isTrue();
         assertThat(budget.tryRetry(0)).isFalse();
     }
--- a/src/test/java/org/apricotgauge/decision/attempt/RetryPolicyTest.java
+++ b/src/test/java/org/apricotgauge/decision/attempt/RetryPolicyTest.java
@@ -82,10 +82,10 @@
 
     @Test
     void retriesStayWithinShareOfTraffic() {
-        RetryBudget budget = new RetryBudget(0.1, 10, 1);
+        RetryBudget budget = new TokenBucketRetryBudget(0.1, 10, 1);
         int retries = 0;
         for (int i = 0; i < 10_000; i++) {
-            budget.onRequest();
+            budget.onRequest(i);
             retries += budget.tryRetry(i) ? 1 : 0;
         }
         // A tenth of the traffic, the burst, and one per second for ten seconds.
--- a/src/test/java/org/apricotgauge/functional/attempt/EntryModel.java
+++ b/src/test/java/org/apricotgauge/functional/attempt/EntryModel.java
@@ -12,6 +12,7 @@
 import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.decision.attempt.RetryDecision;
 import org.apricotgauge.decision.attempt.RetryPolicy;
+import org.apricotgauge.decision.attempt.TokenBucketRetryBudget;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.functional.attempt.Submission.Exchange;
 
@@ -27,7 +28,7 @@
     private final Consumer<Message> mNetwork;
     private final Oracle mOracle;
     private final GuardClockEstimate[] mSightings;
-    private final RetryBudget mBudget = new RetryBudget(0.5, 20, 100);
+    private final RetryBudget mBudget = new TokenBucketRetryBudget(0.5, 20, 100);
     private AttemptIdGenerator mIds;
     private int mRun;
 
@@ -55,7 +56,7 @@
 
     void submit(Submission submission, int pick) {
         mOpen.add(submission);
-        mBudget.onRequest();
+        mBudget.onRequest(mClockMillis);
         sendAnew(submission, pick);
     }
 
--- a/src/test/java/org/apricotgauge/target/RetryChargeTest.java
+++ b/src/test/java/org/apricotgauge/target/RetryChargeTest.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
 import org.apricotgauge.decision.attempt.RetryBudget;
+import org.apricotgauge.decision.attempt.TokenBucketRetryBudget;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.time.ManualTicker;
 import org.eclipse.jetty.http.HttpFields;
@@ -42,7 +43,7 @@
 
     @Test
     void prepaidRetryIsNotCharged() {
-        RetryBudget budget = new RetryBudget(0, 1, 0);
+        RetryBudget budget = new TokenBucketRetryBudget(0, 1, 0);
 
         assertThat(chargeOf(HeaderNames.RETRY_PREPAID, budget).tryCharge()).isTrue();
         assertThat(chargeOf(HeaderNames.RETRY_OF_REQUEST, budget).tryCharge()).isTrue();
@@ -55,7 +56,7 @@
         mBudgets.clear();
         for (int i = 0; i < GUARDS; i++) {
             mBudgets.add(
-                    RetryBudget.startingEmpty(
+                    TokenBucketRetryBudget.startingEmpty(
                             mTicker.millis(),
                             SHARE,
                             ALLOWANCE.allowance(GUARDS).burst(),
