Let shed requests wait at the entry for a retry, by rank

An entry whose request was shed went from guard to guard in search of a retry, and the order of arrival decided who got it.

With ranked retries, the entry tells each guard the rank of the request and of the first one that waits. A guard that has a retry left pays for the waiting one with its answer to another request, so that retries move to where they are needed; a token is still charged once, at one guard. The first waiting request looks for itself at a pace that slows down while guards have none. A retry avoids targets that shed their last request. What waits ends with its use, its deadline, its caller or its node; refusals carry a return time, and the step of the request's log line names reason, rank and wait.

Pauses, attempts at a key's owner and the kept answer move out of CallerExchange. Without ranked retries nothing changes.

No figures on a fleet yet.

--- a/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
+++ b/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
@@ -22,6 +22,7 @@
     private final Request mRequest;
     private final Response mResponse;
     private final Callback mCallback;
+    private volatile BufferedAnswer mKept;
 
     AnswerDelivery(
             EntryContext context,
@@ -36,11 +37,37 @@
         mCallback = callback;
     }
 
-    /** Writes an answer that has been read completely. */
-    void writeBuffered(BufferedAnswer buffered) {
-        mReporter.recordOutcome(new Outcome.Answered(buffered.status()));
+    /**
+     * Keeps an answer, in case no retry gets a better one.
+     *
+     * @param next called once the answer is kept, or can't be
+     */
+    void keep(UpstreamResponse answer, Content.Source body, Runnable next) {
+        BufferedAnswer.read(answer, body)
+                .whenComplete(
+                        (buffered, failure) -> {
+                            if (failure != null) {
+                                mReporter.recordStep("answer not kept: " + failure.getMessage());
+                            }
+                            mKept = buffered;
+                            next.run();
+                        });
+    }
+
+    boolean hasKept() {
+        return mKept != null;
+    }
+
+    /** Writes the kept answer, or the outcome if there is none. */
+    void writeKeptOr(Outcome outcome) {
+        BufferedAnswer kept = mKept;
+        if (kept == null) {
+            writeOutcome(outcome);
+            return;
+        }
+        mReporter.recordOutcome(new Outcome.Answered(kept.status()));
         mContext.metrics().answered().inc();
-        buffered.write(mResponse, mCallback);
+        kept.write(mResponse, mCallback);
     }
 
     /** Streams an answer to the caller. */
@@ -79,8 +106,7 @@
         }
     }
 
-    /** Writes the outcome of a request that has no answer. */
-    void writeOutcome(Outcome outcome) {
+    private void writeOutcome(Outcome outcome) {
         mReporter.recordOutcome(outcome);
         if (outcome instanceof Outcome.NotRun notRun) {
             mContext.metrics().notRun().inc();
--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apricotgauge.decision.admission.QueueingPolicy;
 import org.apricotgauge.decision.attempt.Attempt;
@@ -11,7 +10,6 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.RetryBudget;
 import org.apricotgauge.decision.attempt.RetryDecision;
-import org.apricotgauge.decision.attempt.RetryPausePolicy;
 import org.apricotgauge.decision.attempt.SubmissionProgress;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.health.HealthGate;
@@ -56,9 +54,9 @@
     private boolean mCurrentAttemptBegun;
     private boolean mReachedTarget;
     private final RetryPrepayment mPrepayment = new RetryPrepayment();
-    private int mPauses;
-    private BufferedAnswer mBufferedAnswer;
-    private Attempt mOwnerAttempt;
+    private final ExchangePauses mPauses = new ExchangePauses(this);
+    private final RetryWait mRetryWait;
+    private final OwnerAttempts mOwnerAttempts;
     private boolean mEnded;
 
     CallerExchange(
@@ -95,6 +93,8 @@
         mSelector =
                 new TargetSelector(
                         context, currentTable, callerRequest.idempotent(), this::fitsGuardStop);
+        mOwnerAttempts = new OwnerAttempts(context);
+        mRetryWait = new RetryWait(this, table.service());
         mProgress = SubmissionProgress.of(callerRequest.idempotent(), false);
     }
 
@@ -142,6 +142,21 @@
         return mQuarantine;
     }
 
+    /** Returns the wait of this request for a retry. */
+    RetryWait retryWait() {
+        return mRetryWait;
+    }
+
+    void recordStep(String step) {
+        mReporter.recordStep(step);
+    }
+
+    boolean hasEnded() {
+        synchronized (this) {
+            return mEnded;
+        }
+    }
+
     /** Returns when this exchange ends at the latest. */
     ExchangeDeadline deadline() {
         return mDeadline;
@@ -198,20 +213,10 @@
         return mCallerRequest.route().maxRunsOr(mContext.retryPolicy().maxAttempts());
     }
 
-    /**
-     * Returns the next attempt at the key's owner. If an earlier one may have run, its incarnation
-     * and latest start are kept; else an owner that lost the key could run it again.
-     */
+    /** Returns the next attempt at the key's owner. */
     Attempt newOwnerAttempt(GuardClockEstimate ownerClock, long deadlineMillis) {
         synchronized (this) {
-            mOwnerAttempt =
-                    mProgress.mayHaveRun()
-                            ? mOwnerAttempt.withId(mContext.attemptIds().next())
-                            : ownerClock.newAttempt(
-                                    mContext.attemptIds().next(),
-                                    mContext.ticker().millis(),
-                                    deadlineMillis);
-            return mOwnerAttempt;
+            return mOwnerAttempts.next(mProgress.mayHaveRun(), ownerClock, deadlineMillis);
         }
     }
 
@@ -322,6 +327,8 @@
     /** Handles an attempt that ended without an answer of the target. */
     void onAttemptEnded(TargetAttempt attempt, Outcome outcome) {
         RetryDecision decision;
+        SubmissionProgress progress;
+        boolean mayWait;
         synchronized (this) {
             if (mEnded || attempt != mCurrentAttempt) {
                 return;
@@ -332,6 +339,11 @@
             mPrepayment.onAttemptEnded(FinalOutcomes.reachedTarget(outcome));
             mReporter.recordStep(outcome.toString());
             decision = decide();
+            mayWait = canStartOver();
+            progress = mProgress;
+        }
+        if (mayWait && mRetryWait.tryWait(progress, isRetryPrepaid(), maxRuns())) {
+            return;
         }
         if (decision instanceof RetryDecision.Finish finish) {
             pauseOrFinish(finish.outcome());
@@ -344,25 +356,36 @@
     private void pauseOrFinish(Outcome outcome) {
         OptionalLong pauseMillis = OptionalLong.empty();
         synchronized (this) {
-            if (mOwner == null && mBufferedAnswer == null && mBody.canReplay()) {
-                pauseMillis =
-                        RetryPausePolicy.DEFAULT.pauseMillis(
-                                mProgress, mPauses, mDeadline.remainingMillis(), maxRuns());
+            if (canStartOver()) {
+                pauseMillis = mPauses.next(mProgress, maxRuns());
             }
             if (pauseMillis.isPresent()) {
-                mPauses++;
-                mProgress = mProgress.afterPause();
-                mSelector.startOver();
+                startOver();
             }
         }
         if (pauseMillis.isEmpty()) {
-            finish(outcome);
+            finish(mRetryWait.withReturnTime(outcome));
             return;
         }
-        mReporter.recordStep("pause of " + pauseMillis.getAsLong() + " ms");
-        // If the exchange ends in the meantime, the attempt sends nothing.
-        mContext.scheduler()
-                .schedule(this::startNextAttempt, pauseMillis.getAsLong(), TimeUnit.MILLISECONDS);
+        mPauses.schedule(pauseMillis.getAsLong(), this::startNextAttempt);
+    }
+
+    private boolean canStartOver() {
+        return mOwner == null && !mDelivery.hasKept() && mBody.canReplay();
+    }
+
+    private void startOver() {
+        mProgress = mProgress.afterPause();
+        mSelector.startOver();
+    }
+
+    /** Sends a request that waited for a retry; does nothing if it has ended. */
+    void resume(boolean prepaid) {
+        synchronized (this) {
+            startOver();
+            mPrepayment.set(prepaid);
+        }
+        startNextAttempt();
     }
 
     private RetryDecision decide() {
@@ -402,26 +425,12 @@
         if (retry) {
             attempt.end();
             mContext.metrics().retries().inc();
-            bufferAnswer(answer, body);
+            mDelivery.keep(answer, body, this::startNextAttempt);
             return;
         }
         forwardAnswer(attempt, answer, body);
     }
 
-    private void bufferAnswer(UpstreamResponse answer, Content.Source body) {
-        BufferedAnswer.read(answer, body)
-                .whenComplete(
-                        (buffered, failure) -> {
-                            if (failure != null) {
-                                mReporter.recordStep("answer not kept: " + failure.getMessage());
-                            }
-                            synchronized (this) {
-                                mBufferedAnswer = buffered;
-                            }
-                            startNextAttempt();
-                        });
-    }
-
     private void forwardAnswer(
             TargetAttempt attempt, UpstreamResponse answer, Content.Source body) {
         mDeadline.cancel();
@@ -485,14 +494,6 @@
     private void deliver(Outcome outcome) {
         mDeadline.cancel();
         DisconnectDetectingEndPoint.unwatch(mRequest);
-        BufferedAnswer buffered;
-        synchronized (this) {
-            buffered = mBufferedAnswer;
-        }
-        if (buffered != null) {
-            mDelivery.writeBuffered(buffered);
-        } else {
-            mDelivery.writeOutcome(outcome);
-        }
+        mDelivery.writeKeptOr(outcome);
     }
 }
--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -33,6 +33,7 @@
  * @param heldAnswers reads small answers whole
  * @param exchanges exchanges in flight
  * @param runTimes time that requests of each route take
+ * @param shedRetries retries of the services whose targets shed requests
  * @param metrics counters of the entry
  */
 record EntryContext(
@@ -54,6 +55,7 @@
         HeldAnswers heldAnswers,
         ExchangesInFlight exchanges,
         RouteRunTimes runTimes,
+        ShedRetries shedRetries,
         EntryMetrics metrics) {
 
     /** Returns whether the target has a guard to which no connection has failed recently. */
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -123,6 +123,8 @@
                         new HeldAnswers(),
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
+                        new ShedRetries(
+                                options.loadSharing().rankedRetries(), scheduler, ticker, registry),
                         EntryMetrics.of(registry));
         mRequesterResolver = new RequesterResolver(mContext.dialect(), mContext.requestLog());
         mKeyedRequestHandler = new KeyedRequestHandler(mContext, options.keyLimits());
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -134,6 +134,7 @@
                 .ifPresent(limit -> headers.put(HeaderNames.TARGET_LIMIT, limit.toText()));
         addQueueingHeaders(headers);
         addRetryHeaders(headers);
+        mExchange.retryWait().addHeaders(headers);
         mContext.dialect().addOriginHeaders(headers);
         mHopStartMillis = mContext.observer().addHopHeaders(headers);
         return new UpstreamRequest(
@@ -219,6 +220,7 @@
             mExchange.onRetryPrepaid(this);
         }
         Optional<Outcome> outcome = OutcomeCodec.read(headers);
+        mExchange.retryWait().onGuardAnswered(mCandidate.target().id(), outcome, headers);
         if (outcome.isPresent()) {
             end();
             Bodies.discard(body);
--- a/src/main/java/org/apricotgauge/caller/RetryPrepayment.java
+++ b/src/main/java/org/apricotgauge/caller/RetryPrepayment.java
@@ -22,6 +22,12 @@
         }
     }
 
+    /** Sets whether the next run is paid for, after a wait. */
+    void set(boolean prepaid) {
+        mPrepaid = prepaid;
+        mNextPrepaid = false;
+    }
+
     boolean isPrepaid() {
         return mPrepaid;
     }
--- a/src/main/java/org/apricotgauge/caller/RouteRunTimes.java
+++ b/src/main/java/org/apricotgauge/caller/RouteRunTimes.java
@@ -27,4 +27,9 @@
     long overdueMillis(String routeId, long softDeadlineMillis) {
         return mEstimator.runTimeoutMillis(routeId, Math.max(0, softDeadlineMillis));
     }
+
+    /** Returns the mean time to an answer, in milliseconds; 0 while few answers are known. */
+    long meanMillis(String routeId) {
+        return mEstimator.meanMillis(routeId);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/apricotgauge/caller/ServiceRetries.java
@@ -0,0 +1,181 @@
+package org.apricotgauge.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.retry.RetryRank;
+import org.apricotgauge.decision.retry.ReturnSchedule;
+import org.apricotgauge.decision.retry.ShedMonitor;
+import org.apricotgauge.decision.retry.TurnPace;
+import org.apricotgauge.decision.retry.WaitRoom;
+import org.apricotgauge.model.Priority;
+import org.apricotgauge.time.Ticker;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * The retries of one service at one entry: whether its targets shed, who waits, who goes next.
+ *
+ * <p>A waiting request goes when a guard has paid for it with an answer to another request, or when
+ * it is its turn to look for a guard that has retries left. The lock is held briefly and never
+ * during I/O. Thread-safe.
+ */
+final class ServiceRetries {
+    private static final long CHECK_INTERVAL_MILLIS = 50;
+    private static final WaitRoom.Bounds BOUNDS = new WaitRoom.Bounds(64, 1_048_576);
+
+    private final Scheduler mScheduler;
+    private final Ticker mTicker;
+    private final RetryMetrics mMetrics;
+    private final ShedMonitor mMonitor;
+    private final WaitRoom<RetryWaiter> mRoom = new WaitRoom<>(BOUNDS);
+    private final TurnPace mPace = new TurnPace();
+    private final ReturnSchedule mReturns = new ReturnSchedule();
+    private boolean mCheckScheduled;
+
+    /**
+     * Creates the retries of a service.
+     *
+     * @param retriesPerRequest retries that the service's budget allows for each request
+     */
+    ServiceRetries(
+            Scheduler scheduler, Ticker ticker, RetryMetrics metrics, double retriesPerRequest) {
+        mScheduler = scheduler;
+        mTicker = ticker;
+        mMetrics = metrics;
+        mMonitor = new ShedMonitor(retriesPerRequest);
+    }
+
+    /** Records whether a target shed a request that had a slot. */
+    void recordOutcome(String targetId, boolean shed) {
+        mMonitor.record(targetId, shed, mTicker.millis());
+    }
+
+    boolean isShedding() {
+        return mMonitor.isShedding(mTicker.millis());
+    }
+
+    /** Returns the targets that are the worse choice for a retry. */
+    Set<String> lastShedBy() {
+        return mMonitor.lastShedBy(mTicker.millis());
+    }
+
+    /** Returns the rank of the first waiting request. */
+    synchronized Optional<RetryRank> firstWaitingRank() {
+        return mRoom.firstRank(mTicker.millis());
+    }
+
+    /** Records that a guard had no retry left. */
+    synchronized void onNoRetry(boolean hadWaited) {
+        mPace.onNoRetry(mTicker.millis());
+        if (hadWaited) {
+            mRoom.undoTurn();
+        }
+    }
+
+    /** Records that a retry was sent to a target. */
+    synchronized void onRetry() {
+        mPace.onRetry();
+    }
+
+    /** Records a request of a caller. */
+    synchronized ReturnSchedule.Arrival onRequest(ReturnSchedule.Caller caller) {
+        return mReturns.onRequest(caller, mTicker.millis());
+    }
+
+    /** Returns how long a refused caller is told to wait. */
+    synchronized long nextReturnMillis(ReturnSchedule.Caller caller, Priority priority) {
+        long nowMillis = mTicker.millis();
+        return mReturns.nextReturnMillis(
+                caller, priority, mRoom.turnsPerSecond(nowMillis), nowMillis);
+    }
+
+    /**
+     * Decides whether a request that needs a retry is sent now; otherwise it is in the room, or
+     * refused, when this method returns.
+     *
+     * @param prepaid whether a guard has paid for the retry of this request
+     */
+    boolean tryGo(WaitRoom.Place<RetryWaiter> place, boolean prepaid) {
+        long nowMillis = mTicker.millis();
+        Optional<WaitRoom.Place<RetryWaiter>> next;
+        List<WaitRoom.Refusal<RetryWaiter>> refused;
+        synchronized (this) {
+            boolean isFirst =
+                    mRoom.firstRank(nowMillis)
+                            .filter(first -> first.compareTo(place.rankAt(nowMillis)) < 0)
+                            .isEmpty();
+            if (isFirst && (prepaid || mPace.tryLook(nowMillis))) {
+                mMetrics.countSent(place.rankAt(nowMillis), nowMillis - place.enteredMillis());
+                return true;
+            }
+            int before = mRoom.size();
+            next = prepaid ? mRoom.takeFirst(nowMillis) : Optional.empty();
+            refused = mRoom.enter(place, nowMillis);
+            mMetrics.addWaiting(mRoom.size() - before);
+            scheduleCheck();
+        }
+        next.ifPresent(one -> resume(one, true, nowMillis));
+        refused.forEach(one -> refuse(one, nowMillis));
+        return false;
+    }
+
+    /** Sends the first waiting request, whose retry a guard has paid for. */
+    void onWaitingRetryPrepaid() {
+        Optional<WaitRoom.Place<RetryWaiter>> next = takeFirst();
+        while (next.isPresent() && next.get().request().hasEnded()) {
+            next = takeFirst();
+        }
+        next.ifPresentOrElse(
+                one -> resume(one, true, mTicker.millis()), mMetrics::countUnusedPrepayment);
+    }
+
+    private synchronized Optional<WaitRoom.Place<RetryWaiter>> takeFirst() {
+        Optional<WaitRoom.Place<RetryWaiter>> first = mRoom.takeFirst(mTicker.millis());
+        first.ifPresent(one -> mMetrics.addWaiting(-1));
+        return first;
+    }
+
+    private void scheduleCheck() {
+        if (!mCheckScheduled && mRoom.size() > 0) {
+            mCheckScheduled = true;
+            mScheduler.schedule(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void check() {
+        List<RetryWaiter> waiting;
+        synchronized (this) {
+            waiting = mRoom.requests();
+        }
+        List<RetryWaiter> ended = new ArrayList<>(waiting);
+        ended.removeIf(one -> !one.hasEnded());
+        long nowMillis = mTicker.millis();
+        List<WaitRoom.Refusal<RetryWaiter>> expired;
+        Optional<WaitRoom.Place<RetryWaiter>> next = Optional.empty();
+        synchronized (this) {
+            int before = mRoom.size();
+            ended.forEach(mRoom::remove);
+            expired = mRoom.expire(nowMillis);
+            if (mRoom.size() > 0 && mPace.tryLook(nowMillis)) {
+                next = mRoom.takeFirst(nowMillis);
+            }
+            mMetrics.addWaiting(mRoom.size() - before);
+            mCheckScheduled = false;
+            scheduleCheck();
+        }
+        next.ifPresent(one -> resume(one, false, nowMillis));
+        expired.forEach(one -> refuse(one, nowMillis));
+    }
+
+    private void resume(WaitRoom.Place<RetryWaiter> place, boolean prepaid, long nowMillis) {
+        mMetrics.countSent(place.rankAt(nowMillis), nowMillis - place.enteredMillis());
+        place.request().resume(prepaid);
+    }
+
+    private void refuse(WaitRoom.Refusal<RetryWaiter> refusal, long nowMillis) {
+        mMetrics.countRefused(refusal.reason(), nowMillis - refusal.place().enteredMillis());
+        refusal.place().request().refuse(refusal);
+    }
+}
--- a/src/main/java/org/apricotgauge/caller/TargetSelector.java
+++ b/src/main/java/org/apricotgauge/caller/TargetSelector.java
@@ -188,7 +188,7 @@
                 return probe;
             }
         }
-        Optional<Candidate> untried = balance(mTried);
+        Optional<Candidate> untried = balanceRetry(lastOutcome).or(() -> balance(mTried));
         if (untried.isPresent()) {
             return untried;
         }
@@ -244,6 +244,22 @@
                 mTable.get(), excluded, ThreadLocalRandom.current(), mContext.ticker().nanos());
     }
 
+    /** Returns a target that did not shed its last request; empty for a first attempt. */
+    private Optional<Candidate> balanceRetry(Outcome lastOutcome) {
+        Set<String> excluded =
+                lastOutcome == null
+                        ? new HashSet<>()
+                        : mContext.shedRetries()
+                                .of(mTable.get().service())
+                                .map(ServiceRetries::lastShedBy)
+                                .orElseGet(HashSet::new);
+        if (excluded.isEmpty()) {
+            return Optional.empty();
+        }
+        excluded.addAll(mTried);
+        return balance(excluded);
+    }
+
     private static boolean mayReachOnRetry(Outcome lastOutcome) {
         if (lastOutcome instanceof Outcome.NotRun notRun) {
             return notRun.reason() == NotRunReason.FENCED
--- a/src/main/java/org/apricotgauge/decision/health/RunTimeEstimator.java
+++ b/src/main/java/org/apricotgauge/decision/health/RunTimeEstimator.java
@@ -135,6 +135,14 @@
         return Math.max(MIN_TIMEOUT_MILLIS, (long) millis);
     }
 
+    /**
+     * Returns the mean run time of a kind of work, in milliseconds; 0 if there are too few answers
+     * to estimate it.
+     */
+    public synchronized long meanMillis(String workKind) {
+        return hasEnoughSamples(workKind) ? (long) distributionOf(workKind).meanMillis() : 0;
+    }
+
     private Distribution distributionOf(String workKind) {
         Estimate estimate = mEstimates.get(workKind);
         double minDeviationMillis = MIN_DEVIATION_SHARE * estimate.mMeanMillis;
--- a/src/main/java/org/apricotgauge/http/ReplayableBody.java
+++ b/src/main/java/org/apricotgauge/http/ReplayableBody.java
@@ -57,6 +57,13 @@
         }
     }
 
+    /** Returns the number of bytes that are buffered. */
+    public int bufferedBytes() {
+        synchronized (mLock) {
+            return mBufferedBytes;
+        }
+    }
+
     /**
      * Returns the body from its start, for one attempt; invalidates the content opened before.
      *
--- a/src/main/java/org/apricotgauge/target/RetryPrepayment.java
+++ b/src/main/java/org/apricotgauge/target/RetryPrepayment.java
@@ -37,10 +37,15 @@
         return canTakeOver() && record(mCharge.tryPrepayRetry());
     }
 
-    /** Tells the entry that the next run is paid for; pays now if that was not done. */
+    /**
+     * Tells the entry that the next run is paid for; pays now if that was not done. If there is no
+     * further run, pays for another request that waits at the entry.
+     */
     void pay(Response response, boolean mayRetry) {
         if (mayRetry && (mPaid || mCharge.tryPrepayRetry())) {
             response.getHeaders().put(HeaderNames.NEXT_RETRY_PREPAID, "1");
+        } else if (mCharge.tryPayForWaiting()) {
+            response.getHeaders().put(HeaderNames.WAITING_RETRY_PREPAID, "1");
         }
     }
 
--- a/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
+++ b/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.Optional;
 import org.apricotgauge.decision.attempt.RetryPolicy;
 import org.apricotgauge.http.FleetDialect;
@@ -44,6 +45,7 @@
                         new HeldAnswers(),
                         new ExchangesInFlight(),
                         mRunTimes,
+                        new ShedRetries(false, null, mTicker, new MetricRegistry()),
                         null);
         return new ExchangeDeadline(
                 context,
--- a/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -250,6 +251,7 @@
                         new HeldAnswers(),
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
+                        new ShedRetries(false, null, mTicker, new MetricRegistry()),
                         null);
         return new TargetSelector(
                 context,
