Refuse waits that can't end in time, and wait where no target is left

In a model of the fleet, requests that had become late waited for their whole time behind those that could still be in time, and were refused after six seconds. Waits are now judged again at each check by the retries that this entry sent in the last seconds: a place is kept if its turn comes in full time, or within half of the time left, since a spell may last on. A request that was shed by the only target it could try waits as well; it was refused before.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -1,7 +1,6 @@
 package org.apricotgauge.caller;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.apricotgauge.decision.admission.QueueingPolicy;
 import org.apricotgauge.decision.attempt.Attempt;
@@ -327,8 +326,6 @@
     /** Handles an attempt that ended without an answer of the target. */
     void onAttemptEnded(TargetAttempt attempt, Outcome outcome) {
         RetryDecision decision;
-        SubmissionProgress progress;
-        boolean mayWait;
         synchronized (this) {
             if (mEnded || attempt != mCurrentAttempt) {
                 return;
@@ -339,10 +336,8 @@
             mPrepayment.onAttemptEnded(FinalOutcomes.reachedTarget(outcome));
             mReporter.recordStep(outcome.toString());
             decision = decide();
-            mayWait = canStartOver();
-            progress = mProgress;
         }
-        if (mayWait && mRetryWait.tryWait(progress, isRetryPrepaid(), maxRuns())) {
+        if (tryWait(true)) {
             return;
         }
         if (decision instanceof RetryDecision.Finish finish) {
@@ -354,20 +349,21 @@
     }
 
     private void pauseOrFinish(Outcome outcome) {
-        OptionalLong pauseMillis = OptionalLong.empty();
+        if (tryWait(false)) {
+            return;
+        }
         synchronized (this) {
-            if (canStartOver()) {
-                pauseMillis = mPauses.next(mProgress, maxRuns());
-            }
-            if (pauseMillis.isPresent()) {
+            if (canStartOver() && mPauses.tryPause(mProgress, maxRuns(), this::startNextAttempt)) {
                 startOver();
+                return;
             }
         }
-        if (pauseMillis.isEmpty()) {
-            finish(mRetryWait.withReturnTime(outcome));
-            return;
-        }
-        mPauses.schedule(pauseMillis.getAsLong(), this::startNextAttempt);
+        finish(mRetryWait.withReturnTime(outcome));
+    }
+
+    private boolean tryWait(boolean hasTarget) {
+        return canStartOver()
+                && mRetryWait.tryWait(progress(), isRetryPrepaid(), maxRuns(), hasTarget);
     }
 
     private boolean canStartOver() {
--- a/src/main/java/org/apricotgauge/caller/ExchangePauses.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangePauses.java
@@ -17,20 +17,24 @@
         mExchange = exchange;
     }
 
-    /** Returns how long to pause before the next attempt; empty if the request ends now. */
-    OptionalLong next(SubmissionProgress progress, int maxRuns) {
+    /**
+     * Returns whether the exchange pauses; otherwise it ends now.
+     *
+     * @param next called after the pause, also if the exchange has ended by then
+     */
+    boolean tryPause(SubmissionProgress progress, int maxRuns, Runnable next) {
         OptionalLong pauseMillis =
                 RetryPausePolicy.DEFAULT.pauseMillis(
                         progress, mCount, mExchange.deadline().remainingMillis(), maxRuns);
-        if (pauseMillis.isPresent()) {
-            mCount++;
-            mExchange.recordStep("pause of " + pauseMillis.getAsLong() + " ms");
+        if (pauseMillis.isEmpty()) {
+            return false;
         }
-        return pauseMillis;
-    }
-
-    /** Continues the exchange after a pause; if it has ended by then, nothing is sent. */
-    void schedule(long pauseMillis, Runnable next) {
-        mExchange.context().scheduler().schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
+        mCount++;
+        mExchange.recordStep("pause of " + pauseMillis.getAsLong() + " ms");
+        mExchange
+                .context()
+                .scheduler()
+                .schedule(next, pauseMillis.getAsLong(), TimeUnit.MILLISECONDS);
+        return true;
     }
 }
--- a/src/main/java/org/apricotgauge/caller/RetryWait.java
+++ b/src/main/java/org/apricotgauge/caller/RetryWait.java
@@ -21,13 +21,15 @@
  * <p>The exchange takes the outcomes of its attempts here; without ranked retries nothing waits.
  */
 final class RetryWait implements RetryWaiter {
+    /** Least time that is left for an attempt, whose run time may be unknown. */
+    private static final long MIN_RUN_MILLIS = 100;
+
     private final CallerExchange mExchange;
     private final Optional<ServiceRetries> mRetries;
     private final ReturnSchedule.Caller mCaller;
     private final ReturnSchedule.Arrival mArrival;
     private volatile long mEnteredMillis = -1;
     private volatile SubmissionProgress mProgress;
-    private volatile boolean mTurn;
 
     RetryWait(CallerExchange exchange, Service service) {
         mExchange = exchange;
@@ -72,7 +74,7 @@
                             retries.onRetry();
                         }
                     } else if (isNotRun(outcome.get(), NotRunReason.RETRIES_SPENT)) {
-                        retries.onNoRetry(mTurn);
+                        retries.onNoRetry();
                     }
                     if (headers.contains(HeaderNames.WAITING_RETRY_PREPAID)) {
                         retries.onWaitingRetryPrepaid();
@@ -85,26 +87,37 @@
      *
      * @param progress the progress after the last attempt
      * @param prepaid whether a guard has paid for the next run
+     * @param hasTarget whether a target may be left that was not tried
      */
-    boolean tryWait(SubmissionProgress progress, boolean prepaid, int maxRuns) {
-        boolean needsRetry = isNotRun(progress.lastOutcome(), NotRunReason.RETRIES_SPENT);
-        boolean shed = isNotRun(progress.lastOutcome(), NotRunReason.TARGET_SHED);
-        boolean mayRun =
-                !progress.mayHaveRun()
-                        || (progress.idempotent() && progress.possibleRuns() < maxRuns);
-        if (mRetries.isEmpty() || !mayRun || !(needsRetry || shed)) {
+    boolean tryWait(SubmissionProgress progress, boolean prepaid, int maxRuns, boolean hasTarget) {
+        if (mRetries.isEmpty() || !needsRetry(progress, maxRuns)) {
             return false;
         }
         ServiceRetries retries = mRetries.get();
-        if (shed && !retries.isShedding()) {
+        boolean shed = isNotRun(progress.lastOutcome(), NotRunReason.TARGET_SHED);
+        if (shed && hasTarget && !retries.isShedding()) {
             return false;
         }
         mProgress = progress;
         if (mEnteredMillis < 0) {
             mEnteredMillis = nowMillis();
         }
-        mTurn = false;
-        return !retries.tryGo(newPlace(), prepaid);
+        if (!retries.tryGo(newPlace(), prepaid)) {
+            return true;
+        }
+        if (!hasTarget) {
+            mExchange.resume(prepaid);
+        }
+        return !hasTarget;
+    }
+
+    private static boolean needsRetry(SubmissionProgress progress, int maxRuns) {
+        boolean mayRun =
+                !progress.mayHaveRun()
+                        || (progress.idempotent() && progress.possibleRuns() < maxRuns);
+        return mayRun
+                && (isNotRun(progress.lastOutcome(), NotRunReason.RETRIES_SPENT)
+                        || isNotRun(progress.lastOutcome(), NotRunReason.TARGET_SHED));
     }
 
     /** Returns an outcome with the time at which its caller may come back. */
@@ -122,8 +135,8 @@
     private WaitRoom.Place<RetryWaiter> newPlace() {
         ExchangeDeadline deadline = mExchange.deadline();
         long nowMillis = nowMillis();
-        long runMillis =
-                mExchange.context().runTimes().meanMillis(mExchange.callerRequest().route().id());
+        String route = mExchange.callerRequest().route().id();
+        long runMillis = Math.max(MIN_RUN_MILLIS, mExchange.context().runTimes().meanMillis(route));
         return new WaitRoom.Place<>(
                 this,
                 priority(),
@@ -148,7 +161,6 @@
 
     @Override
     public void resume(boolean prepaid) {
-        mTurn = !prepaid;
         mExchange.resume(prepaid);
     }
 
--- a/src/main/java/org/apricotgauge/caller/ServiceRetries.java
+++ b/src/main/java/org/apricotgauge/caller/ServiceRetries.java
@@ -67,16 +67,14 @@
     }
 
     /** Records that a guard had no retry left. */
-    synchronized void onNoRetry(boolean hadWaited) {
+    synchronized void onNoRetry() {
         mPace.onNoRetry(mTicker.millis());
-        if (hadWaited) {
-            mRoom.undoTurn();
-        }
     }
 
     /** Records that a retry was sent to a target. */
     synchronized void onRetry() {
         mPace.onRetry();
+        mRoom.onRetry(mTicker.millis());
     }
 
     /** Records a request of a caller. */
@@ -88,7 +86,7 @@
     synchronized long nextReturnMillis(ReturnSchedule.Caller caller, Priority priority) {
         long nowMillis = mTicker.millis();
         return mReturns.nextReturnMillis(
-                caller, priority, mRoom.turnsPerSecond(nowMillis), nowMillis);
+                caller, priority, mRoom.retriesPerSecond(nowMillis), nowMillis);
     }
 
     /**
--- a/src/main/java/org/apricotgauge/decision/retry/WaitRoom.java
+++ b/src/main/java/org/apricotgauge/decision/retry/WaitRoom.java
@@ -28,12 +28,11 @@
     private static final long RATE_MILLIS = 4_000;
     private static final long MILLIS_PER_SECOND = 1_000;
 
-    /** A spell that ends lets more go than its first seconds do; waits are refused beyond that. */
-    private static final double OUTLOOK_TOLERANCE = 2;
+    private static final double LATE_TIME_SHARE = 0.5;
 
     private final Bounds mBounds;
     private final List<Place<T>> mPlaces = new ArrayList<>();
-    private final Deque<Long> mTakenAtMillis = new ArrayDeque<>();
+    private final Deque<Long> mRetriesAtMillis = new ArrayDeque<>();
     private long mOpenedAtMillis;
     private long mBytes;
 
@@ -106,12 +105,13 @@
     public List<Refusal<T>> enter(Place<T> place, long nowMillis) {
         if (mPlaces.isEmpty()) {
             mOpenedAtMillis = Math.max(place.enteredMillis(), mOpenedAtMillis);
-            mTakenAtMillis.clear();
         }
         if (nowMillis >= place.useUntilMillis()) {
             return List.of(new Refusal<>(place, Reason.OF_NO_USE));
         }
-        if (turnComesTooLate(place, nowMillis)) {
+        Comparator<Place<T>> order = order(nowMillis);
+        long ahead = mPlaces.stream().filter(one -> order.compare(one, place) <= 0).count();
+        if (turnComesTooLate(place, (int) ahead, nowMillis)) {
             return List.of(new Refusal<>(place, Reason.TURN_TOO_LATE));
         }
         mPlaces.add(place);
@@ -125,22 +125,36 @@
         return refused;
     }
 
-    private boolean turnComesTooLate(Place<T> place, long nowMillis) {
+    /** Records that a request of the service was sent again, after a wait or at once. */
+    public void onRetry(long nowMillis) {
+        mRetriesAtMillis.add(nowMillis);
+        forgetOldRetries(nowMillis);
+    }
+
+    /** Returns how many requests are sent again in a second. */
+    public double retriesPerSecond(long nowMillis) {
+        forgetOldRetries(nowMillis);
+        return mRetriesAtMillis.size() * (double) MILLIS_PER_SECOND / RATE_MILLIS;
+    }
+
+    private void forgetOldRetries(long nowMillis) {
+        while (!mRetriesAtMillis.isEmpty()
+                && nowMillis - mRetriesAtMillis.peekFirst() > RATE_MILLIS) {
+            mRetriesAtMillis.pollFirst();
+        }
+    }
+
+    // While the spell lasts, late requests are passed over by those that can still be in time, so
+    // they count on a part of their time only.
+    private boolean turnComesTooLate(Place<T> place, int ahead, long nowMillis) {
         long openMillis = Math.min(RATE_MILLIS, nowMillis - mOpenedAtMillis);
         if (openMillis < MILLIS_PER_SECOND) {
             return false;
         }
-        mTakenAtMillis.removeIf(at -> nowMillis - at > RATE_MILLIS);
-        Comparator<Place<T>> order = order(nowMillis);
-        long ahead = mPlaces.stream().filter(one -> order.compare(one, place) <= 0).count();
-        double perMilli = Math.max(1.0, mTakenAtMillis.size()) / openMillis;
-        return ahead / perMilli > OUTLOOK_TOLERANCE * (place.useUntilMillis() - nowMillis);
-    }
-
-    /** Returns how many requests a second get their turn. */
-    public double turnsPerSecond(long nowMillis) {
-        mTakenAtMillis.removeIf(at -> nowMillis - at > RATE_MILLIS);
-        return mTakenAtMillis.size() * (double) MILLIS_PER_SECOND / RATE_MILLIS;
+        forgetOldRetries(nowMillis);
+        double turnMillis = ahead * openMillis / Math.max(1.0, mRetriesAtMillis.size());
+        return turnMillis > place.fullUseUntilMillis() - nowMillis
+                && turnMillis > LATE_TIME_SHARE * (place.useUntilMillis() - nowMillis);
     }
 
     /** Returns the rank of the first request; empty if none waits. */
@@ -151,19 +165,10 @@
     /** Removes and returns the first request. */
     public Optional<Place<T>> takeFirst(long nowMillis) {
         Optional<Place<T>> first = mPlaces.stream().min(order(nowMillis));
-        first.ifPresent(
-                place -> {
-                    remove(place);
-                    mTakenAtMillis.add(nowMillis);
-                });
+        first.ifPresent(this::remove);
         return first;
     }
 
-    /** Takes back a turn, since there was no retry for the request. */
-    public void undoTurn() {
-        mTakenAtMillis.pollLast();
-    }
-
     /** Returns the requests, in any order. */
     public List<T> requests() {
         return mPlaces.stream().map(Place::request).toList();
@@ -177,14 +182,18 @@
                 .ifPresent(this::remove);
     }
 
-    /** Removes and returns those whose answers are of no use any more. */
+    /** Removes and returns those whose answers are of no use any more, or would come too late. */
     public List<Refusal<T>> expire(long nowMillis) {
         List<Refusal<T>> expired = new ArrayList<>();
-        for (Place<T> place : List.copyOf(mPlaces)) {
-            if (nowMillis >= place.useUntilMillis()) {
-                remove(place);
-                expired.add(new Refusal<>(place, Reason.OF_NO_USE));
+        int ahead = 0;
+        for (Place<T> place : mPlaces.stream().sorted(order(nowMillis)).toList()) {
+            boolean ofNoUse = nowMillis >= place.useUntilMillis();
+            if (!ofNoUse && !turnComesTooLate(place, ahead, nowMillis)) {
+                ahead++;
+                continue;
             }
+            remove(place);
+            expired.add(new Refusal<>(place, ofNoUse ? Reason.OF_NO_USE : Reason.TURN_TOO_LATE));
         }
         return expired;
     }
--- a/src/test/java/org/apricotgauge/caller/ServiceRetriesTest.java
+++ b/src/test/java/org/apricotgauge/caller/ServiceRetriesTest.java
@@ -78,7 +78,7 @@
     /** Makes the next request wait: one look was made, and no guard had a retry. */
     private void exhaust() {
         mRetries.tryGo(place(new Waiter(), Priority.CRITICAL), false);
-        mRetries.onNoRetry(false);
+        mRetries.onNoRetry();
     }
 
     /** Guards against a retry that a patient request uses while an urgent one waits. */
@@ -114,7 +114,7 @@
             for (Waiter waiter : waiters) {
                 if (waiter.mTold.remove("look")) {
                     looks++;
-                    mRetries.onNoRetry(true);
+                    mRetries.onNoRetry();
                     mRetries.tryGo(place(waiter, Priority.NORMAL), false);
                 }
             }
--- a/src/test/java/org/apricotgauge/decision/retry/ShedSpellTest.java
+++ b/src/test/java/org/apricotgauge/decision/retry/ShedSpellTest.java
@@ -71,9 +71,11 @@
             }
             refuse(mRoom.expire(now), now);
             if (now % RETRY_INTERVAL_MILLIS == 0) {
+                long at = now;
                 Optional<WaitRoom.Place<Integer>> next =
                         mRanks ? mRoom.takeFirst(now) : unranked.stream().findFirst();
                 unranked.clear();
+                next.ifPresent(one -> mRoom.onRetry(at));
                 if (next.isPresent() && !send(next.get().priority(), now)) {
                     refuse(mRoom.enter(next.get(), now), now);
                 }
@@ -124,6 +126,7 @@
             refused.addAll(mRoom.enter(place(Priority.NORMAL, now), now));
             if (now % RETRY_INTERVAL_MILLIS == 0) {
                 mRoom.takeFirst(now);
+                mRoom.onRetry(now);
             }
         }
 
@@ -149,6 +152,26 @@
         assertThat(room.firstRank(2)).contains(new RetryRank(RetryRank.Use.FULL, Priority.URGENT));
     }
 
+    /** Load: a third of the targets shed all requests; retries go to those that answered. */
+    @Test
+    void retriesAvoidTheTargetsThatJustShed() {
+        int sheddingRetries = 0;
+        for (int i = 0; i < 300; i++) {
+            int target = mRandom.nextInt(9);
+            mMonitor.record("t" + target, target < 3, i * 20L);
+            List<String> others = new ArrayList<>();
+            for (int other = 0; other < 9; other++) {
+                others.add("t" + other);
+            }
+            others.removeAll(mMonitor.lastShedBy(i * 20L));
+            String retry = others.get(mRandom.nextInt(others.size()));
+            sheddingRetries += retry.compareTo("t3") < 0 ? 1 : 0;
+        }
+
+        // By chance it would be a hundred.
+        assertThat(sheddingRetries).isLessThan(50);
+    }
+
     /** Guards against a spell that is never recognised, or never ends, at one entry. */
     @Test
     void theMonitorFollowsAnswersAndForgetsOldOnes() {
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -21,9 +21,9 @@
 import org.apricotgauge.decision.attempt.RetryAllowancePolicy;
 import org.apricotgauge.decision.quarantine.NoopQuarantineListener;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
-import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.HttpServerFactory;
 import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.http.client.UpstreamClientFactory;
@@ -71,6 +71,7 @@
     private final List<UpstreamClient> mToGuards = new ArrayList<>();
     private final int mTargetConnections;
     private final EntryOptions.TargetAccess mTargetAccess;
+    private final LoadSharing mLoadSharing;
     private volatile String mLeaving = "";
     private volatile boolean mLosesCalls;
     private volatile String mRunning = "";
@@ -165,13 +166,18 @@
 
     /** Creates VMs whose guards open no more than so many connections to a target. */
     Hops(int targetConnections, String... vms) throws Exception {
-        this(targetConnections, EntryOptions.TargetAccess.GUARD_OR_DIRECT, vms);
+        this(targetConnections, EntryOptions.TargetAccess.GUARD_OR_DIRECT, LoadSharing.NONE, vms);
     }
 
-    private Hops(int targetConnections, EntryOptions.TargetAccess access, String... vms)
+    private Hops(
+            int targetConnections,
+            EntryOptions.TargetAccess access,
+            LoadSharing loadSharing,
+            String... vms)
             throws Exception {
         mTargetConnections = targetConnections;
         mTargetAccess = access;
+        mLoadSharing = loadSharing;
         mThreads.start();
         mScheduler.start();
         mClients.start();
@@ -185,7 +191,17 @@
 
     /** Creates VMs whose entries reach targets through their guards only. */
     static Hops guardsOnly(String... vms) throws Exception {
-        return new Hops(TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, vms);
+        return new Hops(
+                TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, LoadSharing.NONE, vms);
+    }
+
+    /** Creates VMs whose guards allow one retry for each request in a second, by rank. */
+    static Hops rankedRetries(String... vms) throws Exception {
+        return new Hops(
+                TARGET_CONNECTIONS,
+                EntryOptions.TargetAccess.GUARDS_ONLY,
+                new LoadSharing(false, false, true),
+                vms);
     }
 
     private static Route route(String id, String prefix, Repeatability repeatability) {
@@ -343,7 +359,7 @@
                         service -> Optional.empty(),
                         vm.mQuarantine,
                         (member, request) -> vm.mLimits.acquire(member, request),
-                        NestedCallDialect.options(KEYS, mTargetAccess),
+                        NestedCallDialect.options(KEYS, mTargetAccess, mLoadSharing),
                         vm.mRegistry);
         startGuard(id, vm, targets);
         HttpServerFactory servers = new HttpServerFactory(mThreads, mScheduler);
@@ -364,9 +380,13 @@
                         Ticker.system(),
                         new Blind(vm),
                         vm.mEntry::handleKeyed,
-                        FleetDialect.INSTANCE,
-                        AdmissionConfig.SlotUse.SHARED,
-                        RetryAllowancePolicy.UNBOUNDED,
+                        new NestedCallDialect(),
+                        mLoadSharing.rankedRetries()
+                                ? AdmissionConfig.SlotUse.EXCLUSIVE
+                                : AdmissionConfig.SlotUse.SHARED,
+                        mLoadSharing.rankedRetries()
+                                ? RetryAllowancePolicy.ofFleetByRank(0, 1)
+                                : RetryAllowancePolicy.UNBOUNDED,
                         vm.mQuarantine,
                         request -> CompletableFuture.completedFuture(new byte[0]),
                         vm.mStop,
--- a/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
+++ b/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.apricotgauge.caller.EntryOptions;
 import org.apricotgauge.decision.attempt.KeyLimits;
+import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.SiteDialect;
 import org.apricotgauge.http.TargetNotice;
@@ -13,10 +14,14 @@
 final class NestedCallDialect implements SiteDialect {
     static final String PARENT_ID = "Parent-Id";
 
+    /** Header of a target that sheds a request. */
+    static final String SHED = "Shed";
+
     private final SiteDialect mFleet = FleetDialect.INSTANCE;
 
     /** Returns the default options with these conventions. */
-    static EntryOptions options(KeyLimits keyLimits, EntryOptions.TargetAccess access) {
+    static EntryOptions options(
+            KeyLimits keyLimits, EntryOptions.TargetAccess access, LoadSharing loadSharing) {
         EntryOptions options = EntryOptions.of(keyLimits);
         return new EntryOptions(
                 new NestedCallDialect(),
@@ -25,7 +30,7 @@
                 options.keyLimits(),
                 options.entryRetryAllowance(),
                 options.guardRetryAllowance(),
-                options.loadSharing());
+                loadSharing);
     }
 
     @Override
@@ -59,7 +64,7 @@
 
     @Override
     public AnswerKind kindOf(HttpFields request, int status, HttpFields answer) {
-        return mFleet.kindOf(request, status, answer);
+        return answer.contains(SHED) ? AnswerKind.SHED : mFleet.kindOf(request, status, answer);
     }
 
     @Override
