End waits for a target that has gone, and pace a young process by its uptime

A waiting request whose last target left was resumed, found no target and waited again; with a prepaid retry it would have done so without a pause. It is told "not run" now when nothing was tried since its last wait.

In the first window after a start, a guard's retries came by the requests so far over the whole window, about half of what the window allowed. They come over the uptime now; the bound of the window holds as before.

Run: RetryWaitTest (with the new case) and WindowRetryBudgetTest; no failure.

--- a/src/main/java/org/apricotgauge/caller/RetryWait.java
+++ b/src/main/java/org/apricotgauge/caller/RetryWait.java
@@ -87,10 +87,12 @@
      *
      * @param progress the progress after the last attempt
      * @param prepaid whether a guard has paid for the next run
-     * @param hasTarget whether a target may be left that was not tried
+     * @param hasTarget whether a target may be left that was not tried; if not, and none was tried
+     *     since the last wait, the request does not wait again
      */
     boolean tryWait(SubmissionProgress progress, boolean prepaid, int maxRuns, boolean hasTarget) {
-        if (mRetries.isEmpty() || !needsRetry(progress, maxRuns)) {
+        boolean isAnyTarget = hasTarget || progress.attempts() > progress.possibleRuns();
+        if (mRetries.isEmpty() || !isAnyTarget || !needsRetry(progress, maxRuns)) {
             return false;
         }
         ServiceRetries retries = mRetries.get();
--- a/src/main/java/org/apricotgauge/decision/attempt/WindowRetryBudget.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/WindowRetryBudget.java
@@ -41,6 +41,7 @@
     private static final long UNKNOWN = Long.MIN_VALUE;
 
     private final long mSliceMillis;
+    private final long mStartedAtMillis;
 
     // One slice more than the window, as the current one is incomplete.
     private final int[] mRequests = new int[SLICES + 1];
@@ -68,6 +69,7 @@
         mSliceMillis =
                 Math.max(
                         1, Checks.inRange("windowMillis", windowMillis, 1_000, 3_600_000) / SLICES);
+        mStartedAtMillis = startedAtMillis;
         mSlice = startedAtMillis / mSliceMillis;
         mAsksAtMillis = startedAtMillis;
         mPacedAtMillis = startedAtMillis;
@@ -201,7 +203,10 @@
         if (nowMillis <= mPacedAtMillis) {
             return;
         }
-        double elapsed = (double) (nowMillis - mPacedAtMillis) / windowMillis();
+        // What a young process may use came within its uptime.
+        long paceMillis =
+                Math.max(RESERVE_MILLIS, Math.min(windowMillis(), nowMillis - mStartedAtMillis));
+        double elapsed = (double) (nowMillis - mPacedAtMillis) / paceMillis;
         mPaced = Math.min(burst(), mPaced + elapsed * allowance());
         mPacedAtMillis = nowMillis;
     }
--- a/src/test/java/org/apricotgauge/functional/RetryWaitTest.java
+++ b/src/test/java/org/apricotgauge/functional/RetryWaitTest.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apricotgauge.bench.LocalFleet;
 import org.junit.jupiter.api.Test;
@@ -87,6 +88,21 @@
         }
     }
 
+    /** Guards against a wait for a target that has gone, and for no other. */
+    @Test
+    void whatWaitsIsToldNotRunWhenItsLastTargetLeaves() throws Exception {
+        try (RawTarget target = RawTarget.start(shedding(ALWAYS));
+                Hops hops = Hops.rankedRetries("a", "b").target("t", "b", target.port(), 8)) {
+            CompletableFuture<String> answer = askLater(hops, 15_000);
+            LocalFleet.await(() -> waiting(hops) > 0);
+            hops.leave("t");
+
+            assertThat(answer.get(10, TimeUnit.SECONDS))
+                    .startsWith("HTTP/1.1 503")
+                    .contains("not-run");
+        }
+    }
+
     /** Guards against a change for deployments whose retries don't go by rank. */
     @Test
     void withoutRanksNothingWaits() throws Exception {
