--- a/src/main/java/org/apricotgauge/caller/EntryContext.java
+++ b/src/main/java/org/apricotgauge/caller/EntryContext.java
@@ -35,6 +35,7 @@
  * @param exchanges exchanges in flight
  * @param runTimes time that requests of each route take
  * @param localFirst prefers the target beside the entry
+ * @param shedRetries retries of the services whose targets shed requests
  * @param metrics counters of the entry
  */
 record EntryContext(
@@ -58,6 +59,7 @@
         ExchangesInFlight exchanges,
         RouteRunTimes runTimes,
         LocalFirst localFirst,
+        ShedRetries shedRetries,
         EntryMetrics metrics) {
 
     /** Returns whether the target has a guard to which no connection has failed recently. */
--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -128,6 +128,8 @@
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
                         new LocalFirst(options.loadSharing().localFirst(), localSlots, registry),
+                        new ShedRetries(
+                                options.loadSharing().rankedRetries(), scheduler, ticker, registry),
                         EntryMetrics.of(registry));
         mRequesterResolver = new RequesterResolver(mContext.dialect(), mContext.requestLog());
         mKeyedRequestHandler = new KeyedRequestHandler(mContext, options.keyLimits());
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -131,6 +131,7 @@
     private UpstreamRequest newHopRequest(long remainingMillis) {
         HttpFields.Mutable headers =
                 HopRequestHeaders.create(mExchange, mCandidate, mAttempt, remainingMillis);
+        mExchange.retryWait().addHeaders(headers);
         if (mTransport.isRemote()) {
             mHopStartMillis = mContext.observer().addHopHeaders(headers);
         }
@@ -197,6 +198,7 @@
             mExchange.onRetryPrepaid(this);
         }
         Optional<Outcome> outcome = OutcomeCodec.read(headers);
+        mExchange.retryWait().onGuardAnswered(mCandidate.target().id(), outcome, headers);
         if (outcome.isPresent()) {
             end();
             Bodies.discard(body);
--- a/src/main/java/org/apricotgauge/target/RetryPrepayment.java
+++ b/src/main/java/org/apricotgauge/target/RetryPrepayment.java
@@ -37,10 +37,15 @@
         return canTakeOver() && record(mCharge.tryPrepayRetry());
     }
 
-    /** Tells the entry that the next run is paid for; pays now if that was not done. */
+    /**
+     * Tells the entry that the next run is paid for; pays now if that was not done. If there is no
+     * further run, pays for another request that waits at the entry.
+     */
     void pay(HttpFields.Mutable headers, boolean mayRetry) {
         if (mayRetry && (mPaid || mCharge.tryPrepayRetry())) {
             headers.put(HeaderNames.NEXT_RETRY_PREPAID, "1");
+        } else if (mCharge.tryPayForWaiting()) {
+            headers.put(HeaderNames.WAITING_RETRY_PREPAID, "1");
         }
     }
 
--- a/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
+++ b/src/test/java/org/apricotgauge/caller/ExchangeDeadlineTest.java
@@ -47,6 +47,7 @@
                         new ExchangesInFlight(),
                         mRunTimes,
                         LocalFirst.OFF,
+                        new ShedRetries(false, null, mTicker, new MetricRegistry()),
                         null);
         return new ExchangeDeadline(
                 context,
--- a/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
+++ b/src/test/java/org/apricotgauge/caller/TargetSelectorTest.java
@@ -312,6 +312,7 @@
                         new ExchangesInFlight(),
                         new RouteRunTimes(),
                         mLocalFirst,
+                        new ShedRetries(false, null, mTicker, new MetricRegistry()),
                         null);
         return new TargetSelector(
                 context,
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -19,7 +19,6 @@
 import org.apricotgauge.decision.routing.LoadSharing;
 import org.apricotgauge.decision.routing.RoutingTable;
 import org.apricotgauge.decision.routing.RoutingTableFactory;
-import org.apricotgauge.http.FleetDialect;
 import org.apricotgauge.http.HttpServerFactory;
 import org.apricotgauge.http.client.UpstreamClient;
 import org.apricotgauge.http.client.UpstreamClientFactory;
@@ -125,6 +124,15 @@
                 TARGET_CONNECTIONS, EntryOptions.TargetAccess.GUARDS_ONLY, loadSharing, vms);
     }
 
+    /** Creates VMs whose guards allow one retry for each request in a second, by rank. */
+    static Hops rankedRetries(String... vms) throws Exception {
+        return new Hops(
+                TARGET_CONNECTIONS,
+                EntryOptions.TargetAccess.GUARDS_ONLY,
+                new LoadSharing(false, false, true, false),
+                vms);
+    }
+
     private static Route route(String id, String prefix, Repeatability repeatability) {
         return new Route(id, "*", prefix, SERVICE, Priority.NORMAL, repeatability, DEADLINE_MILLIS);
     }
@@ -309,9 +317,13 @@
                         Ticker.system(),
                         new Blind(vm),
                         vm.mEntry::handleKeyed,
-                        FleetDialect.INSTANCE,
-                        AdmissionConfig.SlotUse.SHARED,
-                        RetryAllowancePolicy.UNBOUNDED,
+                        new NestedCallDialect(),
+                        mLoadSharing.rankedRetries()
+                                ? AdmissionConfig.SlotUse.EXCLUSIVE
+                                : AdmissionConfig.SlotUse.SHARED,
+                        mLoadSharing.rankedRetries()
+                                ? RetryAllowancePolicy.ofFleetByRank(0, 1)
+                                : RetryAllowancePolicy.UNBOUNDED,
                         vm.mQuarantine,
                         request -> CompletableFuture.completedFuture(new byte[0]),
                         vm.mStop,
--- a/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
+++ b/src/test/java/org/apricotgauge/functional/NestedCallDialect.java
@@ -14,6 +14,9 @@
 final class NestedCallDialect implements SiteDialect {
     static final String PARENT_ID = "Parent-Id";
 
+    /** Header of a target that sheds a request. */
+    static final String SHED = "Shed";
+
     private final SiteDialect mFleet = FleetDialect.INSTANCE;
 
     /** Returns the default options with these conventions. */
@@ -61,7 +64,7 @@
 
     @Override
     public AnswerKind kindOf(HttpFields request, int status, HttpFields answer) {
-        return mFleet.kindOf(request, status, answer);
+        return answer.contains(SHED) ? AnswerKind.SHED : mFleet.kindOf(request, status, answer);
     }
 
     @Override
