--- a/src/test/java/org/apricotgauge/decision/retry/ShedSpellTest.java
+++ b/src/test/java/org/apricotgauge/decision/retry/ShedSpellTest.java
@@ -27,7 +27,6 @@
     private final WaitRoom<Integer> mRoom = new WaitRoom<>(new WaitRoom.Bounds(64, 100_000));
     private final int[] mServed = new int[Priority.values().length];
     private final int[] mAsked = new int[Priority.values().length];
-    private int mRefusedAfterSpell;
     private long mLongestRefusedMillis;
     private boolean mRanks = true;
 
@@ -85,7 +84,6 @@
 
     private void refuse(List<WaitRoom.Refusal<Integer>> refused, long nowMillis) {
         for (WaitRoom.Refusal<Integer> refusal : refused) {
-            mRefusedAfterSpell += nowMillis > SPELL_END_MILLIS ? 1 : 0;
             mLongestRefusedMillis =
                     Math.max(mLongestRefusedMillis, nowMillis - refusal.place().enteredMillis());
         }
