--- a/src/main/java/org/apricotgauge/node/RateLimitService.java
+++ b/src/main/java/org/apricotgauge/node/RateLimitService.java
@@ -19,6 +19,7 @@
 import org.apricotgauge.decision.ratelimit.MemberOwners;
 import org.apricotgauge.decision.ratelimit.RateLimitDecision;
 import org.apricotgauge.decision.ratelimit.TokenMessage;
+import org.apricotgauge.log.StateLog;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.RateLimit;
@@ -26,17 +27,21 @@
 import org.apricotgauge.operator.MemberUse;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.jboss.logging.Logger;
 
 /**
  * Runs the {@link DistributedRateLimiter}: sends and receives its datagrams, passes it the time and
  * expires its pending requests.
  */
 final class RateLimitService implements MemberRateLimiter, AdminSources.AllotmentSource {
+    private static final Logger LOGGER = Logger.getLogger(RateLimitService.class);
+
     private static final long EXPIRY_INTERVAL_MILLIS = 20;
 
     /** Members whose requests are counted for operators, at most. */
     private static final int MAX_COUNTED_MEMBERS = 4_096;
 
+    private final StateLog mLog = new StateLog(LOGGER);
     private final RoutingState mState;
     private final Ticker mTicker;
     private final Scheduler mScheduler;
@@ -46,6 +51,7 @@
     private final Counter mRefused;
     private final Counter mUnknown;
     private final Counter mMessages;
+    private final Counter mOwnerChanges;
     private final Cache<String, Counts> mCounts =
             Caffeine.newBuilder().maximumSize(MAX_COUNTED_MEMBERS).executor(Runnable::run).build();
     private List<Runnable> mDueCallbacks = new ArrayList<>();
@@ -54,8 +60,12 @@
     private Address mOwnAddress;
     private DistributedRateLimiter mLimiter;
     private boolean mIsExpiryScheduled;
+    private boolean mWasIsolated;
     private volatile DatagramPort mPort;
 
+    /** Decisions on all members' requests at this node, since it started. */
+    private record CountedRequests(long granted, long refused, long unknown) {}
+
     /** Decisions on one member's requests at this node. */
     private static final class Counts {
         private final LongAdder mGranted = new LongAdder();
@@ -78,6 +88,8 @@
         mRefused = registry.counter("allotments.refused");
         mUnknown = registry.counter("allotments.unknown");
         mMessages = registry.counter("allotments.messages_sent");
+        mOwnerChanges = registry.counter("allotments.list_changes");
+        registry.gauge("allotments.isolated", () -> this::isolated);
     }
 
     /** Starts to send and handle messages; the caller owns the port and closes it. */
@@ -95,6 +107,7 @@
         if (others.equals(mOtherNodes) && members.isListed() == mIsListed) {
             return;
         }
+        mOwnerChanges.inc();
         mOtherNodes = others;
         mIsListed = members.isListed();
         if (mLimiter != null) {
@@ -187,10 +200,26 @@
                 mDueCallbacks = new ArrayList<>();
             }
             scheduleExpiry();
+            logIsolation();
         }
         due.forEach(executor::execute);
     }
 
+    private synchronized int isolated() {
+        return mWasIsolated ? 1 : 0;
+    }
+
+    private void logIsolation() {
+        boolean isIsolated = mLimiter.isIsolated();
+        if (isIsolated == mWasIsolated) {
+            return;
+        }
+        mWasIsolated = isIsolated;
+        mLog.info(
+                isIsolated ? "limits are not counted" : "limits are counted again",
+                new CountedRequests(mGranted.getCount(), mRefused.getCount(), mUnknown.getCount()));
+    }
+
     private void scheduleExpiry() {
         if (!mIsExpiryScheduled && mLimiter.hasPendingRequests()) {
             mIsExpiryScheduled = true;
