--- a/src/test/java/org/apricotgauge/directory/PageCodecTest.java
+++ b/src/test/java/org/apricotgauge/directory/PageCodecTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.apricotgauge.model.StorePosition;
@@ -112,4 +113,45 @@
         assertThat(received.position().hasEra()).isFalse();
         assertThat(received.lostWrites()).isEmpty();
     }
+
+    /** Guards against a node that a broken or hostile page takes out of service. */
+    @Test
+    void rejectsMalformedPage() throws Exception {
+        byte[] bytes = mCodec.encode(PAGE, true);
+
+        for (int length = 0; length < bytes.length; length += 7) {
+            byte[] cut = Arrays.copyOf(bytes, length);
+            assertThatThrownBy(() -> mCodec.decode(cut)).isInstanceOf(IOException.class);
+        }
+        byte[] longValue =
+                new ObjectMapper(new MessagePackFactory())
+                        .writeValueAsBytes(
+                                Map.of("items", List.of(Map.of("value", new byte[] {1, 2, 3}))));
+        longValue[longValue.length - 4] = (byte) 200;
+        assertThatThrownBy(() -> mCodec.decode(longValue)).isInstanceOf(IOException.class);
+    }
+
+    /** Guards against a page of a later release that this one can't read. */
+    @Test
+    void skipsUnknownFields() throws Exception {
+        byte[] later =
+                new ObjectMapper(new MessagePackFactory())
+                        .writeValueAsBytes(
+                                Map.of(
+                                        "items",
+                                        List.of(
+                                                Map.of(
+                                                        "key",
+                                                        "a",
+                                                        "value",
+                                                        new byte[] {1},
+                                                        "later",
+                                                        List.of(1, Map.of("x", 2)))),
+                                        "later",
+                                        Map.of("x", List.of("y"))));
+
+        assertThat(mCodec.decode(later).items())
+                .extracting(PublishedItem::key)
+                .containsExactly("a");
+    }
 }
