Give back the room of a large body, and open it harmlessly, once its request has ended

Change: the end of a request gives its room back at once; the body of an ended request opens and fails its reader; attempts are built before their timers start. Figures: two tests of ReplayableBodyTest cover the room and the opening; the timer's order is reviewed, not tested. Conclusion: as before for requests that go on.

--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -117,15 +117,14 @@
                         mContext.attemptIds().next(),
                         mContext.ticker().millis(),
                         guardDeadlineMillis);
+        HopAttempt hopAttempt =
+                new HopAttempt(
+                        mAttempt,
+                        newHopRequest(remainingMillis),
+                        Fingerprints.hasBody(mExchange.request()));
         startTimeout(acknowledgementTimeoutMillis());
         mContext.metrics().countAttempt(mTransport.isRemote());
-        mUpstream =
-                mTransport.send(
-                        new HopAttempt(
-                                mAttempt,
-                                newHopRequest(remainingMillis),
-                                Fingerprints.hasBody(mExchange.request())),
-                        this);
+        mUpstream = mTransport.send(hopAttempt, this);
     }
 
     private UpstreamRequest newHopRequest(long remainingMillis) {
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -76,17 +76,15 @@
         headers.put(Attempt.HEADER, attempt.toString());
         headers.put(HeaderNames.MEMBER, mKey.member());
         headers.put(HeaderNames.TIMEOUT_MILLIS, remainingMillis);
+        UpstreamRequest request =
+                new UpstreamRequest(
+                        mOwner,
+                        callerRequest.getMethod(),
+                        callerRequest.getHttpURI().getPathQuery(),
+                        headers,
+                        mExchange.body().open());
         startTimeout(acknowledgementTimeoutMillis());
-        mUpstream =
-                mContext.guards()
-                        .send(
-                                new UpstreamRequest(
-                                        mOwner,
-                                        callerRequest.getMethod(),
-                                        callerRequest.getHttpURI().getPathQuery(),
-                                        headers,
-                                        mExchange.body().open()),
-                                this);
+        mUpstream = mContext.guards().send(request, this);
     }
 
     private long acknowledgementTimeoutMillis() {
--- a/src/main/java/org/apricotgauge/http/ReplayableBody.java
+++ b/src/main/java/org/apricotgauge/http/ReplayableBody.java
@@ -86,6 +86,8 @@
     public void release() {
         synchronized (mLock) {
             mReleased = true;
+            mLargeBodies.release(mReservedBytes);
+            mReservedBytes = 0;
             dropIfRead();
         }
     }
@@ -122,12 +124,16 @@
     }
 
     /**
-     * Returns the body from its start, for one attempt; invalidates the content opened before.
+     * Returns the body from its start, for one attempt; invalidates the content opened before. Of a
+     * request that has ended, it can't be read.
      *
      * @throws IllegalStateException if the body cannot be sent again
      */
     public Request.Content open() {
         synchronized (mLock) {
+            if (mReleased) {
+                return new AttemptContent();
+            }
             if (mOverflowed) {
                 throw new IllegalStateException(
                         "cannot reopen a body of over " + mMaxBufferedBytes + " bytes");
--- a/src/test/java/org/apricotgauge/http/ReplayableBodyTest.java
+++ b/src/test/java/org/apricotgauge/http/ReplayableBodyTest.java
@@ -77,6 +77,28 @@
         assertThat(budget.reservedBytes()).isZero();
     }
 
+    // Guards against room that is never given back after an attempt that read nothing.
+    @Test
+    void releaseGivesBackTheRoomOfAReaderThatNeverReads() {
+        ByteBudget budget = new ByteBudget(4);
+        ReplayableBody body = large(budget, "ab", "cd", "ef");
+        read(body.open(), 10);
+        body.open();
+
+        body.release();
+
+        assertThat(budget.reservedBytes()).isZero();
+    }
+
+    // Guards against a sound guard that counts as dead since its attempt could not be built.
+    @Test
+    void bodyOfAnEndedRequestOpensAndCannotBeRead() {
+        ReplayableBody body = large(new ByteBudget(4), "ab", "cd");
+        body.release();
+
+        assertThat(Content.Chunk.isFailure(body.open().read())).isTrue();
+    }
+
     // Guards against large bodies that together exceed the memory of the node.
     @Test
     void largeBodyIsStreamedOnceBeyondTheRoomOfTheNode() {
