Go on to the last resorts if the full target beside the entry has gone meanwhile

Cause: once the target beside the entry was skipped as full, and was then ejected or left, the request ended without a target although others remained: ones that end soon, ones whose path failed, the least degraded one (found by review). Change: the wait at busy targets is taken only if there is one. Figures: TargetSelectorTest passes; it has no case of its own for this.

--- a/src/main/java/org/apricotgauge/caller/TargetSelector.java
+++ b/src/main/java/org/apricotgauge/caller/TargetSelector.java
@@ -203,7 +203,10 @@
             return untried;
         }
         if (mSkippedBeside) {
-            return waitAtBusy();
+            Optional<Candidate> busy = waitAtBusy();
+            if (busy.isPresent()) {
+                return busy;
+            }
         }
         if (!mEndingSoon.isEmpty()) {
             return busyOrEndingSoon();
