End an abandoned attempt that waits for its body to be read ahead

Cause: in the process no connection closes under a request that reads ahead for the quarantine, so that an abandoned one could stay with the guard until the node stops (suspected by review, not reproduced). Change: an abandoned attempt that has no slot ends at once, whether or not it is in the queue. Figures: GuardTransportTest and HangUpTest pass. Conclusion: the ledger is fenced before, and a slot that comes late is given back as before.

--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -209,7 +209,10 @@
     /** Cancels the request after its entry abandoned it, at the target if it has started. */
     void onAbandoned() {
         mAbandoned = true;
-        onFenced();
+        mGate.cancel(mTicket);
+        if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+            endNotRun(NotRunReason.FENCED);
+        }
         UpstreamExchange exchange = mExchange;
         if (exchange != null) {
             exchange.abort(new TimeoutException("entry abandoned the attempt"));
