Free a target's slot also if the entry fails with an error

Cause: an error, such as one of memory, in the entry's handling of an answer from the guard in the same process would have left the answer unread, and its slot in use for good (found by review). Change: errors are handled as other failures of the entry: logged, and the answer is failed. Figures: GuardTransportTest passes; no test brings an error about. Conclusion: over a connection, an entry's error never held a slot.

--- a/src/main/java/org/apricotgauge/peer/hop/LocalExchange.java
+++ b/src/main/java/org/apricotgauge/peer/hop/LocalExchange.java
@@ -173,7 +173,7 @@
         }
         try {
             mListener.onAnswer(answer.withHeaders(mHeaders), readAhead);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOGGER.errorf(e, "entry failed to handle an answer");
             readAhead.fail(e);
         }
--- a/src/main/java/org/apricotgauge/peer/hop/ReadAheadBody.java
+++ b/src/main/java/org/apricotgauge/peer/hop/ReadAheadBody.java
@@ -107,7 +107,7 @@
         }
         try {
             demand.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOGGER.errorf(e, "reader of an answer failed");
             fail(e);
         }
