Go on checking the waiting requests after one failed

Cause: hasEnded() may write a refusal. What it threw ended the periodic check with its flag set, so the room was never checked again; what resume() threw left the expired and refused requests that were to be told after it without an answer, and in onWaitingRetryPrepaid() it reached the request that had paid.

Change: the check is scheduled again in a finally; each request is asked, resumed and refused on its own, and its failure is logged. A request whose resumption failed may have been sent and is left to its deadline.

Run: ServiceRetriesTest, 7 tests, green; its 3 new ones fail before the change with the exception of the failing request.

Conclusion: one failing request no longer stops the others.

--- a/src/main/java/org/apricotgauge/caller/ServiceRetries.java
+++ b/src/main/java/org/apricotgauge/caller/ServiceRetries.java
@@ -13,6 +13,7 @@
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.jboss.logging.Logger;
 
 /**
  * The retries of one service at one entry: whether its targets shed, who waits, who goes next.
@@ -22,6 +23,7 @@
  * during I/O. Thread-safe.
  */
 final class ServiceRetries {
+    private static final Logger LOG = Logger.getLogger(ServiceRetries.class);
     private static final long CHECK_INTERVAL_MILLIS = 50;
     private static final WaitRoom.Bounds BOUNDS = new WaitRoom.Bounds(64, 1_048_576);
 
@@ -122,7 +124,7 @@
     /** Sends the first waiting request, whose retry a guard has paid for. */
     void onWaitingRetryPrepaid() {
         Optional<WaitRoom.Place<RetryWaiter>> next = takeFirst();
-        while (next.isPresent() && next.get().request().hasEnded()) {
+        while (next.isPresent() && hasEnded(next.get().request())) {
             next = takeFirst();
         }
         next.ifPresentOrElse(
@@ -143,12 +145,23 @@
     }
 
     private void check() {
+        try {
+            checkWaiting();
+        } finally {
+            synchronized (this) {
+                mCheckScheduled = false;
+                scheduleCheck();
+            }
+        }
+    }
+
+    private void checkWaiting() {
         List<RetryWaiter> waiting;
         synchronized (this) {
             waiting = mRoom.requests();
         }
         List<RetryWaiter> ended = new ArrayList<>(waiting);
-        ended.removeIf(one -> !one.hasEnded());
+        ended.removeIf(one -> !hasEnded(one));
         long nowMillis = mTicker.millis();
         List<WaitRoom.Refusal<RetryWaiter>> expired;
         Optional<WaitRoom.Place<RetryWaiter>> next = Optional.empty();
@@ -160,20 +173,38 @@
                 next = mRoom.takeFirst(nowMillis);
             }
             mMetrics.addWaiting(mRoom.size() - before);
-            mCheckScheduled = false;
-            scheduleCheck();
         }
         next.ifPresent(one -> resume(one, false, nowMillis));
         expired.forEach(one -> refuse(one, nowMillis));
     }
 
+    // It fails only while it writes a refusal, and then the request has ended.
+    private static boolean hasEnded(RetryWaiter request) {
+        try {
+            return request.hasEnded();
+        } catch (RuntimeException e) {
+            LOG.error("waiting request failed to end", e);
+            return true;
+        }
+    }
+
+    // The failure of one request must not reach the one that called, or those told after it. It may
+    // have been sent, so it isn't refused but left to its deadline.
     private void resume(WaitRoom.Place<RetryWaiter> place, boolean prepaid, long nowMillis) {
         mMetrics.countSent(place.rankAt(nowMillis), nowMillis - place.enteredMillis());
-        place.request().resume(prepaid);
+        try {
+            place.request().resume(prepaid);
+        } catch (RuntimeException e) {
+            LOG.error("waiting request failed to resume", e);
+        }
     }
 
     private void refuse(WaitRoom.Refusal<RetryWaiter> refusal, long nowMillis) {
         mMetrics.countRefused(refusal.reason(), nowMillis - refusal.place().enteredMillis());
-        refusal.place().request().refuse(refusal);
+        try {
+            refusal.place().request().refuse(refusal);
+        } catch (RuntimeException e) {
+            LOG.error("waiting request failed to be refused", e);
+        }
     }
 }
--- a/src/test/java/org/apricotgauge/caller/ServiceRetriesTest.java
+++ b/src/test/java/org/apricotgauge/caller/ServiceRetriesTest.java
@@ -43,24 +43,34 @@
     }
 
     /** Records what it is told. */
-    private static final class Waiter implements RetryWaiter {
+    private static class Waiter implements RetryWaiter {
         private final List<String> mTold = new ArrayList<>();
         private boolean mEnded;
+        private boolean mFails;
 
         @Override
         public boolean hasEnded() {
+            throwIfFailing();
             return mEnded;
         }
 
         @Override
         public void resume(boolean prepaid) {
+            throwIfFailing();
             mTold.add(prepaid ? "prepaid" : "look");
         }
 
         @Override
         public void refuse(WaitRoom.Refusal<RetryWaiter> refusal) {
+            throwIfFailing();
             mTold.add(refusal.reason().name());
         }
+
+        private void throwIfFailing() {
+            if (mFails) {
+                throw new IllegalStateException("fails as told");
+            }
+        }
     }
 
     private WaitRoom.Place<RetryWaiter> place(Waiter waiter, Priority priority) {
@@ -150,4 +160,65 @@
         assertThat(mRegistry.counter("entry.retry.refused.of_no_use").getCount()).isEqualTo(1);
         assertThat(mScheduler.mTasks).isEmpty();
     }
+
+    /** Guards against a room that is never checked again after one of its requests failed. */
+    @Test
+    void aRequestThatFailsToEndStopsNoOther() {
+        exhaust();
+        Waiter failing = new Waiter();
+        Waiter other = new Waiter();
+        mRetries.tryGo(place(failing, Priority.URGENT), false);
+        mRetries.tryGo(place(other, Priority.NORMAL), false);
+        failing.mFails = true;
+        mScheduler.runAll();
+        mTicker.advanceMillis(USE_MILLIS);
+        mScheduler.runAll();
+
+        assertThat(other.mTold).containsExactly("OF_NO_USE");
+        assertThat(mScheduler.mTasks).isEmpty();
+    }
+
+    /** Guards against requests that hang since one that was resumed before them failed. */
+    @Test
+    void aRequestThatFailsToResumeStopsNoOther() {
+        exhaust();
+        Waiter failing =
+                new Waiter() {
+                    @Override
+                    public void resume(boolean prepaid) {
+                        throw new IllegalStateException("fails as told");
+                    }
+                };
+        Waiter expiring = new Waiter();
+        mRetries.tryGo(place(expiring, Priority.NORMAL), false);
+        mRetries.tryGo(
+                new WaitRoom.Place<>(
+                        failing,
+                        Priority.URGENT,
+                        0,
+                        2 * USE_MILLIS,
+                        2 * USE_MILLIS,
+                        0,
+                        ReturnSchedule.Arrival.NEW),
+                false);
+        mTicker.advanceMillis(USE_MILLIS);
+        mScheduler.runAll();
+
+        assertThat(expiring.mTold).containsExactly("OF_NO_USE");
+        assertThat(mRetries.firstWaitingRank()).isEmpty();
+    }
+
+    /** Guards against an answer that is lost since the request it pays for failed. */
+    @Test
+    void aPrepaidRetryThatFailsDoesNotFailThePayer() {
+        exhaust();
+        Waiter failing = new Waiter();
+        Waiter next = new Waiter();
+        mRetries.tryGo(place(failing, Priority.URGENT), false);
+        mRetries.tryGo(place(next, Priority.NORMAL), false);
+        failing.mFails = true;
+        mRetries.onWaitingRetryPrepaid();
+
+        assertThat(next.mTold).containsExactly("prepaid");
+    }
 }
