Count a silence anew if the node was not asked since

Cause: a backup owner that found the owner silent once, and neither heard it nor asked it again, kept the time of that silence. At the next lost datagram it granted the tokens that had accrued since then, which the owner had granted.

Change: the time is kept only if the node was marked again within a second after it was no longer skipped.

While an owner is down, members whose stand-in asks for it less than about every two seconds accrue nothing there; that was not measured in a fleet.

--- a/src/main/java/org/apricotgauge/decision/ratelimit/UnresponsiveNodes.java
+++ b/src/main/java/org/apricotgauge/decision/ratelimit/UnresponsiveNodes.java
@@ -28,7 +28,9 @@
         mSilences.put(
                 node,
                 new Silence(
-                        before == null ? nowMillis : before.sinceMillis(),
+                        before == null || isOutdated(before, nowMillis)
+                                ? nowMillis
+                                : before.sinceMillis(),
                         nowMillis + SKIPPED_MILLIS,
                         before == null ? Long.MIN_VALUE / 2 : before.probedMillis()));
     }
@@ -42,10 +44,19 @@
         return silence != null && nowMillis < silence.untilMillis();
     }
 
-    /** Returns since when a node has not been heard; now if it was not found unresponsive. */
+    /**
+     * Returns since when a node has not been heard; now if it was not found unresponsive lately.
+     */
     long sinceMillis(Address node, long nowMillis) {
         Silence silence = mSilences.get(node);
-        return silence == null ? nowMillis : silence.sinceMillis();
+        return silence == null || isOutdated(silence, nowMillis)
+                ? nowMillis
+                : silence.sinceMillis();
+    }
+
+    // A node that was not asked again soon after it was skipped may have granted tokens since.
+    private static boolean isOutdated(Silence silence, long nowMillis) {
+        return nowMillis - silence.untilMillis() > SKIPPED_MILLIS;
     }
 
     /** Returns whether a node is to be probed now, and counts it as probed. */
--- a/src/test/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiterTest.java
+++ b/src/test/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiterTest.java
@@ -214,6 +214,22 @@
                                 new TokenMessage.Response(77, new TokenGrant(1, 0))));
     }
 
+    // Guards against a single lost datagram after which a backup owner grants the tokens of the
+    // minute in which the owner granted them.
+    @Test
+    void aBackupOwnerDoesNotGrantTheTokensOfAnEarlierSilence() {
+        DistributedRateLimiter backupOwner = limiter(nodeOfRank(1));
+        for (int id = 77; id < 79; id++) {
+            mNowMillis += 60_000;
+            backupOwner.received(
+                    nodeOfRank(3), new TokenMessage.Request(id, MEMBER, 20, false), mNowMillis);
+            mNowMillis += RequestForwarder.TIMEOUT_MILLIS;
+            backupOwner.expire(mNowMillis);
+
+            assertThat(lastGranted()).isEqualTo(2);
+        }
+    }
+
     // Guards against members that nobody counts while both their owner and its backup are cut off.
     @Test
     void aThirdNodeGrantsWhileTheFirstTwoAreSilent() {
@@ -264,6 +280,11 @@
         assertThat(mDecisions).containsExactly(RateLimitDecision.UNKNOWN);
     }
 
+    private int lastGranted() {
+        Sent last = mSent.get(mSent.size() - 1);
+        return ((TokenMessage.Response) last.message()).grant().granted();
+    }
+
     private static boolean requestsTokens(Sent sent) {
         return sent.message() instanceof TokenMessage.Request request && request.count() > 0;
     }
