Let a node that is no candidate accrue tokens only in a silence

Cause: a node with another view of the fleet forwards its last question to a node that is no candidate for the member here. Without candidates before it, that node granted what accrued since its last grant, beside the owner.

Change: for such a node all candidates come before it; it accrues tokens only from when all of them are silent.

Conclusion: a node that is no candidate grants its initial fill and no more while any candidate isn't known to be silent.

--- a/src/main/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiter.java
+++ b/src/main/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiter.java
@@ -352,7 +352,8 @@
             return MemberTokenBuckets.Authority.OWNER;
         }
         long sinceMillis = Long.MIN_VALUE;
-        for (Address earlier : candidates.subList(0, Math.max(0, own))) {
+        // All candidates come before a node that is none.
+        for (Address earlier : candidates.subList(0, own < 0 ? candidates.size() : own)) {
             sinceMillis = Math.max(sinceMillis, mUnresponsive.sinceMillis(earlier, nowMillis));
         }
         return new MemberTokenBuckets.Authority(
--- a/src/test/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiterTest.java
+++ b/src/test/java/org/apricotgauge/decision/ratelimit/DistributedRateLimiterTest.java
@@ -230,6 +230,19 @@
         }
     }
 
+    // Guards against a node that replaces nobody for the member but grants at its full rate beside
+    // the owner, when a node with another view of the fleet asks it.
+    @Test
+    void aNodeThatIsNoCandidateGrantsNothingThatAccruesAtTheOwner() {
+        DistributedRateLimiter last = limiter(nodeOfRank(4));
+        last.received(nodeOfRank(3), new TokenMessage.Request(77, MEMBER, 20, true), mNowMillis);
+        assertThat(lastGranted()).isEqualTo(2);
+
+        mNowMillis += 500;
+        last.received(nodeOfRank(3), new TokenMessage.Request(78, MEMBER, 20, true), mNowMillis);
+        assertThat(lastGranted()).isZero();
+    }
+
     // Guards against members that nobody counts while both their owner and its backup are cut off.
     @Test
     void aThirdNodeGrantsWhileTheFirstTwoAreSilent() {
