Take no return times that no caller is told

Cause: every refusal took the next time of the schedule, also beyond a third of the caller's time left, which is the longest delay it is told. From there on all were told the same delay, and the schedule stayed ahead long afterwards.

Change: a time beyond the longest delay is not taken, and the times of lower priorities are delayed up to it only. Callers for whom none is free are spread over the later half of their longest delay.

Conclusion: a burst delays later callers by no more than the longest delay.

--- a/src/main/java/org/apricotgauge/decision/retry/ReturnSchedule.java
+++ b/src/main/java/org/apricotgauge/decision/retry/ReturnSchedule.java
@@ -22,7 +22,8 @@
  * gains a place nor takes one from others.
  *
  * <p>Callers honour a delay only up to a share of the time that they have left; beyond it they come
- * back at once or give up, so none is told a longer one. Not thread-safe.
+ * back at once or give up, so none is told a longer one: those for whom no time is free before it
+ * are spread over the later half of the delays that they honour. Not thread-safe.
  */
 public final class ReturnSchedule {
     /** Longest delay that a caller honours, as a share of the time that it has left. */
@@ -45,6 +46,9 @@
     /** An appointment that was not kept within this time is void. */
     private static final long GRACE_MILLIS = 2_000;
 
+    /** Multiples of it, modulo 1, are spread evenly. */
+    private static final double GOLDEN_RATIO = 0.618_033_988_749_895;
+
     private final double[] mNextFreeMillis = new double[Priority.values().length];
     private final Map<Long, Deque<Appointment>> mAppointments =
             new LinkedHashMap<>() {
@@ -54,6 +58,8 @@
                 }
             };
 
+    private double mSpread;
+
     /**
      * A caller's request, which is the same if it is submitted again: callers pass on the time that
      * they have left.
@@ -92,7 +98,8 @@
         if (earlier.isPresent()) {
             return clamp(earlier.get().atMillis() - nowMillis, longestMillis);
         }
-        long millis = clamp((long) take(priority, turnsPerSecond, nowMillis), longestMillis);
+        double free = take(priority, turnsPerSecond, longestMillis, nowMillis);
+        long millis = clamp((long) free, longestMillis);
         Deque<Appointment> appointments =
                 mAppointments.computeIfAbsent(caller.requestHash(), unused -> new ArrayDeque<>());
         if (appointments.size() < MAX_APPOINTMENTS) {
@@ -131,14 +138,29 @@
     }
 
     // A time that an urgent caller takes delays those of the more patient, never the reverse.
-    private double take(Priority priority, double turnsPerSecond, long nowMillis) {
+    // Nobody
+    // comes back for a time beyond the longest delay, so none is taken there.
+    private double take(
+            Priority priority, double turnsPerSecond, long longestMillis, long nowMillis) {
         double intervalMillis = MILLIS_PER_SECOND / Math.max(MIN_PER_SECOND, turnsPerSecond);
         int own = priority.ordinal();
+        double latestMillis = nowMillis + (double) longestMillis;
         double atMillis = Math.max(mNextFreeMillis[own], nowMillis + intervalMillis);
-        mNextFreeMillis[own] = atMillis + intervalMillis;
+        boolean isFree = atMillis <= latestMillis;
+        if (isFree) {
+            mNextFreeMillis[own] = atMillis + intervalMillis;
+        }
         for (int lower = own + 1; lower < mNextFreeMillis.length; lower++) {
-            mNextFreeMillis[lower] = Math.max(mNextFreeMillis[lower], nowMillis) + intervalMillis;
+            double delayed = Math.max(mNextFreeMillis[lower], nowMillis) + intervalMillis;
+            mNextFreeMillis[lower] =
+                    Math.max(mNextFreeMillis[lower], Math.min(delayed, latestMillis));
         }
-        return atMillis - nowMillis;
+        return isFree ? atMillis - nowMillis : nextSpreadShare() * longestMillis;
+    }
+
+    // Callers refused together must not return together.
+    private double nextSpreadShare() {
+        mSpread = (mSpread + GOLDEN_RATIO) % 1;
+        return 1 - mSpread / 2;
     }
 }
--- a/src/test/java/org/apricotgauge/decision/retry/ReturnScheduleTest.java
+++ b/src/test/java/org/apricotgauge/decision/retry/ReturnScheduleTest.java
@@ -43,6 +43,31 @@
         }
     }
 
+    /** Load: more callers than times before the longest delay, who would all return at once. */
+    @Test
+    void callersForWhomNoTimeIsFreeReturnAtDifferentTimes() {
+        List<Long> delays = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            delays.add(refuse(i, Priority.NORMAL, 0));
+        }
+
+        for (long from : delays) {
+            assertThat(delays.stream().filter(one -> one >= from && one < from + 100))
+                    .hasSizeLessThanOrEqualTo(8);
+        }
+    }
+
+    /** Guards against a schedule that stays ahead for minutes after many refusals. */
+    @Test
+    void refusalsBeyondTheLongestDelayTakeNoTime() {
+        for (int i = 0; i < 1_000; i++) {
+            refuse(i, Priority.URGENT, 0);
+        }
+
+        assertThat(refuse(2_000, Priority.PATIENT, 4_000)).isEqualTo(200);
+        assertThat(refuse(2_001, Priority.URGENT, 4_000)).isEqualTo(200);
+    }
+
     /** Load: patient callers, refused before the urgent ones, do not take their times. */
     @Test
     void urgentCallersReturnFirst() {
