Let a caller that came early keep its rank

Cause: a caller is known by the hash of method, path and member and by its deadline within 250 ms. Another caller of the same member and path within that time looks the same; on its first request it got the last of all ranks.

Change: such a request is told the same time again as before and goes last within its own rank, no longer behind all others.

Conclusion: who is mistaken for another loses to those of its rank only; who repeats at once still goes behind them.

--- a/src/main/java/org/apricotgauge/decision/retry/ReturnSchedule.java
+++ b/src/main/java/org/apricotgauge/decision/retry/ReturnSchedule.java
@@ -18,8 +18,8 @@
  * <p>Every refusal takes the next free time of a schedule with as many times as requests get a
  * retry. Times of urgent kinds come before those of patient ones that are told later. A caller that
  * comes back at its time or after it has kept its appointment, and its next request goes first
- * among its rank. One that comes early has not: it is told its earlier time again and so neither
- * gains a place nor takes one from others.
+ * among its rank. One that comes early has not: it is told its earlier time again and goes last
+ * among its rank. It keeps its rank, since another caller that is new may be taken for it.
  *
  * <p>Callers honour a delay only up to a share of the time that they have left; beyond it they come
  * back at once or give up, so none is told a longer one: those for whom no time is free before it
@@ -79,11 +79,22 @@
     /** How a request relates to what its caller was told. */
     public enum Arrival {
         /** The caller was told nothing, or its time has long passed. */
-        NEW,
+        NEW(1),
         /** The caller came back when it was told to. */
-        ON_TIME,
-        /** The caller came back before that. */
-        EARLY
+        ON_TIME(0),
+        /** The caller came back before that, or is another that can't be told from it. */
+        EARLY(2);
+
+        private final int mOrder;
+
+        Arrival(int order) {
+            mOrder = order;
+        }
+
+        /** Returns the place among the requests of a rank. */
+        int order() {
+            return mOrder;
+        }
     }
 
     /**
--- a/src/main/java/org/apricotgauge/decision/retry/WaitRoom.java
+++ b/src/main/java/org/apricotgauge/decision/retry/WaitRoom.java
@@ -18,9 +18,9 @@
  * Optional<WaitRoom.Place<Exchange>> next = room.takeFirst(now);
  * }</pre>
  *
- * <p>They go in the order of their ranks and, within a rank, of their deadlines. A request whose
- * turn can't come while its answer is of use is refused when it enters, not when its time has run
- * out. Not thread-safe.
+ * <p>They go in the order of their ranks and, within a rank, of their arrivals and deadlines. A
+ * request whose turn can't come while its answer is of use is refused when it enters, not when its
+ * time has run out. Not thread-safe.
  *
  * @param <T> the request
  */
@@ -69,9 +69,6 @@
             ReturnSchedule.Arrival arrival) {
         /** Returns the rank, which falls once an answer can't be in time. */
         public RetryRank rankAt(long nowMillis) {
-            if (arrival == ReturnSchedule.Arrival.EARLY) {
-                return RetryRank.LAST;
-            }
             return new RetryRank(
                     nowMillis <= fullUseUntilMillis ? RetryRank.Use.FULL : RetryRank.Use.LATE,
                     priority);
@@ -205,7 +202,7 @@
 
     private Comparator<Place<T>> order(long nowMillis) {
         return Comparator.<Place<T>, RetryRank>comparing(place -> place.rankAt(nowMillis))
-                .thenComparing(place -> place.arrival() != ReturnSchedule.Arrival.ON_TIME)
+                .thenComparing(place -> place.arrival().order())
                 .thenComparingLong(Place::useUntilMillis)
                 .thenComparingLong(Place::enteredMillis);
     }
--- a/src/test/java/org/apricotgauge/decision/retry/ReturnScheduleTest.java
+++ b/src/test/java/org/apricotgauge/decision/retry/ReturnScheduleTest.java
@@ -107,6 +107,28 @@
         assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo(2);
     }
 
+    /** Guards against a new caller that loses its rank as it looks like one that came early. */
+    @Test
+    void aCallerThatCameEarlyKeepsItsRankAndGoesLastInIt() {
+        WaitRoom<String> room = new WaitRoom<>(new WaitRoom.Bounds(3, 1_000));
+        enter(room, "early", Priority.URGENT, ReturnSchedule.Arrival.EARLY, 4_000);
+        enter(room, "new", Priority.URGENT, ReturnSchedule.Arrival.NEW, 5_000);
+        enter(room, "patient", Priority.PATIENT, ReturnSchedule.Arrival.ON_TIME, 3_000);
+
+        assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo("new");
+        assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo("early");
+        assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo("patient");
+    }
+
+    private static void enter(
+            WaitRoom<String> room,
+            String request,
+            Priority priority,
+            ReturnSchedule.Arrival arrival,
+            long useUntilMillis) {
+        room.enter(new WaitRoom.Place<>(request, priority, 0, 500, useUntilMillis, 1, arrival), 0);
+    }
+
     /** Load: callers that leave; their times are void and no memory is kept. */
     @Test
     void appointmentsOfCallersThatLeftAreForgotten() {
