--- a/src/main/java/org/apricotgauge/decision/attempt/WindowRetryBudget.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/WindowRetryBudget.java
@@ -20,8 +20,10 @@
  *
  * <p>The parts of all nodes add up to the fleet's total although nodes learn of each other at
  * different times: a part shrinks at once and grows after a full window, and a new process gets
- * none for the first window, which its predecessor may have used. Within a window, use is paced: a
- * burst may take a quarter of the budget, the rest becomes available evenly.
+ * none for the first window, which its predecessor may have used. The sum is passed when nodes
+ * leave the lists for longer than a window while their processes live, and serve meanwhile or
+ * return: by the parts that they kept. Within a window, use is paced: a burst may take a quarter of
+ * the budget, the rest becomes available evenly.
  *
  * <p>Lower ranks leave as many tokens as higher ones asked for in the last second, unless the
  * budget is full or they have been passed over several times. Thread-safe.
