--- a/src/main/java/org/apricotgauge/decision/routing/LoadSharing.java
+++ b/src/main/java/org/apricotgauge/decision/routing/LoadSharing.java
@@ -11,20 +11,18 @@
  * }</pre>
  *
  * <p>A node with little processor time can't afford to look for a free slot from guard to guard: it
- * keeps a request on its own VM if it can, and asks only guards that are likely to have a free
- * slot.
+ * keeps a request on its own VM if it can, sends a body only where there is a slot for it, and
+ * looks for a retry only where one is likely.
  *
  * @param localFirst whether the target beside the entry is preferred while it has a free slot
- * @param roomReports whether guards report the room of their targets, and entries decide by it
  * @param rankedRetries whether retries go to the requests that gain most by them while a service
  *     sheds
  * @param bodiesOnDemand whether a large body is sent once a guard has a slot for its request, and
  *     kept for another attempt
  */
-public record LoadSharing(
-        boolean localFirst, boolean roomReports, boolean rankedRetries, boolean bodiesOnDemand) {
+public record LoadSharing(boolean localFirst, boolean rankedRetries, boolean bodiesOnDemand) {
     /** Targets are chosen by the load that each entry observes by itself. */
-    public static final LoadSharing NONE = new LoadSharing(false, false, false, false);
+    public static final LoadSharing NONE = new LoadSharing(false, false, false);
 
     /** Nodes with less processor time than this share load, in cores. */
     static final double MAX_CPU_SHARE = 0.5;
@@ -37,6 +35,6 @@
     public static LoadSharing ofCpuShare(double cpuShare) {
         Checks.inRange("cpuShare", cpuShare, 0.0, Double.MAX_VALUE);
         boolean shared = cpuShare < MAX_CPU_SHARE;
-        return new LoadSharing(shared, shared, shared, shared);
+        return new LoadSharing(shared, shared, shared);
     }
 }
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -129,7 +129,7 @@
         return new Hops(
                 TARGET_CONNECTIONS,
                 EntryOptions.TargetAccess.GUARDS_ONLY,
-                new LoadSharing(false, false, true, false),
+                new LoadSharing(false, true, false),
                 vms);
     }
 
--- a/src/test/java/org/apricotgauge/functional/LargeBodyTest.java
+++ b/src/test/java/org/apricotgauge/functional/LargeBodyTest.java
@@ -22,7 +22,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        mHops = Hops.sharing(new LoadSharing(false, false, false, true), "a", "b", "c");
+        mHops = Hops.sharing(new LoadSharing(false, false, true), "a", "b", "c");
         mFull =
                 RawTarget.start(
                         (head, body, out) -> {
--- a/src/test/java/org/apricotgauge/node/SidecarSettingsTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarSettingsTest.java
@@ -67,8 +67,7 @@
 
     @Test
     void nodeWithLessThanHalfACoreSharesLoad() {
-        assertThat(loadSharingOf("--cpu-share=0.2"))
-                .isEqualTo(new LoadSharing(true, true, true, true));
+        assertThat(loadSharingOf("--cpu-share=0.2")).isEqualTo(new LoadSharing(true, true, true));
         assertThat(loadSharingOf("--cpu-share=0.5")).isEqualTo(LoadSharing.NONE);
         assertThat(loadSharingOf("--cpu-share=")).isEqualTo(LoadSharing.NONE);
     }
