--- a/src/main/java/org/apricotgauge/caller/RetryMetrics.java
+++ b/src/main/java/org/apricotgauge/caller/RetryMetrics.java
@@ -5,8 +5,8 @@
 import com.codahale.metrics.Timer;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.retry.RetryQueue;
 import org.apricotgauge.decision.retry.RetryRank;
-import org.apricotgauge.decision.retry.WaitRoom;
 
 /** Metrics of the requests that wait for a retry. */
 final class RetryMetrics {
@@ -35,7 +35,7 @@
         mWaitTime.update(waitedMillis, TimeUnit.MILLISECONDS);
     }
 
-    void countRefused(WaitRoom.Reason reason, long waitedMillis) {
+    void countRefused(RetryQueue.Reason reason, long waitedMillis) {
         mRegistry.counter("entry.retry.refused." + reason.name().toLowerCase(Locale.ROOT)).inc();
         mWaitTime.update(waitedMillis, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/org/apricotgauge/caller/RetryWait.java
+++ b/src/main/java/org/apricotgauge/caller/RetryWait.java
@@ -5,9 +5,9 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.SubmissionProgress;
 import org.apricotgauge.decision.attempt.UnknownReason;
+import org.apricotgauge.decision.retry.RetryQueue;
 import org.apricotgauge.decision.retry.RetryRank;
 import org.apricotgauge.decision.retry.ReturnSchedule;
-import org.apricotgauge.decision.retry.WaitRoom;
 import org.apricotgauge.http.Fingerprints;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.model.Priority;
@@ -134,12 +134,12 @@
         return new Outcome.NotRun(((Outcome.NotRun) outcome).reason(), millis);
     }
 
-    private WaitRoom.Place<RetryWaiter> newPlace() {
+    private RetryQueue.Place<RetryWaiter> newPlace() {
         ExchangeDeadline deadline = mExchange.deadline();
         long nowMillis = nowMillis();
         String route = mExchange.callerRequest().route().id();
         long runMillis = Math.max(MIN_RUN_MILLIS, mExchange.context().runTimes().meanMillis(route));
-        return new WaitRoom.Place<>(
+        return new RetryQueue.Place<>(
                 this,
                 priority(),
                 mEnteredMillis < 0 ? nowMillis : mEnteredMillis,
@@ -167,7 +167,7 @@
     }
 
     @Override
-    public void refuse(WaitRoom.Refusal<RetryWaiter> refusal) {
+    public void refuse(RetryQueue.Refusal<RetryWaiter> refusal) {
         long nowMillis = nowMillis();
         mExchange.recordStep(
                 "no retry: "
--- a/src/main/java/org/apricotgauge/caller/RetryWaiter.java
+++ b/src/main/java/org/apricotgauge/caller/RetryWaiter.java
@@ -1,6 +1,6 @@
 package org.apricotgauge.caller;
 
-import org.apricotgauge.decision.retry.WaitRoom;
+import org.apricotgauge.decision.retry.RetryQueue;
 
 /** A request that waits at its entry for a retry. */
 interface RetryWaiter {
@@ -15,5 +15,5 @@
     void resume(boolean prepaid);
 
     /** Refuses the request. */
-    void refuse(WaitRoom.Refusal<RetryWaiter> refusal);
+    void refuse(RetryQueue.Refusal<RetryWaiter> refusal);
 }
--- a/src/main/java/org/apricotgauge/caller/ServiceRetries.java
+++ b/src/main/java/org/apricotgauge/caller/ServiceRetries.java
@@ -5,11 +5,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.retry.RetryQueue;
 import org.apricotgauge.decision.retry.RetryRank;
 import org.apricotgauge.decision.retry.ReturnSchedule;
 import org.apricotgauge.decision.retry.ShedMonitor;
 import org.apricotgauge.decision.retry.TurnPace;
-import org.apricotgauge.decision.retry.WaitRoom;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.time.Ticker;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -25,13 +25,13 @@
 final class ServiceRetries {
     private static final Logger LOG = Logger.getLogger(ServiceRetries.class);
     private static final long CHECK_INTERVAL_MILLIS = 50;
-    private static final WaitRoom.Bounds BOUNDS = new WaitRoom.Bounds(64, 1_048_576);
+    private static final RetryQueue.Bounds BOUNDS = new RetryQueue.Bounds(64, 1_048_576);
 
     private final Scheduler mScheduler;
     private final Ticker mTicker;
     private final RetryMetrics mMetrics;
     private final ShedMonitor mMonitor;
-    private final WaitRoom<RetryWaiter> mRoom = new WaitRoom<>(BOUNDS);
+    private final RetryQueue<RetryWaiter> mQueue = new RetryQueue<>(BOUNDS);
     private final TurnPace mPace = new TurnPace();
     private final ReturnSchedule mReturns = new ReturnSchedule();
     private boolean mCheckScheduled;
@@ -65,7 +65,7 @@
 
     /** Returns the rank of the first waiting request. */
     synchronized Optional<RetryRank> firstWaitingRank() {
-        return mRoom.firstRank(mTicker.millis());
+        return mQueue.firstRank(mTicker.millis());
     }
 
     /** Records that a guard had no retry left. */
@@ -76,7 +76,7 @@
     /** Records that a retry was sent to a target. */
     synchronized void onRetry() {
         mPace.onRetry();
-        mRoom.onRetry(mTicker.millis());
+        mQueue.onRetry(mTicker.millis());
     }
 
     /** Records a request of a caller. */
@@ -88,32 +88,32 @@
     synchronized long nextReturnMillis(ReturnSchedule.Caller caller, Priority priority) {
         long nowMillis = mTicker.millis();
         return mReturns.nextReturnMillis(
-                caller, priority, mRoom.retriesPerSecond(nowMillis), nowMillis);
+                caller, priority, mQueue.retriesPerSecond(nowMillis), nowMillis);
     }
 
     /**
-     * Decides whether a request that needs a retry is sent now; otherwise it is in the room, or
+     * Decides whether a request that needs a retry is sent now; otherwise it is in the queue, or
      * refused, when this method returns.
      *
      * @param prepaid whether a guard has paid for the retry of this request
      */
-    boolean tryGo(WaitRoom.Place<RetryWaiter> place, boolean prepaid) {
+    boolean tryGo(RetryQueue.Place<RetryWaiter> place, boolean prepaid) {
         long nowMillis = mTicker.millis();
-        Optional<WaitRoom.Place<RetryWaiter>> next;
-        List<WaitRoom.Refusal<RetryWaiter>> refused;
+        Optional<RetryQueue.Place<RetryWaiter>> next;
+        List<RetryQueue.Refusal<RetryWaiter>> refused;
         synchronized (this) {
             boolean isFirst =
-                    mRoom.firstRank(nowMillis)
+                    mQueue.firstRank(nowMillis)
                             .filter(first -> first.compareTo(place.rankAt(nowMillis)) < 0)
                             .isEmpty();
             if (isFirst && (prepaid || mPace.tryLook(nowMillis))) {
                 mMetrics.countSent(place.rankAt(nowMillis), nowMillis - place.enteredMillis());
                 return true;
             }
-            int before = mRoom.size();
-            next = prepaid ? mRoom.takeFirst(nowMillis) : Optional.empty();
-            refused = mRoom.enter(place, nowMillis);
-            mMetrics.addWaiting(mRoom.size() - before);
+            int before = mQueue.size();
+            next = prepaid ? mQueue.takeFirst(nowMillis) : Optional.empty();
+            refused = mQueue.enter(place, nowMillis);
+            mMetrics.addWaiting(mQueue.size() - before);
             scheduleCheck();
         }
         next.ifPresent(one -> resume(one, true, nowMillis));
@@ -123,7 +123,7 @@
 
     /** Sends the first waiting request, whose retry a guard has paid for. */
     void onWaitingRetryPrepaid() {
-        Optional<WaitRoom.Place<RetryWaiter>> next = takeFirst();
+        Optional<RetryQueue.Place<RetryWaiter>> next = takeFirst();
         while (next.isPresent() && hasEnded(next.get().request())) {
             next = takeFirst();
         }
@@ -131,14 +131,14 @@
                 one -> resume(one, true, mTicker.millis()), mMetrics::countUnusedPrepayment);
     }
 
-    private synchronized Optional<WaitRoom.Place<RetryWaiter>> takeFirst() {
-        Optional<WaitRoom.Place<RetryWaiter>> first = mRoom.takeFirst(mTicker.millis());
+    private synchronized Optional<RetryQueue.Place<RetryWaiter>> takeFirst() {
+        Optional<RetryQueue.Place<RetryWaiter>> first = mQueue.takeFirst(mTicker.millis());
         first.ifPresent(one -> mMetrics.addWaiting(-1));
         return first;
     }
 
     private void scheduleCheck() {
-        if (!mCheckScheduled && mRoom.size() > 0) {
+        if (!mCheckScheduled && mQueue.size() > 0) {
             mCheckScheduled = true;
             mScheduler.schedule(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -158,21 +158,21 @@
     private void checkWaiting() {
         List<RetryWaiter> waiting;
         synchronized (this) {
-            waiting = mRoom.requests();
+            waiting = mQueue.requests();
         }
         List<RetryWaiter> ended = new ArrayList<>(waiting);
         ended.removeIf(one -> !hasEnded(one));
         long nowMillis = mTicker.millis();
-        List<WaitRoom.Refusal<RetryWaiter>> expired;
-        Optional<WaitRoom.Place<RetryWaiter>> next = Optional.empty();
+        List<RetryQueue.Refusal<RetryWaiter>> expired;
+        Optional<RetryQueue.Place<RetryWaiter>> next = Optional.empty();
         synchronized (this) {
-            int before = mRoom.size();
-            ended.forEach(mRoom::remove);
-            expired = mRoom.expire(nowMillis);
-            if (mRoom.size() > 0 && mPace.tryLook(nowMillis)) {
-                next = mRoom.takeFirst(nowMillis);
+            int before = mQueue.size();
+            ended.forEach(mQueue::remove);
+            expired = mQueue.expire(nowMillis);
+            if (mQueue.size() > 0 && mPace.tryLook(nowMillis)) {
+                next = mQueue.takeFirst(nowMillis);
             }
-            mMetrics.addWaiting(mRoom.size() - before);
+            mMetrics.addWaiting(mQueue.size() - before);
         }
         next.ifPresent(one -> resume(one, false, nowMillis));
         expired.forEach(one -> refuse(one, nowMillis));
@@ -190,7 +190,7 @@
 
     // The failure of one request must not reach the one that called, or those told after it. It may
     // have been sent, so it isn't refused but left to its deadline.
-    private void resume(WaitRoom.Place<RetryWaiter> place, boolean prepaid, long nowMillis) {
+    private void resume(RetryQueue.Place<RetryWaiter> place, boolean prepaid, long nowMillis) {
         mMetrics.countSent(place.rankAt(nowMillis), nowMillis - place.enteredMillis());
         try {
             place.request().resume(prepaid);
@@ -199,7 +199,7 @@
         }
     }
 
-    private void refuse(WaitRoom.Refusal<RetryWaiter> refusal, long nowMillis) {
+    private void refuse(RetryQueue.Refusal<RetryWaiter> refusal, long nowMillis) {
         mMetrics.countRefused(refusal.reason(), nowMillis - refusal.place().enteredMillis());
         try {
             refusal.place().request().refuse(refusal);
--- a/src/main/java/org/apricotgauge/decision/retry/WaitRoom.java
+++ b/src/main/java/org/apricotgauge/decision/retry/RetryQueue.java
@@ -13,9 +13,9 @@
  * The requests of one service that wait at an entry, unsent, for a retry.
  *
  * <pre>{@code
- * WaitRoom<Exchange> room = new WaitRoom<>(new WaitRoom.Bounds(64, 1_000_000));
- * List<WaitRoom.Refusal<Exchange>> refused = room.enter(place, now);
- * Optional<WaitRoom.Place<Exchange>> next = room.takeFirst(now);
+ * RetryQueue<Exchange> queue = new RetryQueue<>(new RetryQueue.Bounds(64, 1_000_000));
+ * List<RetryQueue.Refusal<Exchange>> refused = queue.enter(place, now);
+ * Optional<RetryQueue.Place<Exchange>> next = queue.takeFirst(now);
  * }</pre>
  *
  * <p>They go in the order of their ranks and, within a rank, of their arrivals and deadlines. A
@@ -24,7 +24,7 @@
  *
  * @param <T> the request
  */
-public final class WaitRoom<T> {
+public final class RetryQueue<T> {
     private static final long RATE_MILLIS = 4_000;
     private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -37,7 +37,7 @@
     private long mBytes;
 
     /**
-     * Bounds of a room.
+     * Bounds of a queue.
      *
      * @param places most requests
      * @param bytes most bytes of their bodies
@@ -77,7 +77,7 @@
 
     /** Why a request doesn't wait on. */
     public enum Reason {
-        /** The room was full, and the others took precedence. */
+        /** The queue was full, and the others took precedence. */
         NO_PLACE,
         /** Its turn would come too late. */
         TURN_TOO_LATE,
@@ -88,8 +88,8 @@
     /** A request that doesn't wait on. */
     public record Refusal<T>(Place<T> place, Reason reason) {}
 
-    /** Creates an empty room. */
-    public WaitRoom(Bounds bounds) {
+    /** Creates an empty queue. */
+    public RetryQueue(Bounds bounds) {
         mBounds = Checks.notNull("bounds", bounds);
     }
 
--- a/src/main/java/org/apricotgauge/decision/retry/ReturnSchedule.java
+++ b/src/main/java/org/apricotgauge/decision/retry/ReturnSchedule.java
@@ -17,7 +17,7 @@
  *
  * <p>Every refusal takes the next free time of a schedule with as many times as requests get a
  * retry. Times of urgent kinds come before those of patient ones that are told later. A caller that
- * comes back at its time or after it has kept its appointment, and its next request goes first
+ * comes back at its time or after it has kept its return time, and its next request goes first
  * among its rank. One that comes early has not: it is told its earlier time again and goes last
  * among its rank. It keeps its rank, since another caller that is new may be taken for it.
  *
@@ -35,7 +35,7 @@
     private static final double MIN_PER_SECOND = 0.5;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final int MAX_CALLERS = 1_024;
-    private static final int MAX_APPOINTMENTS = 8;
+    private static final int MAX_RETURN_TIMES = 8;
 
     /** Error of a deadline that a caller passes on as time left. */
     private static final long DEADLINE_ERROR_MILLIS = 250;
@@ -43,17 +43,17 @@
     /** Clocks differ, and a delay may be told in whole milliseconds. */
     private static final long EARLY_MILLIS = 20;
 
-    /** An appointment that was not kept within this time is void. */
+    /** A return time that was not kept within this time is void. */
     private static final long GRACE_MILLIS = 2_000;
 
     /** Multiples of it, modulo 1, are spread evenly. */
     private static final double GOLDEN_RATIO = 0.618_033_988_749_895;
 
     private final double[] mNextFreeMillis = new double[Priority.values().length];
-    private final Map<Long, Deque<Appointment>> mAppointments =
+    private final Map<Long, Deque<ReturnTime>> mReturnTimes =
             new LinkedHashMap<>() {
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<Long, Deque<Appointment>> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<Long, Deque<ReturnTime>> eldest) {
                     return size() > MAX_CALLERS;
                 }
             };
@@ -74,7 +74,7 @@
         }
     }
 
-    private record Appointment(Caller caller, long atMillis) {}
+    private record ReturnTime(Caller caller, long atMillis) {}
 
     /** How a request relates to what its caller was told. */
     public enum Arrival {
@@ -105,43 +105,43 @@
     public long nextReturnMillis(
             Caller caller, Priority priority, double turnsPerSecond, long nowMillis) {
         long longestMillis = Math.max(1, (caller.deadlineMillis() - nowMillis) / HONOURED_DIVISOR);
-        Optional<Appointment> earlier = find(caller, nowMillis);
+        Optional<ReturnTime> earlier = find(caller, nowMillis);
         if (earlier.isPresent()) {
             return clamp(earlier.get().atMillis() - nowMillis, longestMillis);
         }
         double free = take(priority, turnsPerSecond, longestMillis, nowMillis);
         long millis = clamp((long) free, longestMillis);
-        Deque<Appointment> appointments =
-                mAppointments.computeIfAbsent(caller.requestHash(), unused -> new ArrayDeque<>());
-        if (appointments.size() < MAX_APPOINTMENTS) {
-            appointments.addLast(new Appointment(caller, nowMillis + millis));
+        Deque<ReturnTime> returnTimes =
+                mReturnTimes.computeIfAbsent(caller.requestHash(), unused -> new ArrayDeque<>());
+        if (returnTimes.size() < MAX_RETURN_TIMES) {
+            returnTimes.addLast(new ReturnTime(caller, nowMillis + millis));
         }
         return millis;
     }
 
     /** Records a request of a caller. */
     public Arrival onRequest(Caller caller, long nowMillis) {
-        Optional<Appointment> appointment = find(caller, nowMillis);
-        if (appointment.isEmpty()) {
+        Optional<ReturnTime> returnTime = find(caller, nowMillis);
+        if (returnTime.isEmpty()) {
             return Arrival.NEW;
         }
-        if (nowMillis < appointment.get().atMillis() - EARLY_MILLIS) {
+        if (nowMillis < returnTime.get().atMillis() - EARLY_MILLIS) {
             return Arrival.EARLY;
         }
-        mAppointments.get(caller.requestHash()).remove(appointment.get());
+        mReturnTimes.get(caller.requestHash()).remove(returnTime.get());
         return Arrival.ON_TIME;
     }
 
-    private Optional<Appointment> find(Caller caller, long nowMillis) {
-        Deque<Appointment> appointments = mAppointments.get(caller.requestHash());
-        if (appointments == null) {
+    private Optional<ReturnTime> find(Caller caller, long nowMillis) {
+        Deque<ReturnTime> returnTimes = mReturnTimes.get(caller.requestHash());
+        if (returnTimes == null) {
             return Optional.empty();
         }
-        appointments.removeIf(one -> nowMillis > one.atMillis() + GRACE_MILLIS);
-        if (appointments.isEmpty()) {
-            mAppointments.remove(caller.requestHash());
+        returnTimes.removeIf(one -> nowMillis > one.atMillis() + GRACE_MILLIS);
+        if (returnTimes.isEmpty()) {
+            mReturnTimes.remove(caller.requestHash());
         }
-        return appointments.stream().filter(one -> one.caller().isSame(caller)).findFirst();
+        return returnTimes.stream().filter(one -> one.caller().isSame(caller)).findFirst();
     }
 
     private static long clamp(long millis, long longestMillis) {
--- a/src/test/java/org/apricotgauge/caller/ServiceRetriesTest.java
+++ b/src/test/java/org/apricotgauge/caller/ServiceRetriesTest.java
@@ -6,9 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.decision.retry.RetryQueue;
 import org.apricotgauge.decision.retry.RetryRank;
 import org.apricotgauge.decision.retry.ReturnSchedule;
-import org.apricotgauge.decision.retry.WaitRoom;
 import org.apricotgauge.model.Priority;
 import org.apricotgauge.time.ManualTicker;
 import org.eclipse.jetty.util.component.AbstractLifeCycle;
@@ -61,7 +61,7 @@
         }
 
         @Override
-        public void refuse(WaitRoom.Refusal<RetryWaiter> refusal) {
+        public void refuse(RetryQueue.Refusal<RetryWaiter> refusal) {
             throwIfFailing();
             mTold.add(refusal.reason().name());
         }
@@ -73,9 +73,9 @@
         }
     }
 
-    private WaitRoom.Place<RetryWaiter> place(Waiter waiter, Priority priority) {
+    private RetryQueue.Place<RetryWaiter> place(Waiter waiter, Priority priority) {
         long now = mTicker.millis();
-        return new WaitRoom.Place<>(
+        return new RetryQueue.Place<>(
                 waiter,
                 priority,
                 now,
@@ -161,7 +161,7 @@
         assertThat(mScheduler.mTasks).isEmpty();
     }
 
-    /** Guards against a room that is never checked again after one of its requests failed. */
+    /** Guards against a queue that is never checked again after one of its requests failed. */
     @Test
     void aRequestThatFailsToEndStopsNoOther() {
         exhaust();
@@ -192,7 +192,7 @@
         Waiter expiring = new Waiter();
         mRetries.tryGo(place(expiring, Priority.NORMAL), false);
         mRetries.tryGo(
-                new WaitRoom.Place<>(
+                new RetryQueue.Place<>(
                         failing,
                         Priority.URGENT,
                         0,
--- a/src/test/java/org/apricotgauge/decision/retry/ReturnScheduleTest.java
+++ b/src/test/java/org/apricotgauge/decision/retry/ReturnScheduleTest.java
@@ -96,42 +96,44 @@
     /** Guards against a second refusal of the same caller while another is served for the first. */
     @Test
     void aCallerThatCameOnTimeGoesFirstInItsRank() {
-        WaitRoom<Integer> room = new WaitRoom<>(new WaitRoom.Bounds(2, 1_000));
+        RetryQueue<Integer> queue = new RetryQueue<>(new RetryQueue.Bounds(2, 1_000));
         for (int i = 0; i < 3; i++) {
             ReturnSchedule.Arrival arrival =
                     i == 2 ? ReturnSchedule.Arrival.ON_TIME : ReturnSchedule.Arrival.NEW;
-            room.enter(
-                    new WaitRoom.Place<>(i, Priority.NORMAL, 0, 500 + i, 5_000 + i, 1, arrival), 0);
+            queue.enter(
+                    new RetryQueue.Place<>(i, Priority.NORMAL, 0, 500 + i, 5_000 + i, 1, arrival),
+                    0);
         }
 
-        assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo(2);
+        assertThat(queue.takeFirst(0).orElseThrow().request()).isEqualTo(2);
     }
 
     /** Guards against a new caller that loses its rank as it looks like one that came early. */
     @Test
     void aCallerThatCameEarlyKeepsItsRankAndGoesLastInIt() {
-        WaitRoom<String> room = new WaitRoom<>(new WaitRoom.Bounds(3, 1_000));
-        enter(room, "early", Priority.URGENT, ReturnSchedule.Arrival.EARLY, 4_000);
-        enter(room, "new", Priority.URGENT, ReturnSchedule.Arrival.NEW, 5_000);
-        enter(room, "patient", Priority.PATIENT, ReturnSchedule.Arrival.ON_TIME, 3_000);
-
-        assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo("new");
-        assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo("early");
-        assertThat(room.takeFirst(0).orElseThrow().request()).isEqualTo("patient");
+        RetryQueue<String> queue = new RetryQueue<>(new RetryQueue.Bounds(3, 1_000));
+        enter(queue, "early", Priority.URGENT, ReturnSchedule.Arrival.EARLY, 4_000);
+        enter(queue, "new", Priority.URGENT, ReturnSchedule.Arrival.NEW, 5_000);
+        enter(queue, "patient", Priority.PATIENT, ReturnSchedule.Arrival.ON_TIME, 3_000);
+
+        assertThat(queue.takeFirst(0).orElseThrow().request()).isEqualTo("new");
+        assertThat(queue.takeFirst(0).orElseThrow().request()).isEqualTo("early");
+        assertThat(queue.takeFirst(0).orElseThrow().request()).isEqualTo("patient");
     }
 
     private static void enter(
-            WaitRoom<String> room,
+            RetryQueue<String> queue,
             String request,
             Priority priority,
             ReturnSchedule.Arrival arrival,
             long useUntilMillis) {
-        room.enter(new WaitRoom.Place<>(request, priority, 0, 500, useUntilMillis, 1, arrival), 0);
+        queue.enter(
+                new RetryQueue.Place<>(request, priority, 0, 500, useUntilMillis, 1, arrival), 0);
     }
 
     /** Load: callers that leave; their times are void and no memory is kept. */
     @Test
-    void appointmentsOfCallersThatLeftAreForgotten() {
+    void returnTimesOfCallersThatLeftAreForgotten() {
         refuse(1, Priority.NORMAL, 0);
 
         assertThat(mSchedule.onRequest(caller(1), 6_000)).isEqualTo(ReturnSchedule.Arrival.NEW);
--- a/src/test/java/org/apricotgauge/decision/retry/ShedSpellTest.java
+++ b/src/test/java/org/apricotgauge/decision/retry/ShedSpellTest.java
@@ -24,7 +24,7 @@
 
     private final SplittableRandom mRandom = new SplittableRandom(3);
     private final ShedMonitor mMonitor = new ShedMonitor(RETRIES_PER_REQUEST);
-    private final WaitRoom<Integer> mRoom = new WaitRoom<>(new WaitRoom.Bounds(64, 100_000));
+    private final RetryQueue<Integer> mQueue = new RetryQueue<>(new RetryQueue.Bounds(64, 100_000));
     private final int[] mServed = new int[Priority.values().length];
     private final int[] mAsked = new int[Priority.values().length];
     private long mLongestRefusedMillis;
@@ -43,8 +43,8 @@
         return !shed;
     }
 
-    private WaitRoom.Place<Integer> place(Priority priority, long arrivedMillis) {
-        return new WaitRoom.Place<>(
+    private RetryQueue.Place<Integer> place(Priority priority, long arrivedMillis) {
+        return new RetryQueue.Place<>(
                 (int) arrivedMillis,
                 priority,
                 arrivedMillis,
@@ -55,35 +55,35 @@
     }
 
     private void play() {
-        List<WaitRoom.Place<Integer>> unranked = new ArrayList<>();
+        List<RetryQueue.Place<Integer>> unranked = new ArrayList<>();
         for (long now = 0; now < 16_000; now += 50) {
             if (now < 13_000 && now % 200 == 0) {
                 Priority priority = now % 600 == 0 ? Priority.PATIENT : Priority.URGENT;
                 mAsked[priority.ordinal()]++;
                 if (!send(priority, now)) {
                     if (mRanks) {
-                        refuse(mRoom.enter(place(priority, now), now), now);
+                        refuse(mQueue.enter(place(priority, now), now), now);
                     } else {
                         unranked.add(place(priority, now));
                     }
                 }
             }
-            refuse(mRoom.expire(now), now);
+            refuse(mQueue.expire(now), now);
             if (now % RETRY_INTERVAL_MILLIS == 0) {
                 long at = now;
-                Optional<WaitRoom.Place<Integer>> next =
-                        mRanks ? mRoom.takeFirst(now) : unranked.stream().findFirst();
+                Optional<RetryQueue.Place<Integer>> next =
+                        mRanks ? mQueue.takeFirst(now) : unranked.stream().findFirst();
                 unranked.clear();
-                next.ifPresent(one -> mRoom.onRetry(at));
+                next.ifPresent(one -> mQueue.onRetry(at));
                 if (next.isPresent() && !send(next.get().priority(), now)) {
-                    refuse(mRoom.enter(next.get(), now), now);
+                    refuse(mQueue.enter(next.get(), now), now);
                 }
             }
         }
     }
 
-    private void refuse(List<WaitRoom.Refusal<Integer>> refused, long nowMillis) {
-        for (WaitRoom.Refusal<Integer> refusal : refused) {
+    private void refuse(List<RetryQueue.Refusal<Integer>> refused, long nowMillis) {
+        for (RetryQueue.Refusal<Integer> refusal : refused) {
             mLongestRefusedMillis =
                     Math.max(mLongestRefusedMillis, nowMillis - refusal.place().enteredMillis());
         }
@@ -113,41 +113,41 @@
         play();
 
         assertThat(mLongestRefusedMillis).isLessThanOrEqualTo(TIME_MILLIS - RUN_MILLIS + 50);
-        assertThat(mRoom.size()).isZero();
+        assertThat(mQueue.size()).isZero();
     }
 
     /** Load: a burst of a hundred shed requests, and two retries a second. */
     @Test
     void whoseTurnCannotComeInTimeIsRefusedAtOnce() {
-        List<WaitRoom.Refusal<Integer>> refused = new ArrayList<>();
+        List<RetryQueue.Refusal<Integer>> refused = new ArrayList<>();
         for (long now = 0; now < 2_000; now += 20) {
-            refused.addAll(mRoom.enter(place(Priority.NORMAL, now), now));
+            refused.addAll(mQueue.enter(place(Priority.NORMAL, now), now));
             if (now % RETRY_INTERVAL_MILLIS == 0) {
-                mRoom.takeFirst(now);
-                mRoom.onRetry(now);
+                mQueue.takeFirst(now);
+                mQueue.onRetry(now);
             }
         }
 
         assertThat(refused)
-                .extracting(WaitRoom.Refusal::reason)
-                .contains(WaitRoom.Reason.TURN_TOO_LATE);
-        assertThat(mRoom.size()).isLessThanOrEqualTo(64);
+                .extracting(RetryQueue.Refusal::reason)
+                .contains(RetryQueue.Reason.TURN_TOO_LATE);
+        assertThat(mQueue.size()).isLessThanOrEqualTo(64);
         assertThat(refused)
-                .filteredOn(one -> one.reason() == WaitRoom.Reason.TURN_TOO_LATE)
+                .filteredOn(one -> one.reason() == RetryQueue.Reason.TURN_TOO_LATE)
                 .allMatch(one -> one.place().enteredMillis() >= 1_000);
     }
 
     /** Guards against unbounded memory: bodies of waiting requests. */
     @Test
     void theLastRankLeavesWhenBytesRunOut() {
-        WaitRoom<Integer> room = new WaitRoom<>(new WaitRoom.Bounds(64, 250));
-        room.enter(place(Priority.PATIENT, 0), 0);
-        room.enter(place(Priority.URGENT, 1), 1);
-        List<WaitRoom.Refusal<Integer>> refused = room.enter(place(Priority.URGENT, 2), 2);
+        RetryQueue<Integer> queue = new RetryQueue<>(new RetryQueue.Bounds(64, 250));
+        queue.enter(place(Priority.PATIENT, 0), 0);
+        queue.enter(place(Priority.URGENT, 1), 1);
+        List<RetryQueue.Refusal<Integer>> refused = queue.enter(place(Priority.URGENT, 2), 2);
 
         assertThat(refused).hasSize(1);
         assertThat(refused.get(0).place().priority()).isEqualTo(Priority.PATIENT);
-        assertThat(room.firstRank(2)).contains(new RetryRank(RetryRank.Use.FULL, Priority.URGENT));
+        assertThat(queue.firstRank(2)).contains(new RetryRank(RetryRank.Use.FULL, Priority.URGENT));
     }
 
     /** Load: a third of the targets shed all requests; retries go to those that answered. */
