--- a/src/test/java/org/apricotgauge/functional/RetryWaitTest.java
+++ b/src/test/java/org/apricotgauge/functional/RetryWaitTest.java
@@ -53,7 +53,7 @@
             CompletableFuture<String> answer = askLater(hops, 10_000);
             // Each of these allows a retry at the guard, which pays for what waits.
             while (!answer.isDone()) {
-                assertThat(ask(hops, "GET", 10_000)).startsWith("HTTP/1.1 200");
+                assertThat(ask(hops, "GET", 1_000)).startsWith("HTTP/1.1 200");
             }
             assertThat(answer.get()).startsWith("HTTP/1.1 200");
             assertThat(waiting(hops)).isZero();
