Name the header by which an entry says that it can run attempts side by side

A guard that takes a run for hung, or is about to end, ends the run so that its entry sends the request elsewhere. With this header the entry offers to start the further attempt while the run goes on. Nothing reads it yet.

--- a/src/main/java/org/apricotgauge/http/HeaderNames.java
+++ b/src/main/java/org/apricotgauge/http/HeaderNames.java
@@ -77,6 +77,13 @@
      */
     public static final String NEXT_RETRY_PREPAID = "Apricotgauge-Retry-Paid";
 
+    /**
+     * Hops: on a request, the entry can start a further attempt while this one goes on, and wants
+     * to be told by {@link #NEXT_RETRY_PREPAID} on an acknowledgement. Absent from entries of
+     * earlier releases, for which a guard has to end the run first.
+     */
+    public static final String RETRY_BESIDE = "Apricotgauge-Retry-Beside";
+
     /** Hops: rank of the request among those that need a retry; see {@code RetryRank}. */
     public static final String RETRY_RANK = "Apricotgauge-Retry-Rank";
 
