--- a/src/test/java/org/apricotgauge/functional/Relay.java
+++ b/src/test/java/org/apricotgauge/functional/Relay.java
@@ -23,6 +23,7 @@
     private final IntSupplier mTo;
     private final List<Pump> mPumps = new CopyOnWriteArrayList<>();
     private volatile boolean mCut;
+    private volatile Way mSilentWay;
 
     /** Which way bytes go. */
     enum Way {
@@ -52,8 +53,15 @@
         mPumps.stream().filter(pump -> pump.mWay == way).forEach(Pump::hold);
     }
 
+    /** Holds back one direction of all connections, also of those that open from now on. */
+    void silenceAll(Way way) {
+        mSilentWay = way;
+        silence(way);
+    }
+
     /** Lets what was held back arrive, late. */
     void release() {
+        mSilentWay = null;
         mPumps.forEach(Pump::release);
     }
 
@@ -77,6 +85,9 @@
                 for (Pump pump :
                         List.of(new Pump(Way.THERE, from, to), new Pump(Way.BACK, to, from))) {
                     mPumps.add(pump);
+                    if (pump.mWay == mSilentWay) {
+                        pump.hold();
+                    }
                     start(pump::run);
                 }
             }
