Let several attempts of one request read its body side by side

Cause: a body had one reader, and opening it for the next attempt made the one before unreadable, which breaks an attempt that is at work. Attempts that go on beside each other need the same bytes.

openBeside() adds a reader; all read what is buffered, and one of them what the buffer can't hold, after which the others fail rather than miss a chunk. An abandoned reader takes nothing from the one that goes on. open() is as before.

--- a/src/main/java/org/apricotgauge/http/ReplayableBody.java
+++ b/src/main/java/org/apricotgauge/http/ReplayableBody.java
@@ -40,7 +40,7 @@
     private boolean mOverflowed;
     private boolean mSourceEnded;
     private boolean mDemandPending;
-    private AttemptContent mCurrentAttempt;
+    private final List<AttemptContent> mReaders = new ArrayList<>(1);
 
     /**
      * Creates a body.
@@ -93,8 +93,7 @@
     }
 
     private void dropIfRead() {
-        AttemptContent reader = mCurrentAttempt;
-        if (reader == null || reader.mNextBuffered >= mBuffered.size()) {
+        if (mReaders.stream().allMatch(one -> one.mNextBuffered >= mBuffered.size())) {
             drop();
         }
     }
@@ -102,9 +101,7 @@
     private void drop() {
         mOverflowed = true;
         mBuffered.clear();
-        if (mCurrentAttempt != null) {
-            mCurrentAttempt.mNextBuffered = 0;
-        }
+        mReaders.forEach(reader -> reader.mNextBuffered = 0);
         mLargeBodies.release(mReservedBytes);
         mReservedBytes = 0;
     }
@@ -138,8 +135,23 @@
                 throw new IllegalStateException(
                         "cannot reopen a body of over " + mMaxBufferedBytes + " bytes");
             }
-            mCurrentAttempt = new AttemptContent();
-            return mCurrentAttempt;
+            mReaders.clear();
+            return openBeside();
+        }
+    }
+
+    /**
+     * Returns the body from its start, for an attempt beside the earlier ones, whose contents stay
+     * valid. If the body can't be sent again, as the earlier attempts may have found out meanwhile,
+     * it can't be read. One reader goes on if it can't be buffered any more.
+     */
+    public Request.Content openBeside() {
+        synchronized (mLock) {
+            AttemptContent content = new AttemptContent();
+            if (!mReleased && !mOverflowed) {
+                mReaders.add(content);
+            }
+            return content;
         }
     }
 
@@ -189,7 +201,7 @@
 
     private Content.Chunk readFor(AttemptContent content) {
         synchronized (mLock) {
-            if (content != mCurrentAttempt) {
+            if (!mReaders.contains(content)) {
                 return Content.Chunk.from(new IOException("attempt was abandoned"), true);
             }
             if (content.mNextBuffered < mBuffered.size()) {
@@ -226,10 +238,12 @@
     }
 
     private void buffer(AttemptContent content, Content.Chunk chunk) {
-        if (mOverflowed || !chunk.hasRemaining()) {
+        if (!chunk.hasRemaining()) {
             return;
         }
-        if (!tryReserve(chunk.remaining())) {
+        if (mOverflowed || !tryReserve(chunk.remaining())) {
+            // Other readers would miss the chunk.
+            mReaders.retainAll(List.of(content));
             drop();
             return;
         }
@@ -258,7 +272,7 @@
         synchronized (mLock) {
             content.mOnAvailable = onAvailable;
             runNow =
-                    content != mCurrentAttempt
+                    !mReaders.contains(content)
                             || content.mNextBuffered < mBuffered.size()
                             || mSourceEnded;
             if (runNow) {
@@ -277,17 +291,23 @@
     }
 
     private void onSourceAvailable() {
-        Runnable onAvailable = null;
+        List<Runnable> waiting;
         synchronized (mLock) {
             mDemandPending = false;
-            if (mCurrentAttempt != null) {
-                onAvailable = mCurrentAttempt.mOnAvailable;
-                mCurrentAttempt.mOnAvailable = null;
-            }
+            waiting = takeWaiting();
         }
-        if (onAvailable != null) {
-            onAvailable.run();
+        waiting.forEach(Runnable::run);
+    }
+
+    private List<Runnable> takeWaiting() {
+        List<Runnable> waiting = new ArrayList<>(1);
+        for (AttemptContent content : mReaders) {
+            if (content.mOnAvailable != null) {
+                waiting.add(content.mOnAvailable);
+                content.mOnAvailable = null;
+            }
         }
+        return waiting;
     }
 
     /** The body as read by one attempt. */
@@ -326,6 +346,7 @@
                 if (mFailure == null) {
                     mFailure = failure;
                 }
+                mReaders.remove(this);
             }
         }
     }
--- a/src/test/java/org/apricotgauge/http/ReplayableBodyTest.java
+++ b/src/test/java/org/apricotgauge/http/ReplayableBodyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.client.Request;
@@ -137,4 +138,52 @@
         assertThat(Content.Chunk.isFailure(first.read())).isTrue();
         assertThat(read(body.open(), 10)).isEqualTo("abcd.");
     }
+
+    // Guards against an attempt that goes on with the bytes that another one beside it has read.
+    @Test
+    void attemptsSideBySideReadTheSameBytes() {
+        ReplayableBody body = body(100, "ab", "cd", "ef");
+        Request.Content first = body.open();
+        assertThat(read(first, 1)).isEqualTo("ab");
+        Request.Content second = body.openBeside();
+        assertThat(read(second, 2)).isEqualTo("abcd");
+
+        assertThat(read(first, 10)).isEqualTo("cdef.");
+        assertThat(read(second, 10)).isEqualTo("ef.");
+    }
+
+    // Guards against an attempt whose body has a gap, after another one read what isn't buffered.
+    @Test
+    void oneReaderGoesOnOnceTheBodyIsTooLargeForTheBuffer() {
+        ReplayableBody body = body(4, "ab", "cd", "ef");
+        Request.Content first = body.open();
+        assertThat(read(first, 2)).isEqualTo("abcd");
+        Request.Content second = body.openBeside();
+        assertThat(read(first, 10)).isEqualTo("ef.");
+
+        assertThat(Content.Chunk.isFailure(second.read())).isTrue();
+    }
+
+    // Guards against an abandoned attempt that takes bytes from the one that goes on.
+    @Test
+    void abandonedAttemptLeavesTheRestToTheOther() {
+        ReplayableBody body = body(4, "ab", "cd", "ef");
+        Request.Content first = body.open();
+        Request.Content second = body.openBeside();
+        assertThat(read(first, 2)).isEqualTo("abcd");
+
+        first.fail(new IOException("abandoned"));
+
+        assertThat(read(second, 10)).isEqualTo("abcdef.");
+        assertThat(Content.Chunk.isFailure(first.read())).isTrue();
+    }
+
+    // Guards against an exception on a path where only an outcome is expected.
+    @Test
+    void bodyThatCannotBeSentAgainOpensBesideAndCannotBeRead() {
+        ReplayableBody body = body(3, "ab", "cd", "ef");
+        assertThat(read(body.open(), 2)).isEqualTo("abcd");
+
+        assertThat(Content.Chunk.isFailure(body.openBeside().read())).isTrue();
+    }
 }
