Leave a booking with a key open while its owner is asked once more

A caller got 409 'this key is running now' for its own booking: the owner of the key was silent for .5 s, the entry asked it again, was told that the key runs, which was its own first attempt, took that for the answer and cancelled the run.

Now the first attempt stays open, and that answer of the owner is no answer while it is. UnbrokenRunTest.aBookingWithAKeyWhoseOwnerIsSilentIsAnsweredByItsRun failed on (409) and passes.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -137,16 +137,18 @@
 
     /** Returns the body for the current attempt; an attempt that was set aside reads on. */
     org.eclipse.jetty.client.Request.Content openBody() {
-        synchronized (this) {
-            return mAttempts.hasAside() ? mBody.openBeside() : mBody.open();
-        }
+        return hasEarlierAttempt() ? mBody.openBeside() : mBody.open();
+    }
+
+    /** Returns whether an attempt is open beside the current one. */
+    synchronized boolean hasEarlierAttempt() {
+        return mAttempts.hasAside();
     }
 
     QuarantineCheck quarantine() {
         return mQuarantine;
     }
 
-    /** Returns the wait of this request for a retry. */
     RetryWait retryWait() {
         return mRetryWait;
     }
@@ -155,10 +157,8 @@
         mReporter.recordStep(step);
     }
 
-    boolean hasEnded() {
-        synchronized (this) {
-            return mEnded;
-        }
+    synchronized boolean hasEnded() {
+        return mEnded;
     }
 
     /** Returns when this exchange ends at the latest. */
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -67,6 +67,7 @@
     private volatile boolean mSetAside;
 
     private volatile boolean mConnectionLost;
+    private volatile boolean mAnswered;
 
     /** Whether the guard has said that the answer was written. */
     private volatile boolean mCompleted;
@@ -168,8 +169,13 @@
                 mContext.lagMeter().lagMillis());
     }
 
+    /** Returns whether nothing is waited for any more: the head of an answer came, or the end. */
+    private boolean hasEnded() {
+        return mAnswered || mTracker.isEnded();
+    }
+
     private void startTimeout(long millis) {
-        if (!mTransport.isRemote()) {
+        if (!mTransport.isRemote() || hasEnded()) {
             return;
         }
         cancelTimeout();
@@ -193,7 +199,7 @@
         if (fields.contains(HeaderNames.NEXT_RETRY_PREPAID)) {
             mTracker.recordOutcome(ObservedOutcome.CANCELLED);
             setAside("guard offers a further attempt", UnknownReason.STARTED, true);
-        } else if (!mTracker.isEnded() && !mSetAside) {
+        } else if (!mSetAside) {
             startTimeout(
                     GuardTimeoutPolicy.DEFAULT.heartbeatTimeoutMillis(
                             mContext.lagMeter().lagMillis()));
@@ -202,6 +208,7 @@
 
     @Override
     public void onAnswer(UpstreamResponse answer, Content.Source body) {
+        mAnswered = true;
         cancelTimeout();
         HttpFields headers = answer.headers();
         mContext.guards().recordStamp(mCandidate.guard(), headers);
@@ -261,7 +268,7 @@
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
         cancelTimeout();
-        if (mNotBegun) {
+        if (mNotBegun || hasEnded()) {
             end();
             return;
         }
@@ -278,6 +285,9 @@
     }
 
     private void onTimeout() {
+        if (hasEnded()) {
+            return;
+        }
         mContext.metrics().pathFaults().inc();
         mContext.guards().onUnresponsive(mCandidate.guard());
         if (!mBegun) {
@@ -337,6 +347,9 @@
         recordPathFailure();
         mContext.observer().onFenceEnded(mCandidate.target(), mAttempt.id().toString(), answer);
         mExchange.recordStep("fence: " + (answer == null ? failure : answer.state()));
+        if (hasEnded()) {
+            return;
+        }
         if (!mConnectionLost && mayStillAnswer(answer)) {
             mFencing.set(false);
             if (mConnectionLost) {
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -9,6 +9,7 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.decision.attempt.UnknownReason;
 import org.apricotgauge.decision.routing.Candidate;
+import org.apricotgauge.http.Bodies;
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
@@ -19,6 +20,8 @@
 import org.apricotgauge.model.Address;
 import org.apricotgauge.target.GuardHandler;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -129,6 +132,11 @@
         cancelTimeout();
         mContext.guards().recordStamp(mOwner, answer.headers());
         Optional<Outcome> outcome = OutcomeCodec.read(answer.headers());
+        if (isRunningElsewhere(answer)) {
+            Bodies.discard(body);
+            mExchange.onAttemptEnded(this, new Outcome.Unknown(UnknownReason.KEY_RUNNING));
+            return;
+        }
         if (outcome.isPresent()) {
             body.fail(new IllegalStateException("the body of an outcome is not read"));
             mExchange.onAttemptEnded(this, outcome.get());
@@ -137,6 +145,13 @@
         mExchange.onAnswer(this, answer, body);
     }
 
+    /** Returns whether the owner says that an earlier attempt, which is still open, is at work. */
+    private boolean isRunningElsewhere(UpstreamResponse answer) {
+        return answer.status() == HttpStatus.CONFLICT_409
+                && answer.headers().contains(HttpHeader.RETRY_AFTER)
+                && mExchange.hasEarlierAttempt();
+    }
+
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
         cancelTimeout();
--- a/src/main/java/org/apricotgauge/decision/attempt/RetryPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/attempt/RetryPolicy.java
@@ -109,7 +109,7 @@
                     progress.idempotent() && RETRYABLE_STATUSES.contains(answered.status());
             return retryable ? new RetryDecision.Retry() : finish(progress);
         }
-        if (isQuarantined(last)) {
+        if (isQuarantined(last) || isKeyRunning(last)) {
             return finish(progress);
         }
         if (progress.idempotent()) {
@@ -131,6 +131,12 @@
                 && notRun.reason() == NotRunReason.QUARANTINED;
     }
 
+    // The owner of the key would say the same again.
+    private static boolean isKeyRunning(Outcome outcome) {
+        return outcome instanceof Outcome.Unknown unknown
+                && unknown.reason() == UnknownReason.KEY_RUNNING;
+    }
+
     private static RetryDecision finish(SubmissionProgress progress) {
         // "Not run" of the last attempt does not apply to earlier ones: an idempotent request that
         // ran and got a 503 would be reported as not run once its retry is refused.
--- a/src/test/java/org/apricotgauge/functional/UnbrokenRunTest.java
+++ b/src/test/java/org/apricotgauge/functional/UnbrokenRunTest.java
@@ -7,9 +7,11 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.apricotgauge.bench.LocalFleet;
+import org.apricotgauge.decision.attempt.IdempotencyKey;
 import org.apricotgauge.http.HeaderNames;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Tag;
@@ -71,6 +73,26 @@
         }
     }
 
+    /** Guards against a booking with a key whose run ends as its owner is asked once more. */
+    @Test
+    void aBookingWithAKeyWhoseOwnerIsSilentIsAnsweredByItsRun() throws Exception {
+        try (RawTarget target = RawTarget.start(this::answerWhenTold);
+                Hops hops = Hops.guardsOnly("a", "b").target("t", "b", target.port(), 3)) {
+            openConnection(hops);
+            hops.vm("b").relay().silence(Relay.Way.BACK);
+            CompletableFuture<String> booking =
+                    ask(hops, OVER_HOP, "POST", "/once/wait", IdempotencyKey.HEADER + ": k-1");
+            LocalFleet.await(() -> target.runs() == 2);
+
+            LocalFleet.await(() -> hops.vm("a").count("entry.retries") > 0 || booking.isDone());
+            hops.vm("b").relay().release();
+            mGo.countDown();
+
+            assertThat(booking.get()).startsWith("HTTP/1.1 200").endsWith("ok");
+            assertThat(target.runs()).isEqualTo(2);
+        }
+    }
+
     /** Guards against a run that its guard ends as hung though no other target takes over. */
     @ParameterizedTest
     @ValueSource(strings = {OVER_HOP, IN_PROCESS})
@@ -113,13 +135,15 @@
     }
 
     private static CompletableFuture<String> ask(
-            Hops hops, String entry, String method, String path) {
+            Hops hops, String entry, String method, String path, String... headers) {
         int port = hops.vm(entry).callerPort();
+        String[] all = Arrays.copyOf(headers, headers.length + 2);
+        all[headers.length] = "Content-Length: 0";
+        all[headers.length + 1] = DEADLINE;
         return CompletableFuture.supplyAsync(
                 () -> {
                     try (RawCaller caller = new RawCaller(port)) {
-                        return caller.request(method, path, "Content-Length: 0", DEADLINE)
-                                .readAll();
+                        return caller.request(method, path, all).readAll();
                     } catch (IOException e) {
                         throw new IllegalStateException(e);
                     }
