Tell a silent guard that is gone from one that is slow

With the attempt left open, callers of a guard whose VM is lost would have waited to their deadlines, where they got 504 guard-unreachable after about a second before. Silence doesn't tell a lost VM from a busy one; a connection does: the kernel accepts it for a process that gets no processor time.

Counted as entry.guards_gone, and a step in the request's log line.

--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -54,6 +54,7 @@
     private final Candidate mCandidate;
     private final AttemptTracker mTracker;
     private final GuardTransport mTransport;
+    private final SilentGuardCheck mGuardCheck;
     private final AtomicBoolean mFencing = new AtomicBoolean();
     private volatile Attempt mAttempt;
     private volatile long mHopStartMillis;
@@ -81,6 +82,9 @@
         mCandidate = candidate;
         mTracker = new AttemptTracker(mContext, candidate);
         mTransport = mContext.guards().transportTo(candidate.guard());
+        mGuardCheck =
+                new SilentGuardCheck(
+                        mContext, candidate.guard(), this::hasEnded, this::onGuardGone);
         mAcknowledged = !mTransport.isRemote();
     }
 
@@ -297,11 +301,22 @@
             recordPathFailure();
             mTracker.recordOutcome(ObservedOutcome.PATH_FAULT);
             setAside("guard is silent", UnknownReason.GUARD_UNREACHABLE, false);
+            mGuardCheck.start();
         } else {
             fence();
+            mGuardCheck.start();
         }
     }
 
+    private void onGuardGone() {
+        end();
+        mTracker.recordOutcome(ObservedOutcome.PATH_FAULT);
+        mExchange.recordStep("guard is gone");
+        closeBody();
+        AttemptTracker.abort(mUpstream);
+        mExchange.onAttemptEnded(this, new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
+    }
+
     /** Lets a further attempt be made while this one stays open: its target may be at work. */
     private void setAside(String step, UnknownReason why, boolean prepaid) {
         mSetAside = true;
--- a/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
+++ b/src/main/java/org/apricotgauge/peer/hop/GuardClient.java
@@ -47,6 +47,7 @@
     private static final long AVOIDANCE_AFTER_TIMEOUT_MILLIS = 1_500;
 
     private final UpstreamClient mForwardingClient;
+    private final UpstreamClient mFencingClient;
     private final GuardTransport mHttp;
     private final PeerStops mStops;
     private final Ticker mTicker;
@@ -66,7 +67,7 @@
     public GuardClient(
             UpstreamClient forwarding, UpstreamClient fencing, PeerStops stops, Ticker ticker) {
         mForwardingClient = Checks.notNull("forwarding", forwarding);
-        Checks.notNull("fencing", fencing);
+        mFencingClient = Checks.notNull("fencing", fencing);
         mHttp = new HttpGuardTransport(forwarding, fencing, this::recordStamp);
         mStops = Checks.notNull("stops", stops);
         mTicker = Checks.notNull("ticker", ticker);
@@ -99,6 +100,11 @@
                 guard, mTicker.millis() + AVOIDANCE_AFTER_CONNECT_FAILURE_MILLIS);
     }
 
+    /** Opens a connection to the guard and closes it at once; fails if it can't be opened. */
+    public CompletableFuture<Void> tryConnect(Address guard) {
+        return mFencingClient.tryConnect(guard);
+    }
+
     /** Returns whether the guard recently refused a connection or was unresponsive. */
     public boolean isUnavailable(Address guard) {
         Long untilMillis = mUnavailableUntilMillis.get(guard);
--- a/src/test/java/org/apricotgauge/functional/Relay.java
+++ b/src/test/java/org/apricotgauge/functional/Relay.java
@@ -59,6 +59,13 @@
         silence(way);
     }
 
+    /** Takes no new connections, and holds back what the open ones carry, as a lost VM does. */
+    void loseVm() throws IOException {
+        mServer.close();
+        silence(Way.THERE);
+        silence(Way.BACK);
+    }
+
     /** Lets what was held back arrive, late. */
     void release() {
         mSilentWay = null;
--- a/src/test/java/org/apricotgauge/functional/UnbrokenRunTest.java
+++ b/src/test/java/org/apricotgauge/functional/UnbrokenRunTest.java
@@ -93,6 +93,24 @@
         }
     }
 
+    /** Guards against a caller that waits to its deadline for a guard whose VM is lost. */
+    @ParameterizedTest
+    @ValueSource(strings = {"GET /wait", "POST /once/wait"})
+    void aRequestWhoseGuardIsGoneIsToldUnknownBeforeItsDeadline(String request) throws Exception {
+        String[] parts = request.split(" ");
+        try (RawTarget target = RawTarget.start(this::answerWhenTold);
+                Hops hops = Hops.guardsOnly("a", "b").target("t", "b", target.port(), 3)) {
+            openConnection(hops);
+            CompletableFuture<String> answer = ask(hops, OVER_HOP, parts[0], parts[1]);
+            LocalFleet.await(() -> target.runs() == 2);
+
+            hops.vm("b").relay().loseVm();
+
+            assertThat(answer.get()).startsWith("HTTP/1.1 504").doesNotContain("started");
+            assertThat(hops.vm("a").count("entry.guards_gone")).isEqualTo(1);
+        }
+    }
+
     /** Guards against a run that its guard ends as hung though no other target takes over. */
     @ParameterizedTest
     @ValueSource(strings = {OVER_HOP, IN_PROCESS})
