--- a/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
+++ b/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
@@ -46,10 +46,11 @@
         BufferedAnswer.read(answer, body)
                 .whenComplete(
                         (buffered, failure) -> {
-                            if (failure != null) {
+                            if (failure == null) {
+                                mKept = buffered;
+                            } else {
                                 mReporter.recordStep("answer not kept: " + failure.getMessage());
                             }
-                            mKept = buffered;
                             next.run();
                         });
     }
--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -50,7 +50,7 @@
     private final RetryState mRetryState;
     private Candidate mOwner;
     private volatile boolean mUsesPredecessor;
-    private final ExchangePauses mPauses = new ExchangePauses(this);
+    private final ExchangePauses mPauses;
     private final RetryWait mRetryWait;
     private boolean mEnded;
 
@@ -92,6 +92,7 @@
                         currentTable,
                         callerRequest.idempotent(),
                         mRetryState::fitsGuardStop);
+        mPauses = new ExchangePauses(this, mRetryState, mSelector);
         mRetryWait = new RetryWait(this, table.service());
     }
 
@@ -135,9 +136,8 @@
         return mBody;
     }
 
-    /** Returns the body for the current attempt; an attempt that was set aside reads on. */
     org.eclipse.jetty.client.Request.Content openBody() {
-        return hasEarlierAttempt() ? mBody.openBeside() : mBody.open();
+        return mRetryState.openBody(hasEarlierAttempt());
     }
 
     /** Returns whether an attempt is open beside the current one. */
@@ -330,9 +330,9 @@
                 return;
             }
             mContext.metrics().attemptsSetAside().inc();
+            mSelector.setAside(prepaid);
             if (prepaid) {
                 mRetryState.onNextPrepaid();
-                mSelector.excludeWorking();
             }
             mReporter.recordEndedAttempt(new Outcome.Unknown(why));
             decision = mRetryState.afterAttempt(new Outcome.Unknown(why));
@@ -357,8 +357,7 @@
             return;
         }
         synchronized (this) {
-            if (canStartOver() && mPauses.tryPause(progress(), this::startNextAttempt)) {
-                startOver();
+            if (canStartOver() && mPauses.tryPause(this::startNextAttempt)) {
                 return;
             }
         }
@@ -373,15 +372,10 @@
         return mOwner == null && !mDelivery.hasKept() && mBody.canReplay();
     }
 
-    private void startOver() {
-        mRetryState.startOver();
-        mSelector.startOver();
-    }
-
     /** Sends a request that waited for a retry; does nothing if it has ended. */
     void resume(boolean prepaid) {
         synchronized (this) {
-            startOver();
+            mPauses.startOver();
             mRetryState.setPrepaid(prepaid);
         }
         startNextAttempt();
@@ -390,18 +384,22 @@
     /** Handles the head of a target's answer: forwards the answer or tries another target. */
     void onAnswer(TargetAttempt attempt, UpstreamResponse answer, Content.Source body) {
         Outcome.Answered outcome = new Outcome.Answered(answer.status());
+        boolean isAside;
         boolean retry;
         boolean isFinal;
         synchronized (this) {
-            boolean isAside = mAttempts.isAside(attempt);
+            isAside = mAttempts.isAside(attempt);
             if (mEnded || !(isAside || mAttempts.isCurrent(attempt))) {
                 body.fail(new IllegalStateException("the exchange has ended already"));
                 return;
             }
-            retry = !isAside && recordAnswer(outcome);
             if (isAside) {
                 mReporter.recordStep("earlier attempt: " + outcome);
+            } else {
+                mReporter.recordAnswer(outcome);
             }
+            // Only the predecessor retries what it serves; with both, retries would multiply.
+            retry = !isAside && mRetryState.retriesAfter(outcome, !mUsesPredecessor);
             isFinal = !mAttempts.tryWaitForBetter(attempt, outcome, retry);
             mEnded = isFinal;
         }
@@ -411,18 +409,9 @@
             return;
         }
         attempt.end();
-        mDelivery.keep(answer, body, retry ? this::startNextAttempt : this::finishIfLast);
-    }
-
-    /** Records an answer to the current attempt and returns whether another one follows. */
-    private boolean recordAnswer(Outcome.Answered outcome) {
-        mReporter.recordAnswer(outcome);
-        // Only the predecessor retries what it serves; with both, retries would multiply.
-        boolean retry = mRetryState.retriesAfter(outcome, !mUsesPredecessor);
-        if (retry) {
-            mContext.metrics().retries().inc();
-        }
-        return retry;
+        Runnable last = () -> finish(new Outcome.Unknown(UnknownReason.ANSWER_LOST));
+        Runnable end = isAside ? this::finishIfLast : last;
+        mDelivery.keep(answer, body, retry ? this::startNextAttempt : end);
     }
 
     private void forwardAnswer(
@@ -485,11 +474,21 @@
         deliver(outcome);
     }
 
+    /** Follows the end of an earlier attempt: once none is open, tries again or tells the end. */
     private void finishIfLast() {
-        mAttempts
-                .heldOutcome()
-                .map(held -> FinalOutcomes.ofHeld(held, progress()))
-                .ifPresent(this::finish);
+        Outcome held;
+        synchronized (this) {
+            held = mAttempts.heldOutcome().orElse(null);
+            if (held == null || mEnded || mAttempts.hasAside()) {
+                return;
+            }
+            mAttempts.dropHeld();
+        }
+        if (canStartOver() && mPauses.tryStartOver()) {
+            startNextAttempt();
+        } else {
+            finish(FinalOutcomes.ofHeld(held, progress()));
+        }
     }
 
     private void deliver(Outcome outcome) {
--- a/src/main/java/org/apricotgauge/caller/DirectAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/DirectAttempt.java
@@ -68,7 +68,7 @@
                                         callerRequest.getMethod(),
                                         callerRequest.getHttpURI().getPathQuery(),
                                         headers,
-                                        mExchange.quarantine().hashedBody()),
+                                        mExchange.quarantine().hashed(mExchange.openBody())),
                                 this);
     }
 
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -296,6 +296,7 @@
         mContext.guards().onUnresponsive(mCandidate.guard());
         if (!mBegun) {
             // Still waits for a connection; its failure proves that nothing was sent.
+            startTimeout(acknowledgementTimeoutMillis());
             AttemptTracker.abort(mUpstream);
         } else if (mExchange.callerRequest().idempotent()) {
             recordPathFailure();
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -39,13 +39,24 @@
     private final IdempotencyKey mKey;
     private volatile Abortable mUpstream;
     private volatile Scheduler.Task mTimeoutTask;
+    private final SilentGuardCheck mGuardCheck;
     private volatile boolean mBegun;
+    private volatile boolean mSetAside;
+    private volatile boolean mEnded;
 
     KeyedAttempt(CallerExchange exchange, Candidate owner, IdempotencyKey key) {
         mExchange = exchange;
         mContext = exchange.context();
         mOwner = owner.guard();
         mKey = key;
+        mGuardCheck = new SilentGuardCheck(mContext, mOwner, () -> mEnded, this::onOwnerGone);
+    }
+
+    private void onOwnerGone() {
+        mEnded = true;
+        mExchange.recordStep("owner is gone");
+        AttemptTracker.abort(mUpstream);
+        mExchange.onAttemptEnded(this, new Outcome.Unknown(UnknownReason.GUARD_UNREACHABLE));
     }
 
     @Override
@@ -103,14 +114,20 @@
     }
 
     private void onTimeout() {
+        if (mEnded || mSetAside) {
+            return;
+        }
         mContext.metrics().pathFaults().inc();
         mContext.guards().onUnresponsive(mOwner);
         if (!mBegun) {
+            startTimeout(acknowledgementTimeoutMillis());
             // Still waits for a connection; its failure proves that nothing was sent.
             AttemptTracker.abort(mUpstream);
             return;
         }
+        mSetAside = true;
         mExchange.recordStep("owner is silent");
+        mGuardCheck.start();
         mExchange.onAttemptUnresponsive(this, UnknownReason.GUARD_UNREACHABLE, false);
     }
 
@@ -129,6 +146,7 @@
 
     @Override
     public void onAnswer(UpstreamResponse answer, Content.Source body) {
+        mEnded = true;
         cancelTimeout();
         mContext.guards().recordStamp(mOwner, answer.headers());
         Optional<Outcome> outcome = OutcomeCodec.read(answer.headers());
@@ -154,6 +172,7 @@
 
     @Override
     public void onFailure(UpstreamExchange.Failure failure) {
+        mEnded = true;
         cancelTimeout();
         boolean notSent = failure.progress() == UpstreamExchange.Progress.NOT_SENT;
         mExchange.onAttemptEnded(
@@ -165,12 +184,14 @@
 
     @Override
     public void abandon() {
+        mEnded = true;
         cancelTimeout();
         AttemptTracker.abort(mUpstream);
     }
 
     @Override
     public void end() {
+        mEnded = true;
         cancelTimeout();
     }
 
--- a/src/main/java/org/apricotgauge/caller/OpenAttempts.java
+++ b/src/main/java/org/apricotgauge/caller/OpenAttempts.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.apricotgauge.decision.attempt.Outcome;
-import org.apricotgauge.decision.attempt.UnknownReason;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
@@ -66,6 +65,11 @@
         return true;
     }
 
+    /** Forgets the outcome: it is told now, or a further attempt is made. */
+    void dropHeld() {
+        mHeldOutcome = null;
+    }
+
     /**
      * Returns the outcome to tell once no attempt is open; empty while a further one may follow.
      */
@@ -85,9 +89,6 @@
         if (!retry && !(mayImprove && HttpStatus.isServerError(answer.status()))) {
             return false;
         }
-        if (isCurrent && !retry) {
-            mHeldOutcome = new Outcome.Unknown(UnknownReason.ANSWER_LOST);
-        }
         return removeCurrent(attempt) || removeAside(attempt);
     }
 
--- a/src/main/java/org/apricotgauge/caller/QuarantineCheck.java
+++ b/src/main/java/org/apricotgauge/caller/QuarantineCheck.java
@@ -70,9 +70,12 @@
         return new Fingerprint(headHash(), mBodyHash.value());
     }
 
-    /** Returns the request's body for a direct attempt; reading it completes the fingerprint. */
-    Request.Content hashedBody() {
-        Request.Content body = mReplayableBody.open();
+    /**
+     * Returns a body for a direct attempt; reading it completes the fingerprint.
+     *
+     * @param body the request's body, from its start
+     */
+    Request.Content hashed(Request.Content body) {
         if (mBodyHash.isComplete()) {
             return body;
         }
--- a/src/main/java/org/apricotgauge/caller/RetryState.java
+++ b/src/main/java/org/apricotgauge/caller/RetryState.java
@@ -99,6 +99,9 @@
         mProgress = mProgress.after(outcome);
         boolean retry = mayRetry && !(decide() instanceof RetryDecision.Finish);
         recordReached(true);
+        if (retry) {
+            mContext.metrics().retries().inc();
+        }
         return retry;
     }
 
@@ -117,6 +120,21 @@
         mProgress = mProgress.afterPause();
     }
 
+    /** Returns whether another attempt may follow the last one that has ended; charges it. */
+    synchronized boolean mayRetry() {
+        return decide() instanceof RetryDecision.Retry;
+    }
+
+    /**
+     * Returns the body for the next attempt. One that can't be sent again, as an attempt that is
+     * open may have found out meanwhile, can't be read.
+     *
+     * @param beside whether an earlier attempt is open, and reads on
+     */
+    org.eclipse.jetty.client.Request.Content openBody(boolean beside) {
+        return beside || !mBody.canReplay() ? mBody.openBeside() : mBody.open();
+    }
+
     /** Sets whether the next run is paid for, after a wait. */
     synchronized void setPrepaid(boolean prepaid) {
         mPrepayment.set(prepaid);
--- a/src/main/java/org/apricotgauge/caller/TargetSelector.java
+++ b/src/main/java/org/apricotgauge/caller/TargetSelector.java
@@ -47,6 +47,7 @@
     private final Set<String> mBusy = new HashSet<>();
     private final Set<String> mEndingSoon = new HashSet<>();
     private final Set<String> mWorking = new HashSet<>();
+    private final Set<String> mSilent = new HashSet<>();
     private final LongPredicate mFitsStop;
     private final Map<String, Candidate> mSuspects = new HashMap<>();
     private Candidate mLastCandidate;
@@ -112,6 +113,7 @@
     void startOver() {
         mTried.clear();
         mTried.addAll(mWorking);
+        mTried.addAll(mSilent);
         mBusy.clear();
         mSuspects.clear();
         mLastCandidate = null;
@@ -122,10 +124,14 @@
         mBusyRefusals = NO_WAIT_ATTEMPTS;
     }
 
-    /** Leaves the target of the last attempt out from now on, since it works on the request. */
-    void excludeWorking() {
+    /**
+     * Leaves the target of the last attempt, which stays open, to the last.
+     *
+     * @param isWorking whether it is known to work on the request, so that it is left out
+     */
+    void setAside(boolean isWorking) {
         if (mLastCandidate != null) {
-            mWorking.add(mLastCandidate.target().id());
+            (isWorking ? mWorking : mSilent).add(mLastCandidate.target().id());
         }
     }
 
