Let the soak send work with short deadlines, in more series that overlap

Cause: bin/soak found no loss where callers of a deployment had some: its runs were short against their routes' 8 s, answers always told their length or were chunked, a refusal told over a run that had been broken off passed as true, and a request lost at an entry that stopped was excused by its guard's end.

Each fault comes with the nodes' lines on it, each seed with one line of counts, and the last line adds them up. More nodes than half of the machine's memory holds are refused. The draws of the earlier series are as before.

--- a/src/main/java/org/apricotgauge/bench/soak/HttpReader.java
+++ b/src/main/java/org/apricotgauge/bench/soak/HttpReader.java
@@ -12,6 +12,8 @@
 
 /** Reads HTTP/1.1 messages from a connection, and counts the bytes of the one being read. */
 final class HttpReader {
+    private static final String LENGTH = "Content-Length";
+    private static final String ENCODING = "Transfer-Encoding";
     private static final String CHUNKED = "chunked";
     private static final int HEXADECIMAL = 16;
 
@@ -84,13 +86,27 @@
         return new Head(firstLine, headers);
     }
 
-    /** Reads the body that belongs to the head. */
+    /** Reads the body of a response, which may end with the connection. */
+    void readResponseBody() throws IOException {
+        if (isEndedByClose()) {
+            readToEnd();
+        } else {
+            readBody();
+        }
+    }
+
+    /** Returns whether the end of the connection is the end of the present response. */
+    boolean isEndedByClose() {
+        return mHead != null && mHead.header(LENGTH) == null && mHead.header(ENCODING) == null;
+    }
+
+    /** Reads the body of a request. */
     void readBody() throws IOException {
-        if (CHUNKED.equalsIgnoreCase(mHead.header("Transfer-Encoding"))) {
+        if (CHUNKED.equalsIgnoreCase(mHead.header(ENCODING))) {
             readChunks();
             return;
         }
-        String length = mHead.header("Content-Length");
+        String length = mHead.header(LENGTH);
         readBytes(length == null ? 0 : Integer.parseInt(length));
     }
 
@@ -124,6 +140,14 @@
         }
     }
 
+    private void readToEnd() throws IOException {
+        byte[] buffer = new byte[8_192];
+        for (int read = mIn.read(buffer); read >= 0; read = mIn.read(buffer)) {
+            mBytes += read;
+            mBody.write(buffer, 0, read);
+        }
+    }
+
     private String readLine() throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         while (true) {
--- a/src/main/java/org/apricotgauge/bench/soak/Judge.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Judge.java
@@ -13,8 +13,8 @@
 
 /** Judges each request by what its caller saw and what the targets ran. */
 final class Judge {
-    /** An entry counts as calm if its stop began this long before a request, in milliseconds. */
-    private static final long CALM_MILLIS = 3_000;
+    /** A stop counts until so long after the platform kills the process, in milliseconds. */
+    private static final long AFTER_STOP_MILLIS = 1_000;
 
     /** Only requests sent this soon after the entry's signal are excused, in milliseconds. */
     private static final long EARLY_MILLIS = 3_000;
@@ -54,7 +54,8 @@
         if (!LOST.contains(verdict)) {
             return new Finding(verdict, Optional.empty(), exchange, runs);
         }
-        Optional<Excuse> excuse = excuse(exchange, runs);
+        Optional<Excuse> excuse =
+                excuse(exchange, runs).or(() -> guardExcuse(verdict, exchange, runs));
         return new Finding(excuse.isPresent() ? Verdict.EXCUSED : verdict, excuse, exchange, runs);
     }
 
@@ -100,9 +101,14 @@
         if (!exchange.request().isIdempotent()) {
             return Verdict.FALSE_REFUSAL;
         }
-        return runs.stream().anyMatch(run -> run.isAtWork(exchange.endMillis()))
-                ? lost(exchange, runs)
-                : Verdict.REFUSED;
+        // A run that has been broken off was at work, whatever has passed since.
+        boolean wasAtWork =
+                runs.stream()
+                        .anyMatch(
+                                run ->
+                                        !run.isWhole()
+                                                || run.plannedEndMillis() > exchange.endMillis());
+        return wasAtWork ? lost(exchange, runs) : Verdict.REFUSED;
     }
 
     private Verdict ofUnknown(Exchange exchange, List<RunRecord> runs) {
@@ -113,7 +119,7 @@
     }
 
     private Verdict lost(Exchange exchange, List<RunRecord> runs) {
-        if (isStopping(exchange.entry(), exchange, CALM_MILLIS)) {
+        if (isStopping(exchange.entry(), exchange, mStopMillis + AFTER_STOP_MILLIS)) {
             return Verdict.LOST_STOPPING;
         }
         return runs.stream().anyMatch(run -> isStopping(run.node(), exchange, mStopMillis))
@@ -140,14 +146,19 @@
             return Optional.of(Excuse.NODE_PAUSED);
         }
         long tookMillis = exchange.endMillis() - exchange.sentMillis();
-        if (tookMillis >= RequestSource.TIMEOUT_MILLIS - TOLERANCE_MILLIS) {
+        if (tookMillis >= exchange.request().timeoutMillis() - TOLERANCE_MILLIS) {
             return Optional.of(Excuse.DEADLINE);
         }
-        if (isEntryOutOfTime(exchange, runs)) {
-            return Optional.of(Excuse.ENTRY_OUT_OF_TIME);
-        }
+        return isEntryOutOfTime(exchange, runs)
+                ? Optional.of(Excuse.ENTRY_OUT_OF_TIME)
+                : Optional.empty();
+    }
+
+    /** A guard's end excuses nothing at an entry that stops itself. */
+    private Optional<Excuse> guardExcuse(Verdict verdict, Exchange exchange, List<RunRecord> runs) {
         boolean isGuardOutOfTime =
-                !exchange.request().isIdempotent()
+                verdict != Verdict.LOST_STOPPING
+                        && !exchange.request().isIdempotent()
                         && runs.stream().anyMatch(this::isGuardOutOfTime);
         return isGuardOutOfTime ? Optional.of(Excuse.GUARD_OUT_OF_TIME) : Optional.empty();
     }
--- a/src/main/java/org/apricotgauge/bench/soak/NodeProcess.java
+++ b/src/main/java/org/apricotgauge/bench/soak/NodeProcess.java
@@ -15,7 +15,7 @@
     private static final List<String> JVM_OPTIONS =
             List.of(
                     "-Dorg.eclipse.jetty.util.referencesPerCacheLine=16",
-                    "-Xmx96m",
+                    "-Xmx" + FleetMemory.HEAP_MEBIBYTES + "m",
                     "-Xss256k",
                     "-XX:+UseSerialGC",
                     "-XX:-UsePerfData",
--- a/src/main/java/org/apricotgauge/bench/soak/PlannedRequest.java
+++ b/src/main/java/org/apricotgauge/bench/soak/PlannedRequest.java
@@ -11,21 +11,23 @@
  * @param id identifier of the request
  * @param service the service that it is for
  * @param isIdempotent whether it may run more than once
+ * @param timeoutMillis timeout of its route, which the caller also asks for
  * @param runMillis time from the target's start to the end of its answer
  * @param pauseMillis last part of the run, between the two halves of the body; 0 for a body in one
  *     piece
  * @param answerBytes length of the answer's body
- * @param isChunked whether the answer's length is not told
+ * @param framing how the end of the answer is told
  * @param bodyBytes length of the request's own body; 0 for a GET
  */
 record PlannedRequest(
         String id,
         String service,
         boolean isIdempotent,
+        int timeoutMillis,
         int runMillis,
         int pauseMillis,
         int answerBytes,
-        boolean isChunked,
+        Framing framing,
         int bodyBytes) {
     private static final String IDEMPOTENT = "lookup";
     private static final String ONCE = "order";
@@ -33,9 +35,11 @@
     PlannedRequest {
         Checks.notBlank("id", id);
         Checks.id("service", service);
+        Checks.inRange("timeoutMillis", timeoutMillis, 1, Integer.MAX_VALUE);
         Checks.inRange("runMillis", runMillis, 0, Integer.MAX_VALUE);
         Checks.inRange("pauseMillis", pauseMillis, 0, runMillis);
         Checks.inRange("answerBytes", answerBytes, 2, Integer.MAX_VALUE);
+        Checks.notNull("framing", framing);
         Checks.inRange("bodyBytes", bodyBytes, 0, Integer.MAX_VALUE);
     }
 
@@ -47,9 +51,14 @@
     String path() {
         return prefix(service, isIdempotent)
                 + id
-                + "?run=%d&pause=%d&size=%d&chunked=%d&body=%d"
+                + "?timeout=%d&run=%d&pause=%d&size=%d&framing=%d&body=%d"
                         .formatted(
-                                runMillis, pauseMillis, answerBytes, isChunked ? 1 : 0, bodyBytes);
+                                timeoutMillis,
+                                runMillis,
+                                pauseMillis,
+                                answerBytes,
+                                framing.ordinal(),
+                                bodyBytes);
     }
 
     /** Reads the request back from its path. */
@@ -65,10 +74,11 @@
                 parts[2],
                 parts[0],
                 parts[1].equals(IDEMPOTENT),
+                values.get("timeout"),
                 values.get("run"),
                 values.get("pause"),
                 values.get("size"),
-                values.get("chunked") == 1,
+                Framing.values()[values.get("framing")],
                 values.get("body"));
     }
 
--- a/src/main/java/org/apricotgauge/bench/soak/ProcessSoak.java
+++ b/src/main/java/org/apricotgauge/bench/soak/ProcessSoak.java
@@ -1,14 +1,17 @@
 package org.apricotgauge.bench.soak;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.apricotgauge.cli.Command;
 import org.apricotgauge.cli.ExitCode;
 import org.apricotgauge.cli.Setting;
+import org.apricotgauge.cli.SettingFault;
 import org.apricotgauge.cli.SettingKinds;
 import org.apricotgauge.cli.SettingValues;
 
@@ -44,6 +47,18 @@
     private static final Setting<Integer> CALLERS =
             Setting.withDefault(
                     "callers", SettingKinds.integer("callers", 1, 100), 5, "Callers of each node.");
+    private static final Setting<Integer> BURST_CALLERS =
+            Setting.withDefault(
+                    "burst-callers",
+                    SettingKinds.integer("callers", 0, 100),
+                    0,
+                    "Further callers of each node, which send in bursts.");
+    private static final Setting<WorkKind> WORK =
+            Setting.withDefault(
+                    "work",
+                    SettingKinds.oneOf(WorkKind.class),
+                    WorkKind.MIXED,
+                    "What callers send, and the routes' timeout.");
     private static final Setting<Optional<Series>> SERIES =
             Setting.optional(
                     "series",
@@ -79,6 +94,8 @@
                     values.get(NODES),
                     values.get(DOMAINS),
                     values.get(CALLERS),
+                    values.get(BURST_CALLERS),
+                    values.get(WORK),
                     SoakFleet.STOP_MILLIS,
                     classPaths(),
                     values.get(SERIES),
@@ -136,25 +153,44 @@
                                 NODES,
                                 DOMAINS,
                                 CALLERS,
+                                BURST_CALLERS,
+                                WORK,
                                 SERIES,
                                 BUILD,
                                 SECOND_BUILD,
                                 SECOND_SHARE,
                                 KEEP_LOGS),
-                        Settings::new)
+                        Settings::new,
+                        ProcessSoak::faults)
                 .runAndExit(args, ProcessSoak::run);
     }
 
+    private static List<SettingFault> faults(SettingValues values) {
+        var system =
+                (com.sun.management.OperatingSystemMXBean)
+                        ManagementFactory.getOperatingSystemMXBean();
+        return new FleetMemory(system.getTotalMemorySize())
+                .refusal(values.get(NODES)).stream()
+                        .map(reason -> new SettingFault(NODES.flag(), reason))
+                        .toList();
+    }
+
     private static ExitCode run(Settings settings) throws IOException, InterruptedException {
         long firstSeed = settings.values().get(SEED);
+        int seeds = settings.values().get(SEEDS);
+        Tally total = Tally.EMPTY;
         boolean isSound = true;
-        for (long seed = firstSeed; seed < firstSeed + settings.values().get(SEEDS); seed++) {
-            isSound &= runSeed(settings.ofSeed(seed));
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            SoakResult result = runSeed(settings.ofSeed(seed));
+            isSound &= result.isSound();
+            total = total.plus(result.tally());
         }
+        System.out.printf("total of %d seeds: %s%n", seeds, total.line());
         return isSound ? ExitCode.OK : ExitCode.NEGATIVE;
     }
 
-    private static boolean runSeed(SoakSettings settings) throws IOException, InterruptedException {
+    private static SoakResult runSeed(SoakSettings settings)
+            throws IOException, InterruptedException {
         try (SoakFleet fleet = new SoakFleet(settings)) {
             // The nodes would outlive a soak that is ended by a signal.
             Thread end = new Thread(fleet::endProcesses);
@@ -163,8 +199,16 @@
             System.out.printf(
                     "seed %d, %s, logs in %s%n", settings.seed(), fleet.series(), settings.logs());
             System.out.print(result.excusedLines() + result.faultLines() + result.table());
+            System.out.printf(
+                    Locale.ROOT,
+                    "seed %d %s %s, load average %.1f: %s%n",
+                    settings.seed(),
+                    fleet.series(),
+                    settings.work(),
+                    result.loadAverage(),
+                    result.tally().line());
             Runtime.getRuntime().removeShutdownHook(end);
-            return result.isSound();
+            return result;
         }
     }
 }
--- a/src/main/java/org/apricotgauge/bench/soak/Series.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Series.java
@@ -68,6 +68,7 @@
                                             node,
                                             Kind.STOP,
                                             0,
+                                            0,
                                             round.between(100, 3_000)))
                     .toList();
         }
@@ -133,11 +134,81 @@
         List<PlannedSignal> round(Round round) {
             return values()[round.random().nextInt(ordinal())].round(round);
         }
+    },
+
+    /** All nodes of a domain at once; each starts again at once, and all get SIGTERM again. */
+    AT_ONCE_AGAIN(18_000) {
+        @Override
+        List<PlannedSignal> round(Round round) {
+            long again = round.between(100, 2_000);
+            return round.members().stream().map(node -> stopTwice(round, node, 0, again)).toList();
+        }
+    },
+
+    /** All nodes of a domain at once; they start together, and all get SIGTERM again. */
+    TOGETHER_AGAIN(20_000) {
+        @Override
+        List<PlannedSignal> round(Round round) {
+            long down = TOGETHER_MILLIS + round.between(0, RESTART_MILLIS);
+            long again = round.between(100, 4_000);
+            return round.members().stream()
+                    .map(node -> stopTwice(round, node, down, again))
+                    .toList();
+        }
+    },
+
+    /** All nodes of a domain at once, and all of the next one while the first still stops. */
+    TWO_DOMAINS(14_000) {
+        @Override
+        List<PlannedSignal> round(Round round) {
+            List<PlannedSignal> signals = new ArrayList<>(AT_ONCE.round(round));
+            long at = round.atMillis() + round.between(500, 4_000);
+            for (int node : round.ofNextDomain().members()) {
+                signals.add(stop(round, at, node));
+            }
+            return signals;
+        }
+    },
+
+    /**
+     * The nodes of a domain within .6 s, with SIGHUP before and after, new versions of the
+     * configuration, and targets that leave and come back.
+     */
+    CHANGED(14_000) {
+        @Override
+        List<PlannedSignal> round(Round round) {
+            List<PlannedSignal> signals = new ArrayList<>();
+            for (int node : round.members()) {
+                long at = round.atMillis() + round.between(0, 600);
+                signals.add(stop(round, at, node));
+                signals.add(PlannedSignal.other(at - 300, node, Kind.RELOAD));
+                signals.add(PlannedSignal.other(at + round.between(0, 2_000), node, Kind.RELOAD));
+            }
+            for (int node : round.ofNextDomain().members()) {
+                long at = round.atMillis() + round.between(0, 3_000);
+                signals.add(PlannedSignal.other(at, node, Kind.RELOAD));
+                if (round.random().nextBoolean()) {
+                    long leaving = round.atMillis() + round.between(0, 2_000);
+                    long ready = leaving + round.between(1_000, 4_000);
+                    signals.add(PlannedSignal.other(leaving, node, Kind.TARGET_LEAVING));
+                    signals.add(PlannedSignal.other(ready, node, Kind.TARGET_READY));
+                }
+            }
+            for (int change = 0; change < 3; change++) {
+                long at = round.atMillis() + round.between(0, 6_000);
+                signals.add(PlannedSignal.other(at, 0, Kind.CONFIGURED));
+            }
+            return signals;
+        }
     };
 
     private static final long STAGGER_MILLIS = 900;
     private static final long RESTART_MILLIS = 1_000;
     private static final long MAX_RESTART_MILLIS = 3_000;
+
+    /** A stop's time and what a process needs to end, so that all nodes are down. */
+    private static final long TOGETHER_MILLIS = 6_500;
+
     private static final long FIRST_MILLIS = 3_000;
 
     private final long mRoundMillis;
@@ -152,6 +223,11 @@
         return PlannedSignal.stop(atMillis, node, round.between(0, MAX_RESTART_MILLIS));
     }
 
+    private static PlannedSignal stopTwice(
+            Round round, int node, long downMillis, long againMillis) {
+        return new PlannedSignal(round.atMillis(), node, Kind.STOP, 0, downMillis, againMillis);
+    }
+
     /** Returns the signals of a soak, in the order of their times. */
     List<PlannedSignal> plan(int nodes, int domains, long millis, SplittableRandom random) {
         List<PlannedSignal> signals = new ArrayList<>();
--- a/src/main/java/org/apricotgauge/bench/soak/Signal.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Signal.java
@@ -28,6 +28,17 @@
         /** The process has ended. */
         ENDED,
         /** A new process was started. */
-        STARTED
+        STARTED,
+        /** A new version of the configuration is in the store. */
+        CONFIGURED,
+        /** The target of the node is marked as leaving in the store. */
+        TARGET_LEAVING,
+        /** The target of the node is marked as ready in the store again. */
+        TARGET_READY;
+
+        /** Returns whether it is a change in the store, not a signal to a process. */
+        boolean isOfStore() {
+            return this == CONFIGURED || this == TARGET_LEAVING || this == TARGET_READY;
+        }
     }
 }
--- a/src/main/java/org/apricotgauge/bench/soak/SoakCaller.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakCaller.java
@@ -16,19 +16,21 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.platform.kv.KvDialect;
 import org.apricotgauge.platform.kv.KvStandin;
 import org.jboss.logging.Logger;
 
 /**
- * A caller that keeps its connection to one entry and sends on it until the process is gone,
+ * A caller that keeps its connections to one entry and sends on them until the process is gone,
  * whatever the entry's readiness says.
  */
 final class SoakCaller implements Runnable {
     private static final Logger LOGGER = Logger.getLogger(SoakCaller.class);
     private static final int CONNECT_MILLIS = 2_000;
     private static final int SILENCE_MILLIS = 15_000;
+    private static final long LOOK_EVERY_MILLIS = 20;
     private static final long AFTER_FAILURE_MILLIS = 100;
     private static final int MAX_BODY_PAUSE_MILLIS = 200;
     private static final int SLOW_BUFFER_BYTES = 8_192;
@@ -37,12 +39,15 @@
     private final int mEntry;
     private final InetSocketAddress mAddress;
     private final Habit mHabit;
-    private final RequestSource mSource;
+    private final CallerConnection.Pool mPool;
+    private final Supplier<PlannedRequest> mSource;
     private final SplittableRandom mRandom;
     private final Environment mEnvironment;
 
     /** How a caller uses its connections. */
     enum Habit {
+        /** Takes any idle connection to its entry that callers with this habit have opened. */
+        POOLED,
         /** Keeps one connection and sends one request after the other. */
         STEADY,
         /** Sends idempotent requests in pairs, the second behind the first. */
@@ -58,20 +63,27 @@
      *
      * @param millis the clock of the soak
      * @param isOver whether no further request shall be sent
+     * @param isSending whether requests shall be sent now
      * @param exchanges takes each request when it has ended
      */
-    record Environment(LongSupplier millis, BooleanSupplier isOver, Consumer<Exchange> exchanges) {}
+    record Environment(
+            LongSupplier millis,
+            BooleanSupplier isOver,
+            BooleanSupplier isSending,
+            Consumer<Exchange> exchanges) {}
 
     SoakCaller(
             int entry,
             InetSocketAddress address,
             Habit habit,
-            RequestSource source,
+            CallerConnection.Pool pool,
+            Supplier<PlannedRequest> source,
             SplittableRandom random,
             Environment environment) {
         mEntry = entry;
         mAddress = Checks.notNull("address", address);
         mHabit = Checks.notNull("habit", habit);
+        mPool = Checks.notNull("pool", pool);
         mSource = Checks.notNull("source", source);
         mRandom = Checks.notNull("random", random);
         mEnvironment = Checks.notNull("environment", environment);
@@ -80,59 +92,84 @@
     @Override
     public void run() {
         while (!mEnvironment.isOver().getAsBoolean()) {
-            try (Socket socket = new Socket()) {
-                if (mHabit == Habit.SLOW) {
-                    socket.setReceiveBufferSize(SLOW_BUFFER_BYTES);
+            if (!mEnvironment.isSending().getAsBoolean()) {
+                pause(LOOK_EVERY_MILLIS);
+                continue;
+            }
+            try {
+                CallerConnection idle = mPool.take();
+                CallerConnection connection = idle == null ? open() : idle;
+                boolean isKept = false;
+                try {
+                    isKept = use(connection);
+                } finally {
+                    if (isKept) {
+                        mPool.give(connection);
+                    } else {
+                        connection.close();
+                    }
                 }
-                socket.connect(mAddress, CONNECT_MILLIS);
-                socket.setTcpNoDelay(true);
-                socket.setSoTimeout(SILENCE_MILLIS);
-                use(socket);
             } catch (IOException e) {
                 LOGGER.debugf("no connection to entry %d: %s", mEntry, e);
                 pause(AFTER_FAILURE_MILLIS);
             }
         }
+        mPool.close();
     }
 
-    private void use(Socket socket) throws IOException {
-        InputStream in =
-                mHabit == Habit.SLOW
-                        ? new SlowStream(socket.getInputStream())
-                        : new BufferedInputStream(socket.getInputStream());
-        HttpReader reader = new HttpReader(in);
+    private CallerConnection open() throws IOException {
+        Socket socket = new Socket();
+        try {
+            if (mHabit == Habit.SLOW) {
+                socket.setReceiveBufferSize(SLOW_BUFFER_BYTES);
+            }
+            socket.connect(mAddress, CONNECT_MILLIS);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(SILENCE_MILLIS);
+            InputStream in =
+                    mHabit == Habit.SLOW
+                            ? new SlowStream(socket.getInputStream())
+                            : new BufferedInputStream(socket.getInputStream());
+            return new CallerConnection(socket, in);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** Sends on a connection, and returns whether it can be used again. */
+    private boolean use(CallerConnection connection) throws IOException {
+        HttpReader reader = connection.reader();
+        List<PlannedRequest> requests = nextRequests();
+        List<Long> sentMillis = new ArrayList<>();
+        String failure = send(requests, connection.out(), sentMillis);
         boolean isOpen = true;
-        while (isOpen && !mEnvironment.isOver().getAsBoolean()) {
-            List<PlannedRequest> requests = nextRequests();
-            List<Long> sentMillis = new ArrayList<>();
-            String failure = send(requests, socket.getOutputStream(), sentMillis);
-            for (int i = 0; i < sentMillis.size(); i++) {
-                Exchange exchange =
-                        isOpen
-                                ? receive(requests.get(i), i > 0, sentMillis.get(i), reader)
-                                : ended(requests.get(i), i > 0, sentMillis.get(i), reader, failure);
-                mEnvironment.exchanges().accept(exchange);
-                if (!exchange.isWhole()) {
-                    failure = exchange.failure();
-                }
-                if (!exchange.isServed()) {
-                    pause(AFTER_FAILURE_MILLIS);
-                }
-                isOpen = exchange.isWhole() && !isLast(exchange);
-                reader.begin();
+        for (int i = 0; i < sentMillis.size(); i++) {
+            Exchange exchange =
+                    isOpen
+                            ? receive(requests.get(i), i > 0, sentMillis.get(i), reader)
+                            : ended(requests.get(i), i > 0, sentMillis.get(i), reader, failure);
+            mEnvironment.exchanges().accept(exchange);
+            if (!exchange.isWhole()) {
+                failure = exchange.failure();
             }
-            isOpen = isOpen && failure.isEmpty() && mHabit != Habit.FRESH;
+            if (!exchange.isServed()) {
+                pause(AFTER_FAILURE_MILLIS);
+            }
+            isOpen = exchange.isWhole() && !reader.isEndedByClose() && !isLast(exchange);
+            reader.begin();
         }
+        return isOpen && failure.isEmpty() && mHabit != Habit.FRESH;
     }
 
     private List<PlannedRequest> nextRequests() {
-        PlannedRequest first = mSource.next();
+        PlannedRequest first = mSource.get();
         if (mHabit != Habit.PIPELINED || !first.isIdempotent() || first.bodyBytes() > 0) {
             return List.of(first);
         }
-        PlannedRequest second = mSource.next();
+        PlannedRequest second = mSource.get();
         while (!second.isIdempotent() || second.bodyBytes() > 0) {
-            second = mSource.next();
+            second = mSource.get();
         }
         return List.of(first, second);
     }
@@ -172,7 +209,7 @@
                         KvDialect.REQUEST_ID,
                         request.id(),
                         KvDialect.TIMEOUT,
-                        RequestSource.TIMEOUT_MILLIS,
+                        request.timeoutMillis(),
                         length)
                 .getBytes(StandardCharsets.US_ASCII);
     }
@@ -182,10 +219,14 @@
         reader.begin();
         try {
             reader.readHead();
-            reader.readBody();
+            reader.readResponseBody();
         } catch (IOException e) {
             return ended(request, isBehind, sentMillis, reader, e.toString());
         }
+        boolean isExact = Arrays.equals(reader.body(), request.answer());
+        if (reader.isEndedByClose() && !isExact) {
+            return ended(request, isBehind, sentMillis, reader, "the connection ended in a body");
+        }
         return new Exchange(
                 request,
                 mEntry,
@@ -195,7 +236,7 @@
                 reader.head(),
                 reader.bytes(),
                 true,
-                Arrays.equals(reader.body(), request.answer()),
+                isExact,
                 "");
     }
 
--- a/src/main/java/org/apricotgauge/bench/soak/SoakNode.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakNode.java
@@ -156,11 +156,15 @@
     }
 
     private void restartAfterExit(NodeProcess process, PlannedSignal planned) {
+        long upMillis = mMillis.getAsLong() + planned.downMillis();
         process.onExit()
                 .thenRun(
                         () -> {
                             record(Signal.Kind.ENDED);
-                            later(() -> restart(planned), planned.restartMillis());
+                            long leftMillis = upMillis - mMillis.getAsLong();
+                            later(
+                                    () -> restart(planned),
+                                    Math.max(planned.restartMillis(), leftMillis));
                         });
     }
 
--- a/src/main/java/org/apricotgauge/bench/soak/SoakResult.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakResult.java
@@ -1,7 +1,10 @@
 package org.apricotgauge.bench.soak;
 
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.stream.Collectors;
 
 /**
@@ -10,8 +13,11 @@
  * @param findings one for each request
  * @param signals all signals
  * @param notReady nodes that were not ready in time at the start
+ * @param loadAverage the machine's load average over one minute, at its highest
+ * @param logs the nodes' logs
  */
-public record SoakResult(List<Finding> findings, Signals signals, int notReady) {
+public record SoakResult(
+        List<Finding> findings, Signals signals, int notReady, double loadAverage, NodeLogs logs) {
     /** Copies the findings. */
     public SoakResult {
         findings = List.copyOf(findings);
@@ -41,9 +47,29 @@
         return findings.stream().filter(finding -> !finding.verdict().isAllowed()).toList();
     }
 
-    /** Returns a line for each request whose treatment is not allowed. */
+    /** Returns for each request whose treatment is not allowed a line, and what nodes logged. */
     public String faultLines() {
-        return lines(faults());
+        StringBuilder lines = new StringBuilder();
+        for (Finding fault : faults()) {
+            lines.append(fault.line(signals)).append('\n');
+            logs.of(fault.exchange()).forEach(line -> lines.append(line).append('\n'));
+        }
+        return lines.toString();
+    }
+
+    /** Returns the counts that are of interest over many soaks. */
+    Tally tally() {
+        Map<String, Long> counts = new LinkedHashMap<>();
+        counts.put("requests", (long) findings.size());
+        for (Verdict verdict : Verdict.values()) {
+            counts.put(verdict.name().toLowerCase(Locale.ROOT), count(verdict));
+        }
+        counts.put("stops", signals.count(Signal.Kind.STOP));
+        counts.put("killed_late", signals.killedLate());
+        counts.put("ended_late", signals.endedLate());
+        counts.put("not_ready", (long) notReady);
+        counts.put("not_sound", isSound() ? 0L : 1L);
+        return new Tally(counts);
     }
 
     /** Returns a line for each request that is excused. */
@@ -66,6 +92,7 @@
         Arrays.stream(Signal.Kind.values())
                 .forEach(kind -> row(table, "signal " + kind.name(), signals.count(kind)));
         row(table, "nodes not ready", notReady);
+        table.append("load average %.1f%n".formatted(loadAverage));
         return table.append(isSound() ? "sound\n" : "NOT SOUND\n").toString();
     }
 
--- a/src/main/java/org/apricotgauge/bench/soak/SoakSettings.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakSettings.java
@@ -13,6 +13,8 @@
  * @param nodes how many nodes
  * @param domains how many failure domains
  * @param callers callers of each node
+ * @param burstCallers further callers of each node, which send in bursts
+ * @param work what callers send
  * @param killMillis time from SIGTERM until a process that is still there is killed
  * @param classPaths class path of the build that each node runs; they are dealt out in turn
  * @param series order of the stops; absent to draw it
@@ -24,6 +26,8 @@
         int nodes,
         int domains,
         int callers,
+        int burstCallers,
+        WorkKind work,
         long killMillis,
         List<String> classPaths,
         Optional<Series> series,
@@ -34,6 +38,8 @@
         Checks.inRange("nodes", nodes, 1, Integer.MAX_VALUE);
         Checks.inRange("domains", domains, 1, nodes);
         Checks.inRange("callers", callers, 1, Integer.MAX_VALUE);
+        Checks.inRange("burstCallers", burstCallers, 0, Integer.MAX_VALUE);
+        Checks.notNull("work", work);
         Checks.inRange("killMillis", killMillis, SoakFleet.STOP_MILLIS, Integer.MAX_VALUE);
         classPaths = List.copyOf(classPaths);
         Checks.notNull("series", series);
--- a/src/main/java/org/apricotgauge/bench/soak/SoakTarget.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakTarget.java
@@ -11,6 +11,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apricotgauge.model.Checks;
@@ -27,6 +28,7 @@
     private final Consumer<RunRecord> mRuns;
     private final ExecutorService mThreads;
     private final ServerSocket mServer;
+    private final AtomicInteger mRunning = new AtomicInteger();
 
     /**
      * Opens the target.
@@ -72,9 +74,10 @@
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             HttpReader reader = new HttpReader(in);
-            while (true) {
+            Framing framing = Framing.LENGTH;
+            while (framing != Framing.CLOSE) {
                 reader.begin();
-                run(reader.readHead(), reader, socket, in);
+                framing = run(reader.readHead(), reader, socket, in);
             }
         } catch (IOException e) {
             // The guard closes idle connections, and breaks off those of cancelled runs.
@@ -82,12 +85,14 @@
         }
     }
 
-    private void run(HttpReader.Head head, HttpReader reader, Socket socket, InputStream in)
+    /** Runs a request, and returns how its answer ended. */
+    private Framing run(HttpReader.Head head, HttpReader reader, Socket socket, InputStream in)
             throws IOException {
         long startMillis = mMillis.getAsLong();
         PlannedRequest request = PlannedRequest.ofPath(head.firstLine().split(" ", 3)[1]);
         long plannedEndMillis = startMillis + request.runMillis();
         boolean isWhole = false;
+        mRunning.incrementAndGet();
         try {
             reader.readBody();
             answer(request, plannedEndMillis, socket, in);
@@ -101,7 +106,14 @@
                             plannedEndMillis,
                             mMillis.getAsLong(),
                             isWhole));
+            mRunning.decrementAndGet();
         }
+        return request.framing();
+    }
+
+    /** Returns how many requests run now. */
+    int running() {
+        return mRunning.get();
     }
 
     private void answer(
@@ -121,7 +133,7 @@
             waitUntil(plannedEndMillis, socket, in);
             writePart(out, request, body, body.length / 2, body.length);
         }
-        if (request.isChunked()) {
+        if (request.framing() == Framing.CHUNKED) {
             out.write(ascii("0\r\n\r\n"));
         }
         out.flush();
@@ -129,9 +141,11 @@
 
     private byte[] head(PlannedRequest request) {
         String length =
-                request.isChunked()
-                        ? "Transfer-Encoding: chunked"
-                        : "Content-Length: " + request.answerBytes();
+                switch (request.framing()) {
+                    case LENGTH -> "Content-Length: " + request.answerBytes();
+                    case CHUNKED -> "Transfer-Encoding: chunked";
+                    case CLOSE -> "Connection: close";
+                };
         return ascii(
                 "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: soak-%d\r\n%s\r\n\r\n"
                         .formatted(
@@ -145,11 +159,11 @@
     private static void writePart(
             OutputStream out, PlannedRequest request, byte[] body, int from, int to)
             throws IOException {
-        if (request.isChunked()) {
+        if (request.framing() == Framing.CHUNKED) {
             out.write(ascii(Integer.toHexString(to - from) + "\r\n"));
         }
         out.write(body, from, to - from);
-        if (request.isChunked()) {
+        if (request.framing() == Framing.CHUNKED) {
             out.write(ascii("\r\n"));
         }
     }
--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -229,7 +229,19 @@
     /** Writes the entry of a target that is ready, with its failure domain and slots. */
     public void registerReady(
             String name, String service, String address, String zone, int slots, long sequence) {
-        write(name, entry(service, address, zone, slots, READY, sequence));
+        register(name, service, address, zone, slots, READY, sequence);
+    }
+
+    /** Writes as {@link #registerReady}, with the target's state. */
+    public void register(
+            String name,
+            String service,
+            String address,
+            String zone,
+            int slots,
+            String state,
+            long sequence) {
+        write(name, entry(service, address, zone, slots, state, sequence));
     }
 
     private void write(String name, String entry) {
--- a/src/test/java/org/apricotgauge/bench/soak/JudgeTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/JudgeTest.java
@@ -20,7 +20,8 @@
     private static final long SENT = 10_000;
 
     private static PlannedRequest request(boolean isIdempotent) {
-        return new PlannedRequest(ID, "desk", isIdempotent, 4_000, 0, 200, false, 0);
+        return new PlannedRequest(
+                ID, "desk", isIdempotent, 8_000, 4_000, 0, 200, Framing.LENGTH, 0);
     }
 
     private static Exchange whole(
--- a/src/test/java/org/apricotgauge/functional/ProcessSoakTest.java
+++ b/src/test/java/org/apricotgauge/functional/ProcessSoakTest.java
@@ -10,6 +10,7 @@
 import org.apricotgauge.bench.soak.SoakFleet;
 import org.apricotgauge.bench.soak.SoakResult;
 import org.apricotgauge.bench.soak.SoakSettings;
+import org.apricotgauge.bench.soak.WorkKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -36,6 +37,8 @@
                         NODES,
                         DOMAINS,
                         CALLERS,
+                        0,
+                        WorkKind.MIXED,
                         KILL_MILLIS,
                         List.of(System.getProperty("java.class.path")),
                         Optional.of(Series.STAGGERED),
