--- a/src/main/java/org/apricotgauge/bench/soak/NodeLogs.java
+++ b/src/main/java/org/apricotgauge/bench/soak/NodeLogs.java
@@ -17,7 +17,7 @@
 /** Lines of the nodes' logs that tell what became of a request. */
 final class NodeLogs {
     private static final Pattern TIME = Pattern.compile("^\\{\"time\":\"([^\"]+)\"");
-    private static final Pattern STOP = Pattern.compile("\"message\":\"[^\"]*[Ss]top");
+    private static final Pattern STOP = Pattern.compile("\"message\":\"[Ss]top");
     private static final int MAX_LINE_CHARS = 2_000;
 
     /** How long before a request and after its end its entry's lines on a stop are of interest. */
--- a/src/test/java/org/apricotgauge/bench/soak/JudgeTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/JudgeTest.java
@@ -44,6 +44,17 @@
         return whole(true, SENT + 4_000, 200, headers);
     }
 
+    private static Exchange unknown(int timeoutMillis, long endMillis) {
+        HttpReader.Head head =
+                new HttpReader.Head(
+                        "HTTP/1.1 504 Told",
+                        Map.of(lower(HeaderNames.OUTCOME), HeaderNames.OUTCOME_UNKNOWN));
+        PlannedRequest request =
+                new PlannedRequest(
+                        ID, "desk", true, timeoutMillis, 3_600, 0, 200, Framing.LENGTH, 0);
+        return new Exchange(request, ENTRY, false, SENT, endMillis, head, 170, true, false, "");
+    }
+
     private static Exchange broken(boolean isIdempotent, long endMillis, long bytes) {
         return new Exchange(
                 request(isIdempotent),
@@ -224,4 +235,120 @@
         Exchange early = told(true, SENT + 7_500, 504, HeaderNames.OUTCOME_UNKNOWN);
         assertThat(judge(early, runs).excuse()).isEmpty();
     }
+
+    // Guards against a deadline of another kind of work that excuses a request with time left, or
+    // does not excuse one that had none.
+    @Test
+    void theDeadlineIsTheRequestsOwn() {
+        List<RunRecord> runs = List.of(run(GUARD, SENT, SENT + 3_600));
+        assertThat(judge(unknown(3_000, SENT + 3_000), runs).excuse()).contains(Excuse.DEADLINE);
+        assertThat(judge(unknown(3_000, SENT + 2_799), runs).excuse()).isEmpty();
+        assertThat(judge(unknown(8_000, SENT + 3_000), runs).excuse()).isEmpty();
+    }
+
+    // Guards against an entry that stops, gives up a run for the guard's silence and tells 504, as
+    // callers saw it.
+    @Test
+    void anOwnAnswerInThePlaceOfARunAtWorkIsLost() {
+        Exchange told = unknown(3_000, SENT + 2_370);
+        Signal stop = stop(ENTRY, SENT - 2_100);
+        RunRecord brokenOff =
+                new RunRecord(ID, GUARD, SENT + 10, SENT + 2_900, SENT + 1_000, false);
+        assertThat(judge(told, List.of(brokenOff), stop).verdict())
+                .isEqualTo(Verdict.LOST_STOPPING);
+        RunRecord goingOn = new RunRecord(ID, GUARD, SENT + 10, SENT + 2_900, SENT + 2_901, true);
+        assertThat(judge(told, List.of(goingOn), stop).verdict()).isEqualTo(Verdict.LOST_STOPPING);
+        RunRecord later = new RunRecord(ID, GUARD, SENT + 2_400, SENT + 2_900, SENT + 2_901, true);
+        assertThat(judge(told, List.of(later), stop).verdict()).isEqualTo(Verdict.LOST_STOPPING);
+    }
+
+    // Guards against a refusal that passes for true since the run, broken off before, would have
+    // ended by then.
+    @Test
+    void aRefusalAfterARunThatWasBrokenOffIsLost() {
+        Exchange refused = told(true, SENT + 2_000, 503, HeaderNames.OUTCOME_NOT_RUN);
+        RunRecord brokenOff = new RunRecord(ID, GUARD, SENT, SENT + 1_500, SENT + 1_000, false);
+        assertThat(judge(refused, List.of(brokenOff), stop(ENTRY, SENT - 1_000)).verdict())
+                .isEqualTo(Verdict.LOST_STOPPING);
+        RunRecord ended = new RunRecord(ID, GUARD, SENT, SENT + 1_500, SENT + 1_500, true);
+        assertThat(judge(refused, List.of(ended)).verdict()).isEqualTo(Verdict.REFUSED);
+    }
+
+    // Guards against a refusal that passes for true since the run began after it was told.
+    @Test
+    void aRefusalBeforeARunBeginsIsLost() {
+        Exchange refused = told(true, SENT + 2_000, 503, HeaderNames.OUTCOME_NOT_RUN);
+        RunRecord later = new RunRecord(ID, GUARD, SENT + 2_200, SENT + 2_600, SENT + 2_600, true);
+        assertThat(judge(refused, List.of(later)).verdict()).isEqualTo(Verdict.LOST_UNSIGNALLED);
+        Exchange limited = told(true, SENT + 2_000, 429, HeaderNames.OUTCOME_NOT_RUN);
+        assertThat(judge(limited, List.of(later)).verdict()).isEqualTo(Verdict.LOST_UNSIGNALLED);
+    }
+
+    // Guards against a request that is read, and dropped as its entry's port closes, passing for
+    // one that crossed the end of its connection.
+    @Test
+    void aConnectionThatEndsLaterThanTheSlackIsALoss() {
+        Signal stop = stop(ENTRY, SENT - 3_270);
+        assertThat(judge(broken(true, SENT + 200, 0), List.of(), stop).verdict())
+                .isEqualTo(Verdict.CROSSED);
+        assertThat(judge(broken(true, SENT + 201, 0), List.of(), stop).verdict())
+                .isEqualTo(Verdict.LOST_STOPPING);
+    }
+
+    // Guards against a loss that passes for unread since the request was behind another, though it
+    // was passed on.
+    @Test
+    void aRequestBehindAnotherIsExcusedOnlyIfItWasNotPassedOn() {
+        Exchange behind =
+                new Exchange(
+                        request(true),
+                        ENTRY,
+                        true,
+                        SENT,
+                        SENT + 2_000,
+                        null,
+                        0,
+                        false,
+                        false,
+                        "java.io.EOFException: the connection ended");
+        Signal stop = stop(ENTRY, SENT - 1_000);
+        assertThat(judge(behind, List.of(), stop).verdict()).isEqualTo(Verdict.CROSSED);
+        assertThat(judge(behind, List.of(run(GUARD, SENT, SENT + 2_500)), stop).verdict())
+                .isEqualTo(Verdict.LOST_STOPPING);
+    }
+
+    // Guards against losses late in a stop that pass for losses without one: the process may be
+    // there for a second after its time.
+    @Test
+    void aStopCountsUntilASecondAfterItsTime() {
+        Signal started = new Signal(ENTRY, Kind.STARTED, SENT - 10);
+        Exchange cut = broken(true, SENT + 500, 0);
+        assertThat(judge(cut, List.of(), stop(ENTRY, SENT - 7_000), started).verdict())
+                .isEqualTo(Verdict.LOST_STOPPING);
+        assertThat(judge(cut, List.of(), stop(ENTRY, SENT - 7_001), started).verdict())
+                .isEqualTo(Verdict.LOST_UNSIGNALLED);
+    }
+
+    // Guards against an excuse by the guard's end, which the rule does not list, at an entry that
+    // stops.
+    @Test
+    void aGuardsEndExcusesNothingAtAnEntryThatStops() {
+        Exchange cut = broken(false, SENT + 5_900, 100);
+        List<RunRecord> runs = List.of(run(GUARD, SENT, SENT + 6_050));
+        Signal guardStop = stop(GUARD, SENT + 100);
+        assertThat(judge(cut, runs, guardStop).excuse()).contains(Excuse.GUARD_OUT_OF_TIME);
+        Finding finding = judge(cut, runs, guardStop, stop(ENTRY, SENT + 1_500));
+        assertThat(finding.excuse()).isEmpty();
+        assertThat(finding.verdict()).isEqualTo(Verdict.LOST_STOPPING);
+    }
+
+    // Guards against the excuse of the entry's last sixth for a request sent too late for it.
+    @Test
+    void onlyRequestsSentSoonAfterTheSignalAreExcused() {
+        List<RunRecord> runs = List.of(run(GUARD, SENT, SENT + 2_900));
+        Exchange cut = broken(true, SENT + 2_500, 100);
+        assertThat(judge(cut, runs, stop(ENTRY, SENT - 3_000)).excuse())
+                .contains(Excuse.ENTRY_OUT_OF_TIME);
+        assertThat(judge(cut, runs, stop(ENTRY, SENT - 3_001)).excuse()).isEmpty();
+    }
 }
