Tell how late the soak itself was beside each fault

Cause: at a load average of 80 a caller may see the end of a connection long after it, so that a request which crossed it looks like one that was dropped 200 ms after it was sent.

Change: a thread of the soak measures its own lag; the line of a fault tells the greatest one around it. No verdict depends on it.

--- a/src/main/java/org/apricotgauge/bench/soak/SoakFleet.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakFleet.java
@@ -79,6 +79,8 @@
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
     private final SoakPlatform mPlatform;
     private final LoadAverage mLoadAverage = new LoadAverage();
+    private final ScheduledExecutorService mLagTimer = Executors.newScheduledThreadPool(1);
+    private final SoakLag mLag = new SoakLag(this::millis);
 
     /** Opens platform and targets; no node runs yet. */
     public SoakFleet(SoakSettings settings) throws IOException {
@@ -192,6 +194,7 @@
     public SoakResult run() throws IOException, InterruptedException {
         int notReady = start();
         if (notReady == 0) {
+            mLag.start(mLagTimer);
             startCallers();
             sendSignals();
         }
@@ -208,6 +211,7 @@
                 signals,
                 notReady,
                 mLoadAverage.max(),
+                mLag,
                 NodeLogs.read(
                         IntStream.range(0, mNodes.size()).mapToObj(this::log).toList(), mStart));
     }
@@ -356,6 +360,7 @@
         mIsOver.set(true);
         endProcesses();
         mTimer.shutdownNow();
+        mLagTimer.shutdownNow();
         mCallerThreads.shutdownNow();
         mTargetThreads.shutdownNow();
         for (SoakTarget target : mTargets) {
--- a/src/main/java/org/apricotgauge/bench/soak/SoakResult.java
+++ b/src/main/java/org/apricotgauge/bench/soak/SoakResult.java
@@ -14,10 +14,18 @@
  * @param signals all signals
  * @param notReady nodes that were not ready in time at the start
  * @param loadAverage the machine's load average over one minute, at its highest
+ * @param lag how late the soak's own threads were
  * @param logs the nodes' logs
  */
 public record SoakResult(
-        List<Finding> findings, Signals signals, int notReady, double loadAverage, NodeLogs logs) {
+        List<Finding> findings,
+        Signals signals,
+        int notReady,
+        double loadAverage,
+        SoakLag lag,
+        NodeLogs logs) {
+    private static final long LAG_MARGIN_MILLIS = 500;
+
     /** Copies the findings. */
     public SoakResult {
         findings = List.copyOf(findings);
@@ -51,12 +59,18 @@
     public String faultLines() {
         StringBuilder lines = new StringBuilder();
         for (Finding fault : faults()) {
-            lines.append(fault.line(signals)).append('\n');
+            lines.append(fault.line(signals)).append(lag(fault.exchange())).append('\n');
             logs.of(fault.exchange()).forEach(line -> lines.append(line).append('\n'));
         }
         return lines.toString();
     }
 
+    private String lag(Exchange exchange) {
+        long fromMillis = exchange.sentMillis() - LAG_MARGIN_MILLIS;
+        long toMillis = exchange.endMillis() + LAG_MARGIN_MILLIS;
+        return "; the soak itself late by %d ms".formatted(lag.max(fromMillis, toMillis));
+    }
+
     /** Returns the counts that are of interest over many soaks. */
     Tally tally() {
         Map<String, Long> counts = new LinkedHashMap<>();
--- a/src/test/java/org/apricotgauge/bench/soak/TallyTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/TallyTest.java
@@ -24,7 +24,12 @@
                         "cut");
         Judge judge = new Judge(new Signals(signals), List.of(), SoakFleet.STOP_MILLIS);
         return new SoakResult(
-                List.of(judge.judge(cut)), new Signals(signals), 0, 0, new NodeLogs(List.of()));
+                List.of(judge.judge(cut)),
+                new Signals(signals),
+                0,
+                0,
+                new SoakLag(() -> 0),
+                new NodeLogs(List.of()));
     }
 
     // Guards against a loss or a late kill of one seed that the total of all does not tell.
