--- a/src/main/java/org/apricotgauge/bench/soak/Exchange.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Exchange.java
@@ -9,6 +9,7 @@
  * @param request the request
  * @param entry number of the node that it was sent to
  * @param isBehind whether it was sent behind another request on its connection
+ * @param begunMillis when its first byte was sent, from which its deadline counts
  * @param sentMillis when its last byte was sent
  * @param endMillis when its answer was whole, or its connection ended
  * @param head head of the answer; null if none arrived
@@ -21,6 +22,7 @@
         PlannedRequest request,
         int entry,
         boolean isBehind,
+        long begunMillis,
         long sentMillis,
         long endMillis,
         HttpReader.Head head,
--- a/src/main/java/org/apricotgauge/bench/soak/Judge.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Judge.java
@@ -145,7 +145,7 @@
                 || runs.stream().anyMatch(run -> isKilledAfterPause(run.node(), run.endMillis()))) {
             return Optional.of(Excuse.NODE_PAUSED);
         }
-        long tookMillis = exchange.endMillis() - exchange.sentMillis();
+        long tookMillis = exchange.endMillis() - exchange.begunMillis();
         if (tookMillis >= exchange.request().timeoutMillis() - TOLERANCE_MILLIS) {
             return Optional.of(Excuse.DEADLINE);
         }
--- a/src/test/java/org/apricotgauge/bench/soak/NodeLogsTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/NodeLogsTest.java
@@ -20,6 +20,7 @@
                     ENTRY,
                     false,
                     10_000,
+                    10_000,
                     12_000,
                     null,
                     0,
--- a/src/test/java/org/apricotgauge/bench/soak/TallyTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/TallyTest.java
@@ -16,6 +16,7 @@
                         0,
                         false,
                         10_000,
+                        10_000,
                         12_000,
                         null,
                         10,
