Read fewer threads' figures while nodes of a soak stop

Cause: every 20 ms the soak read two files for each thread of each stopping process, .7 to 1.2 ms a time; a dozen that stop at once take over half a core from the nodes.

Change: threads whose name is another one are looked at again at every tenth sample only, since a thread that has not run yet has its creator's name.

ProcessorWaitTest passes, with a test of a thread that is named later.

--- a/src/main/java/org/apricotgauge/bench/soak/ProcessorWait.java
+++ b/src/main/java/org/apricotgauge/bench/soak/ProcessorWait.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -27,10 +28,18 @@
 final class ProcessorWait {
     private static final Logger LOGGER = Logger.getLogger(ProcessorWait.class);
 
+    /**
+     * Threads with another name are looked at again at every tenth sample: one that has not run yet
+     * has its creator's name.
+     */
+    private static final int OTHERS_EVERY = 10;
+
     private final Path mProcess;
     private final Set<String> mThreadNames;
+    private final Set<String> mOtherThreads = new HashSet<>();
     private final Map<String, Long> mFirstNanos = new HashMap<>();
     private final Map<String, Long> mLastNanos = new HashMap<>();
+    private long mSamples;
 
     private ProcessorWait(Path process, Set<String> threadNames) {
         mProcess = Checks.notNull("process", process);
@@ -54,6 +63,7 @@
 
     /** Reads the threads' figures; nothing once the process has ended. */
     synchronized void sample() {
+        mSamples++;
         try (DirectoryStream<Path> threads = Files.newDirectoryStream(mProcess.resolve("task"))) {
             for (Path thread : threads) {
                 sampleThread(thread);
@@ -64,12 +74,18 @@
     }
 
     private void sampleThread(Path thread) {
+        String number = thread.getFileName().toString();
+        if (mOtherThreads.contains(number) && mSamples % OTHERS_EVERY != 0) {
+            return;
+        }
         try {
             if (!mThreadNames.contains(Files.readString(thread.resolve("comm")).strip())) {
+                mOtherThreads.add(number);
                 return;
             }
+            mOtherThreads.remove(number);
             String[] figures = Files.readString(thread.resolve("schedstat")).strip().split(" ");
-            mLastNanos.put(thread.getFileName().toString(), Long.parseLong(figures[1]));
+            mLastNanos.put(number, Long.parseLong(figures[1]));
         } catch (IOException e) {
             LOGGER.debugf("thread %s has ended: %s", thread, e);
         }
--- a/src/test/java/org/apricotgauge/bench/soak/ProcessorWaitTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/ProcessorWaitTest.java
@@ -38,6 +38,21 @@
         assertThat(wait.millis()).isZero();
     }
 
+    // Guards against the waits of a thread that got no processor to take its name in.
+    @Test
+    void aThreadThatIsNamedLaterCounts() throws IOException {
+        ProcessorWait wait = ProcessorWait.startAt(mProcess, Set.of(DRAIN));
+        write("100", "0 3000000 1");
+        Files.writeString(mProcess.resolve("task/100/comm"), "main\n");
+        wait.sample();
+        write("100", "500 9000000 2");
+        for (int i = 0; i < 10; i++) {
+            wait.sample();
+        }
+
+        assertThat(wait.millis()).isEqualTo(9);
+    }
+
     // Guards against a thread that ends and takes its waits along.
     @Test
     void threadThatHasEndedStillCounts() throws IOException {
