Tell in a fault's line how its request was to run

Change: the line has the request's body, run, timeout, pause, answer and framing.

Conclusion: a reader sees from the line whether the guard could have held the answer.

--- a/src/main/java/org/apricotgauge/bench/soak/Finding.java
+++ b/src/main/java/org/apricotgauge/bench/soak/Finding.java
@@ -24,12 +24,13 @@
     String line(Signals signals) {
         long sent = exchange.sentMillis();
         String text =
-                "%s%s %s %s entry %d at %.3f, end %+.3f, status %d %s %s, %d bytes%s; entry %s"
+                "%s%s %s %s (%s) entry %d at %.3f, end %+.3f, status %d %s %s, %d bytes%s; entry %s"
                         .formatted(
                                 verdict,
                                 excuse.map(reason -> " (" + reason + ")").orElse(""),
                                 exchange.request().id(),
                                 exchange.request().isIdempotent() ? "idempotent" : "once",
+                                plan(),
                                 exchange.entry(),
                                 sent / MILLIS_PER_SECOND,
                                 seconds(exchange.endMillis() - sent),
@@ -44,6 +45,18 @@
                 .collect(Collectors.joining("", text, ""));
     }
 
+    private String plan() {
+        PlannedRequest request = exchange.request();
+        return "body %d, run %d of %d ms, pause %d, answer %d %s"
+                .formatted(
+                        request.bodyBytes(),
+                        request.runMillis(),
+                        request.timeoutMillis(),
+                        request.pauseMillis(),
+                        request.answerBytes(),
+                        request.framing());
+    }
+
     private String times(RunRecord run) {
         long sent = exchange.sentMillis();
         return String.format(
--- a/src/test/java/org/apricotgauge/bench/soak/TallyTest.java
+++ b/src/test/java/org/apricotgauge/bench/soak/TallyTest.java
@@ -53,4 +53,13 @@
                 .containsEntry("not_sound", 2L);
         assertThat(total.line()).startsWith("requests=2 served=0 ");
     }
+
+    // Guards against a fault whose line does not tell which kind of answer was cut.
+    @Test
+    void aFaultsLineTellsHowItWasToRun() {
+        assertThat(result(List.of()).faultLines())
+                .startsWith("LOST_UNSIGNALLED a1 idempotent (body 0, run 600 of 3000 ms, pause 0,")
+                .contains("answer 200 LENGTH) entry 0 at 10.000, end +2.000, status 0")
+                .endsWith("; the soak itself late by 0 ms\n");
+    }
 }
