Log when the kill is due, and a last line once the ports are closed

Change: `stop begins` is logged first thing by the thread that stops the node (before: by the worker, and never in a stop during the start) and tells when the kill is due. `process ends` follows the close of all that callers and other nodes notice; it has the time since the signal, how long each port and the rest took to close, and how many connections had a request in flight, unread or unsent bytes. ServerConnections counts these: unread includes bytes in the kernel, unsent those that the kernel has not taken. Jetty counts a response as sent once its last bytes are written, so unsent answers count as in flight beside its counts.

--- a/src/main/java/org/apricotgauge/http/DisconnectDetectingEndPoint.java
+++ b/src/main/java/org/apricotgauge/http/DisconnectDetectingEndPoint.java
@@ -145,6 +145,26 @@
         return super.fill(buffer);
     }
 
+    /** Returns whether the caller has sent bytes that the connection has not read. */
+    boolean hasUnreadInput() {
+        synchronized (mLock) {
+            if (hasReadAhead()) {
+                return true;
+            }
+        }
+        try {
+            return getChannel().socket().getInputStream().available() > 0;
+        } catch (IOException e) {
+            LOGGER.debugf("a connection that has ended has nothing to read: %s", e);
+            return false;
+        }
+    }
+
+    /** Returns whether bytes of an answer wait until the caller reads more. */
+    boolean hasUnsentOutput() {
+        return getWriteFlusher().isPending();
+    }
+
     private boolean hasReadAhead() {
         return mReadAhead != null && mReadAhead.hasRemaining();
     }
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -435,12 +435,14 @@
     void drainForExit() throws InterruptedException {
         if (mPhase.get() != NodePhase.STOPPING && mStop.begin(mProfile.drainMillis())) {
             awaitDrained();
-            closeParts();
+            ProcessReport.logEnd(closeParts());
         }
     }
 
     private void awaitDrained() throws InterruptedException {
         mPhase.set(NodePhase.STOPPING);
+        ProcessReport.logBegin(
+                mStop.remainingMillis(), mProfile.killMillis(), mStopNotices.peerCount());
         recordStopPhase(StopPhase.ANNOUNCED);
         IdleWait wait = new IdleWait(mStop, this::inFlight);
         wait.awaitRemaining(mProfile.drainMillis() - mProfile.announceMillis());
@@ -457,8 +459,7 @@
         if (mGuardServer.isRunning()) {
             new GuardLinger(mStop, mGuardServer).await();
         }
-        long tookMillis = mProfile.drainMillis() - mStop.remainingMillis();
-        StopReport.log(mRegistry, tookMillis, inFlight());
+        StopReport.log(mRegistry, mStop.elapsedMillis(), inFlight());
     }
 
     private int inFlight() {
@@ -475,12 +476,13 @@
         mHttp.stopThreads();
     }
 
-    private synchronized void closeParts() {
+    private synchronized ProcessReport.ProcessEnded closeParts() {
         mPhase.set(NodePhase.STOPPING);
         mEntry.endAll();
-        // What the servers still answer needs the state of the other parts.
-        NodeHttp.stop(mCallerServer::stop);
-        NodeHttp.stop(mGuardServer::stop);
+        return new NodeClose(mStop, mTicker, mCallerServer, mGuardServer).close(this::closeOthers);
+    }
+
+    private void closeOthers() {
         NodeHttp.stop(mControl::close);
         mHealthReports.ifPresent(reports -> NodeHttp.stop(reports::close));
         NodeHttp.stop(mDatagrams::close);
--- a/src/main/java/org/apricotgauge/node/NodeProfile.java
+++ b/src/main/java/org/apricotgauge/node/NodeProfile.java
@@ -12,6 +12,7 @@
  *
  * @param vm the node's own VM, with the configured ports; 0 for any free one
  * @param drainMillis maximum time that a stop takes
+ * @param killMillis when the platform kills a process that has not ended, counted from its signal
  * @param announceMillis how long a stopping node serves as before, until callers and peers know of
  *     the stop
  * @param maxCallerConnections maximum number of concurrent connections of callers
@@ -29,6 +30,7 @@
 record NodeProfile(
         Vm vm,
         long drainMillis,
+        long killMillis,
         long announceMillis,
         int maxCallerConnections,
         Set<String> readyPaths,
--- a/src/main/java/org/apricotgauge/node/NodeSettings.java
+++ b/src/main/java/org/apricotgauge/node/NodeSettings.java
@@ -121,6 +121,7 @@
         return new NodeProfile(
                 new Vm(vm, failureDomain, host, callerPort, guardPort, peerPort, adminPort),
                 drainMillis,
+                drainMillis,
                 Node.ANNOUNCE_MILLIS,
                 maxCallerConnections,
                 Set.of(),
--- a/src/main/java/org/apricotgauge/node/SidecarSettings.java
+++ b/src/main/java/org/apricotgauge/node/SidecarSettings.java
@@ -284,7 +284,8 @@
      * Returns the settings of the node, with the dialect and the readiness path of its platform.
      */
     NodeProfile profile(SiteDialect dialect, String readyPath) {
-        long stopMillis = (long) (stopSeconds * MILLIS_PER_SECOND) - STOP_RESERVE_MILLIS;
+        long killMillis = (long) (stopSeconds * MILLIS_PER_SECOND);
+        long stopMillis = killMillis - STOP_RESERVE_MILLIS;
         return new NodeProfile(
                 new Vm(
                         guard.host(),
@@ -295,6 +296,7 @@
                         0,
                         admin.port()),
                 stopMillis,
+                killMillis,
                 Math.min(ANNOUNCE_MILLIS, stopMillis / 2),
                 CALLER_CONNECTIONS,
                 Set.of(readyPath),
--- a/src/main/java/org/apricotgauge/node/StopNotices.java
+++ b/src/main/java/org/apricotgauge/node/StopNotices.java
@@ -13,7 +13,6 @@
 import java.util.function.Supplier;
 import org.apricotgauge.decision.TokenBucket;
 import org.apricotgauge.log.BoundedLog;
-import org.apricotgauge.log.StateLog;
 import org.apricotgauge.model.Address;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.stop.PeerStops;
@@ -53,7 +52,6 @@
     private final Random mRandom;
     private final Ticker mTicker;
     private final PeerStops mPeerStops;
-    private final StateLog mLog = new StateLog(LOGGER);
     private final BoundedLog mPeerLog;
     private final Counter mSent;
     private final Counter mReceived;
@@ -71,8 +69,6 @@
         void send(byte[] bytes, Address to);
     }
 
-    private record StopBegun(long remainingMillis, int peers) {}
-
     private record PeerStop(String guard, long remainingMillis, long leftOut) {}
 
     /**
@@ -118,7 +114,8 @@
         mPeers = members.peers();
     }
 
-    private synchronized int peerCount() {
+    /** Returns the number of peers that are told of a stop. */
+    synchronized int peerCount() {
         return mPeers.size();
     }
 
@@ -139,7 +136,6 @@
         if (mDatagrams == null) {
             mDatagrams = new TokenBucket(DATAGRAMS_PER_SECOND, DATAGRAMS_PER_SECOND, nowMillis);
             mNextRoundMillis = nowMillis;
-            mLog.info("stop begins", new StopBegun(mStop.remainingMillis(), mPeers.size()));
         }
         if (mRounds < ROUNDS && nowMillis >= mNextRoundMillis) {
             mRounds++;
--- a/src/main/java/org/apricotgauge/stop/StopSchedule.java
+++ b/src/main/java/org/apricotgauge/stop/StopSchedule.java
@@ -24,6 +24,7 @@
 
     private final Ticker mTicker;
     private final AtomicLong mEndMillis = new AtomicLong(OPEN);
+    private volatile long mBeginMillis;
     private final CompletableFuture<Void> mBegun = new CompletableFuture<>();
 
     /** Creates a schedule without a stop. */
@@ -39,8 +40,10 @@
      */
     public boolean begin(long durationMillis) {
         Checks.inRange("durationMillis", durationMillis, 0, Integer.MAX_VALUE);
-        boolean first = mEndMillis.compareAndSet(OPEN, mTicker.millis() + durationMillis);
+        long nowMillis = mTicker.millis();
+        boolean first = mEndMillis.compareAndSet(OPEN, nowMillis + durationMillis);
         if (first) {
+            mBeginMillis = nowMillis;
             mBegun.complete(null);
         }
         return first;
@@ -56,6 +59,11 @@
         return mBegun.copy();
     }
 
+    /** Returns the milliseconds since the stop began; 0 while none has. */
+    public long elapsedMillis() {
+        return mBegun.isDone() ? mTicker.millis() - mBeginMillis : 0;
+    }
+
     /**
      * Returns the milliseconds until the process ends; not negative, {@link #NOT_STOPPING} while no
      * stop has begun.
