Close callers' connections first, each once nothing is left on it

Cause: a stopping node closed server after server with Server.stop, which cuts what is read but not handled and what is written but not sent, and waits for selector threads; then clients, control and the administration's server (whose graceful stop alone may take a second). On a busy machine one part after the other ran late, and the process was killed before it was through. Idle connections of callers stayed open until then, so that requests on them met the close and were read by nobody.

Change, in order at the end of a stop: after endAll, both ports linger (PortLinger, formerly GuardLinger, for the guard's port only): idle connections are ended on this side, unless bytes have come on them, and what arrives is answered 503 "leaving". Then NodeClose closes both ports beside each other on threads of its own, with no help from the servers' threads: nothing more is accepted, and a connection is closed once it has no unread bytes (here or in the kernel), no request being handled and no unsent bytes; 0.1 s at least, and as long as the schedule leaves. `process ends` follows. An exit does not wait for a start any more. The callers' port is now open 0.25 s longer only where it was before: while the guard's port lingers.

Tests: ClosingEntryTest fails on (a kept connection stays open until the port is closed, then nobody answers). PortCloseTest: a request that came before the close is answered, an answer read slowly is sent whole, a request without an answer is cut and told; they also name what the count leaves out. ParallelCloseTest: a slow part delays no other. GuardLingerTest is renamed PortLingerTest with its class; its checks are the same, but the linger that ends with the schedule has no port rather than a server without a connector.

--- a/src/main/java/org/apricotgauge/http/HttpServerFactory.java
+++ b/src/main/java/org/apricotgauge/http/HttpServerFactory.java
@@ -3,7 +3,6 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import org.apricotgauge.model.Checks;
-import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
@@ -92,18 +91,6 @@
         }
     }
 
-    /**
-     * Tells the peers of idle connections to open others, by ending this side of those that have
-     * carried a request; the server goes on reading and accepting.
-     */
-    public static void endIdleConnections(Server server) {
-        for (EndPoint endPoint : server.getConnectors()[0].getConnectedEndPoints()) {
-            if (endPoint.isFillInterested() && endPoint.getConnection().getMessagesIn() > 0) {
-                endPoint.shutdownOutput();
-            }
-        }
-    }
-
     /** Returns the port that a started server listens at. */
     public static int portOf(Server server) {
         return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
--- a/src/main/java/org/apricotgauge/http/ServerConnections.java
+++ b/src/main/java/org/apricotgauge/http/ServerConnections.java
@@ -1,6 +1,7 @@
 package org.apricotgauge.http;
 
-import java.util.Collection;
+import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.apricotgauge.model.Checks;
 import org.eclipse.jetty.io.Connection;
@@ -36,7 +37,7 @@
 
     /** Counts the connections; the counts are those of about the same moment. */
     public Counts count() {
-        Collection<EndPoint> all = mConnector.getConnectedEndPoints();
+        List<EndPoint> all = open();
         return new Counts(
                 all.size(),
                 count(all, ServerConnections::isInFlight),
@@ -44,7 +45,67 @@
                 count(all, ServerConnections::hasUnsent));
     }
 
-    private static int count(Collection<EndPoint> all, Predicate<EndPoint> condition) {
+    /**
+     * Tells the peers of idle connections to open others, by ending this side of those that have
+     * carried a request; the server goes on reading and accepting.
+     */
+    public void endIdle() {
+        for (EndPoint endPoint : open()) {
+            boolean isUsed = endPoint.getConnection().getMessagesIn() > 0;
+            if (isUsed && endPoint.isFillInterested() && !isInFlight(endPoint)) {
+                // Bytes that have come are a request, which is answered.
+                if (!hasUnread(endPoint)) {
+                    endPoint.shutdownOutput();
+                }
+            }
+        }
+    }
+
+    /** Accepts no further connections; those that are open go on. */
+    public void stopAccepting() {
+        if (mConnector.isRunning()) {
+            mConnector.shutdown();
+        }
+    }
+
+    /**
+     * Closes the connections on which nothing is left to do.
+     *
+     * @param isAtWork whether the server's handler is at work on any request; if it is not, a
+     *     request without an answer is one that waits for news
+     * @return whether no connection is left
+     */
+    public boolean closeSettled(BooleanSupplier isAtWork) {
+        boolean isAllClosed = true;
+        for (EndPoint endPoint : open()) {
+            if (isSettled(endPoint, isAtWork)) {
+                endPoint.close();
+            } else {
+                isAllClosed = false;
+            }
+        }
+        return isAllClosed;
+    }
+
+    private static boolean isSettled(EndPoint endPoint, BooleanSupplier isAtWork) {
+        if (hasUnread(endPoint) || hasUnsent(endPoint)) {
+            return false;
+        }
+        // A connection that does not wait to read, and handles no request, has just read one.
+        return isBeingHandled(endPoint) ? !isAtWork.getAsBoolean() : endPoint.isFillInterested();
+    }
+
+    /** Closes all connections, whatever is left to do on them. */
+    public void closeAll() {
+        open().forEach(EndPoint::close);
+    }
+
+    /** Jetty forgets a connection some time after it was closed. */
+    private List<EndPoint> open() {
+        return mConnector.getConnectedEndPoints().stream().filter(EndPoint::isOpen).toList();
+    }
+
+    private static int count(List<EndPoint> all, Predicate<EndPoint> condition) {
         return (int) all.stream().filter(condition).count();
     }
 
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -51,7 +51,7 @@
     private static final long TICK_INTERVAL_MILLIS = 100;
     private static final int WINDOW_COUNT = 64;
 
-    /** Peers learn of a stop within this time; until then they still send, and are served. */
+    /** Peers learn of a stop within this time, and are served until then. */
     static final long ANNOUNCE_MILLIS = 1_500;
 
     /** Callers are told the outcome of unanswered requests this long before the end. */
@@ -431,11 +431,12 @@
         }
     }
 
-    /** Drains, and leaves idle threads to the end of the process, which does not wait for them. */
+    /** Drains and closes the ports; what else does not close in time ends with the process. */
     void drainForExit() throws InterruptedException {
         if (mPhase.get() != NodePhase.STOPPING && mStop.begin(mProfile.drainMillis())) {
             awaitDrained();
-            ProcessReport.logEnd(closeParts());
+            ProcessReport.logEnd(newClose().closePorts());
+            NodeClose.closeOthers(otherParts());
         }
     }
 
@@ -457,7 +458,7 @@
         recordStopPhase(idle ? StopPhase.DRAINED : StopPhase.TIMED_OUT);
         mEntry.endAll();
         if (mGuardServer.isRunning()) {
-            new GuardLinger(mStop, mGuardServer).await();
+            new PortLinger(mStop, mCallerServer, mGuardServer).await();
         }
         StopReport.log(mRegistry, mStop.elapsedMillis(), inFlight());
     }
@@ -472,22 +473,28 @@
 
     @Override
     public synchronized void close() {
-        closeParts();
+        mPhase.set(NodePhase.STOPPING);
+        mEntry.endAll();
+        // What the ports still answer needs the state of the other parts.
+        NodeHttp.stop(newClose()::closePorts);
+        otherParts().forEach(NodeHttp::stop);
         mHttp.stopThreads();
     }
 
-    private synchronized ProcessReport.ProcessEnded closeParts() {
-        mPhase.set(NodePhase.STOPPING);
-        mEntry.endAll();
-        return new NodeClose(mStop, mTicker, mCallerServer, mGuardServer).close(this::closeOthers);
+    private List<NodeHttp.Stoppable> otherParts() {
+        return List.of(
+                mCallerServer::stop,
+                mGuardServer::stop,
+                mControl::close,
+                () -> mHealthReports.ifPresent(HealthReportService::close),
+                mDatagrams::close,
+                mWorker::shutdownNow,
+                mAdmin::stop,
+                mHttp::stopClients);
     }
 
-    private void closeOthers() {
-        NodeHttp.stop(mControl::close);
-        mHealthReports.ifPresent(reports -> NodeHttp.stop(reports::close));
-        NodeHttp.stop(mDatagrams::close);
-        mWorker.shutdownNow();
-        NodeHttp.stop(mAdmin::stop);
-        mHttp.stopClients();
+    private NodeClose newClose() {
+        return new NodeClose(
+                mStop, mCallerServer, mGuardServer, mEntry::inFlight, mGuard::inFlight);
     }
 }
--- a/src/main/java/org/apricotgauge/node/ProcessReport.java
+++ b/src/main/java/org/apricotgauge/node/ProcessReport.java
@@ -29,17 +29,16 @@
      * A process whose ports are closed.
      *
      * @param tookMillis time since the signal
-     * @param entryPortMillis time that closing the callers' port took
+     * @param entryPortMillis time that closing the callers' port took; {@link
+     *     ParallelClose#UNFINISHED} if it did not end in time
      * @param guardPortMillis time that closing the guard's port took
-     * @param restMillis time that closing the other parts took
-     * @param entry what was left on callers' connections as they were closed
-     * @param guard what was left on other nodes' connections as they were closed
+     * @param entry callers' connections that were cut, and what was left on them
+     * @param guard other nodes' connections that were cut, and what was left on them
      */
     record ProcessEnded(
             long tookMillis,
             long entryPortMillis,
             long guardPortMillis,
-            long restMillis,
             ServerConnections.Counts entry,
             ServerConnections.Counts guard) {}
 
