End a stop earlier in a process whose threads run late

Cause: the schedule of a stop counts wall time and keeps a fixed 300 ms for the end of the process. On a busy machine the stop begins late (three threads run one after the other from the signal on) and the close of the ports takes several more, so that the kill came first.

StopSchedule ends earlier by it, so that whatever reads the schedule sees the same end: what is taken, handed over, and told to peers. The time for which a stopping node serves as before now counts from the signal, and does not change. LagMeter counts a task that is overdue already; before, a process that did not run had the lag of its last task.

Before and after: StopSchedule had no reserve, so the new tests do not compile on.

--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -141,6 +141,11 @@
         mContext.lagMeter().start();
     }
 
+    /** Returns the scheduling lag of this process, in milliseconds. */
+    public long lagMillis() {
+        return mContext.lagMeter().lagMillis();
+    }
+
     /** Answers new requests with "not run" from now on; those in flight continue. */
     public void drain() {
         mDraining = true;
--- a/src/main/java/org/apricotgauge/caller/LagMeter.java
+++ b/src/main/java/org/apricotgauge/caller/LagMeter.java
@@ -15,7 +15,7 @@
 
     private final Scheduler mScheduler;
     private final Ticker mTicker;
-    private long mDueMillis;
+    private volatile long mDueMillis = Long.MAX_VALUE;
     private volatile double mLagMillis;
 
     LagMeter(Scheduler scheduler, Ticker ticker) {
@@ -28,8 +28,9 @@
         mScheduler.schedule(this::tick, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the lag; a task that is overdue counts already. */
     long lagMillis() {
-        return (long) mLagMillis;
+        return Math.max((long) mLagMillis, mTicker.millis() - mDueMillis);
     }
 
     private void tick() {
--- a/src/main/java/org/apricotgauge/node/IdleWait.java
+++ b/src/main/java/org/apricotgauge/node/IdleWait.java
@@ -16,9 +16,9 @@
         mInFlight = inFlight;
     }
 
-    /** Waits until no more than so much of the stop's time is left. */
-    void awaitRemaining(long remainingMillis) throws InterruptedException {
-        while (mStop.remainingMillis() > Math.max(0, remainingMillis)) {
+    /** Waits until so much time has passed since the stop began, at most to its end. */
+    void awaitElapsed(long elapsedMillis) throws InterruptedException {
+        while (mStop.elapsedMillis() < elapsedMillis && mStop.remainingMillis() > 0) {
             TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
         }
     }
--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -33,6 +33,7 @@
 import org.apricotgauge.operator.OutcomeWindows;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.peer.hop.LocalGuard;
+import org.apricotgauge.stop.StopReserve;
 import org.apricotgauge.stop.StopSchedule;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
@@ -328,8 +329,7 @@
     }
 
     private boolean mayAct() {
-        // The control has the configuration shortly before the table does; without this check,
-        // requests in between would be answered with 404.
+        // Between the control's configuration and the table's, requests would be answered with 404.
         return mControl.mayAct() && mState.table() != RoutingTable.EMPTY;
     }
 
@@ -445,8 +445,9 @@
         ProcessReport.logBegin(
                 mStop.remainingMillis(), mProfile.killMillis(), mStopNotices.peerCount());
         recordStopPhase(StopPhase.ANNOUNCED);
+        mStop.keepReserve(StopReserve.of(mEntry::lagMillis, mProfile.drainMillis()));
         IdleWait wait = new IdleWait(mStop, this::inFlight);
-        wait.awaitRemaining(mProfile.drainMillis() - mProfile.announceMillis());
+        wait.awaitElapsed(mProfile.announceMillis());
         recordStopPhase(StopPhase.DRAINING);
         mEntry.drain();
         mGuard.drain();
@@ -454,8 +455,7 @@
         if (!wait.awaitIdle(LAST_ANSWERS_MILLIS)) {
             mEntry.endAll();
         }
-        boolean idle = wait.awaitIdle(0);
-        recordStopPhase(idle ? StopPhase.DRAINED : StopPhase.TIMED_OUT);
+        recordStopPhase(wait.awaitIdle(0) ? StopPhase.DRAINED : StopPhase.TIMED_OUT);
         mEntry.endAll();
         if (mGuardServer.isRunning()) {
             new PortLinger(mStop, mCallerServer, mGuardServer).await();
--- a/src/main/java/org/apricotgauge/stop/StopSchedule.java
+++ b/src/main/java/org/apricotgauge/stop/StopSchedule.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.time.Ticker;
 
@@ -25,6 +26,7 @@
     private final Ticker mTicker;
     private final AtomicLong mEndMillis = new AtomicLong(OPEN);
     private volatile long mBeginMillis;
+    private volatile LongSupplier mReserveMillis = () -> 0;
     private final CompletableFuture<Void> mBegun = new CompletableFuture<>();
 
     /** Creates a schedule without a stop. */
@@ -49,6 +51,14 @@
         return first;
     }
 
+    /**
+     * Ends the stop earlier by what the supplier returns at the time, in milliseconds; the process
+     * keeps that for its own end.
+     */
+    public void keepReserve(LongSupplier reserveMillis) {
+        mReserveMillis = Checks.notNull("reserveMillis", reserveMillis);
+    }
+
     /** Returns whether a stop has begun; cheap enough for each request. */
     public boolean hasBegun() {
         return mEndMillis.get() != OPEN;
@@ -70,6 +80,9 @@
      */
     public long remainingMillis() {
         long endMillis = mEndMillis.get();
-        return endMillis == OPEN ? NOT_STOPPING : Math.max(0, endMillis - mTicker.millis());
+        if (endMillis == OPEN) {
+            return NOT_STOPPING;
+        }
+        return Math.max(0, endMillis - mReserveMillis.getAsLong() - mTicker.millis());
     }
 }
--- a/src/test/java/org/apricotgauge/stop/StopScheduleTest.java
+++ b/src/test/java/org/apricotgauge/stop/StopScheduleTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
+import java.util.concurrent.atomic.AtomicLong;
 import org.apricotgauge.time.ManualTicker;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +36,23 @@
         assertThat(mSchedule.remainingMillis()).isZero();
     }
 
+    // Guards against a busy process whose parts are told of an end that it can't keep.
+    @Test
+    void endsEarlierByWhatIsKeptNow() {
+        AtomicLong reserveMillis = new AtomicLong();
+        mSchedule.keepReserve(reserveMillis::get);
+        mSchedule.begin(5_000);
+        mTicker.advanceMillis(1_000);
+        assertThat(mSchedule.remainingMillis()).isEqualTo(4_000);
+
+        reserveMillis.set(300);
+        assertThat(mSchedule.remainingMillis()).isEqualTo(3_700);
+        assertThat(mSchedule.elapsedMillis()).isEqualTo(1_000);
+
+        reserveMillis.set(0);
+        assertThat(mSchedule.remainingMillis()).isEqualTo(4_000);
+    }
+
     @Test
     void refusesANegativeDuration() {
         assertThatIllegalArgumentException()
