--- a/src/main/java/org/apricotgauge/node/Node.java
+++ b/src/main/java/org/apricotgauge/node/Node.java
@@ -33,6 +33,7 @@
 import org.apricotgauge.operator.OutcomeWindows;
 import org.apricotgauge.peer.hop.GuardClient;
 import org.apricotgauge.peer.hop.LocalGuard;
+import org.apricotgauge.stop.StopReserve;
 import org.apricotgauge.stop.StopSchedule;
 import org.apricotgauge.target.GuardHandler;
 import org.apricotgauge.time.Ticker;
@@ -51,7 +52,7 @@
     private static final long TICK_INTERVAL_MILLIS = 100;
     private static final int WINDOW_COUNT = 64;
 
-    /** Peers learn of a stop within this time; until then they still send, and are served. */
+    /** Peers learn of a stop within this time, and are served until then. */
     static final long ANNOUNCE_MILLIS = 1_500;
 
     /** Callers are told the outcome of unanswered requests this long before the end. */
@@ -328,8 +329,7 @@
     }
 
     private boolean mayAct() {
-        // The control has the configuration shortly before the table does; without this check,
-        // requests in between would be answered with 404.
+        // Between the control's configuration and the table's, requests would be answered with 404.
         return mControl.mayAct() && mState.table() != RoutingTable.EMPTY;
     }
 
@@ -431,19 +431,23 @@
         }
     }
 
-    /** Drains, and leaves idle threads to the end of the process, which does not wait for them. */
+    /** Drains and closes the ports; what else does not close in time ends with the process. */
     void drainForExit() throws InterruptedException {
         if (mPhase.get() != NodePhase.STOPPING && mStop.begin(mProfile.drainMillis())) {
             awaitDrained();
-            closeParts();
+            ProcessReport.logEnd(newClose().closePorts());
+            NodeClose.closeOthers(otherParts());
         }
     }
 
     private void awaitDrained() throws InterruptedException {
         mPhase.set(NodePhase.STOPPING);
+        ProcessReport.logBegin(
+                mStop.remainingMillis(), mProfile.killMillis(), mStopNotices.peerCount());
         recordStopPhase(StopPhase.ANNOUNCED);
+        mStop.keepReserve(StopReserve.of(mEntry::lagMillis, mProfile.drainMillis()));
         IdleWait wait = new IdleWait(mStop, this::inFlight);
-        wait.awaitRemaining(mProfile.drainMillis() - mProfile.announceMillis());
+        wait.awaitElapsed(mProfile.announceMillis());
         recordStopPhase(StopPhase.DRAINING);
         mEntry.drain();
         mGuard.drain();
@@ -451,14 +455,12 @@
         if (!wait.awaitIdle(LAST_ANSWERS_MILLIS)) {
             mEntry.endAll();
         }
-        boolean idle = wait.awaitIdle(0);
-        recordStopPhase(idle ? StopPhase.DRAINED : StopPhase.TIMED_OUT);
+        recordStopPhase(wait.awaitIdle(0) ? StopPhase.DRAINED : StopPhase.TIMED_OUT);
         mEntry.endAll();
         if (mGuardServer.isRunning()) {
-            new GuardLinger(mStop, mGuardServer).await();
+            new PortLinger(mStop, mCallerServer, mGuardServer).await();
         }
-        long tookMillis = mProfile.drainMillis() - mStop.remainingMillis();
-        StopReport.log(mRegistry, tookMillis, inFlight());
+        StopReport.log(mRegistry, mStop.elapsedMillis(), inFlight());
     }
 
     private int inFlight() {
@@ -471,21 +473,28 @@
 
     @Override
     public synchronized void close() {
-        closeParts();
+        mPhase.set(NodePhase.STOPPING);
+        mEntry.endAll();
+        // What the ports still answer needs the state of the other parts.
+        NodeHttp.stop(newClose()::closePorts);
+        otherParts().forEach(NodeHttp::stop);
         mHttp.stopThreads();
     }
 
-    private synchronized void closeParts() {
-        mPhase.set(NodePhase.STOPPING);
-        mEntry.endAll();
-        // What the servers still answer needs the state of the other parts.
-        NodeHttp.stop(mCallerServer::stop);
-        NodeHttp.stop(mGuardServer::stop);
-        NodeHttp.stop(mControl::close);
-        mHealthReports.ifPresent(reports -> NodeHttp.stop(reports::close));
-        NodeHttp.stop(mDatagrams::close);
-        mWorker.shutdownNow();
-        NodeHttp.stop(mAdmin::stop);
-        mHttp.stopClients();
+    private List<NodeHttp.Stoppable> otherParts() {
+        return List.of(
+                mCallerServer::stop,
+                mGuardServer::stop,
+                mControl::close,
+                () -> mHealthReports.ifPresent(HealthReportService::close),
+                mDatagrams::close,
+                mWorker::shutdownNow,
+                mAdmin::stop,
+                mHttp::stopClients);
+    }
+
+    private NodeClose newClose() {
+        return new NodeClose(
+                mStop, mCallerServer, mGuardServer, mEntry::inFlight, mGuard::inFlight);
     }
 }
--- a/src/main/java/org/apricotgauge/stop/StopSchedule.java
+++ b/src/main/java/org/apricotgauge/stop/StopSchedule.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.apricotgauge.model.Checks;
 import org.apricotgauge.time.Ticker;
 
@@ -24,6 +25,8 @@
 
     private final Ticker mTicker;
     private final AtomicLong mEndMillis = new AtomicLong(OPEN);
+    private volatile long mBeginMillis;
+    private volatile LongSupplier mReserveMillis = () -> 0;
     private final CompletableFuture<Void> mBegun = new CompletableFuture<>();
 
     /** Creates a schedule without a stop. */
@@ -39,13 +42,23 @@
      */
     public boolean begin(long durationMillis) {
         Checks.inRange("durationMillis", durationMillis, 0, Integer.MAX_VALUE);
-        boolean first = mEndMillis.compareAndSet(OPEN, mTicker.millis() + durationMillis);
+        long nowMillis = mTicker.millis();
+        boolean first = mEndMillis.compareAndSet(OPEN, nowMillis + durationMillis);
         if (first) {
+            mBeginMillis = nowMillis;
             mBegun.complete(null);
         }
         return first;
     }
 
+    /**
+     * Ends the stop earlier by what the supplier returns at the time, in milliseconds; the process
+     * keeps that for its own end.
+     */
+    public void keepReserve(LongSupplier reserveMillis) {
+        mReserveMillis = Checks.notNull("reserveMillis", reserveMillis);
+    }
+
     /** Returns whether a stop has begun; cheap enough for each request. */
     public boolean hasBegun() {
         return mEndMillis.get() != OPEN;
@@ -56,12 +69,20 @@
         return mBegun.copy();
     }
 
+    /** Returns the milliseconds since the stop began; 0 while none has. */
+    public long elapsedMillis() {
+        return mBegun.isDone() ? mTicker.millis() - mBeginMillis : 0;
+    }
+
     /**
      * Returns the milliseconds until the process ends; not negative, {@link #NOT_STOPPING} while no
      * stop has begun.
      */
     public long remainingMillis() {
         long endMillis = mEndMillis.get();
-        return endMillis == OPEN ? NOT_STOPPING : Math.max(0, endMillis - mTicker.millis());
+        if (endMillis == OPEN) {
+            return NOT_STOPPING;
+        }
+        return Math.max(0, endMillis - mReserveMillis.getAsLong() - mTicker.millis());
     }
 }
