Log why a guard or its entry ended a run before its target had answered

Change: a line "run ended early" with request, target, attempt, reason, elapsed time and the time left to the node's end. The reason replaces two flags and the use of the prepayment as one: EarlyEnd keeps the first and aborts the exchange, also when a deadline passes or an entry leaves before the exchange is known. These lines have a rate of their own, 20 a second: under load "run started" uses up its 40. Requests of which no byte was written have no line; they did not run. A run whose guard had paid for a retry, but whose answer had begun before it was ended, now counts as a target error if the target breaks it off; it counted as cancelled. Conclusion: each reason can be read from the guard's log.

--- /dev/null
+++ b/src/main/java/org/apricotgauge/target/EarlyEnd.java
@@ -0,0 +1,86 @@
+package org.apricotgauge.target;
+
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apricotgauge.http.client.UpstreamExchange;
+
+/**
+ * Ends a run before its target has answered, and keeps why.
+ *
+ * <pre>{@code
+ * earlyEnd.setExchange(client.send(request, listener));
+ * earlyEnd.end(EarlyEnd.Reason.DEADLINE);
+ * }</pre>
+ *
+ * <p>Only the first reason counts; it is logged unless nothing was sent to the target. Thread-safe.
+ */
+final class EarlyEnd {
+    private final RunEventLog mLog;
+    private final AtomicReference<Reason> mReason = new AtomicReference<>();
+    private volatile UpstreamExchange mExchange;
+
+    /** Why a run was ended. */
+    enum Reason {
+        /** It was taken for hung and paid for at another target. */
+        HUNG,
+        /** This node ends soon; the run was paid for at another target. */
+        HANDED_OVER,
+        /** This node is at its last moment. */
+        NODE_ENDING,
+        /** The entry cancelled the attempt by a message. */
+        ABANDONED,
+        /** The entry closed the connection or stream of the attempt. */
+        ENTRY_DISCONNECTED,
+        /** The deadline of the request passed. */
+        DEADLINE
+    }
+
+    EarlyEnd(RunEventLog log) {
+        mLog = log;
+    }
+
+    /** Sets what the run is sent with; aborts it if it was ended in the meantime. */
+    void setExchange(UpstreamExchange exchange) {
+        mExchange = exchange;
+        Reason reason = mReason.get();
+        if (reason != null) {
+            abort(reason);
+        }
+    }
+
+    boolean hasExchange() {
+        return mExchange != null;
+    }
+
+    /** Ends the run at its target. */
+    void end(Reason reason) {
+        boolean first = mReason.compareAndSet(null, reason);
+        abort(reason);
+        if (first) {
+            mLog.endedEarly(reason);
+        }
+    }
+
+    /** Aborts the exchange with the target, if there is one. */
+    void abort(Reason reason) {
+        UpstreamExchange exchange = mExchange;
+        if (exchange != null) {
+            exchange.abort(new TimeoutException("run was ended early: " + reason));
+        }
+    }
+
+    /** Records why the run has ended, unless a reason was recorded before. */
+    void record(Reason reason) {
+        if (mReason.compareAndSet(null, reason)) {
+            mLog.endedEarly(reason);
+        }
+    }
+
+    boolean isRecorded() {
+        return mReason.get() != null;
+    }
+
+    boolean isBy(Reason reason) {
+        return mReason.get() == reason;
+    }
+}
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -50,20 +50,17 @@
     private final RunDeadline mRunDeadline;
     private final RunTimes mTimes;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
-    private volatile UpstreamExchange mExchange;
     private volatile Scheduler.Task mTimeoutTask;
     private final AcknowledgementSender mAcknowledgements;
     private final RunIdentity mIdentity;
     private final RunMonitor mRunMonitor;
     private final StopCheck mStopCheck;
     private final SendCheck mSendCheck;
-    private volatile boolean mTimedOut;
+    private final EarlyEnd mEarlyEnd;
 
     /** Why nothing was written although the request had a slot; null if it may be written. */
     private volatile NotRunReason mSendRejection;
 
-    private volatile boolean mAbandoned;
-
     private enum Phase {
         /** In the queue. */
         WAITING,
@@ -112,6 +109,8 @@
         mTicket = ticket;
         mRequest = request;
         mReply = reply;
+        mEarlyEnd =
+                new EarlyEnd(new RunEventLog(context, mIdentity, gate.target(), attempt, mTimes));
         mAcknowledgements =
                 new AcknowledgementSender(
                         context.scheduler(),
@@ -170,7 +169,7 @@
     void onStopping() {
         if (mPhase.get() == Phase.WAITING && !mStopCheck.canEnd()) {
             withdraw();
-        } else if (mPhase.get() == Phase.SENDING && mExchange != null) {
+        } else if (mPhase.get() == Phase.SENDING && mEarlyEnd.hasExchange()) {
             breakOffBeforeEnd();
         }
     }
@@ -181,12 +180,15 @@
         if (!breaksOff || !mPhase.compareAndSet(Phase.SENDING, Phase.ENDED)) {
             return;
         }
-        mExchange.abort(new TimeoutException("node is ending"));
+        EarlyEnd.Reason reason =
+                handsOver ? EarlyEnd.Reason.HANDED_OVER : EarlyEnd.Reason.NODE_ENDING;
+        mEarlyEnd.abort(reason);
         if (mContext.ledger().withdraw(mAttempt, mContext.ticker().millis())) {
             releaseSlot(RunResult.UNSENT, ObservedOutcome.CANCELLED);
             endNotRun(NotRunReason.LEAVING);
             return;
         }
+        mEarlyEnd.record(reason);
         mContext.metrics().countBrokenOff(handsOver);
         endBroken(false);
         writeUnknown();
@@ -203,19 +205,27 @@
     // The entry disconnects when its caller has disconnected or the deadline has passed.
     private void onEntryDisconnected() {
         mContext.ledger().fence(mAttempt, mContext.ticker().millis());
-        onAbandoned();
+        cancel(EarlyEnd.Reason.ENTRY_DISCONNECTED);
     }
 
     /** Cancels the request after its entry abandoned it, at the target if it has started. */
     void onAbandoned() {
-        mAbandoned = true;
+        cancel(EarlyEnd.Reason.ABANDONED);
+    }
+
+    private void cancel(EarlyEnd.Reason reason) {
         mGate.cancel(mTicket);
         if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             endNotRun(NotRunReason.FENCED);
         }
-        UpstreamExchange exchange = mExchange;
-        if (exchange != null) {
-            exchange.abort(new TimeoutException("entry abandoned the attempt"));
+        endEarly(reason);
+    }
+
+    private void endEarly(EarlyEnd.Reason reason) {
+        if (mPhase.get() == Phase.ENDED) {
+            mEarlyEnd.abort(reason);
+        } else {
+            mEarlyEnd.end(reason);
         }
     }
 
@@ -245,11 +255,7 @@
         UpstreamRequest request =
                 TargetRequestFactory.create(
                         mContext, mGate, mTicket, mRequest, mIdentity, remainingMillis);
-        mExchange = mContext.client().send(request, this);
-        if (mAbandoned) {
-            // Abandoned after the admission, when there was no exchange to abort yet.
-            onAbandoned();
-        }
+        mEarlyEnd.setExchange(mContext.client().send(request, this));
     }
 
     private void rejectAdmitted(NotRunReason reason) {
@@ -273,7 +279,7 @@
         mTimes.onSent();
         mSendRejection = mSendCheck.checkBeforeFirstByte(mAttempt);
         if (mSendRejection == null) {
-            mTimes.logStarted(mIdentity, mGate.target(), mAttempt);
+            mTimes.onStarted(mIdentity, mGate.target(), mAttempt);
         }
         return mSendRejection == null;
     }
@@ -412,6 +418,9 @@
     }
 
     private void onAnswerBroken(boolean byTarget, Throwable cause) {
+        if (!byTarget) {
+            mEarlyEnd.record(EarlyEnd.Reason.ENTRY_DISCONNECTED);
+        }
         mPhase.set(Phase.ENDED);
         endBroken(byTarget);
         mReply.fail(cause);
@@ -420,9 +429,9 @@
     private CompletableFuture<Void> endBroken(boolean byTarget) {
         CompletableFuture<Void> exitReported = CompletableFuture.completedFuture(null);
         mContext.ledger().broken(mAttempt, mContext.ticker().millis());
-        if (mTimedOut) {
+        if (mEarlyEnd.isBy(EarlyEnd.Reason.DEADLINE)) {
             releaseSlot(RunResult.CANCELLED, ObservedOutcome.TIMEOUT);
-        } else if (byTarget && !mAbandoned && !mPrepayment.isPaid()) {
+        } else if (byTarget && !mEarlyEnd.isRecorded()) {
             releaseSlot(RunResult.FAILED, ObservedOutcome.TARGET_ERROR);
             exitReported = mRunMonitor.reportBroken();
         } else {
@@ -435,20 +444,15 @@
 
     // A hung target would keep the request until its deadline though others could serve it.
     private void abortForFailover() {
-        UpstreamExchange exchange = mExchange;
-        if (exchange == null || mPhase.get() != Phase.SENDING || !mPrepayment.tryPayEarly()) {
-            return;
+        boolean isSending = mPhase.get() == Phase.SENDING && mEarlyEnd.hasExchange();
+        if (isSending && mPrepayment.tryPayEarly()) {
+            mContext.metrics().hung().inc();
+            endEarly(EarlyEnd.Reason.HUNG);
         }
-        mContext.metrics().hung().inc();
-        exchange.abort(new TimeoutException("target is unresponsive"));
     }
 
     private void onTimeout() {
-        mTimedOut = true;
-        UpstreamExchange exchange = mExchange;
-        if (exchange != null) {
-            exchange.abort(new TimeoutException("request deadline passed"));
-        }
+        endEarly(EarlyEnd.Reason.DEADLINE);
     }
 
     private void releaseSlot(RunResult result, ObservedOutcome outcome) {
--- a/src/main/java/org/apricotgauge/target/RetryPrepayment.java
+++ b/src/main/java/org/apricotgauge/target/RetryPrepayment.java
@@ -23,10 +23,6 @@
         mHasAlternative = hasAlternative;
     }
 
-    boolean isPaid() {
-        return mPaid;
-    }
-
     /** Pays so that a run which may still succeed can be ended; see {@link RetryCharge}. */
     boolean tryPayEarly() {
         return canTakeOver() && record(mCharge.tryPrepayEarlyRetry());
--- a/src/main/java/org/apricotgauge/target/RunTimes.java
+++ b/src/main/java/org/apricotgauge/target/RunTimes.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import java.util.concurrent.TimeUnit;
 import org.apricotgauge.decision.attempt.Attempt;
 import org.apricotgauge.model.SiteView;
 import org.apricotgauge.model.Target;
@@ -12,6 +13,7 @@
     private volatile SiteView mSiteView = SiteView.NONE;
     private volatile long mSentNanos;
     private volatile long mSentMillis;
+    private volatile boolean mStarted;
 
     /** Creates the times of an attempt that has just arrived. */
     RunTimes(GuardContext context) {
@@ -42,7 +44,18 @@
         return Math.max(0, mContext.ticker().nanos() - mSentNanos);
     }
 
-    void logStarted(RunIdentity identity, Target target, Attempt attempt) {
+    /** Returns the time since the attempt was sent, in milliseconds. */
+    long serviceMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(serviceNanos());
+    }
+
+    /** Returns whether the target was sent the attempt. */
+    boolean hasStarted() {
+        return mStarted;
+    }
+
+    void onStarted(RunIdentity identity, Target target, Attempt attempt) {
+        mStarted = true;
         mContext.log()
                 .started(
                         new TargetRunLog.Started(
--- a/src/main/java/org/apricotgauge/target/TargetRunLog.java
+++ b/src/main/java/org/apricotgauge/target/TargetRunLog.java
@@ -9,7 +9,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Logs one line for each request that a guard sends to its target, at a bounded rate.
+ * Logs one line for each request that a guard sends to its target, and for each that ends before
+ * its target has answered, at a bounded rate.
  *
  * <pre>{@code
  * log.started(new TargetRunLog.Started(id, fingerprint, target, attempt, view, 4, 1));
@@ -22,7 +23,11 @@
     /** Most lines of one node per second: about 8 KB, whatever the load. */
     static final int LINES_PER_SECOND = 40;
 
+    /** Most lines per second on ends and offers; under load, starts would crowd them out. */
+    static final int EVENT_LINES_PER_SECOND = 20;
+
     private final BoundedLog mLog;
+    private final BoundedLog mEventLog;
 
     /**
      * A request whose first byte is about to be written to the target.
@@ -44,6 +49,26 @@
             long queuedMillis,
             long connectMillis) {}
 
+    /**
+     * Something that this guard decided, or was told, about a request at its target.
+     *
+     * @param id request id that the caller assigned
+     * @param target id of the target
+     * @param attempt value of the attempt header, as the entry sent it
+     * @param reason why
+     * @param elapsedMillis time since the first byte was written to the target
+     * @param stopMillis time until this node ends; null unless it stops
+     */
+    record RunEvent(
+            String id,
+            String target,
+            String attempt,
+            String reason,
+            long elapsedMillis,
+            Long stopMillis) {}
+
+    private record EventLine(RunEvent run, long leftOut) {}
+
     private record Line(Started run, long leftOut) {}
 
     /** A change of a target's rate limit, in requests per second; null stands for no limit. */
@@ -52,15 +77,20 @@
     private record UnreadableLimit(String target, String text, long leftOut) {}
 
     TargetRunLog(Ticker ticker) {
-        mLog =
-                new BoundedLog(
-                        Logger.getLogger("org.apricotgauge.requests"), ticker, LINES_PER_SECOND);
+        Logger logger = Logger.getLogger("org.apricotgauge.requests");
+        mLog = new BoundedLog(logger, ticker, LINES_PER_SECOND);
+        mEventLog = new BoundedLog(logger, ticker, EVENT_LINES_PER_SECOND);
     }
 
     void started(Started run) {
         mLog.info("run started", leftOut -> new Line(run, leftOut));
     }
 
+    /** Logs that a run was ended before its target had answered. */
+    void endedEarly(RunEvent event) {
+        mEventLog.info("run ended early", leftOut -> new EventLine(event, leftOut));
+    }
+
     /** Logs that a target declares a different rate limit than before, or none any more. */
     void limitChanged(Target target, Optional<StartLimit> limit, Optional<StartLimit> before) {
         mLog.info(
