Send an acknowledgement that offers a further attempt as a 103

Cause: Jetty 12.1.13 (HttpGenerator) writes the headers of an interim response only if it is a 103. Acknowledgements are 102s: an entry reads them with no header at all, over a connection; an offer on one is never seen. Change: an acknowledgement with Apricotgauge-Retry-Paid is a 103, and the HTTP client reports a 103 as it reports a 102. Only entries that ask for offers get one; the client of earlier releases drops the status. Other acknowledgements stay 102s, since entries of earlier releases would miss them; that their headers (Apricotgauge-Stop-Millis and others) are lost is left as it is.

--- a/src/main/java/org/apricotgauge/http/client/ResponseReader.java
+++ b/src/main/java/org/apricotgauge/http/client/ResponseReader.java
@@ -123,7 +123,7 @@
     private void deliverInterim() {
         // Other interim responses are dropped, which RFC 9110 section 15.2 allows a proxy that
         // requested none.
-        if (mStatus == HttpStatus.PROCESSING_102) {
+        if (mStatus == HttpStatus.PROCESSING_102 || mStatus == HttpStatus.EARLY_HINTS_103) {
             mExchange.onAcknowledged(headers());
         }
     }
--- a/src/main/java/org/apricotgauge/target/HopReply.java
+++ b/src/main/java/org/apricotgauge/target/HopReply.java
@@ -29,8 +29,9 @@
     HttpFields.Mutable headers();
 
     /**
-     * Tells the entry that the attempt has arrived.
+     * Tells the entry that the attempt has arrived, and what the fields say.
      *
+     * @param fields sent as they are; over a connection only if they offer a further attempt
      * @return completes once the next write is allowed
      */
     CompletableFuture<Void> acknowledge(HttpFields fields);
--- a/src/main/java/org/apricotgauge/target/HttpHopReply.java
+++ b/src/main/java/org/apricotgauge/target/HttpHopReply.java
@@ -4,6 +4,7 @@
 import org.apricotgauge.decision.attempt.Outcome;
 import org.apricotgauge.http.DisconnectDetectingEndPoint;
 import org.apricotgauge.http.Fingerprints;
+import org.apricotgauge.http.HeaderNames;
 import org.apricotgauge.http.OutcomeCodec;
 import org.apricotgauge.http.ResponseForwarder;
 import org.apricotgauge.http.client.UpstreamResponse;
@@ -51,7 +52,11 @@
 
     @Override
     public CompletableFuture<Void> acknowledge(HttpFields fields) {
-        return mResponse.writeInterim(HttpStatus.PROCESSING_102, fields);
+        // Jetty writes the headers of a 103 only. Entries of earlier releases drop this status, but
+        // get no such header.
+        boolean hasOffer = fields.contains(HeaderNames.NEXT_RETRY_PREPAID);
+        return mResponse.writeInterim(
+                hasOffer ? HttpStatus.EARLY_HINTS_103 : HttpStatus.PROCESSING_102, fields);
     }
 
     @Override
