Offer a further attempt beside a run in place of ending it

Cause: a guard ended a run that it took for hung, or .8 s before its own end, so that the entry sent the request elsewhere. Nobody knew whether another target would take it; the caller got a 504 though a target was at work and had time left. Change: for an entry that sends Apricotgauge-Retry-Beside, the guard charges its retry budget as before, tells the entry by an acknowledgement with Apricotgauge-Retry-Paid, also within the process, and lets the run go on (RunFailover). One offer an attempt; a payment is told once, by the offer or by the answer; after an offer a failed run pays for no further retry of its request. Without the header the run is ended as before. The last moment still ends the run and tells "started". The health evidence of a hung run is as it was; a run that is abandoned after an offer counts as cancelled, one that its target breaks off is reported to the exit detector as any other. The acknowledgement is written without the sender's lock, since an entry in the same process may act on it at once. The time of the hand-over is .8 s before the end as before: while a node stops, an idempotent run starts only if twice its usual time is left, so that an earlier offer would double runs that end in time; runs beyond their usual time are covered by the hung check. guard.stop.handed_over and guard.hung count a run when it is paid for, also if its answer begins at that moment; guard.attempts.offered counts offers. Evidence: RetryPrepaymentTest 4 of 4; OfferedAttemptTest 13 of 13 at a load of 70 to 80 on 8 cores. Neither was run on the code before, which ends such runs. Beside them EarlyEndTest 6 of 6, UpstreamClientTest 9 of 9; GuardTransportTest 27 of 28, StoppingGuardTest 20 of 21 and HungTargetTest 1 of 3 in one run at a load of 72, of which the first two failures passed when run alone; HungTargetTest.whatMayRepeatIsSentElsewhere failed 3 of 8, with a 504 after its 20 s. It had passed on the code before offers, at a load of 22; whether this change makes it fail more often is not known. Conclusion: runs at work go on beside an offer. That a fleet loses fewer requests is not shown here; it needs the entry's side.

--- a/src/main/java/org/apricotgauge/peer/hop/LocalExchange.java
+++ b/src/main/java/org/apricotgauge/peer/hop/LocalExchange.java
@@ -103,8 +103,12 @@
         synchronized (this) {
             waits = !mReplied && !mAborted;
         }
-        if (waits) {
-            mListener.onAcknowledged(fields);
+        try {
+            if (waits) {
+                mListener.onAcknowledged(fields);
+            }
+        } catch (RuntimeException | Error e) {
+            LOGGER.errorf(e, "entry failed to handle an acknowledgement");
         }
         return CompletableFuture.completedFuture(null);
     }
--- a/src/main/java/org/apricotgauge/target/AcknowledgementSender.java
+++ b/src/main/java/org/apricotgauge/target/AcknowledgementSender.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apricotgauge.http.HeaderNames;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -55,29 +56,57 @@
     }
 
     /** Sends an acknowledgement now and schedules the next one. */
-    synchronized void send() {
-        if (!mReply.isRemote() || mHasAnswerBegun.getAsBoolean()) {
-            return;
+    void send() {
+        if (mReply.isRemote()) {
+            tell(fields -> true);
         }
-        stop();
+    }
+
+    /**
+     * Sends an acknowledgement that tells the entry something else, also within the process.
+     *
+     * @param writer adds what is told; returns false if there is nothing to tell any more
+     * @return whether it is sent, which it is not once the answer has begun
+     */
+    boolean tell(Predicate<HttpFields.Mutable> writer) {
         HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.SERVER, SERVER_NAME);
+        CompletableFuture<Void> write = new CompletableFuture<>();
+        CompletableFuture<Void> writeBefore;
+        synchronized (this) {
+            if (mHasAnswerBegun.getAsBoolean() || !writer.test(fields)) {
+                return false;
+            }
+            if (mReply.isRemote()) {
+                addHeaders(fields);
+                stop();
+                mNextSend = mScheduler.schedule(this::send, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            writeBefore = mPendingWrite;
+            mPendingWrite = write;
+        }
+        // Without the lock: an entry in this process may answer by giving the attempt up.
+        writeBefore
+                .thenCompose(ignored -> mReply.acknowledge(fields.asImmutable()))
+                .whenComplete((written, failure) -> write.complete(null));
+        return true;
+    }
+
+    private void addHeaders(HttpFields.Mutable fields) {
         mHeaderWriter.accept(fields);
         if (mBodyWithheld) {
             fields.put(HeaderNames.BODY_ON_DEMAND, HeaderNames.BODY_WITHHELD);
         }
-        mPendingWrite =
-                mPendingWrite
-                        .handle((written, failure) -> fields.asImmutable())
-                        .thenCompose(mReply::acknowledge);
-        mNextSend = mScheduler.schedule(this::send, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Asks the entry for the body, if it has not been sent. */
-    synchronized void askForBody() {
-        if (mBodyWithheld) {
+    void askForBody() {
+        synchronized (this) {
+            if (!mBodyWithheld) {
+                return;
+            }
             mBodyWithheld = false;
-            send();
         }
+        send();
     }
 
     /** Runs an action that writes to the reply; two concurrent writes are not allowed. */
--- a/src/main/java/org/apricotgauge/target/EarlyEnd.java
+++ b/src/main/java/org/apricotgauge/target/EarlyEnd.java
@@ -1,8 +1,11 @@
 package org.apricotgauge.target;
 
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.apricotgauge.http.client.UpstreamExchange;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * Ends a run before its target has answered, and keeps why.
@@ -16,8 +19,10 @@
  */
 final class EarlyEnd {
     private final RunEventLog mLog;
+    private final BooleanSupplier mHasEnded;
     private final AtomicReference<Reason> mReason = new AtomicReference<>();
     private volatile UpstreamExchange mExchange;
+    private volatile Scheduler.Task mDeadlineTask;
 
     /** Why a run was ended. */
     enum Reason {
@@ -35,8 +40,29 @@
         DEADLINE
     }
 
-    EarlyEnd(RunEventLog log) {
+    /**
+     * Creates the early end of a run.
+     *
+     * @param hasEnded whether the attempt has ended otherwise; no reason is kept then
+     */
+    EarlyEnd(RunEventLog log, BooleanSupplier hasEnded) {
         mLog = log;
+        mHasEnded = hasEnded;
+    }
+
+    /** Ends the run once the time left to the deadline of its request has passed. */
+    void startDeadline(Scheduler scheduler, long remainingMillis) {
+        mDeadlineTask =
+                scheduler.schedule(
+                        () -> end(Reason.DEADLINE), remainingMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Stops waiting for the deadline. */
+    void stopDeadline() {
+        Scheduler.Task deadlineTask = mDeadlineTask;
+        if (deadlineTask != null) {
+            deadlineTask.cancel();
+        }
     }
 
     /** Sets what the run is sent with; aborts it if it was ended in the meantime. */
@@ -54,7 +80,7 @@
 
     /** Ends the run at its target. */
     void end(Reason reason) {
-        boolean first = mReason.compareAndSet(null, reason);
+        boolean first = !mHasEnded.getAsBoolean() && mReason.compareAndSet(null, reason);
         abort(reason);
         if (first) {
             mLog.endedEarly(reason);
--- a/src/main/java/org/apricotgauge/target/GuardMetrics.java
+++ b/src/main/java/org/apricotgauge/target/GuardMetrics.java
@@ -12,6 +12,7 @@
         Counter unknown,
         Counter quarantined,
         Counter hung,
+        Counter attemptsOffered,
         Counter fences,
         Counter badRequests,
         Counter foreignAnswers,
@@ -29,6 +30,7 @@
                 registry.counter("guard.unknown"),
                 registry.counter("guard.quarantined"),
                 registry.counter("guard.hung"),
+                registry.counter("guard.attempts.offered"),
                 registry.counter("guard.fences"),
                 registry.counter("guard.bad_requests"),
                 registry.counter("guard.foreign_answers"),
@@ -38,9 +40,4 @@
                 registry.counter("guard.stop.unfinished"),
                 registry.timer("guard.service_time"));
     }
-
-    /** Counts a run that was broken off because the node ends. */
-    void countBrokenOff(boolean handedOver) {
-        (handedOver ? stopHandedOver : stopUnfinished).inc();
-    }
 }
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -26,7 +26,6 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * An attempt that the ledger admitted, from the queue to its target and back.
@@ -50,13 +49,13 @@
     private final RunDeadline mRunDeadline;
     private final RunTimes mTimes;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
-    private volatile Scheduler.Task mTimeoutTask;
     private final AcknowledgementSender mAcknowledgements;
     private final RunIdentity mIdentity;
     private final RunMonitor mRunMonitor;
     private final StopCheck mStopCheck;
     private final SendCheck mSendCheck;
     private final EarlyEnd mEarlyEnd;
+    private final RunFailover mFailover;
 
     /** Why nothing was written although the request had a slot; null if it may be written. */
     private volatile NotRunReason mSendRejection;
@@ -109,8 +108,8 @@
         mTicket = ticket;
         mRequest = request;
         mReply = reply;
-        mEarlyEnd =
-                new EarlyEnd(new RunEventLog(context, mIdentity, gate.target(), attempt, mTimes));
+        RunEventLog log = new RunEventLog(context, mIdentity, gate.target(), attempt, mTimes);
+        mEarlyEnd = new EarlyEnd(log, () -> mPhase.get() == Phase.ENDED);
         mAcknowledgements =
                 new AcknowledgementSender(
                         context.scheduler(),
@@ -118,6 +117,14 @@
                         this::hasAnswerBegun,
                         context::addAcknowledgementHeaders,
                         request.headers().contains(HeaderNames.BODY_ON_DEMAND));
+        mFailover =
+                new RunFailover(
+                        context.metrics(),
+                        mPrepayment,
+                        mStopCheck,
+                        mAcknowledgements,
+                        log,
+                        HopHeaders.canRetryBeside(request.headers()));
     }
 
     private boolean hasAnswerBegun() {
@@ -175,7 +182,7 @@
     }
 
     private void breakOffBeforeEnd() {
-        boolean handsOver = mStopCheck.isTimeToHandOver() && mPrepayment.tryPayForFailed();
+        boolean handsOver = mFailover.mustHandOver();
         boolean breaksOff = handsOver || mStopCheck.isLastMoment();
         if (!breaksOff || !mPhase.compareAndSet(Phase.SENDING, Phase.ENDED)) {
             return;
@@ -189,7 +196,9 @@
             return;
         }
         mEarlyEnd.record(reason);
-        mContext.metrics().countBrokenOff(handsOver);
+        if (!handsOver) {
+            mContext.metrics().stopUnfinished().inc();
+        }
         endBroken(false);
         writeUnknown();
     }
@@ -218,15 +227,7 @@
         if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             endNotRun(NotRunReason.FENCED);
         }
-        endEarly(reason);
-    }
-
-    private void endEarly(EarlyEnd.Reason reason) {
-        if (mPhase.get() == Phase.ENDED) {
-            mEarlyEnd.abort(reason);
-        } else {
-            mEarlyEnd.end(reason);
-        }
+        mEarlyEnd.end(reason);
     }
 
     @Override
@@ -244,9 +245,7 @@
         mAcknowledgements.askForBody();
         mContext.observer().onRunStarted(requestId());
         long remainingMillis = mRunDeadline.remainingMillis(mContext.ticker().millis());
-        mTimeoutTask =
-                mContext.scheduler()
-                        .schedule(this::onTimeout, remainingMillis, TimeUnit.MILLISECONDS);
+        mEarlyEnd.startDeadline(mContext.scheduler(), remainingMillis);
         mRunMonitor.start(
                 mTicket.workKind(),
                 mGate.softDeadlineRemainingMillis(mTicket),
@@ -445,16 +444,11 @@
     // A hung target would keep the request until its deadline though others could serve it.
     private void abortForFailover() {
         boolean isSending = mPhase.get() == Phase.SENDING && mEarlyEnd.hasExchange();
-        if (isSending && mPrepayment.tryPayEarly()) {
-            mContext.metrics().hung().inc();
-            endEarly(EarlyEnd.Reason.HUNG);
+        if (isSending && mFailover.mustEndHung()) {
+            mEarlyEnd.end(EarlyEnd.Reason.HUNG);
         }
     }
 
-    private void onTimeout() {
-        endEarly(EarlyEnd.Reason.DEADLINE);
-    }
-
     private void releaseSlot(RunResult result, ObservedOutcome outcome) {
         long serviceNanos = mTimes.serviceNanos();
         long serviceMicros = TimeUnit.NANOSECONDS.toMicros(serviceNanos);
@@ -488,13 +482,7 @@
 
     private void stopTimers() {
         mReply.unwatch();
-        cancel(mTimeoutTask);
+        mEarlyEnd.stopDeadline();
         mAcknowledgements.stop();
     }
-
-    private static void cancel(Scheduler.Task task) {
-        if (task != null) {
-            task.cancel();
-        }
-    }
 }
--- a/src/main/java/org/apricotgauge/target/HopHeaders.java
+++ b/src/main/java/org/apricotgauge/target/HopHeaders.java
@@ -34,6 +34,11 @@
         return QueueingPolicy.MAY_WAIT;
     }
 
+    // Entries of older releases don't send the header; their attempts end before the next begins.
+    static boolean canRetryBeside(HttpFields headers) {
+        return headers.contains(HeaderNames.RETRY_BESIDE);
+    }
+
     static Priority priorityOf(HttpFields headers) {
         String value = headers.get(HeaderNames.PRIORITY);
         for (Priority priority : Priority.values()) {
--- a/src/main/java/org/apricotgauge/target/RetryPrepayment.java
+++ b/src/main/java/org/apricotgauge/target/RetryPrepayment.java
@@ -4,12 +4,18 @@
 import org.apricotgauge.http.HeaderNames;
 import org.eclipse.jetty.http.HttpFields;
 
-/** Pays, at most once, for the next run of a request whose run this guard ends or saw fail. */
+/**
+ * Pays, at most once, for the next run of a request whose run hangs, is ended or fails, and tells
+ * the entry of it once.
+ *
+ * <p>Thread-safe.
+ */
 final class RetryPrepayment {
     private final RetryCharge mCharge;
     private final boolean mMayRetry;
     private final BooleanSupplier mHasAlternative;
-    private volatile boolean mPaid;
+    private boolean mPaid;
+    private boolean mTold;
 
     /**
      * Creates the prepayment of one request.
@@ -23,24 +29,38 @@
         mHasAlternative = hasAlternative;
     }
 
-    /** Pays so that a run which may still succeed can be ended; see {@link RetryCharge}. */
-    boolean tryPayEarly() {
+    /** Pays for a next run while this one may still succeed; see {@link RetryCharge}. */
+    synchronized boolean tryPayEarly() {
         return canTakeOver() && record(mCharge.tryPrepayEarlyRetry());
     }
 
-    /** Pays so that a run which is bound to fail can be ended. */
-    boolean tryPayForFailed() {
+    /** Pays for a next run while this one is bound to fail. */
+    synchronized boolean tryPayForFailed() {
         return canTakeOver() && record(mCharge.tryPrepayRetry());
     }
 
     /**
-     * Tells the entry that the next run is paid for; pays now if that was not done. If there is no
-     * further run, pays for another request that waits at the entry.
+     * Tells the entry that the next run is paid for, before this one has ended; false if it is not
+     * paid for or the entry was told.
      */
-    void pay(HttpFields.Mutable headers, boolean mayRetry) {
-        if (mayRetry && (mPaid || mCharge.tryPrepayRetry())) {
-            headers.put(HeaderNames.NEXT_RETRY_PREPAID, "1");
-        } else if (mCharge.tryPayForWaiting()) {
+    synchronized boolean tryTell(HttpFields.Mutable headers) {
+        if (!mPaid || mTold) {
+            return false;
+        }
+        mTold = true;
+        headers.put(HeaderNames.NEXT_RETRY_PREPAID, "1");
+        return true;
+    }
+
+    /**
+     * Tells the entry, with the end of the run, that the next run is paid for; pays now if that was
+     * not done. If there is no further run, or it was told of before, pays for another request that
+     * waits at the entry.
+     */
+    synchronized void pay(HttpFields.Mutable headers, boolean mayRetry) {
+        mPaid |= mayRetry && !mPaid && mCharge.tryPrepayRetry();
+        boolean told = mayRetry && tryTell(headers);
+        if (!told && mCharge.tryPayForWaiting()) {
             headers.put(HeaderNames.WAITING_RETRY_PREPAID, "1");
         }
     }
--- a/src/main/java/org/apricotgauge/target/RunEventLog.java
+++ b/src/main/java/org/apricotgauge/target/RunEventLog.java
@@ -32,6 +32,11 @@
         }
     }
 
+    /** Logs that the entry was offered a further attempt beside the run. */
+    void furtherAttemptOffered(Enum<?> cause) {
+        mContext.log().furtherAttemptOffered(toEvent(cause));
+    }
+
     private TargetRunLog.RunEvent toEvent(Enum<?> reason) {
         StopSchedule stop = mContext.stop();
         return new TargetRunLog.RunEvent(
--- a/src/main/java/org/apricotgauge/target/RunTimes.java
+++ b/src/main/java/org/apricotgauge/target/RunTimes.java
@@ -44,9 +44,9 @@
         return Math.max(0, mContext.ticker().nanos() - mSentNanos);
     }
 
-    /** Returns the time since the attempt was sent, in milliseconds. */
+    /** Returns the time since the attempt was sent, in milliseconds; 0 before that. */
     long serviceMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(serviceNanos());
+        return mStarted ? TimeUnit.NANOSECONDS.toMillis(serviceNanos()) : 0;
     }
 
     /** Returns whether the target was sent the attempt. */
--- a/src/main/java/org/apricotgauge/target/TargetRunLog.java
+++ b/src/main/java/org/apricotgauge/target/TargetRunLog.java
@@ -91,6 +91,11 @@
         mEventLog.info("run ended early", leftOut -> new EventLine(event, leftOut));
     }
 
+    /** Logs that the entry of a run was offered a further attempt beside it. */
+    void furtherAttemptOffered(RunEvent event) {
+        mEventLog.info("further attempt offered", leftOut -> new EventLine(event, leftOut));
+    }
+
     /** Logs that a target declares a different rate limit than before, or none any more. */
     void limitChanged(Target target, Optional<StartLimit> limit, Optional<StartLimit> before) {
         mLog.info(
