--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -199,7 +199,9 @@
         mAcknowledged = true;
         LargeBodies.onAcknowledged(mWithheldBody, fields);
         mContext.guards().recordStamp(mCandidate.guard(), fields);
-        mContext.observer().onGuardAcknowledged(fields, mHopStartMillis);
+        if (mTransport.isRemote()) {
+            mContext.observer().onGuardAcknowledged(fields, mHopStartMillis);
+        }
         if (fields.contains(HeaderNames.NEXT_RETRY_PREPAID)) {
             mTracker.recordOutcome(ObservedOutcome.CANCELLED);
             setAside("guard offers a further attempt", UnknownReason.STARTED, true);
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -26,7 +26,6 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * An attempt that the ledger admitted, from the queue to its target and back.
@@ -50,20 +49,17 @@
     private final RunDeadline mRunDeadline;
     private final RunTimes mTimes;
     private final AtomicReference<Phase> mPhase = new AtomicReference<>(Phase.WAITING);
-    private volatile UpstreamExchange mExchange;
-    private volatile Scheduler.Task mTimeoutTask;
     private final AcknowledgementSender mAcknowledgements;
     private final RunIdentity mIdentity;
     private final RunMonitor mRunMonitor;
     private final StopCheck mStopCheck;
     private final SendCheck mSendCheck;
-    private volatile boolean mTimedOut;
+    private final EarlyEnd mEarlyEnd;
+    private final RunFailover mFailover;
 
     /** Why nothing was written although the request had a slot; null if it may be written. */
     private volatile NotRunReason mSendRejection;
 
-    private volatile boolean mAbandoned;
-
     private enum Phase {
         /** In the queue. */
         WAITING,
@@ -112,6 +108,8 @@
         mTicket = ticket;
         mRequest = request;
         mReply = reply;
+        RunEventLog log = new RunEventLog(context, mIdentity, gate.target(), attempt, mTimes);
+        mEarlyEnd = new EarlyEnd(log, () -> mPhase.get() == Phase.ENDED);
         mAcknowledgements =
                 new AcknowledgementSender(
                         context.scheduler(),
@@ -119,6 +117,14 @@
                         this::hasAnswerBegun,
                         context::addAcknowledgementHeaders,
                         request.headers().contains(HeaderNames.BODY_ON_DEMAND));
+        mFailover =
+                new RunFailover(
+                        context.metrics(),
+                        mPrepayment,
+                        mStopCheck,
+                        mAcknowledgements,
+                        log,
+                        HopHeaders.canRetryBeside(request.headers()));
     }
 
     private boolean hasAnswerBegun() {
@@ -170,24 +176,29 @@
     void onStopping() {
         if (mPhase.get() == Phase.WAITING && !mStopCheck.canEnd()) {
             withdraw();
-        } else if (mPhase.get() == Phase.SENDING && mExchange != null) {
+        } else if (mPhase.get() == Phase.SENDING && mEarlyEnd.hasExchange()) {
             breakOffBeforeEnd();
         }
     }
 
     private void breakOffBeforeEnd() {
-        boolean handsOver = mStopCheck.isTimeToHandOver() && mPrepayment.tryPayForFailed();
+        boolean handsOver = mFailover.mustHandOver();
         boolean breaksOff = handsOver || mStopCheck.isLastMoment();
         if (!breaksOff || !mPhase.compareAndSet(Phase.SENDING, Phase.ENDED)) {
             return;
         }
-        mExchange.abort(new TimeoutException("node is ending"));
+        EarlyEnd.Reason reason =
+                handsOver ? EarlyEnd.Reason.HANDED_OVER : EarlyEnd.Reason.NODE_ENDING;
+        mEarlyEnd.abort(reason);
         if (mContext.ledger().withdraw(mAttempt, mContext.ticker().millis())) {
             releaseSlot(RunResult.UNSENT, ObservedOutcome.CANCELLED);
             endNotRun(NotRunReason.LEAVING);
             return;
         }
-        mContext.metrics().countBrokenOff(handsOver);
+        mEarlyEnd.record(reason);
+        if (!handsOver) {
+            mContext.metrics().stopUnfinished().inc();
+        }
         endBroken(false);
         writeUnknown();
     }
@@ -203,20 +214,20 @@
     // The entry disconnects when its caller has disconnected or the deadline has passed.
     private void onEntryDisconnected() {
         mContext.ledger().fence(mAttempt, mContext.ticker().millis());
-        onAbandoned();
+        cancel(EarlyEnd.Reason.ENTRY_DISCONNECTED);
     }
 
     /** Cancels the request after its entry abandoned it, at the target if it has started. */
     void onAbandoned() {
-        mAbandoned = true;
+        cancel(EarlyEnd.Reason.ABANDONED);
+    }
+
+    private void cancel(EarlyEnd.Reason reason) {
         mGate.cancel(mTicket);
         if (mPhase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
             endNotRun(NotRunReason.FENCED);
         }
-        UpstreamExchange exchange = mExchange;
-        if (exchange != null) {
-            exchange.abort(new TimeoutException("entry abandoned the attempt"));
-        }
+        mEarlyEnd.end(reason);
     }
 
     @Override
@@ -234,9 +245,7 @@
         mAcknowledgements.askForBody();
         mContext.observer().onRunStarted(requestId());
         long remainingMillis = mRunDeadline.remainingMillis(mContext.ticker().millis());
-        mTimeoutTask =
-                mContext.scheduler()
-                        .schedule(this::onTimeout, remainingMillis, TimeUnit.MILLISECONDS);
+        mEarlyEnd.startDeadline(mContext.scheduler(), remainingMillis);
         mRunMonitor.start(
                 mTicket.workKind(),
                 mGate.softDeadlineRemainingMillis(mTicket),
@@ -245,11 +254,7 @@
         UpstreamRequest request =
                 TargetRequestFactory.create(
                         mContext, mGate, mTicket, mRequest, mIdentity, remainingMillis);
-        mExchange = mContext.client().send(request, this);
-        if (mAbandoned) {
-            // Abandoned after the admission, when there was no exchange to abort yet.
-            onAbandoned();
-        }
+        mEarlyEnd.setExchange(mContext.client().send(request, this));
     }
 
     private void rejectAdmitted(NotRunReason reason) {
@@ -273,7 +278,7 @@
         mTimes.onSent();
         mSendRejection = mSendCheck.checkBeforeFirstByte(mAttempt);
         if (mSendRejection == null) {
-            mTimes.logStarted(mIdentity, mGate.target(), mAttempt);
+            mTimes.onStarted(mIdentity, mGate.target(), mAttempt);
         }
         return mSendRejection == null;
     }
@@ -412,6 +417,9 @@
     }
 
     private void onAnswerBroken(boolean byTarget, Throwable cause) {
+        if (!byTarget) {
+            mEarlyEnd.record(EarlyEnd.Reason.ENTRY_DISCONNECTED);
+        }
         mPhase.set(Phase.ENDED);
         endBroken(byTarget);
         mReply.fail(cause);
@@ -420,9 +428,9 @@
     private CompletableFuture<Void> endBroken(boolean byTarget) {
         CompletableFuture<Void> exitReported = CompletableFuture.completedFuture(null);
         mContext.ledger().broken(mAttempt, mContext.ticker().millis());
-        if (mTimedOut) {
+        if (mEarlyEnd.isBy(EarlyEnd.Reason.DEADLINE)) {
             releaseSlot(RunResult.CANCELLED, ObservedOutcome.TIMEOUT);
-        } else if (byTarget && !mAbandoned && !mPrepayment.isPaid()) {
+        } else if (byTarget && !mEarlyEnd.isRecorded()) {
             releaseSlot(RunResult.FAILED, ObservedOutcome.TARGET_ERROR);
             exitReported = mRunMonitor.reportBroken();
         } else {
@@ -435,19 +443,9 @@
 
     // A hung target would keep the request until its deadline though others could serve it.
     private void abortForFailover() {
-        UpstreamExchange exchange = mExchange;
-        if (exchange == null || mPhase.get() != Phase.SENDING || !mPrepayment.tryPayEarly()) {
-            return;
-        }
-        mContext.metrics().hung().inc();
-        exchange.abort(new TimeoutException("target is unresponsive"));
-    }
-
-    private void onTimeout() {
-        mTimedOut = true;
-        UpstreamExchange exchange = mExchange;
-        if (exchange != null) {
-            exchange.abort(new TimeoutException("request deadline passed"));
+        boolean isSending = mPhase.get() == Phase.SENDING && mEarlyEnd.hasExchange();
+        if (isSending && mFailover.mustEndHung()) {
+            mEarlyEnd.end(EarlyEnd.Reason.HUNG);
         }
     }
 
@@ -484,13 +482,7 @@
 
     private void stopTimers() {
         mReply.unwatch();
-        cancel(mTimeoutTask);
+        mEarlyEnd.stopDeadline();
         mAcknowledgements.stop();
     }
-
-    private static void cancel(Scheduler.Task task) {
-        if (task != null) {
-            task.cancel();
-        }
-    }
 }
