Look for a guard that is gone also beside a run that it offered to hand over

An attempt that its guard had offered a further one for lost the check of the guard's acknowledgements, so that a guard whose VM is lost held its request to the deadline if no other target took it. The check of silent guards runs for it as well. A fence that comes back after its attempt has ended no longer counts as a failure of the path.

--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -304,7 +304,6 @@
             recordPathFailure();
             mTracker.recordOutcome(ObservedOutcome.PATH_FAULT);
             setAside("guard is silent", UnknownReason.GUARD_UNREACHABLE, false);
-            mGuardCheck.start();
         } else {
             fence();
             mGuardCheck.start();
@@ -324,6 +323,9 @@
     private void setAside(String step, UnknownReason why, boolean prepaid) {
         mSetAside = true;
         cancelTimeout();
+        if (mTransport.isRemote()) {
+            mGuardCheck.start();
+        }
         mExchange.recordStep(step + (mAcknowledged ? ", which has the attempt" : ""));
         mExchange.onAttemptUnresponsive(this, why, prepaid);
     }
@@ -362,12 +364,12 @@
     }
 
     private void onFenceEnded(FenceAnswer answer, Throwable failure) {
-        recordPathFailure();
         mContext.observer().onFenceEnded(mCandidate.target(), mAttempt.id().toString(), answer);
         mExchange.recordStep("fence: " + (answer == null ? failure : answer.state()));
         if (hasEnded()) {
             return;
         }
+        recordPathFailure();
         if (!mConnectionLost && mayStillAnswer(answer)) {
             mFencing.set(false);
             if (mConnectionLost) {
--- a/src/main/java/org/apricotgauge/caller/OpenAttempts.java
+++ b/src/main/java/org/apricotgauge/caller/OpenAttempts.java
@@ -16,7 +16,8 @@
  * }</pre>
  *
  * <p>The exchange decides what follows the current attempt. One that was set aside ends by itself,
- * or with the exchange. Used under the lock of its exchange; otherwise not thread-safe.
+ * or with the exchange. Used under the lock of its exchange, or by the one thread that has ended
+ * it; otherwise not thread-safe.
  */
 final class OpenAttempts {
     private final List<TargetAttempt> mAside = new ArrayList<>(0);
