--- a/src/main/java/org/apricotgauge/caller/GuardTimeoutPolicy.java
+++ b/src/main/java/org/apricotgauge/caller/GuardTimeoutPolicy.java
@@ -3,7 +3,7 @@
 import org.apricotgauge.model.Checks;
 
 /**
- * Decides how long a guard may send nothing before its path counts as dead.
+ * Decides how long a guard may send nothing before it counts as silent.
  *
  * <pre>{@code
  * long millis = GuardTimeoutPolicy.DEFAULT.acknowledgementTimeoutMillis(lagMillis);
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -33,8 +33,10 @@
  * An attempt sent through the guard of the target.
  *
  * <p>A guard in another process acknowledges the attempt at once and then every second. Without an
- * acknowledgement in time, the path counts as dead in at least one direction: the attempt is fenced
- * over a new connection, and it counts as not run only if the guard answers "not run".
+ * acknowledgement in time, the guard is slow or the path to it is dead, and the attempt stays open.
+ * If the request is idempotent, another attempt is made beside it. Otherwise, the attempt is fenced
+ * over a new connection until the guard answers, and it counts as not run only if the guard says
+ * so.
  */
 final class GuardedAttempt implements TargetAttempt, UpstreamExchange.Listener {
     /** Longest wait for the answer to a fence, including a new connection. */
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -29,8 +29,8 @@
  * An attempt at the owner of the request's Idempotency-Key.
  *
  * <p>The owner runs the key at most once, however often the request reaches it. A retry is
- * therefore safe at the owner, and only there. A timeout leads to a new attempt over a new
- * connection, not to a fence.
+ * therefore safe at the owner, and only there. If the owner is silent, one is made beside the open
+ * attempt over a new connection, not to a fence.
  */
 final class KeyedAttempt implements TargetAttempt, UpstreamExchange.Listener {
     private final CallerExchange mExchange;
