--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -30,7 +30,7 @@
  *
  * <p>The owner runs the key at most once, however often the request reaches it. A retry is
  * therefore safe at the owner, and only there. If the owner is silent, one is made beside the open
- * attempt over a new connection, not to a fence.
+ * attempt, over a new connection.
  */
 final class KeyedAttempt implements TargetAttempt, UpstreamExchange.Listener {
     private final CallerExchange mExchange;
