--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -17,15 +17,19 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /**
  * A small deployment on loopback addresses: the platform's store, upstreams, and the project's own
@@ -74,6 +78,7 @@
         settings.put("bounds.graceS", "6");
         settings.put("platform.heartbeatMs", "1500");
         settings.put("limits.cpuShare", "0.6");
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
     }
 
     static String ip(int machine) {
@@ -81,7 +86,8 @@
     }
 
     private static int[] freePorts(int machines, int count) throws IOException {
-        for (int base = 21_000; base < 31_000; base += 10) {
+        for (int tries = 0; tries < 100; tries++) {
+            int base = 21_000 + 10 * ThreadLocalRandom.current().nextInt(1_000);
             if (allFree(machines, base, count)) {
                 int[] ports = new int[count];
                 for (int i = 0; i < count; i++) {
@@ -156,11 +162,22 @@
         return upstream;
     }
 
+    private void endProcesses() {
+        nodes.forEach(Node::kill);
+    }
+
+    private void deleteWork() throws IOException {
+        try (Stream<Path> files = Files.walk(work)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
     @Override
     public void close() {
-        for (Node node : nodes) {
-            node.kill();
-        }
+        endProcesses();
+        parts.add(this::deleteWork);
         for (AutoCloseable part : parts) {
             try {
                 part.close();
@@ -184,7 +201,7 @@
 
         void start() throws IOException {
             String deploy = Files.readString(Path.of("deploy/system.toml"));
-            Matcher run = java.util.regex.Pattern.compile("(?m)^run = \"(.*)\"$").matcher(deploy);
+            Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(deploy);
             if (!run.find()) {
                 throw new IOException("no run line in the deploy file");
             }
@@ -206,7 +223,7 @@
         }
 
         private String filled(String word) {
-            Matcher name = java.util.regex.Pattern.compile("\\{\\{([^}]*)}}").matcher(word);
+            Matcher name = Pattern.compile("\\{\\{([^}]*)}}").matcher(word);
             return name.replaceAll(
                     one -> Matcher.quoteReplacement(values.getOrDefault(one.group(1), "")));
         }
@@ -226,16 +243,7 @@
             }
         }
 
-        long pid() {
-            return process.pid();
-        }
-
-        boolean isAlive() {
-            return process.isAlive();
-        }
-
         void kill() {
-            signal("CONT");
             process.destroyForcibly();
             try {
                 process.waitFor(5, TimeUnit.SECONDS);
@@ -243,22 +251,6 @@
                 Thread.currentThread().interrupt();
             }
         }
-
-        /** Sends a signal to this process, which this case has started. */
-        void signal(String name) {
-            try {
-                new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
-                        .inheritIO()
-                        .start()
-                        .waitFor();
-            } catch (IOException | InterruptedException e) {
-                note("cannot signal the node of machine %d: %s", machine, e);
-            }
-        }
-
-        List<String> logLines() throws IOException {
-            return Files.readAllLines(work.resolve("node-" + machine + ".log"));
-        }
     }
 
     /** The platform's store: linearizable reads, watches, a history that is never forgotten. */
