--- a/review/2/CaseKeys.java
+++ b/review/2/CaseKeys.java
@@ -34,19 +34,8 @@
         this.lab = lab;
     }
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result;
-        try (Lab lab = new Lab(Path.of(arguments[0]), MACHINES)) {
-            try {
-                result = new CaseKeys(lab).run(trouble);
-            } catch (Exception e) {
-                lab.note("the case could not run: %s", e);
-                result = Lab.COULD_NOT_RUN;
-            }
-            lab.note("exit %d", result);
-        }
-        System.exit(result);
+    public static void main(String[] arguments) {
+        Lab.run(Path.of(arguments[0]), MACHINES, (lab, trouble) -> new CaseKeys(lab).run(trouble));
     }
 
     private int run(boolean trouble) throws Exception {
--- a/review/3/CaseRoute.java
+++ b/review/3/CaseRoute.java
@@ -14,19 +14,8 @@
 
     private CaseRoute() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result;
-        try (Lab lab = new Lab(Path.of(arguments[0]), MACHINES)) {
-            try {
-                result = run(lab, trouble);
-            } catch (Exception e) {
-                lab.note("the case could not run: %s", e);
-                result = Lab.COULD_NOT_RUN;
-            }
-            lab.note("exit %d", result);
-        }
-        System.exit(result);
+    public static void main(String[] arguments) {
+        Lab.run(Path.of(arguments[0]), MACHINES, CaseRoute::run);
     }
 
     private static int run(Lab lab, boolean trouble) throws Exception {
--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -57,6 +57,29 @@
     final int newsPort;
     final int crashNewsPort;
 
+    /** What a script does with its deployment. */
+    interface Script {
+        /** Returns {@link #HELD}, {@link #BROKEN} or {@link #COULD_NOT_RUN}. */
+        int run(Lab lab, boolean trouble) throws Exception;
+    }
+
+    /** Runs a script and ends this process with its result. */
+    static void run(Path recordFile, int machines, Script script) {
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        int result = COULD_NOT_RUN;
+        try (Lab lab = new Lab(recordFile, machines)) {
+            try {
+                result = script.run(lab, trouble);
+            } catch (Exception e) {
+                lab.note("the case could not run: %s", e);
+            }
+            lab.note("exit %d", result);
+        } catch (IOException e) {
+            System.err.println("the case could not run: " + e);
+        }
+        System.exit(result);
+    }
+
     /** Creates the store and draws free ports for up to the given number of machines. */
     Lab(Path recordFile, int machines) throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
