Deny requests once no API key is left

Callers: once a published version takes the last key away, every request runs: with a removed key, an unknown one, or none.

Cause: Configuration.hasKeys was "some member has a key" and stood for three questions: whether the site authenticates by key, whose a request is, and whether credentials are removed. The decoder dropped whether the members' list was there at all.

Ruled out by the case's record: a late version and a remembered decision. Nodes with r7 or r9 deny an unknown and a missing key; under r11 both ran.

Change: the configuration says that keys are required; on the users' platform that is a members' list, empty or not. Absent or null stays a site without keys, whose credentials pass untouched. Denials are counted by reason, gauges and two warnings show a version without keys. Related path: a guard removes a key that its entry left in the request.

Conclusion: whether keys are needed no longer follows from how many there are. Configurations made from patches still derive it; that takes new rules and is a change of its own.

--- a/src/main/java/org/apricotgauge/caller/EntryHandler.java
+++ b/src/main/java/org/apricotgauge/caller/EntryHandler.java
@@ -131,11 +131,19 @@
                         new ShedRetries(
                                 options.loadSharing().rankedRetries(), scheduler, ticker, registry),
                         EntryMetrics.of(registry));
-        mRequesterResolver = new RequesterResolver(mContext.dialect(), mContext.requestLog());
+        mRequesterResolver =
+                new RequesterResolver(
+                        mContext.dialect(), mContext.requestLog(), DenialCounters.of(registry));
+        registry.gauge("access.by_key", () -> () -> configuration().authenticatesByKey() ? 1 : 0);
+        registry.gauge("access.keys", () -> () -> configuration().keyCount());
         mKeyedRequestHandler = new KeyedRequestHandler(mContext, options.keyLimits());
         mRetryBudgets = new RetryBudgetRegistry(options.entryRetryAllowance(), ticker.millis());
     }
 
+    private Configuration configuration() {
+        return mRoutingTable.get().configuration();
+    }
+
     /** Starts the background tasks; the scheduler must have been started. */
     public void startBackgroundTasks() {
         mContext.lagMeter().start();
--- a/src/main/java/org/apricotgauge/caller/Requester.java
+++ b/src/main/java/org/apricotgauge/caller/Requester.java
@@ -1,10 +1,10 @@
 package org.apricotgauge.caller;
 
 import java.util.Optional;
+import org.apricotgauge.http.BearerKey;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Priority;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 
 /**
  * The sender of a request.
@@ -20,7 +20,7 @@
         return new Requester(member, member.map(Member::id).orElse(Member.ANONYMOUS_ID), true);
     }
 
-    /** Returns a requester whose id is not verified, since no member has a key. */
+    /** Returns a requester whose id is not verified, since the site has no API keys. */
     static Requester unauthenticated(Optional<String> memberId) {
         return new Requester(Optional.empty(), memberId.orElse(Member.ANONYMOUS_ID), false);
     }
@@ -28,7 +28,7 @@
     /** Removes the credentials from a request to a target. */
     void removeCredentials(HttpFields.Mutable headers) {
         if (removesAuthorization) {
-            headers.remove(HttpHeader.AUTHORIZATION);
+            BearerKey.removeFrom(headers);
         }
     }
 
--- a/src/main/java/org/apricotgauge/caller/RequesterResolver.java
+++ b/src/main/java/org/apricotgauge/caller/RequesterResolver.java
@@ -22,10 +22,12 @@
 final class RequesterResolver {
     private final SiteDialect mDialect;
     private final RequestLog mLog;
+    private final DenialCounters mDenials;
 
-    RequesterResolver(SiteDialect dialect, RequestLog log) {
+    RequesterResolver(SiteDialect dialect, RequestLog log, DenialCounters denials) {
         mDialect = dialect;
         mLog = log;
+        mDenials = denials;
     }
 
     /**
@@ -35,18 +37,17 @@
      */
     Optional<Requester> resolveCaller(Configuration configuration, Route route, Request request) {
         HttpFields headers = request.getHeaders();
-        if (!configuration.hasKeys()) {
+        if (!configuration.authenticatesByKey()) {
             return Optional.of(Requester.unauthenticated(mDialect.declaredMember(headers)));
         }
         Access access = AccessPolicy.decide(configuration, route, BearerKey.read(headers));
         if (access instanceof Access.Granted granted) {
             return Optional.of(Requester.authenticated(granted.member()));
         }
+        Access.Reason reason = ((Access.Denied) access).reason();
+        mDenials.count(reason);
         mLog.logDenied(
-                mDialect.requestId(headers),
-                route.id(),
-                ((Access.Denied) access).reason(),
-                Request.getRemoteAddr(request));
+                mDialect.requestId(headers), route.id(), reason, Request.getRemoteAddr(request));
         return Optional.empty();
     }
 
@@ -61,6 +62,6 @@
                 new Requester(
                         Optional.ofNullable(id).map(configuration::member),
                         id == null ? Member.ANONYMOUS_ID : id,
-                        configuration.hasKeys()));
+                        configuration.authenticatesByKey()));
     }
 }
--- a/src/main/java/org/apricotgauge/decision/access/AccessPolicy.java
+++ b/src/main/java/org/apricotgauge/decision/access/AccessPolicy.java
@@ -12,10 +12,11 @@
  * Access access = AccessPolicy.decide(table.configuration(), route, credentials);
  * }</pre>
  *
- * <p>If no member has a key in the configuration, every request is allowed. Otherwise a request
- * needs a key unless its route is open. An unknown key is denied on open routes too: its caller
- * assumes that it is a member, and would otherwise be served as an anonymous caller. Called for
- * each request, so that a removed key stops working on connections that are already open.
+ * <p>If the site has no API keys, every request is allowed. Otherwise a request needs a key unless
+ * its route is open, also when no member has a key any longer. An unknown key is denied on open
+ * routes too: its caller assumes that it is a member, and would otherwise be served as an anonymous
+ * caller. Called for each request, so that a removed key stops working on connections that are
+ * already open.
  */
 public final class AccessPolicy {
 
@@ -23,7 +24,7 @@
 
     /** Decides on one request. */
     public static Access decide(Configuration configuration, Route route, Credentials credentials) {
-        if (!configuration.hasKeys()) {
+        if (!configuration.authenticatesByKey()) {
             return new Access.Granted(Optional.empty());
         }
         if (credentials instanceof Credentials.Key key) {
--- a/src/main/java/org/apricotgauge/directory/PublishedConfiguration.java
+++ b/src/main/java/org/apricotgauge/directory/PublishedConfiguration.java
@@ -12,7 +12,8 @@
  * @param baseVersion version that the operator's patch was based on
  * @param services names of the services
  * @param routes all routes
- * @param members all members that have keys
+ * @param requiresKeys whether requests need an API key, even if no member has one
+ * @param members all members
  * @param idleMillis idle timeout of callers' connections, in milliseconds
  */
 public record PublishedConfiguration(
@@ -20,6 +21,7 @@
         long baseVersion,
         List<String> services,
         List<Route> routes,
+        boolean requiresKeys,
         List<Member> members,
         long idleMillis) {
 
@@ -33,13 +35,13 @@
         members = List.copyOf(Checks.notNull("configuration.members", members));
     }
 
-    /** Creates a version in which no member has keys. */
+    /** Creates a version without members, whose requests need no API keys. */
     public PublishedConfiguration(
             long version,
             long baseVersion,
             List<String> services,
             List<Route> routes,
             long idleMillis) {
-        this(version, baseVersion, services, routes, List.of(), idleMillis);
+        this(version, baseVersion, services, routes, false, List.of(), idleMillis);
     }
 }
--- a/src/main/java/org/apricotgauge/http/BearerKey.java
+++ b/src/main/java/org/apricotgauge/http/BearerKey.java
@@ -6,7 +6,10 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 
-/** Reads the API key of a request: {@code Authorization: Bearer KEY} (RFC 6750, section 2.1). */
+/**
+ * Reads and removes the API key of a request: {@code Authorization: Bearer KEY} (RFC 6750, section
+ * 2.1).
+ */
 public final class BearerKey {
     private static final String SCHEME = "Bearer ";
 
@@ -25,4 +28,9 @@
         String key = value.substring(SCHEME.length()).strip();
         return key.isEmpty() ? Credentials.UNREADABLE : Credentials.ofKey(KeyDigest.of(key));
     }
+
+    /** Removes the credentials, whatever their kind. */
+    public static void removeFrom(HttpFields.Mutable headers) {
+        headers.remove(HttpHeader.AUTHORIZATION);
+    }
 }
--- a/src/main/java/org/apricotgauge/http/SiteDialect.java
+++ b/src/main/java/org/apricotgauge/http/SiteDialect.java
@@ -69,8 +69,8 @@
             Optional<String> member);
 
     /**
-     * Returns the member that a caller declares without a key; trusted only if the configuration
-     * holds no keys.
+     * Returns the member that a caller declares without a key; trusted only if the site has no API
+     * keys.
      *
      * @throws IllegalArgumentException if a header is invalid; the message names it
      */
--- a/src/main/java/org/apricotgauge/model/Configuration.java
+++ b/src/main/java/org/apricotgauge/model/Configuration.java
@@ -28,6 +28,7 @@
     private final Index<RouteMatch, Route> mRoutesByMatch;
     private final TreePMap<String, Member> mMembers;
     private final HashPMap<KeyDigest, Member> mMembersByKey;
+    private final boolean mRequiresKeys;
 
     private Configuration(Parts parts) {
         mServices = parts.mServices;
@@ -39,6 +40,7 @@
         mRoutesByMatch = parts.mRoutesByMatch;
         mMembers = parts.mMembers;
         mMembersByKey = parts.mMembersByKey;
+        mRequiresKeys = parts.mRequiresKeys;
     }
 
     /** Returns the service, or null if there is none of that name. */
@@ -66,9 +68,20 @@
         return mMembersByKey.get(key);
     }
 
-    /** Returns whether members are told by their keys: some member has one. */
-    public boolean hasKeys() {
-        return !mMembersByKey.isEmpty();
+    /**
+     * Returns whether requests are authenticated by API keys: the site requires it, or some member
+     * has a key.
+     *
+     * <p>A site that requires keys still does once the last key has been removed; every request to
+     * a route that isn't open is denied then.
+     */
+    public boolean authenticatesByKey() {
+        return mRequiresKeys || !mMembersByKey.isEmpty();
+    }
+
+    /** Returns the number of API keys of all members. */
+    public int keyCount() {
+        return mMembersByKey.size();
     }
 
     /** Returns all services, in the order of their names. */
@@ -200,6 +213,19 @@
         return new Configuration(parts);
     }
 
+    /**
+     * Returns this configuration with API keys required, whether or not some member has one; if
+     * false, they are required only while some member has one.
+     */
+    public Configuration withKeysRequired(boolean required) {
+        if (required == mRequiresKeys) {
+            return this;
+        }
+        Parts parts = new Parts(this);
+        parts.mRequiresKeys = required;
+        return new Configuration(parts);
+    }
+
     /**
      * Returns an equal target that shares its texts with those already here.
      *
@@ -261,6 +287,7 @@
         private Index<RouteMatch, Route> mRoutesByMatch = Index.empty();
         private TreePMap<String, Member> mMembers = TreePMap.empty();
         private HashPMap<KeyDigest, Member> mMembersByKey = HashTreePMap.empty();
+        private boolean mRequiresKeys;
 
         Parts() {}
 
@@ -274,6 +301,7 @@
             mRoutesByMatch = from.mRoutesByMatch;
             mMembers = from.mMembers;
             mMembersByKey = from.mMembersByKey;
+            mRequiresKeys = from.mRequiresKeys;
         }
 
         // Moved to another member by one patch, a key may be the other's by now.
--- a/src/main/java/org/apricotgauge/node/DirectoryControl.java
+++ b/src/main/java/org/apricotgauge/node/DirectoryControl.java
@@ -113,6 +113,7 @@
         }
         updateRoutes(published);
         updateMembers(published.members());
+        mConfiguration = mConfiguration.withKeysRequired(published.requiresKeys());
         Set<String> leaving = updateTargets(directory.registrations());
         mVersion = "r" + published.version();
         // Members first: a new target whose guard is not known yet would be skipped, and a node
--- /dev/null
+++ b/src/main/java/org/apricotgauge/node/KeyAccessLog.java
@@ -0,0 +1,44 @@
+package org.apricotgauge.node;
+
+import org.apricotgauge.log.StateLog;
+import org.apricotgauge.model.Configuration;
+import org.jboss.logging.Logger;
+
+/**
+ * Logs when a configuration changes whether requests need API keys, and when no key is left.
+ *
+ * <pre>{@code
+ * log.configurationChanged(version, before, after);
+ * }</pre>
+ */
+final class KeyAccessLog {
+    private final StateLog mLog = new StateLog(Logger.getLogger(KeyAccessLog.class));
+
+    /**
+     * A change of the keys.
+     *
+     * @param version version of the configuration that made it
+     * @param keysBefore number of keys before
+     * @param keys number of keys from now on
+     */
+    private record KeyChange(long version, int keysBefore, int keys) {}
+
+    /** Logs a change, if there is one; an empty configuration had no keys. */
+    void configurationChanged(long version, Configuration before, Configuration after) {
+        KeyChange change = new KeyChange(version, before.keyCount(), after.keyCount());
+        if (before.authenticatesByKey() && !after.authenticatesByKey()) {
+            mLog.warn("requests need no API key any more", change);
+            return;
+        }
+        if (!before.authenticatesByKey() && after.authenticatesByKey()) {
+            mLog.info("requests need API keys", change);
+        }
+        boolean hadKeys = before.keyCount() > 0 || !before.authenticatesByKey();
+        if (after.authenticatesByKey() && after.keyCount() == 0 && hadKeys) {
+            mLog.warn("no API key is left", change);
+        }
+        if (before.authenticatesByKey() && before.keyCount() == 0 && after.keyCount() > 0) {
+            mLog.info("API keys are there again", change);
+        }
+    }
+}
--- a/src/main/java/org/apricotgauge/node/RoutingState.java
+++ b/src/main/java/org/apricotgauge/node/RoutingState.java
@@ -39,6 +39,7 @@
     private final RoutingTableFactory mFactory;
     private final Ticker mTicker;
     private final RoutingTableFactory.TargetStateSource mTargetStates;
+    private final KeyAccessLog mKeyAccessLog = new KeyAccessLog();
     private final Map<String, EjectionVerdicts> mVerdicts = new HashMap<>();
     private final Set<String> mSelfReportedLeaving = ConcurrentHashMap.newKeySet();
     private final Deque<String> mSelfReportedOrder = new ArrayDeque<>();
@@ -58,6 +59,7 @@
     }
 
     synchronized void configurationChanged(long version, Configuration configuration) {
+        mKeyAccessLog.configurationChanged(version, mTable.get().configuration(), configuration);
         mTable.set(
                 mFactory.create(
                         mTable.get(), version, configuration, mTargetStates, mTicker.nanos()));
--- a/src/main/java/org/apricotgauge/platform/kv/ConfigDocument.java
+++ b/src/main/java/org/apricotgauge/platform/kv/ConfigDocument.java
@@ -10,7 +10,7 @@
  * @param services the services
  * @param limits bounds on callers
  * @param hosts the routes, by host
- * @param tenants the members; null if requests need no keys
+ * @param tenants the members; null if requests need no keys, which an empty list doesn't mean
  */
 record ConfigDocument(
         String version,
--- a/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
@@ -85,6 +85,7 @@
                         version(document.baseVersion()),
                         document.services().stream().map(ConfigDocument.ServiceLine::name).toList(),
                         routes,
+                        document.tenants() != null,
                         members(document.tenants()),
                         document.limits().idleTimeoutMs()));
     }
--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -181,6 +181,20 @@
         publishConfiguration(version, service, prefixes, "");
     }
 
+    /**
+     * Publishes a version of the configuration with the route {@link #PATH} and the member {@code
+     * stable}, which has these keys; without keys it is still a member.
+     */
+    public void publishKeys(long version, String service, List<String> keys) {
+        String quoted = keys.stream().map("\"%s\""::formatted).collect(Collectors.joining(","));
+        publishTenants(version, service, "[{\"name\":\"stable\",\"apiKeys\":[" + quoted + "]}]");
+    }
+
+    /** Publishes a version as {@link #publishKeys}, with these members as JSON. */
+    public void publishTenants(long version, String service, String tenants) {
+        publishConfiguration(version, service, List.of(PATH), "\"tenants\":" + tenants + ',');
+    }
+
     private void publishConfiguration(
             long version, String service, List<String> prefixes, String tenants) {
         String routes =
--- a/src/main/java/org/apricotgauge/target/Guard.java
+++ b/src/main/java/org/apricotgauge/target/Guard.java
@@ -92,6 +92,7 @@
                         observer,
                         this::acceptsRequests,
                         this::hasAlternative,
+                        () -> routingTable.get().configuration().authenticatesByKey(),
                         dialect,
                         ExitDetector.of(
                                 client, scheduler, this::acceptsRequests, observer::onTargetEnded),
--- a/src/main/java/org/apricotgauge/target/GuardContext.java
+++ b/src/main/java/org/apricotgauge/target/GuardContext.java
@@ -1,5 +1,6 @@
 package org.apricotgauge.target;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.apricotgauge.decision.attempt.AttemptLedger;
 import org.apricotgauge.decision.quarantine.QuarantineTable;
@@ -22,6 +23,7 @@
  * @param observer is notified of requests and of targets' state
  * @param acceptsRequests whether a target is registered and not leaving
  * @param hasAlternative whether another target can take over a request from this one
+ * @param authenticatesByKey whether the site has API keys, which no target may get
  * @param dialect header convention of the site's targets
  * @param exitDetector detects targets that ended while they ran requests
  * @param quarantine requests that may not be sent to targets
@@ -37,6 +39,7 @@
         GuardObserver observer,
         Predicate<Target> acceptsRequests,
         Predicate<Target> hasAlternative,
+        BooleanSupplier authenticatesByKey,
         SiteDialect dialect,
         ExitDetector exitDetector,
         QuarantineTable quarantine,
--- a/src/main/java/org/apricotgauge/target/TargetRequestFactory.java
+++ b/src/main/java/org/apricotgauge/target/TargetRequestFactory.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.apricotgauge.decision.admission.Ticket;
+import org.apricotgauge.http.BearerKey;
 import org.apricotgauge.http.ForwardedHeaders;
 import org.apricotgauge.http.client.UpstreamRequest;
 import org.apricotgauge.model.Member;
@@ -26,6 +27,10 @@
             long remainingMillis) {
         HttpFields.Mutable headers = HttpFields.build();
         ForwardedHeaders.copyRequest(source.headers(), headers);
+        // An entry with an older configuration may not have removed the key.
+        if (context.authenticatesByKey().getAsBoolean()) {
+            BearerKey.removeFrom(headers);
+        }
         context.dialect()
                 .addTargetHeaders(headers, gate.target().id(), remainingMillis, memberOf(ticket));
         return new UpstreamRequest(
--- a/src/test/java/org/apricotgauge/config/MemberKeysTest.java
+++ b/src/test/java/org/apricotgauge/config/MemberKeysTest.java
@@ -22,10 +22,10 @@
 
         ConfigHistory two = accepted(one, 2, putMember("stable", "k2"));
         assertThat(two.configuration().memberOf(KEY)).isNull();
-        assertThat(two.configuration().hasKeys()).isTrue();
+        assertThat(two.configuration().authenticatesByKey()).isTrue();
 
         ConfigHistory three = accepted(two, 3, new PatchOperation.RemoveMember("stable"));
-        assertThat(three.configuration().hasKeys()).isFalse();
+        assertThat(three.configuration().authenticatesByKey()).isFalse();
     }
 
     // Guards against a request that counts as one member's here and as another's there.
--- a/src/test/java/org/apricotgauge/decision/access/AccessPolicyTest.java
+++ b/src/test/java/org/apricotgauge/decision/access/AccessPolicyTest.java
@@ -48,6 +48,22 @@
                 .isEqualTo(new Access.Denied(Access.Reason.KEY_MISSING));
     }
 
+    // Guards against allowing every request once the last key has been removed.
+    @Test
+    void deniesAllButOpenRoutesWhenNoKeyIsLeft() {
+        Configuration noKeyLeft =
+                Configuration.EMPTY.withKeysRequired(true).withMember(new Member("stable", 1));
+
+        assertThat(AccessPolicy.decide(noKeyLeft, PROTECTED, Credentials.NONE))
+                .isEqualTo(new Access.Denied(Access.Reason.KEY_MISSING));
+        for (Route route : List.of(PROTECTED, OPEN)) {
+            assertThat(AccessPolicy.decide(noKeyLeft, route, UNKNOWN))
+                    .isEqualTo(new Access.Denied(Access.Reason.KEY_UNKNOWN));
+        }
+        assertThat(AccessPolicy.decide(noKeyLeft, OPEN, Credentials.NONE))
+                .isEqualTo(new Access.Granted(Optional.empty()));
+    }
+
     // Guards against denying callers for the credentials that they send, at a site without keys.
     @Test
     void grantsAccessToAllWhenNoMemberHasAKey() {
--- a/src/test/java/org/apricotgauge/functional/Hops.java
+++ b/src/test/java/org/apricotgauge/functional/Hops.java
@@ -183,6 +183,12 @@
         return this;
     }
 
+    /** Lets the site require keys, whether or not some member has one. */
+    Hops requireKeys() {
+        mConfiguration = mConfiguration.withKeysRequired(true);
+        return this;
+    }
+
     /** Adds a route below a prefix that needs no key. */
     Hops openRoute(String prefix) {
         return route("open", prefix, null, true);
--- a/src/test/java/org/apricotgauge/functional/KeysTest.java
+++ b/src/test/java/org/apricotgauge/functional/KeysTest.java
@@ -9,6 +9,7 @@
 import org.apricotgauge.model.KeyDigest;
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.RateLimit;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 
 /** Requests with keys on their way through both hops. */
@@ -63,6 +64,48 @@
         }
     }
 
+    // Guards against requests that run, and keys that reach targets, once no key is left.
+    @Test
+    void withoutAnyKeyLeftNothingRunsButOpenRoutes() throws Exception {
+        try (RawTarget target = RawTarget.start(RawTarget.always(OK));
+                Hops hops = keyed(target).requireKeys().openRoute("/open/")) {
+            hops.member(new Member("stable", 1));
+
+            assertThat(ask(hops, "/x")).startsWith("HTTP/1.1 401");
+            assertThat(ask(hops, "/x", BEARER)).startsWith("HTTP/1.1 401");
+            assertThat(ask(hops, "/open/x", BEARER)).startsWith("HTTP/1.1 401");
+            assertThat(target.runs()).isZero();
+            assertThat(hops.vm("a").count("entry.denied.key_missing")).isEqualTo(1);
+            assertThat(hops.vm("a").count("entry.denied.key_unknown")).isEqualTo(2);
+
+            assertThat(ask(hops, "/open/x")).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    // Guards against a key that an entry with an older configuration passes on through the guard.
+    @Test
+    void aGuardRemovesAKeyThatItsEntryDidNot() throws Exception {
+        try (RawTarget target = RawTarget.start(RawTarget.always(OK));
+                Hops hops = keyed(target)) {
+            HttpFields fromEntry = HttpFields.build().put("Authorization", "Bearer " + KEY);
+
+            new ScriptedEntry(hops, "a").send("t", "/x", 5_000, fromEntry).response();
+
+            assertThat(target.heads().get(0)).doesNotContain(KEY);
+        }
+    }
+
+    // Guards against targets that lose the credentials of a site whose fleet reads none.
+    @Test
+    void aSiteWithoutKeysKeepsItsCallersCredentials() throws Exception {
+        try (RawTarget target = RawTarget.start(RawTarget.always(OK));
+                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 2)) {
+            assertThat(ask(hops, "/x", BEARER)).startsWith("HTTP/1.1 200");
+
+            assertThat(target.heads().get(0)).contains(BEARER);
+        }
+    }
+
     @Test
     void beyondItsLimitAMemberIsToldWhenToComeBack() throws Exception {
         try (RawTarget target = RawTarget.start(RawTarget.always(OK));
--- a/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
@@ -42,6 +42,8 @@
 class SidecarOnPlatformTest {
     private static final String LOOPBACK = "127.0.0.1";
 
+    private static final String KEY = "3nax7u27gxprymh2rryt";
+
     private static final List<String> ADMIN_PATHS =
             List.of(
                     "/v1/status",
@@ -112,7 +114,6 @@
     // Guards against API keys that leak through logs or the administration API.
     @Test
     void logsAndAdminResponsesContainNoKey() throws Exception {
-        String key = "3nax7u27gxprymh2rryt";
         ListAppender<ILoggingEvent> log = new ListAppender<>();
         log.start();
         Logger root = (Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
@@ -120,16 +121,16 @@
         root.setLevel(Level.INFO);
         root.addAppender(log);
         try {
-            mPlatform.publishWithKey(LOOPBACK, "desk", key);
+            mPlatform.publishWithKey(LOOPBACK, "desk", KEY);
             LocalFleet.await(() -> mNode.phase() == NodePhase.SERVING && mNode.version() == 1);
 
-            assertThat(call("first", "Bearer " + key).getStatus()).isEqualTo(200);
-            assertThat(call("second", "Bearer wrong-" + key).getStatus()).isEqualTo(401);
-            assertThat(call("third", "Basic " + key).getStatus()).isEqualTo(401);
+            assertThat(call("first", "Bearer " + KEY).getStatus()).isEqualTo(200);
+            assertThat(call("second", "Bearer wrong-" + KEY).getStatus()).isEqualTo(401);
+            assertThat(call("third", "Basic " + KEY).getStatus()).isEqualTo(401);
             assertThat(call("fourth").getStatus()).isEqualTo(401);
             assertThat(mPlatform.runs()).isEqualTo(1);
             for (String path : ADMIN_PATHS) {
-                assertThat(admin(path)).doesNotContain(key);
+                assertThat(admin(path)).doesNotContain(KEY);
             }
             assertThat(admin("/v1/allotments")).contains("\"member\":\"stable\"");
         } finally {
@@ -138,10 +139,33 @@
         }
         assertThat(log.list).isNotEmpty();
         for (ILoggingEvent event : log.list) {
-            assertThat(event.getFormattedMessage() + event.getMDCPropertyMap()).doesNotContain(key);
+            assertThat(event.getFormattedMessage() + event.getMDCPropertyMap()).doesNotContain(KEY);
         }
     }
 
+    // Guards against a site that lets every request through once its last key has been removed.
+    @Test
+    void deniesRequestsOnceTheLastKeyIsRemoved() throws Exception {
+        mPlatform.publishWithKey(LOOPBACK, "desk", KEY);
+        LocalFleet.await(() -> mNode.phase() == NodePhase.SERVING && mNode.version() == 1);
+        assertThat(call("first", "Bearer " + KEY).getStatus()).isEqualTo(200);
+
+        mPlatform.publishKeys(2, "desk", List.of());
+        LocalFleet.await(() -> mNode.version() == 2);
+
+        assertThat(call("second", "Bearer " + KEY).getStatus()).isEqualTo(401);
+        assertThat(call("third").getStatus()).isEqualTo(401);
+        assertThat(mPlatform.runs()).isEqualTo(1);
+        assertThat(admin("/v1/metrics"))
+                .contains("access_by_key 1")
+                .contains("access_keys 0")
+                .contains("entry_denied_key_unknown");
+
+        mPlatform.publishKeys(3, "desk", List.of(KEY));
+        LocalFleet.await(() -> mNode.version() == 3);
+        assertThat(call("fourth", "Bearer " + KEY).getStatus()).isEqualTo(200);
+    }
+
     private String admin(String path) throws Exception {
         return mCaller.GET("http://" + LOOPBACK + ':' + mNode.adminPort() + path)
                 .getContentAsString();
--- a/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
+++ b/src/test/java/org/apricotgauge/platform/kv/KvDecoderTest.java
@@ -53,6 +53,24 @@
         assertThat(single.maxRunsOr(9)).isEqualTo(2);
     }
 
+    // Guards against an empty list of members that is read as a site without API keys.
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'' | false",
+                "'\"tenants\":null,' | false",
+                "'\"tenants\":[],' | true",
+                "'\"tenants\":[{\"name\":\"stable\"}],' | true",
+                "'\"tenants\":[{\"name\":\"stable\",\"apiKeys\":[]}],' | true",
+            })
+    void requiresKeysIfMembersAreListed(String tenants, boolean requiresKeys) {
+        SiteChange change = decode("op/config", CONFIG.replace("\"hosts\"", tenants + "\"hosts\""));
+
+        assertThat(((SiteChange.Configured) change).configuration().requiresKeys())
+                .isEqualTo(requiresKeys);
+    }
+
     @Test
     void readsMembersAndKeepsNoKey() {
         String tenants =
