Bound the interim responses before an answer

Callers: while one target sends interim responses (100, 102, 103) without end, no other answer reaches the node: a request at a sound target had none after 10 s. The deadline of the run did not close the connection within 15 s either.

Cause: ResponseReader.readHead goes on while interim responses come, on the one thread that reads for all targets and guards.

Change: more than 1,000 interim responses break the response. A guard sends one a second, and the longest deadline of a route is 600 s. Then the run ends as any broken answer, with its evidence against the target.

Before: 3 of the 5 cases of bytesBeforeTheHeadEndTheRunAndDelayNoOther failed (no answer of the sound target in 10 s twice, connection not closed in 15 s once); zeros and empty lines passed, and endless bodies. After: all pass.

Conclusion: one target can't hold the thread that reads for all others by what comes before an answer.

--- a/src/main/java/org/apricotgauge/http/client/ResponseReader.java
+++ b/src/main/java/org/apricotgauge/http/client/ResponseReader.java
@@ -28,6 +28,9 @@
     private static final int BUFFER_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 16_384;
 
+    /** A guard sends one a second, at most until the longest deadline of a route. */
+    private static final int MAX_INTERIM_RESPONSES = 1_000;
+
     private final UpstreamConnection mConnection;
     private final EndPoint mEndPoint;
     private final HttpParser mParser =
@@ -41,6 +44,7 @@
     private UpstreamResponse mResponse;
     private boolean mHeadComplete;
     private boolean mMessageComplete;
+    private int mInterimResponses;
     private IOException mFailure;
     private ByteBuffer mContent;
 
@@ -55,6 +59,7 @@
     void start(UpstreamExchange exchange) {
         mExchange = exchange;
         mBody = null;
+        mInterimResponses = 0;
         reset();
     }
 
@@ -101,6 +106,7 @@
                 return;
             }
             if (mMessageComplete) {
+                countInterim();
                 deliverInterim();
                 reset();
                 continue;
@@ -120,6 +126,14 @@
         return HttpStatus.isInformational(mStatus) && mStatus != HttpStatus.SWITCHING_PROTOCOLS_101;
     }
 
+    // The thread that reads them serves other connections, too, and would not come back to those.
+    private void countInterim() throws IOException {
+        mInterimResponses++;
+        if (mInterimResponses > MAX_INTERIM_RESPONSES) {
+            throw new IOException("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+        }
+    }
+
     private void deliverInterim() {
         // Other interim responses are dropped, which RFC 9110 section 15.2 allows a proxy that
         // requested none.
--- /dev/null
+++ b/src/test/java/org/apricotgauge/functional/EndlessAnswerTest.java
@@ -0,0 +1,121 @@
+package org.apricotgauge.functional;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bytes of a target that never end: in a head, before it, or in a body. */
+class EndlessAnswerTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    private static final long LONG_MILLIS = 20_000;
+    private static final long WAIT_SECONDS = 15;
+    private static final int AT_A_TIME = 8;
+
+    /** A target that repeats bytes after a beginning, until its peer closes the connection. */
+    private static final class Endless implements AutoCloseable {
+        private final CompletableFuture<Void> mClosedByPeer = new CompletableFuture<>();
+        private final RawTarget mTarget;
+
+        Endless(String beginning, String repeated, long pauseMillis) throws Exception {
+            byte[] bytes = repeated.getBytes(StandardCharsets.ISO_8859_1);
+            mTarget =
+                    RawTarget.start(
+                            (head, body, out) -> {
+                                out.write(beginning.getBytes(StandardCharsets.ISO_8859_1));
+                                repeat(bytes, pauseMillis, out);
+                                return false;
+                            });
+        }
+
+        private void repeat(byte[] bytes, long pauseMillis, OutputStream out)
+                throws InterruptedException {
+            try {
+                while (true) {
+                    out.write(bytes);
+                    out.flush();
+                    if (pauseMillis > 0) {
+                        Thread.sleep(pauseMillis);
+                    }
+                }
+            } catch (IOException closed) {
+                mClosedByPeer.complete(null);
+            }
+        }
+
+        void awaitClosedByPeer() throws Exception {
+            mClosedByPeer.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        @Override
+        public void close() throws IOException {
+            mTarget.close();
+        }
+    }
+
+    // Guards against a thread that reads one target for good, while the others' answers wait.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 102 Processing\r\n\r\n",
+                "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+                "\0",
+                "\r\n",
+            })
+    void bytesBeforeTheHeadEndTheRunAndDelayNoOther(String repeated) throws Exception {
+        try (Endless bad = new Endless("", repeated.repeat(200), 0);
+                RawTarget good = RawTarget.start(RawTarget.always(OK));
+                Hops hops = twoTargets(bad, good)) {
+            ScriptedEntry entry = new ScriptedEntry(hops, "a");
+            List<ScriptedEntry.Sent> endless = new ArrayList<>();
+            for (int i = 0; i < AT_A_TIME; i++) {
+                endless.add(entry.send("bad", "/x", LONG_MILLIS, HttpFields.EMPTY));
+            }
+
+            assertThat(entry.send("good", "/x", LONG_MILLIS, HttpFields.EMPTY).body())
+                    .isEqualTo("hello");
+            bad.awaitClosedByPeer();
+            for (ScriptedEntry.Sent sent : endless) {
+                assertThat(sent.reason()).isEqualTo("started");
+            }
+        }
+    }
+
+    // Guards against an endless body that looks whole, or that holds up other answers.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n",
+            })
+    void anEndlessBodyBreaksAtTheDeadlineAndDelaysNoOther(String head) throws Exception {
+        try (Endless bad = new Endless(head, "x".repeat(60_000), 0);
+                RawTarget good = RawTarget.start(RawTarget.always(OK));
+                Hops hops = twoTargets(bad, good)) {
+            ScriptedEntry entry = new ScriptedEntry(hops, "a");
+            ScriptedEntry.Sent sent = entry.send("bad", "/x", 2_000, HttpFields.EMPTY);
+            sent.response();
+
+            assertThat(entry.send("good", "/x", LONG_MILLIS, HttpFields.EMPTY).body())
+                    .isEqualTo("hello");
+            assertThatThrownBy(sent::body).isNotNull();
+            bad.awaitClosedByPeer();
+        }
+    }
+
+    private static Hops twoTargets(Endless bad, RawTarget good) throws Exception {
+        return new Hops("a", "b")
+                .target("bad", "b", bad.mTarget.port(), AT_A_TIME)
+                .target("good", "b", good.port(), AT_A_TIME);
+    }
+}
