Bound the time in which unneeded and kept bodies are read

Callers: a target answers 500 and its body never ends, in small pieces. A request that may repeat waits for that body until its deadline (20 s in the test), though a sound target is free. And a rejection whose body never ends keeps its connection for good: the timer of the run's deadline has been stopped by then.

Cause: Bodies.discard and AnswerDelivery.keep bound the size of a body, not the time in which it is read.

Change: one bounded reading for both. A discarded body is given 1 s, a kept one a quarter of the time left and 1 s at most; then its connection is closed, which cancels the run.

Conclusion: an answer without end costs its own run, and no longer the retry of a request or a connection beyond the run.

--- a/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
+++ b/src/main/java/org/apricotgauge/caller/AnswerDelivery.java
@@ -17,6 +17,9 @@
  * <p>The exchange makes all decisions and uses its delivery once.
  */
 final class AnswerDelivery {
+    private static final long MAX_KEEP_MILLIS = 1_000;
+    private static final int KEEP_SHARE = 4;
+
     private final EntryContext mContext;
     private final ExchangeReporter mReporter;
     private final Request mRequest;
@@ -40,10 +43,19 @@
     /**
      * Keeps an answer, in case no retry gets a better one.
      *
+     * <p>Waiting for its body delays the retry, so that only a part of the time left is spent on
+     * it.
+     *
      * @param next called once the answer is kept, or can't be
      */
-    void keep(UpstreamResponse answer, Content.Source body, Runnable next) {
-        BufferedAnswer.read(answer, body)
+    void keep(
+            UpstreamResponse answer,
+            Content.Source body,
+            ExchangeDeadline deadline,
+            Runnable next) {
+        long timeoutMillis =
+                Math.max(1, Math.min(MAX_KEEP_MILLIS, deadline.remainingMillis() / KEEP_SHARE));
+        BufferedAnswer.read(answer, body, mContext.scheduler(), timeoutMillis)
                 .whenComplete(
                         (buffered, failure) -> {
                             if (failure == null) {
--- a/src/main/java/org/apricotgauge/caller/BufferedAnswer.java
+++ b/src/main/java/org/apricotgauge/caller/BufferedAnswer.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * A target's failed answer, buffered while another target is tried.
@@ -28,9 +29,14 @@
         mBody = body;
     }
 
-    /** Reads the complete answer; fails if it is truncated or too long to be buffered. */
-    static CompletableFuture<BufferedAnswer> read(UpstreamResponse head, Content.Source body) {
-        return Bodies.readAll(body, MAX_BODY_BYTES)
+    /**
+     * Reads the complete answer; fails if it is truncated, or too long or too slow to be buffered.
+     *
+     * @param timeoutMillis time until the body must have ended, in milliseconds
+     */
+    static CompletableFuture<BufferedAnswer> read(
+            UpstreamResponse head, Content.Source body, Scheduler scheduler, long timeoutMillis) {
+        return Bodies.readAll(body, MAX_BODY_BYTES, scheduler, timeoutMillis)
                 .thenApply(bytes -> new BufferedAnswer(head, bytes));
     }
 
--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -411,7 +411,7 @@
         attempt.end();
         Runnable last = () -> finish(new Outcome.Unknown(UnknownReason.ANSWER_LOST));
         Runnable end = isAside ? this::finishIfLast : last;
-        mDelivery.keep(answer, body, retry ? this::startNextAttempt : end);
+        mDelivery.keep(answer, body, mDeadline, retry ? this::startNextAttempt : end);
     }
 
     private void forwardAnswer(
--- a/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/GuardedAttempt.java
@@ -232,7 +232,7 @@
         mExchange.retryWait().onGuardAnswered(mCandidate.target().id(), outcome, headers);
         if (outcome.isPresent()) {
             end();
-            Bodies.discard(body);
+            Bodies.discard(body, mContext.scheduler());
             mTracker.recordOutcome(ObservedOutcome.CANCELLED);
             if (outcome.get() instanceof Outcome.NotRun notRun
                     && notRun.reason() == NotRunReason.LEAVING
--- a/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
+++ b/src/main/java/org/apricotgauge/caller/KeyedAttempt.java
@@ -151,7 +151,7 @@
         mContext.guards().recordStamp(mOwner, answer.headers());
         Optional<Outcome> outcome = OutcomeCodec.read(answer.headers());
         if (isRunningElsewhere(answer)) {
-            Bodies.discard(body);
+            Bodies.discard(body, mContext.scheduler());
             mExchange.onAttemptEnded(this, new Outcome.Unknown(UnknownReason.KEY_RUNNING));
             return;
         }
--- a/src/main/java/org/apricotgauge/http/Bodies.java
+++ b/src/main/java/org/apricotgauge/http/Bodies.java
@@ -3,11 +3,14 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * Reads and writes small bodies as a whole; not used for the bodies that callers and targets
@@ -21,6 +24,7 @@
 public final class Bodies {
 
     private static final int MAX_DISCARDED_BYTES = 16_384;
+    private static final long MAX_DISCARD_MILLIS = 1_000;
 
     private Bodies() {}
 
@@ -31,20 +35,42 @@
         return future;
     }
 
+    /**
+     * Reads a body that must end within a time; it is aborted if the future fails, which closes its
+     * connection.
+     *
+     * @param timeoutMillis time until the body must have ended, in milliseconds
+     */
+    public static CompletableFuture<byte[]> readAll(
+            Content.Source source, int maxBytes, Scheduler scheduler, long timeoutMillis) {
+        CompletableFuture<byte[]> future = readAll(source, maxBytes);
+        if (!future.isDone()) {
+            TimeoutException timeout =
+                    new TimeoutException("body did not end within " + timeoutMillis + " ms");
+            Scheduler.Task task =
+                    scheduler.schedule(
+                            () -> future.completeExceptionally(timeout),
+                            timeoutMillis,
+                            TimeUnit.MILLISECONDS);
+            future.whenComplete((bytes, failure) -> task.cancel());
+        }
+        return future.whenComplete(
+                (bytes, failure) -> {
+                    if (failure != null) {
+                        source.fail(failure);
+                    }
+                });
+    }
+
     /**
      * Reads and discards a short body, so that its connection can be reused.
      *
-     * <p>A body of more than {@link #MAX_DISCARDED_BYTES} bytes is aborted, which closes the
-     * connection: a new one costs less than reading on.
+     * <p>A body of more than {@link #MAX_DISCARDED_BYTES} bytes, or one that takes longer than
+     * {@link #MAX_DISCARD_MILLIS}, is aborted, which closes the connection: a new one costs less
+     * than reading on.
      */
-    public static void discard(Content.Source source) {
-        readAll(source, MAX_DISCARDED_BYTES)
-                .whenComplete(
-                        (bytes, failure) -> {
-                            if (failure != null) {
-                                source.fail(failure);
-                            }
-                        });
+    public static void discard(Content.Source source, Scheduler scheduler) {
+        readAll(source, MAX_DISCARDED_BYTES, scheduler, MAX_DISCARD_MILLIS);
     }
 
     /** Writes a short plain-text response. */
--- a/src/main/java/org/apricotgauge/target/GuardedRequest.java
+++ b/src/main/java/org/apricotgauge/target/GuardedRequest.java
@@ -375,7 +375,7 @@
             return;
         }
         mContext.ledger().completed(mAttempt, answer.status(), mContext.ticker().millis());
-        Bodies.discard(body);
+        Bodies.discard(body, mContext.scheduler());
         boolean shed = kind == SiteDialect.AnswerKind.SHED;
         if (!shed) {
             mGate.markReplaced();
--- a/src/test/java/org/apricotgauge/functional/EndlessAnswerTest.java
+++ b/src/test/java/org/apricotgauge/functional/EndlessAnswerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -113,6 +114,38 @@
         }
     }
 
+    // Guards against a rejection whose body never ends, which would keep its connection for good.
+    @Test
+    void theBodyOfARejectionIsNotReadForGood() throws Exception {
+        String shed = "HTTP/1.1 503 Busy\r\nShed: 1\r\n\r\n";
+        try (Endless bad = new Endless(shed, "x", 50);
+                RawTarget good = RawTarget.start(RawTarget.always(OK));
+                Hops hops = twoTargets(bad, good)) {
+            ScriptedEntry.Sent sent =
+                    new ScriptedEntry(hops, "a").send("bad", "/x", 1_000, HttpFields.EMPTY);
+            sent.response();
+            bad.awaitClosedByPeer();
+        }
+    }
+
+    // Guards against a failed answer without end that delays the retry and keeps its slot.
+    @ParameterizedTest
+    @ValueSource(longs = {0, 20})
+    void anEndlessFailedAnswerGivesWayToAnotherTarget(long pauseMillis) throws Exception {
+        String failed = "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n";
+        try (Endless bad = new Endless(failed, "3\r\nabc\r\n", pauseMillis);
+                RawTarget good = RawTarget.start(RawTarget.always(OK));
+                Hops hops = twoTargets(bad, good)) {
+            for (int i = 0; i < 6; i++) {
+                try (RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
+                    assertThat(caller.request("GET", "/x").readAll()).endsWith("hello");
+                }
+            }
+            assertThat(bad.mTarget.runs()).isPositive();
+            bad.awaitClosedByPeer();
+        }
+    }
+
     private static Hops twoTargets(Endless bad, RawTarget good) throws Exception {
         return new Hops("a", "b")
                 .target("bad", "b", bad.mTarget.port(), AT_A_TIME)
