Refuse late nested calls that a stopping entry would cut

Callers: in a planned stop of one VM, a target that is at work makes a call late in the grace time; it is passed on, and cut at the end of the node with 504 "unknown". A booking may have run or not.

Cause: CallerExchange.refuseByStop left nested calls out at any time, as refusing one fails the run that makes it. Late in a stop that run is cut by the same end.

Change: in the second half of a stop a nested call has to fit the time left as any other request; otherwise it is told "not run" at once.

Conclusion: what an entry takes while it stops ends with it, or usually does. Not played with separate processes.

--- a/src/main/java/org/apricotgauge/caller/CallerExchange.java
+++ b/src/main/java/org/apricotgauge/caller/CallerExchange.java
@@ -204,7 +204,7 @@
      * refused: the run that makes it is in flight, and would fail with it.
      */
     boolean refuseByStop() {
-        if (mParentId.isPresent() || mDeadline.fitsOwnStop()) {
+        if (mDeadline.fitsOwnStop(mParentId.isPresent())) {
             return false;
         }
         mContext.metrics().stopRefused().inc();
--- a/src/main/java/org/apricotgauge/caller/ExchangeDeadline.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangeDeadline.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.apricotgauge.stop.StopPolicy;
+import org.apricotgauge.stop.StopSchedule;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -57,10 +58,18 @@
     /**
      * Returns whether a request that has not run yet is likely to end before this node does. A
      * likely end suffices for any request: no other node can answer its caller.
+     *
+     * <p>A nested call is served in the first half of the stop regardless: refusing it fails a run
+     * that is in flight. Later, it would be cut with that run.
      */
-    boolean fitsOwnStop() {
-        return !mContext.stop().hasBegun()
-                || fits(callerRemainingMillis(), true, mContext.stop().remainingMillis());
+    boolean fitsOwnStop(boolean isNestedCall) {
+        StopSchedule stop = mContext.stop();
+        if (!stop.hasBegun()) {
+            return true;
+        }
+        long remainingMillis = stop.remainingMillis();
+        return isNestedCall && stop.elapsedMillis() < remainingMillis
+                || fits(callerRemainingMillis(), true, remainingMillis);
     }
 
     /**
--- a/src/test/java/org/apricotgauge/functional/StoppingEntryTest.java
+++ b/src/test/java/org/apricotgauge/functional/StoppingEntryTest.java
@@ -13,12 +13,14 @@
 import java.util.regex.Pattern;
 import org.apricotgauge.bench.LocalFleet;
 import org.apricotgauge.http.HeaderNames;
+import org.apricotgauge.stop.StopSchedule;
 import org.junit.jupiter.api.Test;
 
 /** Requests of an entry whose stop has begun. */
 class StoppingEntryTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     private static final long STOP_MILLIS = 10_000;
+    private static final long SHORT_STOP_MILLIS = 2_000;
     private static final int ANSWERS_TO_ESTIMATE = 5;
     private static final String SHORT = HeaderNames.TIMEOUT_MILLIS + ": 4000";
 
@@ -120,6 +122,22 @@
         }
     }
 
+    /** Guards against a booking that is taken late in the grace time and cut at its end. */
+    @Test
+    void aCallThatCannotEndIsToldNotRunLateInTheStop() throws Exception {
+        try (RawTarget target = RawTarget.start(RawTarget.always(OK));
+                Hops hops = new Hops("a", "b").target("t", "b", target.port(), 3).running("r1")) {
+            StopSchedule stop = hops.vm("a").stop();
+            stop.begin(SHORT_STOP_MILLIS);
+            LocalFleet.await(() -> stop.elapsedMillis() > stop.remainingMillis());
+
+            assertThat(ask(hops, "POST", "/once", NestedCallDialect.PARENT_ID + ": r1").get())
+                    .startsWith("HTTP/1.1 503 ")
+                    .endsWith("not-run: leaving\n");
+            assertThat(target.runs()).isZero();
+        }
+    }
+
     /** Guards against ended requests that no figure shows to operators. */
     @Test
     void requestsThatMeetTheEndOfTheEntryAreCounted() throws Exception {
