Take no entry for a target whose address is no IP number

Callers: another writer leaves an entry among those of the targets whose host is a name that can't be looked up, or 999.1.1.1. Requests of members with a limit get a 500 of our own, and a planned stop ends in its middle.

Cause: DatagramChannel.send throws UnresolvedAddressException, no IOException. DatagramPort let it through to request threads and to the task that stops the process if it throws. The decoder took any text for a host.

Ruled out by the same test: deep nesting, numbers too large, ports out of range, 500 KB of text. Such entries name no target and are followed past.

Change: an entry's address must be an IPv4 number and a port; a datagram that can't be sent for its address is lost and logged.

Conclusion: an odd entry costs at most the target that it overwrote.

--- a/src/main/java/org/apricotgauge/model/Checks.java
+++ b/src/main/java/org/apricotgauge/model/Checks.java
@@ -1,5 +1,7 @@
 package org.apricotgauge.model;
 
+import java.util.regex.Pattern;
+
 /**
  * Checks of arguments, with messages that name the field and the value.
  *
@@ -10,6 +12,8 @@
 public final class Checks {
     private static final int MAX_ID_CHARS = 128;
     private static final int MAX_PORT = 65_535;
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+    private static final Pattern IP_NUMBER = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
 
     private Checks() {}
 
@@ -107,6 +111,19 @@
         return (int) inRange(field, value, 1, MAX_PORT);
     }
 
+    /**
+     * Returns the IPv4 number if it is one, as four decimal numbers.
+     *
+     * @throws IllegalArgumentException if it is null, a host name, or anything else
+     */
+    public static String ipNumber(String field, String value) {
+        if (value == null || !IP_NUMBER.matcher(value).matches()) {
+            throw new IllegalArgumentException(
+                    field + " must be an IP number, was " + quote(value));
+        }
+        return value;
+    }
+
     private static String quote(String value) {
         return value == null ? "null" : '"' + value + '"';
     }
--- a/src/main/java/org/apricotgauge/node/DatagramPort.java
+++ b/src/main/java/org/apricotgauge/node/DatagramPort.java
@@ -5,6 +5,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
+import java.nio.channels.UnresolvedAddressException;
+import java.nio.channels.UnsupportedAddressTypeException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apricotgauge.model.Address;
@@ -107,7 +109,7 @@
             mChannel.send(ByteBuffer.wrap(bytes), socketAddressOf(to));
         } catch (ClosedChannelException e) {
             LOGGER.debugf("%s: closed, nothing is sent to %s", mName, to);
-        } catch (IOException e) {
+        } catch (IOException | UnresolvedAddressException | UnsupportedAddressTypeException e) {
             warn("cannot send to " + to, e);
         }
     }
--- a/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvDecoder.java
@@ -184,7 +184,8 @@
         Checks.id("name", name);
         String address = document.address();
         int colon = address.lastIndexOf(':');
-        String host = address.substring(0, colon);
+        // Nodes send to the targets' VMs, and look no names up.
+        String host = Checks.ipNumber("address", address.substring(0, Math.max(0, colon)));
         // A target's VM is known by its IP number alone, which its node has in its settings, too.
         return new Target(
                 TargetRun.idOf(name, document.born()),
--- a/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
+++ b/src/main/java/org/apricotgauge/platform/kv/KvStandin.java
@@ -71,6 +71,9 @@
     private static final String ERA = "Store-Era";
     private static final String CONFIG_KEY = "op/config";
     private static final String TARGET_PREFIX = "servers/";
+    private static final String MEMBER =
+            """
+            {"name":"stable","apiKeys":[%s],"priority":1,"requestsPerS":50,"burst":50}""";
     private static final String ROUTE =
             """
             {"name":"route%s","pathPrefix":"%s","kind":"idempotent","timeoutMs":5000,
@@ -145,11 +148,7 @@
 
     /** Publishes as above, with targets at these addresses in the place of its own. */
     public void publishWithKey(String service, List<String> addresses, String key) {
-        String tenants =
-                """
-                "tenants":[{"name":"stable","apiKeys":["%s"],"priority":1,
-                 "requestsPerS":50,"burst":50}],"""
-                        .formatted(key);
+        String tenants = "\"tenants\":[" + MEMBER.formatted('"' + key + '"') + "],";
         publish(service, addresses, tenants);
     }
 
@@ -183,11 +182,11 @@
 
     /**
      * Publishes a version of the configuration with the route {@link #PATH} and the member {@code
-     * stable}, which has these keys; without keys it is still a member.
+     * stable}, which has these keys and a limit; without keys it is still a member.
      */
     public void publishKeys(long version, String service, List<String> keys) {
         String quoted = keys.stream().map("\"%s\""::formatted).collect(Collectors.joining(","));
-        publishTenants(version, service, "[{\"name\":\"stable\",\"apiKeys\":[" + quoted + "]}]");
+        publishTenants(version, service, '[' + MEMBER.formatted(quoted) + ']');
     }
 
     /** Publishes a version as {@link #publishKeys}, with these members as JSON. */
@@ -258,7 +257,8 @@
         write(name, entry(service, address, zone, slots, state, sequence));
     }
 
-    private void write(String name, String entry) {
+    /** Writes any text in the place of a target's entry, as another writer of the store may. */
+    public void write(String name, String entry) {
         put(TARGET_PREFIX + name, entry);
     }
 
--- a/src/test/java/org/apricotgauge/node/SidecarNodes.java
+++ b/src/test/java/org/apricotgauge/node/SidecarNodes.java
@@ -9,7 +9,7 @@
 
 /** Nodes on the users' platform in one process, each at its own loopback address. */
 final class SidecarNodes {
-    private static final String SERVICE = "desk";
+    static final String SERVICE = "desk";
 
     private SidecarNodes() {}
 
