Keep a connection open until its request's handler has been called

Callers: a request whose head is read as the port closes can end without an answer.

Change: each connection counts the requests whose handler has been called; one that its handler has not seen is not settled.

Before: ServerConnectionsTest.aRequestThatItsHandlerHasNotSeenIsNotSettled failed, with the handler held.

--- a/src/main/java/org/apricotgauge/http/DisconnectDetectingEndPoint.java
+++ b/src/main/java/org/apricotgauge/http/DisconnectDetectingEndPoint.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apricotgauge.model.Checks;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -49,6 +50,7 @@
     private boolean mRegistered;
     private Callback mPendingRead;
     private Runnable mOnDisconnect;
+    private final AtomicLong mHandledRequests = new AtomicLong();
 
     DisconnectDetectingEndPoint(
             SocketChannel channel,
@@ -72,6 +74,16 @@
         }
     }
 
+    /** Counts a request that its handler has been called for, after the call. */
+    void countHandledRequest() {
+        mHandledRequests.incrementAndGet();
+    }
+
+    /** Returns the number of requests that their handler has been called for. */
+    long handledRequests() {
+        return mHandledRequests.get();
+    }
+
     /** Ends the watch of the request's connection; to be called before its response ends. */
     public static void unwatch(Request request) {
         if (request.getConnectionMetaData().getConnection().getEndPoint()
--- a/src/main/java/org/apricotgauge/http/HttpServerFactory.java
+++ b/src/main/java/org/apricotgauge/http/HttpServerFactory.java
@@ -3,13 +3,17 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import org.apricotgauge.model.Checks;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.eclipse.jetty.util.thread.ThreadPool;
 
@@ -70,10 +74,30 @@
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
         server.addConnector(connector);
         server.setErrorHandler(new PlainTextErrorHandler(onBadRequest, OutcomeCodec::writeStarted));
-        server.setHandler(handler);
+        server.setHandler(new HandledRequestCounter(handler));
         return server;
     }
 
+    /** Tells each connection of the requests that its handler has been called for. */
+    private static final class HandledRequestCounter extends Handler.Wrapper {
+        private HandledRequestCounter(Handler handler) {
+            super(handler);
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback)
+                throws Exception {
+            EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+            try {
+                return super.handle(request, response, callback);
+            } finally {
+                if (endPoint instanceof DisconnectDetectingEndPoint caller) {
+                    caller.countHandledRequest();
+                }
+            }
+        }
+    }
+
     /** A connector whose connections detect that their caller disconnects. */
     private static final class DisconnectDetectingConnector extends ServerConnector {
         private DisconnectDetectingConnector(Server server, HttpConnectionFactory http) {
--- a/src/main/java/org/apricotgauge/http/ServerConnections.java
+++ b/src/main/java/org/apricotgauge/http/ServerConnections.java
@@ -72,7 +72,7 @@
      * Closes the connections on which nothing is left to do.
      *
      * @param isAtWork whether the server's handler is at work on any request; if it is not, a
-     *     request without an answer is one that waits for news
+     *     request without an answer that it has seen is one that waits for news
      * @return whether no connection is left
      */
     public boolean closeSettled(BooleanSupplier isAtWork) {
@@ -92,7 +92,15 @@
             return false;
         }
         // A connection that does not wait to read, and handles no request, has just read one.
-        return isBeingHandled(endPoint) ? !isAtWork.getAsBoolean() : endPoint.isFillInterested();
+        return isBeingHandled(endPoint)
+                ? hasBeenSeen(endPoint) && !isAtWork.getAsBoolean()
+                : endPoint.isFillInterested();
+    }
+
+    /** Jetty counts a request when its head has been read, before its handler is called. */
+    private static boolean hasBeenSeen(EndPoint endPoint) {
+        return !(endPoint instanceof DisconnectDetectingEndPoint caller)
+                || caller.handledRequests() >= endPoint.getConnection().getMessagesIn();
     }
 
     /** Closes all connections, whatever is left to do on them. */
--- a/src/test/java/org/apricotgauge/http/ServerConnectionsTest.java
+++ b/src/test/java/org/apricotgauge/http/ServerConnectionsTest.java
@@ -1,8 +1,10 @@
 package org.apricotgauge.http;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.net.Socket;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Predicate;
 import org.apricotgauge.bench.LocalFleet;
@@ -84,18 +86,57 @@
         }
     }
 
+    // Guards against a request that is cut as it was read, and its handler not yet called.
+    @Test
+    void aRequestThatItsHandlerHasNotSeenIsNotSettled() throws Exception {
+        CountDownLatch isRead = new CountDownLatch(1);
+        Handler inner = mServer.getHandler();
+        mServer.stop();
+        mServer.setHandler(new Late(inner, isRead));
+        mServer.start();
+        try (Socket caller = connect()) {
+            ask(caller, HELD);
+            isRead.await();
+
+            assertThat(mConnections.closeSettled(() -> false)).isFalse();
+            mGo.countDown();
+            await(counts -> counts.inFlight() == 0);
+            LocalFleet.await(() -> mConnections.closeSettled(() -> false));
+            assertThat(new String(caller.getInputStream().readAllBytes(), US_ASCII))
+                    .startsWith("HTTP/1.1 200");
+        }
+    }
+
     private Socket connect() throws Exception {
         return new Socket("127.0.0.1", HttpServerFactory.portOf(mServer));
     }
 
     private static void ask(Socket caller, String path) throws Exception {
-        caller.getOutputStream().write(ASK.formatted(path).getBytes(StandardCharsets.US_ASCII));
+        caller.getOutputStream().write(ASK.formatted(path).getBytes(US_ASCII));
     }
 
     private void await(Predicate<ServerConnections.Counts> condition) {
         LocalFleet.await(() -> condition.test(mConnections.count()));
     }
 
+    /** Calls a handler only once the test lets it. */
+    private final class Late extends Handler.Wrapper {
+        private final CountDownLatch mIsRead;
+
+        private Late(Handler handler, CountDownLatch isRead) {
+            super(handler);
+            mIsRead = isRead;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback)
+                throws Exception {
+            mIsRead.countDown();
+            mGo.await();
+            return super.handle(request, response, callback);
+        }
+    }
+
     /** Answers at once, or once the test lets it. */
     private final class Answers extends Handler.Abstract {
         @Override
