Warn in a review of a patch that takes the last key away

Operators: a patch that takes the last key of the last member away lets every request through, and its review says nothing of it.

Change: apricotgauge-review warns, beside the warning of the nodes.

Conclusion: the operator sees it before sign-off; the fault itself stays on this path.

--- a/src/main/java/org/apricotgauge/operator/review/Effects.java
+++ b/src/main/java/org/apricotgauge/operator/review/Effects.java
@@ -17,14 +17,16 @@
  * @param members names of the members touched
  * @param routesWithoutTargets names of the routes whose service has no target after the patch,
  *     though it had one, or the route is new
+ * @param endsKeyAccess whether requests need an API key before the patch and none after it
  */
 record Effects(
         List<ServiceEffect> services,
         List<String> targets,
         List<String> members,
-        List<String> routesWithoutTargets) {
+        List<String> routesWithoutTargets,
+        boolean endsKeyAccess) {
     /** The effects of a patch that does not take effect. */
-    static final Effects NONE = new Effects(List.of(), List.of(), List.of(), List.of());
+    static final Effects NONE = new Effects(List.of(), List.of(), List.of(), List.of(), false);
 
     /** Copies the lists. */
     Effects {
@@ -46,7 +48,8 @@
                 services,
                 ids(changes, EntityKind.TARGET),
                 ids(changes, EntityKind.MEMBER),
-                routesWithoutTargets(services, before, after));
+                routesWithoutTargets(services, before, after),
+                before.authenticatesByKey() && !after.authenticatesByKey());
     }
 
     private static void addServices(
--- a/src/main/java/org/apricotgauge/operator/review/ReviewText.java
+++ b/src/main/java/org/apricotgauge/operator/review/ReviewText.java
@@ -83,6 +83,9 @@
                                 .filter(ServiceEffect::movesShare)
                                 .map(ServiceEffect::service)
                                 .toList()));
+        if (effects.endsKeyAccess()) {
+            line("  WARNING: no member has an API key any more, and every request will be allowed");
+        }
         effects.services().forEach(this::warnings);
         if (!effects.routesWithoutTargets().isEmpty()) {
             line(
--- a/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
@@ -107,6 +107,27 @@
         assertThat(text()).startsWith("undecided: the patch needs rules version 3");
     }
 
+    // Guards against a patch that takes the last key away and opens the site without a word.
+    @Test
+    void lastKeyThatIsRemovedIsWarnedOf() throws IOException {
+        Path patch = mDirectory.resolve("patch.json");
+        Files.writeString(
+                patch,
+                "{\"baseVersion\":1,\"author\":\"a\",\"note\":\"\",\"rulesVersion\":2,"
+                        + "\"operations\":[{\"op\":\"removeMember\",\"id\":\"stable\"}]}");
+        Path config = mDirectory.resolve("config.json");
+        Files.writeString(
+                config,
+                "[{\"baseVersion\":0,\"author\":\"a\",\"note\":\"\",\"rulesVersion\":2,"
+                        + "\"operations\":[{\"op\":\"putMember\",\"member\":{\"id\":\"stable\","
+                        + "\"weight\":1,\"keys\":[\"a948904f2f0f479b8f8197694b30184b\"]}}]}]");
+
+        ExitCode code = run(List.of("--patch", patch.toString(), "--config", config.toString()));
+
+        assertThat(code).isEqualTo(ExitCode.OK);
+        assertThat(text()).contains("WARNING: no member has an API key any more");
+    }
+
     // The saved list lacks an entry. A verdict over the rest would be of a version that never was.
     @Test
     void gapInTheListIsNoBasisForAVerdict() throws IOException {
