Test answers that fall silent, and endless ones that nobody reads

Cause: neither was played when the faults with endless answers were found.

Change: two tests; no code.

Conclusion: such an answer ends visibly at the deadline of its run, and holds up no other.

--- a/src/test/java/org/apricotgauge/functional/EndlessAnswerTest.java
+++ b/src/test/java/org/apricotgauge/functional/EndlessAnswerTest.java
@@ -9,7 +9,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.bench.LocalFleet;
+import org.apricotgauge.http.HeaderNames;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,6 +24,7 @@
     private static final long LONG_MILLIS = 20_000;
     private static final long WAIT_SECONDS = 15;
     private static final int AT_A_TIME = 8;
+    private static final String SHORT_TIMEOUT = HeaderNames.TIMEOUT_MILLIS + ": 1500";
 
     /** A target that repeats bytes after a beginning, until its peer closes the connection. */
     private static final class Endless implements AutoCloseable {
@@ -114,6 +118,53 @@
         }
     }
 
+    // Guards against callers that wait for good for the rest of an answer, or take it for whole.
+    @Test
+    void anAnswerThatFallsSilentEndsVisiblyAtTheDeadline() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        RawTarget.Script silent =
+                (head, body, out) -> {
+                    out.write(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"
+                                    .getBytes(StandardCharsets.US_ASCII));
+                    out.flush();
+                    never.await();
+                    return false;
+                };
+        try (RawTarget target = RawTarget.start(silent);
+                Hops hops = new Hops("a", "b").target("t", "b", target.port(), AT_A_TIME);
+                RawCaller caller = new RawCaller(hops.vm("a").callerPort())) {
+            String answer =
+                    caller.request("POST", "/once", "Content-Length: 0", SHORT_TIMEOUT).readAll();
+            boolean isCut = answer.contains("Content-Length: 9") && answer.endsWith("abc");
+            assertThat(isCut || answer.startsWith("HTTP/1.1 504")).as(answer).isTrue();
+        }
+    }
+
+    // Guards against endless answers whose callers don't read, which hold up all others.
+    @Test
+    void endlessBodiesForCallersThatDoNotReadDelayNoOther() throws Exception {
+        try (Endless bad = new Endless("HTTP/1.1 200 OK\r\n\r\n", "x".repeat(60_000), 0);
+                RawTarget good = RawTarget.start(RawTarget.always(OK));
+                Hops hops = new Hops("a", "b").target("t", "b", bad.mTarget.port(), AT_A_TIME)) {
+            List<RawCaller> callers = new ArrayList<>();
+            for (int i = 0; i < AT_A_TIME; i++) {
+                RawCaller caller = new RawCaller(hops.vm("a").callerPort());
+                callers.add(caller.request("GET", "/x", SHORT_TIMEOUT));
+            }
+            LocalFleet.await(() -> bad.mTarget.runs() == AT_A_TIME);
+            hops.target("t", "b", good.port(), AT_A_TIME);
+
+            try (RawCaller other = new RawCaller(hops.vm("a").callerPort())) {
+                assertThat(other.request("GET", "/x").readAll()).endsWith("hello");
+            }
+            bad.awaitClosedByPeer();
+            for (RawCaller caller : callers) {
+                caller.close();
+            }
+        }
+    }
+
     // Guards against a rejection whose body never ends, which would keep its connection for good.
     @Test
     void theBodyOfARejectionIsNotReadForGood() throws Exception {
