Tell the steps of the stop's and the keys' decisions apart

Cause: read as a newcomer: one condition mixed "and" and "or", the log's conditions repeated each other, and nothing tested its lines.

--- a/src/main/java/org/apricotgauge/caller/ExchangeDeadline.java
+++ b/src/main/java/org/apricotgauge/caller/ExchangeDeadline.java
@@ -68,8 +68,11 @@
             return true;
         }
         long remainingMillis = stop.remainingMillis();
-        return isNestedCall && stop.elapsedMillis() < remainingMillis
-                || fits(callerRemainingMillis(), true, remainingMillis);
+        boolean isInFirstHalf = stop.elapsedMillis() < remainingMillis;
+        if (isNestedCall && isInFirstHalf) {
+            return true;
+        }
+        return fits(callerRemainingMillis(), true, remainingMillis);
     }
 
     /**
--- a/src/main/java/org/apricotgauge/http/DisconnectDetectingEndPoint.java
+++ b/src/main/java/org/apricotgauge/http/DisconnectDetectingEndPoint.java
@@ -44,13 +44,13 @@
     private static final Logger LOGGER = Logger.getLogger(DisconnectDetectingEndPoint.class);
 
     private final Executor mExecutor;
+    private final AtomicLong mHandledRequests = new AtomicLong();
     private final Object mLock = new Object();
     private ByteBuffer mReadAhead;
     private boolean mEndOfStream;
     private boolean mRegistered;
     private Callback mPendingRead;
     private Runnable mOnDisconnect;
-    private final AtomicLong mHandledRequests = new AtomicLong();
 
     DisconnectDetectingEndPoint(
             SocketChannel channel,
--- a/src/main/java/org/apricotgauge/node/KeyAccessLog.java
+++ b/src/main/java/org/apricotgauge/node/KeyAccessLog.java
@@ -28,17 +28,17 @@
         KeyChange change = new KeyChange(version, before.keyCount(), after.keyCount());
         if (before.authenticatesByKey() && !after.authenticatesByKey()) {
             mLog.warn("requests need no API key any more", change);
-            return;
-        }
-        if (!before.authenticatesByKey() && after.authenticatesByKey()) {
+        } else if (!before.authenticatesByKey() && after.authenticatesByKey()) {
             mLog.info("requests need API keys", change);
         }
-        boolean hadKeys = before.keyCount() > 0 || !before.authenticatesByKey();
-        if (after.authenticatesByKey() && after.keyCount() == 0 && hadKeys) {
+        if (!hasNoKeyLeft(before) && hasNoKeyLeft(after)) {
             mLog.warn("no API key is left", change);
-        }
-        if (before.authenticatesByKey() && before.keyCount() == 0 && after.keyCount() > 0) {
+        } else if (hasNoKeyLeft(before) && after.keyCount() > 0) {
             mLog.info("API keys are there again", change);
         }
     }
+
+    private static boolean hasNoKeyLeft(Configuration configuration) {
+        return configuration.authenticatesByKey() && configuration.keyCount() == 0;
+    }
 }
