Let a patch say that API keys are required

Callers: on configurations from patches, too, every request runs once the last key of the last member has been taken away.

There, the members' list says whether keys are required; patches had no way to say it, and what a published patch means may change only with new rules.

Change: rules version 3 with one operation, setKeysRequired. A patch that leaves the value out is refused, as is one under older rules. A release before this one stops at such a patch, as at any with newer rules.

Four tests took 2 for the newest rules version (ConfigHistoryTest twice, SnapshotCodecTest, ReviewMainTest); they check the same one version later.

Before: no such operation; the test of the last key without it is MemberKeysTest.aKeyNamesItsMemberUntilAPatchRemovesIt, unchanged.

Without the operation, sites behave as before, with a warning in the review and in the log.

--- a/src/main/java/org/apricotgauge/config/EntityDigest.java
+++ b/src/main/java/org/apricotgauge/config/EntityDigest.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.apricotgauge.model.Configuration;
+import org.apricotgauge.model.SiteSettings;
 
 /**
  * The digest of a configuration's content: the sum of its entities' digests.
@@ -35,7 +36,9 @@
         sum = sum.plus(sum(EntityKind.SERVICE, configuration.services()));
         sum = sum.plus(sum(EntityKind.TARGET, configuration.targets()));
         sum = sum.plus(sum(EntityKind.ROUTE, configuration.routes()));
-        return sum.plus(sum(EntityKind.MEMBER, configuration.members()));
+        sum = sum.plus(sum(EntityKind.MEMBER, configuration.members()));
+        SiteSettings site = configuration.siteSettings();
+        return site == null ? sum : sum.plus(of(EntityKind.SITE, site));
     }
 
     private static Digest sum(EntityKind kind, Iterable<?> entities) {
--- a/src/main/java/org/apricotgauge/config/EntityKind.java
+++ b/src/main/java/org/apricotgauge/config/EntityKind.java
@@ -11,7 +11,9 @@
     /** A route to a service. */
     ROUTE,
     /** A member. */
-    MEMBER;
+    MEMBER,
+    /** The settings of the whole site. */
+    SITE;
 
     /** Returns the name in lower case, as messages show it. */
     public String label() {
--- a/src/main/java/org/apricotgauge/config/PatchFold.java
+++ b/src/main/java/org/apricotgauge/config/PatchFold.java
@@ -10,6 +10,7 @@
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.Service;
 import org.apricotgauge.model.ServiceShare;
+import org.apricotgauge.model.SiteSettings;
 import org.apricotgauge.model.Target;
 
 /**
@@ -75,6 +76,8 @@
             put(put.member());
         } else if (operation instanceof PatchOperation.SetTargetSlots set) {
             changeSlots(set);
+        } else if (operation instanceof PatchOperation.SetKeysRequired set) {
+            changeKeysRequired(set);
         } else if (!applyRemoval(operation)) {
             changeService(operation);
         }
@@ -109,7 +112,7 @@
 
     private void put(Route route) {
         if (route.openAccess() != null) {
-            requireAccessRules(EntityKind.ROUTE, route.id());
+            requireRules(Rules.ACCESS, EntityKind.ROUTE, route.id());
         }
         exchange(EntityKind.ROUTE, mConfiguration.route(route.id()), route);
         mConfiguration = mConfiguration.withRoute(route);
@@ -118,7 +121,7 @@
 
     private void put(Member member) {
         if (member.hasAccessSettings()) {
-            requireAccessRules(EntityKind.MEMBER, member.id());
+            requireRules(Rules.ACCESS, EntityKind.MEMBER, member.id());
         }
         exchange(EntityKind.MEMBER, mConfiguration.member(member.id()), member);
         claimKeys(member);
@@ -138,9 +141,22 @@
     }
 
     // An older release refuses these fields under the rules that it knows, and so must this one.
-    private void requireAccessRules(EntityKind kind, String id) {
-        if (mRulesVersion < Rules.ACCESS) {
-            mReasons.add(new RefusalReason.NeedsRules(kind, id, Rules.ACCESS));
+    private void requireRules(int rules, EntityKind kind, String id) {
+        if (mRulesVersion < rules) {
+            mReasons.add(new RefusalReason.NeedsRules(kind, id, rules));
+        }
+    }
+
+    private void changeKeysRequired(PatchOperation.SetKeysRequired set) {
+        requireRules(Rules.KEYS_REQUIRED, set.kind(), set.entityId());
+        SiteSettings old = mConfiguration.siteSettings();
+        mConfiguration = mConfiguration.withKeysRequired(set.keysRequired());
+        SiteSettings settings = mConfiguration.siteSettings();
+        if (old != null) {
+            mContent = mContent.minus(EntityDigest.of(EntityKind.SITE, old));
+        }
+        if (settings != null) {
+            mContent = mContent.plus(EntityDigest.of(EntityKind.SITE, settings));
         }
     }
 
--- a/src/main/java/org/apricotgauge/config/PatchOperation.java
+++ b/src/main/java/org/apricotgauge/config/PatchOperation.java
@@ -32,9 +32,12 @@
     @JsonSubTypes.Type(value = PatchOperation.SetRetryBudget.class, name = "setRetryBudget"),
     @JsonSubTypes.Type(value = PatchOperation.SetFleetShare.class, name = "setFleetShare"),
     @JsonSubTypes.Type(value = PatchOperation.SetPredecessor.class, name = "setPredecessor"),
-    @JsonSubTypes.Type(value = PatchOperation.SetTargetSlots.class, name = "setTargetSlots")
+    @JsonSubTypes.Type(value = PatchOperation.SetTargetSlots.class, name = "setTargetSlots"),
+    @JsonSubTypes.Type(value = PatchOperation.SetKeysRequired.class, name = "setKeysRequired")
 })
 public sealed interface PatchOperation {
+    /** Stands for the name of the site, of which there is one. */
+    String SITE = "site";
 
     /** Returns the kind of the entity that it changes. */
     EntityKind kind();
@@ -294,4 +297,17 @@
             return target;
         }
     }
+
+    /** Changes whether requests need an API key, even if no member has one. */
+    record SetKeysRequired(boolean keysRequired) implements PatchOperation {
+        @Override
+        public EntityKind kind() {
+            return EntityKind.SITE;
+        }
+
+        @Override
+        public String entityId() {
+            return SITE;
+        }
+    }
 }
--- a/src/main/java/org/apricotgauge/config/Rules.java
+++ b/src/main/java/org/apricotgauge/config/Rules.java
@@ -15,8 +15,11 @@
     /** From these rules on members have keys, rank and limit, and routes may be open to all. */
     public static final int ACCESS = 2;
 
+    /** From these rules on the site may require API keys, whether or not some member has one. */
+    public static final int KEYS_REQUIRED = 3;
+
     /** The newest rules that this release knows. */
-    public static final int NEWEST = ACCESS;
+    public static final int NEWEST = KEYS_REQUIRED;
 
     private Rules() {}
 }
--- a/src/main/java/org/apricotgauge/config/SnapshotAssembler.java
+++ b/src/main/java/org/apricotgauge/config/SnapshotAssembler.java
@@ -42,6 +42,9 @@
         }
         mFirst = mFirst == null ? chunk : mFirst;
         mNextIndex++;
+        if (chunk.site() != null) {
+            mConfiguration = mConfiguration.withKeysRequired(chunk.site().keysRequired());
+        }
         chunk.services().forEach(s -> mConfiguration = mConfiguration.withService(s));
         chunk.targets().forEach(t -> mConfiguration = mConfiguration.withTarget(t));
         chunk.routes().forEach(r -> mConfiguration = mConfiguration.withRoute(r));
--- a/src/main/java/org/apricotgauge/config/SnapshotChunk.java
+++ b/src/main/java/org/apricotgauge/config/SnapshotChunk.java
@@ -5,6 +5,7 @@
 import org.apricotgauge.model.Member;
 import org.apricotgauge.model.Route;
 import org.apricotgauge.model.Service;
+import org.apricotgauge.model.SiteSettings;
 import org.apricotgauge.model.Target;
 
 /**
@@ -21,6 +22,7 @@
  * @param targets some of the targets
  * @param routes some of the routes
  * @param members some of the members
+ * @param site settings of the site, in the first chunk; null for the default ones
  */
 public record SnapshotChunk(
         HistoryMark mark,
@@ -30,7 +32,8 @@
         List<Service> services,
         List<Target> targets,
         List<Route> routes,
-        List<Member> members) {
+        List<Member> members,
+        SiteSettings site) {
 
     /** Checks the parts and copies the lists. */
     public SnapshotChunk {
@@ -46,6 +49,6 @@
 
     SnapshotChunk at(int newIndex, int newCount) {
         return new SnapshotChunk(
-                mark, digest, newIndex, newCount, services, targets, routes, members);
+                mark, digest, newIndex, newCount, services, targets, routes, members, site);
     }
 }
--- a/src/main/java/org/apricotgauge/config/SnapshotCodec.java
+++ b/src/main/java/org/apricotgauge/config/SnapshotCodec.java
@@ -158,7 +158,8 @@
                             mServices,
                             mTargets,
                             mRoutes,
-                            mMembers));
+                            mMembers,
+                            mChunks.isEmpty() ? mHistory.configuration().siteSettings() : null));
             mServices.clear();
             mTargets.clear();
             mRoutes.clear();
--- a/src/main/java/org/apricotgauge/model/Configuration.java
+++ b/src/main/java/org/apricotgauge/model/Configuration.java
@@ -79,6 +79,11 @@
         return mRequiresKeys || !mMembersByKey.isEmpty();
     }
 
+    /** Returns the settings of the whole site, or null if they are the default ones. */
+    public SiteSettings siteSettings() {
+        return mRequiresKeys ? new SiteSettings(true) : null;
+    }
+
     /** Returns the number of API keys of all members. */
     public int keyCount() {
         return mMembersByKey.size();
--- a/src/main/java/org/apricotgauge/operator/review/PatchDiff.java
+++ b/src/main/java/org/apricotgauge/operator/review/PatchDiff.java
@@ -67,6 +67,7 @@
             case TARGET -> configuration.target(key.id());
             case ROUTE -> configuration.route(key.id());
             case MEMBER -> configuration.member(key.id());
+            case SITE -> configuration.siteSettings();
         };
     }
 
--- a/src/test/java/org/apricotgauge/config/ConfigHistoryTest.java
+++ b/src/test/java/org/apricotgauge/config/ConfigHistoryTest.java
@@ -94,11 +94,11 @@
     @Test
     void rulesOfANewerReleaseStopTheFold() {
         ConfigHistory history = underNewestRules();
-        LogEntry entry = new LogEntry(2, patchText(1, Rules.NEWEST + 1, "{\"op\":\"unheard\"}"));
+        LogEntry entry = new LogEntry(3, patchText(2, Rules.NEWEST + 1, "{\"op\":\"unheard\"}"));
 
         FoldResult result = history.apply(entry);
 
-        assertThat(result).isEqualTo(new FoldResult.UnsupportedRules(history, 2, Rules.NEWEST + 1));
+        assertThat(result).isEqualTo(new FoldResult.UnsupportedRules(history, 3, Rules.NEWEST + 1));
     }
 
     // During a rollout an old node stops at the entry that needs the next rules, and its successor
@@ -107,7 +107,7 @@
     @Test
     void oldReleaseStopsWhereANewOneGoesOnAlike() {
         int next = Rules.NEWEST + 1;
-        LogEntry raise = new LogEntry(2, patchText(1, next, ""));
+        LogEntry raise = new LogEntry(3, patchText(2, next, ""));
         ConfigHistory one = underNewestRules();
 
         ConfigHistory old = one.apply(raise).history();
@@ -116,7 +116,7 @@
         assertThat(old).isSameAs(one);
         assertThat(upgraded.rulesVersion()).isEqualTo(next);
         assertThat(upgraded.digest()).isEqualTo(one.apply(raise, next).history().digest());
-        FoldResult back = upgraded.apply(new LogEntry(3, patchText(2, Rules.NEWEST, "")), next);
+        FoldResult back = upgraded.apply(new LogEntry(4, patchText(3, Rules.NEWEST, "")), next);
         assertThat(reasons(back))
                 .containsExactly(new RefusalReason.RulesOutOfTurn(Rules.NEWEST, next));
     }
@@ -183,7 +183,9 @@
     }
 
     private static ConfigHistory underNewestRules() {
-        return ConfigHistory.EMPTY.apply(accessEntry(1, 0, putService("lessons"))).history();
+        ConfigHistory access =
+                ConfigHistory.EMPTY.apply(accessEntry(1, 0, putService("lessons"))).history();
+        return access.apply(new LogEntry(2, patchText(1, Rules.NEWEST, ""))).history();
     }
 
     private static String patchText(long baseVersion, int rulesVersion, String operation) {
--- a/src/test/java/org/apricotgauge/config/MemberKeysTest.java
+++ b/src/test/java/org/apricotgauge/config/MemberKeysTest.java
@@ -28,6 +28,69 @@
         assertThat(three.configuration().authenticatesByKey()).isFalse();
     }
 
+    // Guards against a site that lets every request through once its last key has been removed.
+    @Test
+    void aSiteThatRequiresKeysDoesSoWithoutAnyLeft() {
+        ConfigHistory one =
+                keysRequired(ConfigHistory.EMPTY, 1, Rules.ACCESS, putMember("stable", "k1"));
+        ConfigHistory two =
+                keysRequired(
+                        one,
+                        2,
+                        Rules.KEYS_REQUIRED,
+                        new PatchOperation.SetKeysRequired(true),
+                        new PatchOperation.RemoveMember("stable"));
+        assertThat(two.configuration().authenticatesByKey()).isTrue();
+
+        SnapshotAssembler.Result result = SnapshotCodec.decode(SnapshotCodec.encode(two));
+        ConfigHistory restored = ((SnapshotAssembler.Restored) result).history();
+        assertThat(restored.digest()).isEqualTo(two.digest());
+        assertThat(restored.configuration().authenticatesByKey()).isTrue();
+
+        ConfigHistory three =
+                keysRequired(
+                        restored,
+                        3,
+                        Rules.KEYS_REQUIRED,
+                        new PatchOperation.SetKeysRequired(false));
+        assertThat(three.configuration().authenticatesByKey()).isFalse();
+        assertThat(ConfigHistory.restore(three.mark(), three.configuration()).digest())
+                .isEqualTo(three.digest());
+    }
+
+    private static ConfigHistory keysRequired(
+            ConfigHistory on, long position, int rules, PatchOperation... operations) {
+        Patch patch = new Patch(on.version(), "almaz", "test", rules, List.of(operations));
+        FoldResult result = on.apply(new LogEntry(position, PatchCodec.encode(patch)));
+        assertThat(result).isInstanceOf(FoldResult.Accepted.class);
+        return result.history();
+    }
+
+    // Guards against two releases that judge one patch differently: the older knows no such field.
+    @Test
+    void onlyTheThirdRulesKnowThatKeysAreRequired() {
+        FoldResult result =
+                ConfigHistory.EMPTY.apply(
+                        accessEntry(1, 0, new PatchOperation.SetKeysRequired(true)));
+
+        assertThat(((FoldResult.Refused) result).reasons())
+                .containsExactly(
+                        new RefusalReason.NeedsRules(
+                                EntityKind.SITE, PatchOperation.SITE, Rules.KEYS_REQUIRED));
+    }
+
+    // Guards against a patch that leaves the answer out and thereby lets every request through.
+    @Test
+    void whetherKeysAreRequiredMustBeSaid() {
+        ConfigHistory one =
+                keysRequired(ConfigHistory.EMPTY, 1, Rules.ACCESS, putMember("stable", "k1"));
+        String body =
+                "{\"baseVersion\":1,\"author\":\"a\",\"note\":\"\",\"rulesVersion\":3,"
+                        + "\"operations\":[{\"op\":\"setKeysRequired\"}]}";
+
+        assertThat(one.apply(new LogEntry(2, body))).isInstanceOf(FoldResult.Refused.class);
+    }
+
     // Guards against a request that counts as one member's here and as another's there.
     @Test
     void aKeyOfTwoMembersIsRefusedByItsDigest() {
--- a/src/test/java/org/apricotgauge/config/SnapshotCodecTest.java
+++ b/src/test/java/org/apricotgauge/config/SnapshotCodecTest.java
@@ -44,7 +44,8 @@
                         whole.services(),
                         whole.targets(),
                         whole.routes(),
-                        List.of());
+                        List.of(),
+                        null);
 
         SnapshotAssembler.Result result = SnapshotCodec.decode(List.of(torn));
 
@@ -85,12 +86,13 @@
                         chunk.services(),
                         chunk.targets(),
                         chunk.routes(),
-                        chunk.members());
+                        chunk.members(),
+                        null);
 
         assertThat(SnapshotCodec.decode(List.of(newer)))
                 .isEqualTo(
                         new SnapshotAssembler.Rejected(
-                                "rules version 3 is newer than this release knows (2)"));
+                                "rules version 4 is newer than this release knows (3)"));
     }
 
     @Test
--- a/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
+++ b/src/test/java/org/apricotgauge/operator/review/ReviewMainTest.java
@@ -93,18 +93,20 @@
     @Test
     void patchOfANewerReleaseIsUndecided() throws IOException {
         Path patch = mDirectory.resolve("patch.json");
-        Files.writeString(patch, "{\"baseVersion\":1,\"rulesVersion\":3,\"new\":true}");
+        Files.writeString(patch, "{\"baseVersion\":2,\"rulesVersion\":4,\"new\":true}");
         Path config = mDirectory.resolve("config.json");
         Files.writeString(
                 config,
                 "[{\"baseVersion\":0,\"author\":\"a\",\"note\":\"\",\"rulesVersion\":2,"
                         + "\"operations\":[{\"op\":\"putMember\","
-                        + "\"member\":{\"id\":\"stable\",\"weight\":1}}]}]");
+                        + "\"member\":{\"id\":\"stable\",\"weight\":1}}]},"
+                        + "{\"baseVersion\":1,\"author\":\"a\",\"note\":\"\",\"rulesVersion\":3,"
+                        + "\"operations\":[]}]");
 
         ExitCode code = run(List.of("--patch", patch.toString(), "--config", config.toString()));
 
         assertThat(code).isEqualTo(ExitCode.NEGATIVE);
-        assertThat(text()).startsWith("undecided: the patch needs rules version 3");
+        assertThat(text()).startsWith("undecided: the patch needs rules version 4");
     }
 
     // Guards against a patch that takes the last key away and opens the site without a word.
