Identify a body with its last byte, not with its end

Callers: a booking that crashes targets runs once more than three times.

Cause, suspected: a target ends as soon as it has the last byte; the hash of the body was final only once the end of the body had been read. A crash in between counts for an unknown body. The log of the failed run shows that one of the three crashes was missing when the fourth run began, not which.

Change: with a known length, the hash is final with the last byte.

Conclusion: this window is closed.

--- a/src/main/java/org/apricotgauge/http/HashingBody.java
+++ b/src/main/java/org/apricotgauge/http/HashingBody.java
@@ -9,6 +9,7 @@
 public final class HashingBody implements Request.Content {
     private final Request.Content mBody;
     private final BodyHash mHash;
+    private long mReadBytes;
 
     /** Wraps a body whose bytes are added to the hash. */
     public HashingBody(Request.Content body, BodyHash hash) {
@@ -28,7 +29,9 @@
             return chunk;
         }
         mHash.update(chunk.getByteBuffer());
-        if (chunk.isLast()) {
+        mReadBytes += chunk.remaining();
+        // A target may end as soon as it has all bytes, before the end of the body is read.
+        if (chunk.isLast() || mReadBytes == getLength()) {
             mHash.end();
         }
         return chunk;
