Take the ports of test nodes from below those of connections

Cause: the test took a port by opening and closing a server socket. Such a port lies in the range from which the kernel takes the local ports of connections (32768 to 60999 here), and one took it before the node did.

No check changes.

Conclusion: no connection of another process takes such a port.

--- a/src/test/java/org/apricotgauge/node/SidecarNodes.java
+++ b/src/test/java/org/apricotgauge/node/SidecarNodes.java
@@ -1,7 +1,6 @@
 package org.apricotgauge.node;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -22,9 +21,7 @@
     static List<Integer> freePorts() throws IOException {
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
-            try (ServerSocket socket = new ServerSocket(0)) {
-                ports.add(socket.getLocalPort());
-            }
+            ports.add(TestPorts.free());
         }
         return ports;
     }
--- a/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
+++ b/src/test/java/org/apricotgauge/node/SidecarOnPlatformTest.java
@@ -8,7 +8,6 @@
 import ch.qos.logback.core.read.ListAppender;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -72,7 +71,7 @@
         HttpClientFactory.start(mCaller);
         mPeers.start();
         mPlatform = KvStandin.start(LOOPBACK, 0);
-        mGuard = new Address(LOOPBACK, freePort());
+        mGuard = new Address(LOOPBACK, TestPorts.free());
         SidecarSettings settings = settings();
         mNode =
                 Node.start(
@@ -257,12 +256,6 @@
     }
 
     private static String freeAddress() throws IOException {
-        return LOOPBACK + ':' + freePort();
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+        return LOOPBACK + ':' + TestPorts.free();
     }
 }
