--- a/src/test/java/org/apricotgauge/config/MemberKeysTest.java
+++ b/src/test/java/org/apricotgauge/config/MemberKeysTest.java
@@ -32,9 +32,9 @@
     @Test
     void aSiteThatRequiresKeysDoesSoWithoutAnyLeft() {
         ConfigHistory one =
-                keysRequired(ConfigHistory.EMPTY, 1, Rules.ACCESS, putMember("stable", "k1"));
+                acceptedUnder(ConfigHistory.EMPTY, 1, Rules.ACCESS, putMember("stable", "k1"));
         ConfigHistory two =
-                keysRequired(
+                acceptedUnder(
                         one,
                         2,
                         Rules.KEYS_REQUIRED,
@@ -48,7 +48,7 @@
         assertThat(restored.configuration().authenticatesByKey()).isTrue();
 
         ConfigHistory three =
-                keysRequired(
+                acceptedUnder(
                         restored,
                         3,
                         Rules.KEYS_REQUIRED,
@@ -58,14 +58,6 @@
                 .isEqualTo(three.digest());
     }
 
-    private static ConfigHistory keysRequired(
-            ConfigHistory on, long position, int rules, PatchOperation... operations) {
-        Patch patch = new Patch(on.version(), "almaz", "test", rules, List.of(operations));
-        FoldResult result = on.apply(new LogEntry(position, PatchCodec.encode(patch)));
-        assertThat(result).isInstanceOf(FoldResult.Accepted.class);
-        return result.history();
-    }
-
     // Guards against two releases that judge one patch differently: the older knows no such field.
     @Test
     void onlyTheThirdRulesKnowThatKeysAreRequired() {
@@ -83,12 +75,16 @@
     @Test
     void whetherKeysAreRequiredMustBeSaid() {
         ConfigHistory one =
-                keysRequired(ConfigHistory.EMPTY, 1, Rules.ACCESS, putMember("stable", "k1"));
+                acceptedUnder(ConfigHistory.EMPTY, 1, Rules.ACCESS, putMember("stable", "k1"));
         String body =
                 "{\"baseVersion\":1,\"author\":\"a\",\"note\":\"\",\"rulesVersion\":3,"
                         + "\"operations\":[{\"op\":\"setKeysRequired\"}]}";
 
-        assertThat(one.apply(new LogEntry(2, body))).isInstanceOf(FoldResult.Refused.class);
+        FoldResult result = one.apply(new LogEntry(2, body));
+
+        assertThat(((FoldResult.Refused) result).reasons())
+                .singleElement()
+                .isInstanceOf(RefusalReason.Malformed.class);
     }
 
     // Guards against a request that counts as one member's here and as another's there.
@@ -138,4 +134,12 @@
         assertThat(result).isInstanceOf(FoldResult.Accepted.class);
         return result.history();
     }
+
+    private static ConfigHistory acceptedUnder(
+            ConfigHistory on, long position, int rules, PatchOperation... operations) {
+        Patch patch = new Patch(on.version(), "almaz", "test", rules, List.of(operations));
+        FoldResult result = on.apply(new LogEntry(position, PatchCodec.encode(patch)));
+        assertThat(result).isInstanceOf(FoldResult.Accepted.class);
+        return result.history();
+    }
 }
