Fail answers that end before their request is written

Callers saw: a part of an answer as a whole 200.

Cause: the client took the end of the connection for the end of such an answer, whatever had become of the request. The system reports a reset once, to whoever reads or writes next: if that is the write, the read that follows sees an orderly end. Until the writer had noted its failure (it fails the request's body first), that end completed the answer. A target that closes in order with an upload unread resets the connection only after the end.

Change: an answer that ends with its connection is complete only if its request was written. If the last part is not on its way yet, the target can't have read the request: the answer fails at once. If it is, the end waits for the result of that write; an upstream that stops sending and reads on still gets its answer through. The last part of a body of known length is told by its count of bytes, since a target may answer before the end of the body is read here. Answers with a length or in chunks are complete as before, however early they come.

What stays is an upload that the system has taken whole as the target closes in order with it unread: the end comes before the reset, and nothing tells it from the end of a whole answer (docs/DESIGN.md, limits).

--- a/src/main/java/org/apricotgauge/http/client/RequestWriter.java
+++ b/src/main/java/org/apricotgauge/http/client/RequestWriter.java
@@ -29,6 +29,7 @@
     private boolean mHeadWritten;
     private boolean mChunked;
     private boolean mEnded;
+    private long mBodyBytes;
 
     RequestWriter(UpstreamConnection connection, UpstreamRequest request) {
         mConnection = connection;
@@ -57,9 +58,8 @@
             throw chunk.getFailure();
         }
         mChunk = chunk;
-        mEnded = chunk != null && chunk.isLast();
-        if (mEnded) {
-            mConnection.onLastPartSent();
+        if (chunk != null) {
+            countPart(chunk);
         }
         ByteBuffer content = chunk == null ? BufferUtil.EMPTY_BUFFER : chunk.getByteBuffer();
         if (mHeadWritten) {
@@ -71,6 +71,15 @@
         return Action.SCHEDULED;
     }
 
+    private void countPart(Content.Chunk part) {
+        mEnded = part.isLast();
+        mBodyBytes += part.remaining();
+        // An upstream may answer as soon as it has all bytes, before the end of the body is read.
+        if (mEnded || mBodyBytes == mRequest.body().getLength()) {
+            mConnection.onLastPartSent();
+        }
+    }
+
     private void writeHead(Content.Chunk first, ByteBuffer content) {
         ByteBuffer head = newHeadBuffer();
         putAscii(head, mRequest.method());
--- a/src/main/java/org/apricotgauge/http/client/ResponseReader.java
+++ b/src/main/java/org/apricotgauge/http/client/ResponseReader.java
@@ -21,7 +21,8 @@
  * Reads the responses of one connection, one after the other.
  *
  * <p>The body is read only as its consumer demands it, at most one buffer ahead. A response that
- * ends early, or whose connection is reset, fails its body; it never looks complete.
+ * ends early, or whose connection is reset, fails its body; it never looks complete. A response
+ * without a length, which ends with its connection, is complete only if its request was written.
  */
 final class ResponseReader implements HttpParser.ResponseHandler {
     private static final Logger LOGGER = Logger.getLogger(ResponseReader.class);
@@ -90,6 +91,14 @@
         }
     }
 
+    /** Called when the request has been written; ends a body that waited for it. */
+    void onRequestWritten() {
+        Body body = mBody;
+        if (body != null && body.mAwaitsRequest) {
+            body.runDemand();
+        }
+    }
+
     /** Called when the connection was closed; fails the body unless it has been read. */
     void onClosed() {
         Body body = mBody;
@@ -199,6 +208,10 @@
         while (true) {
             ByteBuffer content = parseContent();
             if (mMessageComplete) {
+                if (mustAwaitRequest()) {
+                    body.mAwaitsRequest = true;
+                    return null;
+                }
                 endBody(body);
                 return content.hasRemaining()
                         ? Content.Chunk.from(content, true)
@@ -230,6 +243,19 @@
         }
     }
 
+    // An upstream that closes while its request is on its way resets the connection. The reset may
+    // follow the end of the response, and the system reports it once, to the reader or the writer,
+    // so that only a request that was written shows that there was none.
+    private boolean mustAwaitRequest() throws IOException {
+        if (!mParser.isAtEOF() || mConnection.isRequestWritten()) {
+            return false;
+        }
+        if (!mConnection.isLastPartSent()) {
+            throw new EOFException("connection ended before the request was written");
+        }
+        return true;
+    }
+
     private void endBody(Body body) {
         body.mEnded = true;
         boolean reusable =
@@ -302,6 +328,7 @@
         private final UpstreamExchange mOwner = mExchange;
         private final AtomicReference<Runnable> mDemand = new AtomicReference<>();
         private volatile boolean mEnded;
+        private volatile boolean mAwaitsRequest;
         private volatile Throwable mBodyFailure;
 
         @Override
@@ -329,9 +356,9 @@
         @Override
         public void demand(Runnable onAvailable) {
             mDemand.set(onAvailable);
-            if (mEnded || failure() != null) {
+            if (mEnded || failure() != null || mAwaitsRequest && mConnection.isRequestWritten()) {
                 runDemand();
-            } else {
+            } else if (!mAwaitsRequest) {
                 mConnection.awaitReadable();
             }
         }
--- a/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamConnection.java
@@ -154,9 +154,20 @@
         synchronized (this) {
             mRequestWritten = true;
         }
+        mReader.onRequestWritten();
         releaseIfDone();
     }
 
+    /** Returns whether the last bytes of the request were written, or are about to be. */
+    synchronized boolean isLastPartSent() {
+        return mLastPartSent;
+    }
+
+    /** Returns whether the request has been written in full. */
+    synchronized boolean isRequestWritten() {
+        return mRequestWritten;
+    }
+
     /** Called when the request could not be written in full. */
     void onWriteFailed(Throwable cause) {
         failCurrent(cause);
