--- a/src/test/java/org/apricotgauge/http/client/ResponseReaderTest.java
+++ b/src/test/java/org/apricotgauge/http/client/ResponseReaderTest.java
@@ -1,25 +1,21 @@
 package org.apricotgauge.http.client;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.apricotgauge.http.client.ScriptedUpstream.get;
+import static org.apricotgauge.http.client.ScriptedUpstream.reset;
+import static org.apricotgauge.http.client.ScriptedUpstream.write;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.apricotgauge.http.Bodies;
-import org.apricotgauge.model.Address;
 import org.eclipse.jetty.client.AsyncRequestContent;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.RepeatedTest;
@@ -30,55 +26,22 @@
 /** Responses without a length, which end with their connection, to requests with a body. */
 class ResponseReaderTest {
     private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
-    private static final long TIMEOUT_MILLIS = 10_000;
     private static final int MAX_BYTES = 1_000;
     private static final int SMALL_BYTES = 100;
 
     /** More than the buffers of both ends of a connection hold. */
     private static final int LARGE_BYTES = 64 << 20;
 
-    private final QueuedThreadPool mThreads = new QueuedThreadPool();
-    private final ScheduledExecutorScheduler mScheduler = new ScheduledExecutorScheduler();
-    private final UpstreamClientFactory mClients =
-            new UpstreamClientFactory(mThreads, mScheduler, TIMEOUT_MILLIS);
-    private ServerSocket mServer;
-    private UpstreamClient mClient;
+    private ScriptedUpstream mUpstream;
 
     @BeforeEach
     void start() throws Exception {
-        mServer = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
-        mServer.setSoTimeout((int) TIMEOUT_MILLIS);
-        mThreads.start();
-        mScheduler.start();
-        mClients.start();
-        mClient = mClients.create(new UpstreamClientFactory.Limits(60_000, 2, 2));
+        mUpstream = new ScriptedUpstream();
     }
 
     @AfterEach
-    void stop() throws Exception {
-        mClients.stop();
-        mScheduler.stop();
-        mThreads.stop();
-        mServer.close();
-    }
-
-    /** Keeps the source of the response's body. */
-    private static final class Recorder implements UpstreamExchange.Listener {
-        private final CompletableFuture<Content.Source> mBody = new CompletableFuture<>();
-
-        @Override
-        public void onAnswer(UpstreamResponse response, Content.Source body) {
-            mBody.complete(body);
-        }
-
-        @Override
-        public void onFailure(UpstreamExchange.Failure failure) {
-            mBody.completeExceptionally(failure.cause());
-        }
-
-        Content.Source body() throws Exception {
-            return get(mBody);
-        }
+    void stop() {
+        mUpstream.close();
     }
 
     /** A body of a known length whose first part is sent alone. */
@@ -99,46 +62,18 @@
         }
     }
 
-    private Recorder post(Content.Source body) {
-        Recorder recorder = new Recorder();
-        Address address = new Address("127.0.0.1", mServer.getLocalPort());
-        mClient.send(new UpstreamRequest(address, "POST", "/", HttpFields.EMPTY, body), recorder);
-        return recorder;
-    }
-
-    private static <T> T get(CompletableFuture<T> future) throws Exception {
-        return future.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     private static String readAll(Content.Source body) throws Exception {
         return new String(get(Bodies.readAll(body, MAX_BYTES)), ISO_8859_1);
     }
 
-    private static void write(Socket connection, String text) throws IOException {
-        connection.getOutputStream().write(text.getBytes(ISO_8859_1));
-    }
-
-    private static void readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) in.read());
-        }
-    }
-
-    private static void reset(Socket connection) throws IOException {
-        connection.setSoLinger(true, 0);
-        connection.close();
-    }
-
     // Guards against a truncated response that looks complete: an upstream that closes while its
     // request is on its way resets the connection, and the reset may come after the end.
     @Test
     void responseThatEndsBeforeItsRequestIsNotComplete() throws Exception {
         Upload upload = new Upload(SMALL_BYTES);
         upload.send(SMALL_BYTES / 2, false);
-        Recorder recorder = post(upload);
-        try (Socket connection = mServer.accept()) {
-            readHead(connection.getInputStream());
+        ScriptedUpstream.Recorder recorder = mUpstream.post(upload);
+        try (Socket connection = mUpstream.accept()) {
             write(connection, HEAD + "part");
             connection.shutdownOutput();
 
@@ -174,9 +109,8 @@
     void responseWhoseRequestFailsIsNotComplete(boolean inLastPart) throws Exception {
         FailingUpload upload = new FailingUpload(SMALL_BYTES);
         upload.send(1, false);
-        Recorder recorder = post(upload);
-        try (Socket connection = mServer.accept()) {
-            readHead(connection.getInputStream());
+        ScriptedUpstream.Recorder recorder = mUpstream.post(upload);
+        try (Socket connection = mUpstream.accept()) {
             write(connection, HEAD + "part");
             upload.mResponse.complete(recorder.body());
             reset(connection);
@@ -194,10 +128,9 @@
     void responseIsCompleteOnceItsRequestIsWritten() throws Exception {
         Upload upload = new Upload(LARGE_BYTES);
         upload.send(LARGE_BYTES, true);
-        Recorder recorder = post(upload);
-        try (Socket connection = mServer.accept()) {
+        ScriptedUpstream.Recorder recorder = mUpstream.post(upload);
+        try (Socket connection = mUpstream.accept()) {
             InputStream in = connection.getInputStream();
-            readHead(in);
             write(connection, HEAD + "whole");
             connection.shutdownOutput();
             CompletableFuture<byte[]> response = Bodies.readAll(recorder.body(), MAX_BYTES);
@@ -214,10 +147,9 @@
     void responseWhoseLastPartIsNotReadIsNotComplete() throws Exception {
         Upload upload = new Upload(LARGE_BYTES);
         upload.send(LARGE_BYTES, true);
-        Recorder recorder = post(upload);
+        ScriptedUpstream.Recorder recorder = mUpstream.post(upload);
         CompletableFuture<byte[]> response;
-        try (Socket connection = mServer.accept()) {
-            readHead(connection.getInputStream());
+        try (Socket connection = mUpstream.accept()) {
             write(connection, HEAD + "part");
             connection.shutdownOutput();
             response = Bodies.readAll(recorder.body(), MAX_BYTES);
@@ -231,9 +163,8 @@
     void responseIsCompleteThoughTheEndOfTheRequestIsReadLate() throws Exception {
         Upload upload = new Upload(SMALL_BYTES);
         upload.send(SMALL_BYTES, false);
-        Recorder recorder = post(upload);
-        try (Socket connection = mServer.accept()) {
-            readHead(connection.getInputStream());
+        ScriptedUpstream.Recorder recorder = mUpstream.post(upload);
+        try (Socket connection = mUpstream.accept()) {
             connection.getInputStream().skipNBytes(SMALL_BYTES);
             write(connection, HEAD + "whole");
         }
@@ -254,9 +185,8 @@
     void refusalOfKnownLengthIsCompleteBeforeItsRequest(String refusal) throws Exception {
         Upload upload = new Upload(SMALL_BYTES);
         upload.send(SMALL_BYTES / 2, false);
-        Recorder recorder = post(upload);
-        try (Socket connection = mServer.accept()) {
-            readHead(connection.getInputStream());
+        ScriptedUpstream.Recorder recorder = mUpstream.post(upload);
+        try (Socket connection = mUpstream.accept()) {
             write(connection, refusal);
 
             assertThat(readAll(recorder.body())).isEqualTo("large");
