Fail a response whose parsing throws an Error

Callers saw: nothing in production. Where assertions are on, as in tests, a head that was too long, or a length beyond 64 bits, left its request without an answer until its deadline, and its connection unread.

ResponseReader handled exceptions only; any Error left the exchange, and the connection with it, to the deadline.

Change: an Error fails the exchange as an exception does, with the log line that there was.

--- a/src/main/java/org/apricotgauge/http/client/ResponseReader.java
+++ b/src/main/java/org/apricotgauge/http/client/ResponseReader.java
@@ -85,7 +85,7 @@
             readHead();
         } catch (IOException e) {
             mConnection.fail(mExchange, e);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOGGER.warnf(e, "a response of %s was not handled", mEndPoint);
             mConnection.fail(mExchange, e);
         }
@@ -342,7 +342,7 @@
             }
             try {
                 return readBody(this);
-            } catch (Exception e) {
+            } catch (Exception | Error e) {
                 fail(e);
                 return Content.Chunk.from(failure(), true);
             }
--- a/src/test/java/org/apricotgauge/functional/EndlessAnswerTest.java
+++ b/src/test/java/org/apricotgauge/functional/EndlessAnswerTest.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bytes of a target that never end: in a head, before it, or in a body. */
@@ -96,6 +97,66 @@
         }
     }
 
+    // Guards against a head without end that is kept as a whole, or that holds up other answers.
+    @ParameterizedTest
+    @CsvSource({
+        "'', HTTP/1.1",
+        "'HTTP/1.1 ', 2",
+        "'HTTP/1.1 200 O', K",
+        "'HTTP/1.1 200 OK|', X: y|",
+        "'HTTP/1.1 200 OK|', x",
+        "'HTTP/1.1 200 OK|X: ', y",
+        "'HTTP/1.1 200 OK|X:', ' '",
+        "'HTTP/1.1 200 OK|Content-Length: ', 0",
+        "'HTTP/1.1 102 Processing|', X: y|",
+    })
+    void aHeadWithoutEndEndsTheRunAndDelaysNoOther(String beginning, String repeated)
+            throws Exception {
+        try (Endless bad = new Endless(lines(beginning), lines(repeated).repeat(1_000), 0);
+                RawTarget good = RawTarget.start(RawTarget.always(OK));
+                Hops hops = twoTargets(bad, good)) {
+            for (ScriptedEntry.Sent sent : sendToBoth(bad, hops, LONG_MILLIS)) {
+                assertThat(sent.reason()).isEqualTo("started");
+            }
+        }
+    }
+
+    // Guards against chunks whose framing never ends, which hold up other answers or look whole.
+    @ParameterizedTest
+    @CsvSource({"1;, x", "'', 0", "'1|a|0|', X: y|", "'1|a|0|', x", "'1|a|', 1|a|"})
+    void chunksWithoutEndBreakAndDelayNoOther(String beginning, String repeated) throws Exception {
+        String head = "HTTP/1.1 200 OK|Transfer-Encoding: chunked||";
+        try (Endless bad = new Endless(lines(head + beginning), lines(repeated).repeat(1_000), 0);
+                RawTarget good = RawTarget.start(RawTarget.always(OK));
+                Hops hops = twoTargets(bad, good)) {
+            for (ScriptedEntry.Sent sent : sendToBoth(bad, hops, 2_000)) {
+                // A guard that has told nothing of the answer yet tells the outcome in its place.
+                if (sent.reason() == null) {
+                    assertThatThrownBy(sent::body).isNotNull();
+                }
+            }
+        }
+    }
+
+    private static String lines(String text) {
+        return text.replace("|", "\r\n");
+    }
+
+    /** Sends endless requests at a time, and checks that another one is answered meanwhile. */
+    private static List<ScriptedEntry.Sent> sendToBoth(Endless bad, Hops hops, long endlessMillis)
+            throws Exception {
+        ScriptedEntry entry = new ScriptedEntry(hops, "a");
+        List<ScriptedEntry.Sent> endless = new ArrayList<>();
+        for (int i = 0; i < AT_A_TIME; i++) {
+            endless.add(entry.send("bad", "/x", endlessMillis, HttpFields.EMPTY));
+        }
+        LocalFleet.await(() -> bad.mTarget.runs() == AT_A_TIME);
+        assertThat(entry.send("good", "/x", LONG_MILLIS, HttpFields.EMPTY).body())
+                .isEqualTo("hello");
+        bad.awaitClosedByPeer();
+        return endless;
+    }
+
     // Guards against an endless body that looks whole, or that holds up other answers.
     @ParameterizedTest
     @ValueSource(
--- a/src/test/java/org/apricotgauge/functional/MalformedAnswerTest.java
+++ b/src/test/java/org/apricotgauge/functional/MalformedAnswerTest.java
@@ -63,6 +63,7 @@
                 OK + "X Y: 1\r\n" + LENGTH + END,
                 OK + LENGTH + "X\u0001Y: 1\r\n" + END,
                 OK + LENGTH + "X: a\u0001b\r\n" + END,
+                OK + "Content-Length: 18446744073709551621\r\n" + END,
             })
     void malformedAnswerDoesNotReachItsCaller(String answer) throws Exception {
         assertNoAnswer(answer, true);
