Fail answers of the platform whose connection is reset

Callers saw: nothing so far.

Cause: the client of the platform is Jetty's, whose connections report a reset as the end of the stream.

Change: ResetDetectingConnector is a class of its own, and the platform's client uses it, too.

--- a/src/main/java/org/apricotgauge/http/client/UpstreamClientFactory.java
+++ b/src/main/java/org/apricotgauge/http/client/UpstreamClientFactory.java
@@ -1,15 +1,10 @@
 package org.apricotgauge.http.client;
 
-import java.nio.channels.SelectableChannel;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.concurrent.Executor;
 import org.apricotgauge.http.NoOpSslContextFactory;
 import org.apricotgauge.model.Checks;
 import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -83,14 +78,4 @@
     public UpstreamClient create(Limits limits) {
         return new UpstreamClient(mConnector, mScheduler, Checks.notNull("limits", limits));
     }
-
-    /** A connector whose connections distinguish a reset from the end of the stream. */
-    private static final class ResetDetectingConnector extends ClientConnector {
-        @Override
-        protected EndPoint newEndPoint(
-                SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-            return new ResetDetectingEndPoint(
-                    (SocketChannel) channel, selector, key, getScheduler());
-        }
-    }
 }
--- a/src/main/java/org/apricotgauge/platform/HttpPlatformClient.java
+++ b/src/main/java/org/apricotgauge/platform/HttpPlatformClient.java
@@ -6,10 +6,12 @@
 import java.net.URI;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.apricotgauge.http.client.ResetDetectingConnector;
 import org.apricotgauge.model.Checks;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -57,7 +59,8 @@
      * @throws PlatformException if the HTTP client does not start
      */
     public static HttpPlatformClient open(URI base) {
-        HttpClient http = new HttpClient();
+        HttpClient http =
+                new HttpClient(new HttpClientTransportOverHTTP(new ResetDetectingConnector()));
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 2);
         threads.setName("platform-client");
         threads.setDaemon(true);
--- a/src/test/java/org/apricotgauge/platform/HttpPlatformClientTest.java
+++ b/src/test/java/org/apricotgauge/platform/HttpPlatformClientTest.java
@@ -1,8 +1,15 @@
 package org.apricotgauge.platform;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -77,6 +84,38 @@
         assertThat(get(mClient.readSnapshotChunk(7, 1))).containsExactly(2);
     }
 
+    // Guards against a part of a snapshot that is taken for a whole chunk, as the platform crashes.
+    @Test
+    void chunkWhoseConnectionIsResetIsNotComplete() {
+        assertThatThrownBy(() -> chunkWithoutLength(true))
+                .hasCauseInstanceOf(PlatformException.class);
+    }
+
+    @Test
+    void chunkThatEndsWithItsConnectionIsComplete() throws Exception {
+        assertThat(chunkWithoutLength(false)).isEqualTo("part");
+    }
+
+    private static String chunkWithoutLength(boolean reset) throws Exception {
+        try (ServerSocket platform = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                PlatformClient client =
+                        HttpPlatformClient.open(
+                                URI.create("http://127.0.0.1:" + platform.getLocalPort()))) {
+            CompletableFuture<byte[]> chunk = client.readSnapshotChunk(7, 1);
+            try (Socket connection = platform.accept()) {
+                BufferedReader request =
+                        new BufferedReader(
+                                new InputStreamReader(connection.getInputStream(), UTF_8));
+                while (!request.readLine().isEmpty()) {
+                    continue;
+                }
+                connection.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(UTF_8));
+                connection.setSoLinger(reset, 0);
+            }
+            return new String(get(chunk), UTF_8);
+        }
+    }
+
     private static VmStatus vm(String id, VmStatus.State state) {
         return new VmStatus(new Vm(id, "d1", "127.0.0.1", 1, 2, 3, 4), state);
     }
