--- a/src/test/java/org/apricotgauge/http/client/UpstreamClientTest.java
+++ b/src/test/java/org/apricotgauge/http/client/UpstreamClientTest.java
@@ -190,6 +190,25 @@
         assertThatThrownBy(() -> get(response)).hasRootCauseInstanceOf(IOException.class);
     }
 
+    // Guards against a response without end that is kept until the memory is used up.
+    @Test
+    void fetchOfEndlessBodyFailsAtItsBound() throws Exception {
+        CompletableFuture<FetchedResponse> response = fetch("/");
+        try (Socket connection = mServer.accept()) {
+            readTo(connection, "\r\n\r\n");
+            write(connection, "HTTP/1.1 200 OK\r\n\r\n");
+            String text = "x".repeat(MAX_BYTES);
+            assertThatThrownBy(
+                            () -> {
+                                while (true) {
+                                    write(connection, text);
+                                }
+                            })
+                    .isInstanceOf(IOException.class);
+        }
+        assertThatThrownBy(() -> get(response)).isNotNull();
+    }
+
     // Guards against bytes after a response that are taken for the response to the next request.
     @Test
     void connectionWithBytesAfterResponseIsNotReused() throws Exception {
