Name the condition under which a waiting body may go on

Cause: read as a newcomer: three conditions joined in one line.

Change: hasAwaitedRequest.

Figures: the tests of the client and of early answers pass.

Conclusion: no change of behaviour.

--- a/src/main/java/org/apricotgauge/http/client/ResponseReader.java
+++ b/src/main/java/org/apricotgauge/http/client/ResponseReader.java
@@ -356,13 +356,17 @@
         @Override
         public void demand(Runnable onAvailable) {
             mDemand.set(onAvailable);
-            if (mEnded || failure() != null || mAwaitsRequest && mConnection.isRequestWritten()) {
+            if (mEnded || failure() != null || hasAwaitedRequest()) {
                 runDemand();
             } else if (!mAwaitsRequest) {
                 mConnection.awaitReadable();
             }
         }
 
+        private boolean hasAwaitedRequest() {
+            return mAwaitsRequest && mConnection.isRequestWritten();
+        }
+
         private void runDemand() {
             Runnable onAvailable = mDemand.getAndSet(null);
             if (onAvailable != null) {
